Frame: model, messages, events, effects, checks

Cause: an empty tree; every other issue stands on typed messages and effects. Weighed: owner at entries, plain leases, slots over all agents; chosen: a cell with one owner (docs/design/ownership.md).

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+# Targets work from a bare clone; VENV may point at a ready environment.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+export PYTHONPATH = src:.
+export PYTHONHASHSEED = 0
+
+.PHONY: test demo soak mutants slopes measure format clean
+
+$(VENV)/.ready: requirements.txt requirements-dev.txt
+	python3.11 -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $@
+
+test: $(VENV)/.ready
+	$(PYTHON) -m tools.verdict
+
+format: $(VENV)/.ready
+	$(VENV)/bin/ruff format .
+	$(VENV)/bin/ruff check --fix .
+
+clean:
+	rm -rf build .ruff_cache .hypothesis
--- /dev/null
+++ b/src/cactuswalk/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The installed commands."""
--- /dev/null
+++ b/src/cactuswalk/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions under load, without network, clock or randomness of their own."""
--- /dev/null
+++ b/src/cactuswalk/messages/cell.py
@@ -0,0 +1,252 @@
+"""Messages between the owner of a cell and its agents.
+
+Every message of an owner carries the cell's epoch. An agent refuses the work
+of an epoch below the highest it has seen.
+"""
+
+import msgspec
+
+from cactuswalk.model.answer import TaskResult, TaskState
+from cactuswalk.model.cell import Member
+from cactuswalk.model.job import TaskSpec
+from cactuswalk.model.worker import Announcement
+
+__all__ = [
+    "Adopt",
+    "Declined",
+    "Fence",
+    "Fenced",
+    "Heard",
+    "HeardReply",
+    "Join",
+    "Leave",
+    "Ping",
+    "Pong",
+    "Probe",
+    "Record",
+    "Result",
+    "Running",
+    "Start",
+    "Witness",
+    "Witnessed",
+]
+
+
+class Record(msgspec.Struct, array_like=True):
+    """What an agent keeps of a task that it started or declined.
+
+    :param total: tasks in the job, so that a new owner can tell whether the
+        records it holds are all of it.
+    :param attempt: the owner's placement of the task, from 1.
+    :param result: set once the task has ended.
+    """
+
+    submission: str
+    index: int
+    total: int
+    fingerprint: bytes
+    attempt: int
+    state: TaskState
+    worker: str
+    result: TaskResult | None = None
+
+
+class Join(msgspec.Struct, array_like=True, tag=20):
+    """An agent asks to be on the cell's roster, or announces a change."""
+
+    cell: str
+    member: Member
+    announcement: Announcement | None
+
+
+class Leave(msgspec.Struct, array_like=True, tag=21):
+    """An agent is stopping: give it nothing new, keep its records for it."""
+
+    cell: str
+    member: Member
+
+
+class Ping(msgspec.Struct, array_like=True, tag=22):
+    """The owner asks an agent to confirm its epoch.
+
+    :param serial: repeated in the pong; the owner counts its standing from
+        when it sent the ping, never from when the pong came.
+    :param configuration: the revision that the owner has in force.
+    :param roster: of the epoch, sent when it has changed, else empty.
+    """
+
+    cell: str
+    epoch: int
+    owner: Member
+    serial: int
+    configuration: int
+    roster: list[Member]
+
+
+class Pong(msgspec.Struct, array_like=True, tag=23):
+    """An agent confirms the owner's epoch, and says what it is doing.
+
+    :param stamp: the agent's own monotonic clock in milliseconds; a start has
+        to bring it back while it is young.
+    :param running: serials of the starts that it is running.
+    :param announcement_serial: of its latest announcement.
+    """
+
+    cell: str
+    epoch: int
+    incarnation: str
+    serial: int
+    stamp: int
+    running: list[int]
+    configuration: int
+    ready: bool
+    announcement_serial: int
+
+
+class Start(msgspec.Struct, array_like=True, tag=24):
+    """The owner starts a task at an agent.
+
+    :param incarnation: the life of the agent that it is meant for.
+    :param stamp: of that agent's latest pong; an old one is refused.
+    :param serial: of the start, for the pong's list of what is running.
+    :param remaining_ms: of the deadline, counted from the stamp.
+    """
+
+    cell: str
+    epoch: int
+    incarnation: str
+    stamp: int
+    serial: int
+    submission: str
+    fingerprint: bytes
+    index: int
+    total: int
+    attempt: int
+    service: str
+    task: TaskSpec
+    remaining_ms: int
+
+
+class Result(msgspec.Struct, array_like=True, tag=25):
+    """A task has ended at an agent.
+
+    :param elapsed_ms: from the call to the upstream to its answer.
+    """
+
+    cell: str
+    incarnation: str
+    submission: str
+    index: int
+    attempt: int
+    result: TaskResult
+    elapsed_ms: int
+
+
+class Declined(msgspec.Struct, array_like=True, tag=26):
+    """An attempt did not start at this life of the agent, and never will."""
+
+    cell: str
+    incarnation: str
+    epoch: int
+    submission: str
+    index: int
+    attempt: int
+    reason: str
+
+
+class Probe(msgspec.Struct, array_like=True, tag=27):
+    """Ask what became of an attempt; one that never came is then declined.
+
+    :param stop: also stop it where it is running.
+    """
+
+    cell: str
+    epoch: int
+    incarnation: str
+    submission: str
+    index: int
+    attempt: int
+    stop: bool
+
+
+class Running(msgspec.Struct, array_like=True, tag=28):
+    """The probed attempt has started and has not ended."""
+
+    cell: str
+    incarnation: str
+    submission: str
+    index: int
+    attempt: int
+
+
+class Heard(msgspec.Struct, array_like=True, tag=29):
+    """An agent that misses its owner asks the others whether they do too."""
+
+    cell: str
+    epoch: int
+
+
+class HeardReply(msgspec.Struct, array_like=True, tag=30):
+    """How long ago the replying agent heard from the owner of an epoch."""
+
+    cell: str
+    epoch: int
+    member: Member
+    silent_ms: int
+
+
+class Fence(msgspec.Struct, array_like=True, tag=31):
+    """A new owner ends the earlier epochs at an agent and asks for records.
+
+    :param part: which part of the records to send, from 0.
+    """
+
+    cell: str
+    epoch: int
+    owner: Member
+    part: int
+
+
+class Fenced(msgspec.Struct, array_like=True, tag=32):
+    """An agent has taken the new epoch; here is a part of its records."""
+
+    cell: str
+    epoch: int
+    member: Member
+    part: int
+    parts: int
+    records: list[Record]
+    announcement: Announcement | None
+
+
+class Witness(msgspec.Struct, array_like=True, tag=33):
+    """The owner is about to start a task beside itself: keep a record of it.
+
+    Owner and worker share a host. Without a witness elsewhere, its death would
+    take both the order and the record, and nobody could tell whether it ran.
+    """
+
+    cell: str
+    epoch: int
+    incarnation: str
+    stamp: int
+    record: Record
+
+
+class Witnessed(msgspec.Struct, array_like=True, tag=34):
+    """The record of a start beside the owner is kept here too."""
+
+    cell: str
+    epoch: int
+    incarnation: str
+    submission: str
+    index: int
+    attempt: int
+
+
+class Adopt(msgspec.Struct, array_like=True, tag=35):
+    """Keep these records for a member that leaves or is gone."""
+
+    cell: str
+    epoch: int
+    records: list[Record]
--- /dev/null
+++ b/src/cactuswalk/messages/submission.py
@@ -0,0 +1,118 @@
+"""Messages between entries and the owner of a cell."""
+
+import msgspec
+
+from cactuswalk.model.answer import Outcome, Refusal, TaskResult
+from cactuswalk.model.job import Job
+from cactuswalk.model.worker import Announcement
+
+__all__ = [
+    "Answer",
+    "Cancel",
+    "CellReport",
+    "JobState",
+    "NotOwner",
+    "Query",
+    "Submit",
+    "Subscribe",
+]
+
+
+class Submit(msgspec.Struct, array_like=True, tag=1):
+    """An entry hands a job to the owner; sent again, it joins the first.
+
+    :param attempt: of this entry for this submission; the answer repeats it.
+    :param fresh: the entry minted the identifier and never sent it before, so
+        nobody else can have started any of it.
+    :param remaining_ms: until the caller's deadline, at the time of sending.
+    """
+
+    job: Job
+    attempt: int
+    fresh: bool
+    remaining_ms: int
+
+
+class Answer(msgspec.Struct, array_like=True, tag=2):
+    """The final answer to a submission; the first one given stands.
+
+    :param results: of every task, in order, for ``answered`` and ``failed``.
+    :param digest: over the results' digests, checked by the entry.
+    """
+
+    submission: str
+    attempt: int
+    fingerprint: bytes
+    outcome: Outcome
+    results: list[TaskResult]
+    refusal: Refusal | None
+    digest: bytes
+
+
+class Cancel(msgspec.Struct, array_like=True, tag=3):
+    """Stop a submission: what has not started never will."""
+
+    submission: str
+
+
+class Query(msgspec.Struct, array_like=True, tag=4):
+    """Ask where a submission stands; ``request`` is repeated in the reply."""
+
+    submission: str
+    request: str
+
+
+class JobState(msgspec.Struct, array_like=True, tag=5):
+    """Where a submission stands; ``answer`` is set once there is one.
+
+    ``known`` is False where the owner has no record of the submission.
+    """
+
+    submission: str
+    request: str
+    known: bool
+    total: int
+    queued: int
+    running: int
+    finished: int
+    answer: Answer | None
+
+
+class NotOwner(msgspec.Struct, array_like=True, tag=6):
+    """The receiver of a submission does not own the cell; nothing was done.
+
+    :param owner: address of the owner it knows of, empty for none.
+    """
+
+    cell: str
+    epoch: int
+    owner: str
+    submission: str
+
+
+class Subscribe(msgspec.Struct, array_like=True, tag=7):
+    """An entry asks an owner for reports, and renews the wish with each."""
+
+    cell: str
+    entry: str
+
+
+class CellReport(msgspec.Struct, array_like=True, tag=8):
+    """What an entry needs to choose and explain a cell, folded by its owner.
+
+    :param free_slots: per service, after what is queued.
+    :param workers: announcements of the cell's workers, sent when ``serial``
+        has changed since the last report to that entry, else empty.
+    :param configuration: lowest revision in force among the cell's nodes.
+    """
+
+    cell: str
+    epoch: int
+    owner: str
+    serial: int
+    free_slots: dict[str, int]
+    queued: dict[str, int]
+    workers: list[Announcement]
+    nodes: int
+    configuration: int
+    nodes_in_force: int
--- /dev/null
+++ b/src/cactuswalk/model/__init__.py
@@ -0,0 +1,38 @@
+"""What the brief names: jobs, tasks, workers, outcomes, and their identifiers."""
+
+from cactuswalk.model.answer import (
+    Outcome,
+    Refusal,
+    RefusalCode,
+    TaskOutcome,
+    TaskResult,
+    TaskState,
+)
+from cactuswalk.model.cell import CellRecord, Member
+from cactuswalk.model.identifier import (
+    birth_ms,
+    digest,
+    mint,
+    submission_name,
+)
+from cactuswalk.model.job import Job, TaskSpec
+from cactuswalk.model.worker import Announcement, Capacity
+
+__all__ = [
+    "Announcement",
+    "Capacity",
+    "CellRecord",
+    "Job",
+    "Member",
+    "Outcome",
+    "Refusal",
+    "RefusalCode",
+    "TaskOutcome",
+    "TaskResult",
+    "TaskSpec",
+    "TaskState",
+    "birth_ms",
+    "digest",
+    "mint",
+    "submission_name",
+]
--- /dev/null
+++ b/src/cactuswalk/model/cell.py
@@ -0,0 +1,39 @@
+"""A cell: some tens of workers whose starts are all decided by one owner."""
+
+import msgspec
+
+__all__ = ["CellRecord", "Member"]
+
+
+class Member(msgspec.Struct, array_like=True, frozen=True):
+    """One life of one agent: a restarted agent is another member.
+
+    :param worker: the worker's name from the settings.
+    :param incarnation: drawn at start; an agent that lost its memory must not
+        speak for the one that had it.
+    :param address: where its messages go, ``tcp://ip:port``.
+    """
+
+    worker: str
+    incarnation: str
+    address: str
+
+
+class CellRecord(msgspec.Struct):
+    """What the key-value service keeps of a cell; changed only by swaps.
+
+    :param epoch: grows by one with each takeover; an agent that has seen it
+        accepts nothing from an owner of an earlier one.
+    :param roster: the agents that the owner may start tasks at.
+    :param departed: members removed less than the retention window ago that
+        took records with them which nobody else holds.
+    :param write_id: names the write, so that a swap whose reply was lost can
+        be recognised when it is read back.
+    """
+
+    cell: str
+    epoch: int
+    owner: Member
+    roster: list[Member]
+    departed: list[Member]
+    write_id: str
--- /dev/null
+++ b/src/cactuswalk/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's key-value service."""
--- /dev/null
+++ b/src/cactuswalk/settings/__init__.py
@@ -0,0 +1,1 @@
+"""INI settings, checked whole at start."""
--- /dev/null
+++ b/src/cactuswalk/state/__init__.py
@@ -0,0 +1,1 @@
+"""Reducers: events in, state and effects out."""
--- /dev/null
+++ b/src/cactuswalk/state/effects.py
@@ -0,0 +1,116 @@
+"""Effects: what a reducer wants done, as data; the runtime does it."""
+
+import enum
+
+import msgspec
+
+from cactuswalk.messages import Message
+from cactuswalk.model import Outcome, Refusal, TaskResult, TaskSpec
+
+__all__ = [
+    "CallUpstream",
+    "Count",
+    "Effect",
+    "Gauge",
+    "Log",
+    "Part",
+    "ReadKey",
+    "Reply",
+    "Send",
+    "StopUpstream",
+    "SwapKey",
+]
+
+
+class Part(enum.StrEnum):
+    """The parts that write log lines; each line opens with its part."""
+
+    ENTRY = "entry"
+    OWNER = "owner"
+    AGENT = "agent"
+    CELL = "cell"
+    CONFIGURATION = "configuration"
+
+
+class Send(msgspec.Struct, array_like=True):
+    """Send a message to a process, by its address."""
+
+    address: str
+    message: Message
+
+
+class CallUpstream(msgspec.Struct):
+    """Call the upstream for a task; ends in an ``UpstreamAnswered`` event."""
+
+    submission: str
+    index: int
+    attempt: int
+    service: str
+    task: TaskSpec
+    timeout_ms: int
+
+
+class StopUpstream(msgspec.Struct):
+    """Ask the upstream to stop a task that has started."""
+
+    submission: str
+    index: int
+    attempt: int
+
+
+class Reply(msgspec.Struct):
+    """Answer the callers who wait for a submission at this entry."""
+
+    waiter: str
+    submission: str
+    outcome: Outcome
+    results: list[TaskResult]
+    refusal: Refusal | None
+
+
+class ReadKey(msgspec.Struct):
+    """Read a key of the key-value service; ends in ``KeyRead``."""
+
+    key: str
+
+
+class SwapKey(msgspec.Struct):
+    """Write a key if its revision is still the expected one.
+
+    Ends in ``KeySwapped`` with the same ``write_id``, which is also in the
+    value, so that the client can read back a write whose reply was lost.
+
+    :param expected: revision of the key's last change; 0 for no key.
+    """
+
+    key: str
+    expected: int
+    value: bytes
+    write_id: str
+
+
+class Log(msgspec.Struct):
+    """A log line: one short sentence, and the values that led to it."""
+
+    part: Part
+    sentence: str
+    fields: dict[str, object]
+
+
+class Count(msgspec.Struct):
+    """Add to a counter."""
+
+    name: str
+    by: int = 1
+
+
+class Gauge(msgspec.Struct):
+    """Set a gauge."""
+
+    name: str
+    value: float
+
+
+Effect = (
+    Send | CallUpstream | StopUpstream | Reply | ReadKey | SwapKey | Log | Count | Gauge
+)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement and checking tools; nothing here ships with the product."""
