Client of the platform's key-value service

Swaps, reads, lists, watches and leases against etcd's JSON gateway, through one gate that joins a call budget, jittered back-off and one probe at a time. A swap whose reply was lost is sent again with the same expected revision and settled by its write id, or by the key's history where another writer came after it.

--- /dev/null
+++ b/src/cactuswalk/platform/gate.py
@@ -0,0 +1,125 @@
+"""The gate that every call to the key-value service goes through.
+
+It joins the call budget and the back-off of one process, and while the service
+fails it lets one call at a time through as a probe, so that its return meets
+one call a process, not every call that has been waiting.
+"""
+
+import asyncio
+import collections.abc
+import random
+
+from cactuswalk.decisions.backoff import Backoff, adapted_timeout
+from cactuswalk.decisions.callbudget import CallBudget
+from cactuswalk.platform.errors import UnavailableError
+
+__all__ = ["Gate", "Passage"]
+
+
+class Passage:
+    """One call on its way; ``timeout`` is what it may take."""
+
+    __slots__ = ("probe", "started", "timeout")
+
+    def __init__(self, started: float, timeout: float, probe: bool) -> None:
+        self.started = started
+        self.timeout = timeout
+        self.probe = probe
+
+
+class Gate:
+    """Let calls pass as budget and back-off allow.
+
+    :param shortest_timeout: time-out of a call while the service is well.
+    """
+
+    def __init__(
+        self,
+        budget: CallBudget,
+        shortest_timeout: float,
+        clock: collections.abc.Callable[[], float],
+        generator: random.Random,
+        count: collections.abc.Callable[[str], None],
+    ) -> None:
+        self.budget = budget
+        self.backoff = Backoff()
+        self.shortest_timeout = shortest_timeout
+        self.timeout = shortest_timeout
+        self.clock = clock
+        self.generator = generator
+        self.count = count
+        self.probing = False
+        self.probe_ended = asyncio.Event()
+
+    async def enter(self, cost: float, deadline: float) -> Passage:
+        """Wait for a passage; the call itself may then run past the deadline.
+
+        :raises UnavailableError: if there is none before the deadline; then
+            nothing has been sent.
+        """
+        while True:
+            now = self.clock()
+            if now >= deadline:
+                self._refuse()
+            if self.probing:
+                await self._wait_for_probe(deadline - now)
+                continue
+            pause = max(self.backoff.remaining(now), self.budget.remaining(cost, now))
+            if pause <= 0:
+                break
+            if now + pause >= deadline:
+                self._refuse()
+            await asyncio.sleep(pause)
+        self.budget.spend(cost, now)
+        self.probing = self.backoff.failures > 0
+        return Passage(now, self.timeout, self.probing)
+
+    def succeeded(self, passage: Passage) -> None:
+        """Take note that a call was answered."""
+        now = self.clock()
+        self.timeout = adapted_timeout(
+            self.shortest_timeout, passage.timeout, now - passage.started
+        )
+        self.backoff.succeeded()
+        self._end_probe(passage)
+
+    def failed(self, passage: Passage, timed_out: bool) -> None:
+        """Take note that a call was not answered."""
+        now = self.clock()
+        if timed_out:
+            self.timeout = adapted_timeout(self.shortest_timeout, passage.timeout, None)
+        self.backoff.failed(passage.started, now, self.generator)
+        self.budget.empty(now)
+        self._end_probe(passage)
+
+    def abandoned(self, passage: Passage) -> None:
+        """Take note that nobody waits for a call's answer any more."""
+        self._end_probe(passage)
+
+    def _end_probe(self, passage: Passage) -> None:
+        # Ended once only: by the second time the probe may be another call's.
+        if passage.probe:
+            passage.probe = False
+            self.probing = False
+            self.probe_ended.set()
+            self.probe_ended = asyncio.Event()
+
+    async def _wait_for_probe(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(min(seconds, MAXIMUM_SLEEP_SECONDS)):
+                await self.probe_ended.wait()
+        except TimeoutError:
+            return
+
+    def _refuse(self) -> None:
+        self.count("platform.held_back")
+        raise UnavailableError(
+            "no call to the key-value service was possible in time:"
+            f" {self.backoff.failures} failures in a row",
+            "Wait for the service to answer; if it does, the call budget of"
+            " this process is too small for what it is asked to do.",
+        )
+
+
+# A watch waits without a deadline, and a timer can't be set to infinity.
+MAXIMUM_SLEEP_SECONDS = 60.0
--- /dev/null
+++ b/src/cactuswalk/platform/protocol.py
@@ -0,0 +1,218 @@
+"""Requests and replies of etcd v3's JSON gateway, typed.
+
+Bytes travel as base64, 64-bit integers as strings, and a reply leaves out what
+is at its default, as the gateway's published mapping of protobuf says.
+"""
+
+import typing
+
+import msgspec
+
+from cactuswalk.platform.errors import CallFailedError
+
+__all__ = [
+    "GRANT",
+    "KEEP_ALIVE",
+    "MAXIMUM_VALUE_BYTES",
+    "PUT",
+    "RANGE",
+    "TRANSACTION",
+    "WATCH",
+    "ErrorReply",
+    "KeepAliveReply",
+    "KeyValue",
+    "LeaseReply",
+    "RangeReply",
+    "Reply",
+    "TransactionReply",
+    "WatchEvent",
+    "WatchReply",
+    "WatchResult",
+    "decode",
+    "grant_request",
+    "keep_alive_request",
+    "prefix_end",
+    "put_request",
+    "range_request",
+    "swap_request",
+    "watch_request",
+]
+
+Kind = typing.TypeVar("Kind")
+
+# The brief: the platform's service holds values up to a megabyte.
+MAXIMUM_VALUE_BYTES = 1 << 20
+
+RANGE = "/v3/kv/range"
+PUT = "/v3/kv/put"
+TRANSACTION = "/v3/kv/txn"
+GRANT = "/v3/lease/grant"
+KEEP_ALIVE = "/v3/lease/keepalive"
+WATCH = "/v3/watch"
+
+
+class Header(msgspec.Struct):
+    """The part of every reply that tells the store's revision."""
+
+    revision: int = 0
+
+
+class KeyValue(msgspec.Struct):
+    """A key as it stands, or stood when a change was made."""
+
+    key: bytes
+    value: bytes = b""
+    mod_revision: int = 0
+
+
+class Reply(msgspec.Struct):
+    """A reply of which only the header matters."""
+
+    header: Header = msgspec.field(default_factory=Header)
+
+
+class RangeReply(Reply):
+    """The keys of a range."""
+
+    kvs: list[KeyValue] = []
+
+
+class TransactionPart(msgspec.Struct):
+    """The answer to one operation of a transaction."""
+
+    response_range: RangeReply | None = None
+
+
+class TransactionReply(Reply):
+    """Whether a transaction's comparison held, and what it did then."""
+
+    succeeded: bool = False
+    responses: list[TransactionPart] = []
+
+    @property
+    def current(self) -> KeyValue | None:
+        """Return the key as the failed comparison found it, None for no key."""
+        for part in self.responses:
+            if part.response_range is not None and part.response_range.kvs:
+                return part.response_range.kvs[0]
+        return None
+
+
+class LeaseReply(Reply):
+    """A granted or renewed lease; a time to live of 0 says that it is gone."""
+
+    identifier: int = msgspec.field(name="ID", default=0)
+    ttl: int = msgspec.field(name="TTL", default=0)
+
+
+class KeepAliveReply(msgspec.Struct):
+    """The first message of the stream that answers a renewal."""
+
+    result: LeaseReply
+
+    @property
+    def header(self) -> Header:
+        """Return the header, which this reply carries further in."""
+        return self.result.header
+
+
+class WatchEvent(msgspec.Struct):
+    """One change of one key."""
+
+    kv: KeyValue
+    type: str = "PUT"
+
+
+class WatchResult(Reply):
+    """One message of a watch; without events it tells of progress."""
+
+    created: bool = False
+    canceled: bool = False
+    compact_revision: int = 0
+    events: list[WatchEvent] = []
+
+
+class WatchReply(msgspec.Struct):
+    """The envelope of a watch's message; without ``result`` it is an error."""
+
+    result: WatchResult | None = None
+
+
+class ErrorReply(msgspec.Struct):
+    """A refusal: gRPC's code and a sentence."""
+
+    code: int = 0
+    message: str = ""
+
+
+def decode(data: bytes, kind: type[Kind]) -> Kind:
+    """Decode a reply.
+
+    :raises CallFailedError: if it was cut short or is no such reply. The call
+        itself may have taken effect, so this is no refusal.
+    """
+    try:
+        return msgspec.json.decode(data, type=kind, strict=False)
+    except msgspec.MsgspecError as error:
+        text = f"the key-value service sent no {kind.__name__}: {error}"
+        raise CallFailedError(text, sent=True) from error
+
+
+def prefix_end(prefix: bytes) -> bytes:
+    """Return the end of the range of all keys that begin with a prefix."""
+    for place in range(len(prefix) - 1, -1, -1):
+        if prefix[place] < 0xFF:
+            return prefix[:place] + bytes([prefix[place] + 1])
+    return b"\0"
+
+
+def range_request(key: bytes, range_end: bytes = b"") -> bytes:
+    """Read a key, or a range of keys."""
+    return _encode({"key": key, "range_end": range_end})
+
+
+def put_request(key: bytes, value: bytes, lease: int) -> bytes:
+    """Write a key that goes when a lease goes."""
+    return _encode({"key": key, "value": value, "lease": str(lease)})
+
+
+def swap_request(key: bytes, expected: int, value: bytes) -> bytes:
+    """Write a key if its last change has the expected revision, else read it."""
+    compare = {
+        "key": key,
+        "target": "MOD",
+        "result": "EQUAL",
+        "mod_revision": str(expected),
+    }
+    return _encode(
+        {
+            "compare": [compare],
+            "success": [{"request_put": {"key": key, "value": value}}],
+            "failure": [{"request_range": {"key": key}}],
+        }
+    )
+
+
+def grant_request(identifier: int, ttl_seconds: int) -> bytes:
+    """Ask for a lease under an identifier of the caller's choice."""
+    return _encode({"ID": str(identifier), "TTL": str(ttl_seconds)})
+
+
+def keep_alive_request(identifier: int) -> bytes:
+    """Renew a lease."""
+    return _encode({"ID": str(identifier)})
+
+
+def watch_request(key: bytes, range_end: bytes, start_revision: int) -> bytes:
+    """Ask for all changes at a revision and later, as they come."""
+    create = {
+        "key": key,
+        "range_end": range_end,
+        "start_revision": str(start_revision),
+        "progress_notify": True,
+    }
+    return _encode({"create_request": create})
+
+
+def _encode(request: dict[str, object]) -> bytes:
+    return msgspec.json.encode(request)
--- /dev/null
+++ b/src/cactuswalk/platform/store.py
@@ -0,0 +1,344 @@
+"""The platform's key-value service, as the runtime uses it."""
+
+import collections
+import collections.abc
+import random
+import typing
+
+from cactuswalk.decisions.callbudget import READ_COST, WRITE_COST, CallBudget
+from cactuswalk.platform import protocol
+from cactuswalk.platform.connection import Connection
+from cactuswalk.platform.errors import (
+    CallFailedError,
+    CallRefusedError,
+    HistoryCompactedError,
+    PlatformError,
+    RevisionWentBackError,
+    UnavailableError,
+    ValueTooLargeError,
+    WriteIdMissingError,
+)
+from cactuswalk.platform.gate import Gate
+from cactuswalk.platform.leases import Lease, Leases
+from cactuswalk.platform.settling import Verdict, contains, judge, judge_history
+from cactuswalk.platform.watch import Changes, Watch
+from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
+
+__all__ = ["KeyValueStore", "Listed"]
+
+# The service answers in milliseconds (brief); a hundred times that is no
+# longer its ordinary spread.
+SHORTEST_TIMEOUT_SECONDS = 1.0
+
+# How long one read or swap may go on trying. Longer than the longest time-out,
+# so that a service as slow as that is still heard.
+PATIENCE_SECONDS = 10.0
+
+# Swaps that ended without a verdict, remembered in case they are asked again.
+# A process makes few at a time; each takes about a hundred bytes.
+UNSETTLED_LIMIT = 1024
+
+Kind = typing.TypeVar("Kind", bound=protocol.Reply | protocol.KeepAliveReply)
+
+
+class Listed(typing.NamedTuple):
+    """One key of a list."""
+
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+class KeyValueStore:
+    """Reads, swaps, lists, watches and leases, each with a time-out and a budget.
+
+    :param prefix: put before every key, so that two fleets can share a service.
+    :param clock: monotonic seconds.
+    :param generator: source of the jitter.
+    :param count: takes the name of a counter to add one to.
+    """
+
+    def __init__(
+        self,
+        connection: Connection,
+        budget: CallBudget,
+        clock: collections.abc.Callable[[], float],
+        generator: random.Random,
+        count: collections.abc.Callable[[str], None],
+        prefix: str = "",
+        timeout: float = SHORTEST_TIMEOUT_SECONDS,
+        patience: float = PATIENCE_SECONDS,
+    ) -> None:
+        self.connection = connection
+        self.gate = Gate(budget, timeout, clock, generator, count)
+        self.clock = clock
+        self.generator = generator
+        self.count = count
+        self.prefix = prefix
+        self.patience = patience
+        self.leases = Leases(self)
+        # The highest revision that the service has shown. A reply to a call
+        # sent afterwards that shows a lower one comes from an old copy.
+        self.revision = 0
+        # What last went wrong, for the operators; None once a call succeeds.
+        self.problem: PlatformError | None = None
+        # By write id, the revision above which an unsettled swap may be found.
+        self.unsettled: collections.OrderedDict[str, int] = collections.OrderedDict()
+        # The lowest of those revisions that had to be forgotten, if any.
+        self.forgotten: int | None = None
+
+    async def read(self, key: str) -> KeyRead:
+        """Read a key; ``known`` is False if there was no answer in time."""
+        request = protocol.range_request(self._name(key))
+        try:
+            reply = await self.request(
+                protocol.RANGE, request, protocol.RangeReply, READ_COST
+            )
+        except (UnavailableError, CallRefusedError):
+            return KeyRead(key, False, None, 0)
+        if not reply.kvs:
+            return KeyRead(key, True, None, 0)
+        return KeyRead(key, True, reply.kvs[0].value, reply.kvs[0].mod_revision)
+
+    async def list(self, prefix: str) -> tuple[int, list[Listed]]:
+        """Return all keys that begin with a prefix, and the store's revision.
+
+        :raises UnavailableError: if there was no answer in time.
+        :raises CallRefusedError: if the service refused.
+        """
+        name = self._name(prefix)
+        request = protocol.range_request(name, protocol.prefix_end(name))
+        reply = await self.request(
+            protocol.RANGE, request, protocol.RangeReply, READ_COST
+        )
+        listed = [
+            Listed(self.short_name(entry.key), entry.value, entry.mod_revision)
+            for entry in reply.kvs
+        ]
+        return reply.header.revision, listed
+
+    async def swap(
+        self, key: str, expected: int, value: bytes, write_id: str
+    ) -> KeySwapped:
+        """Write a key if its revision is the expected one (0: there is no key).
+
+        ``APPLIED`` and ``LOST`` are final. After ``UNKNOWN`` the write may yet
+        be applied: call again with the same arguments to settle it.
+
+        :raises ValueTooLargeError: if the service can't hold the value.
+        :raises WriteIdMissingError: if the value doesn't name its write.
+        """
+        _check_value(key, value, write_id)
+        verdict = await self._settle(key, expected, value, write_id)
+        if verdict is None:
+            verdict = Verdict(SwapOutcome.UNKNOWN, 0)
+        self.count(f"platform.swap.{verdict.outcome}")
+        return KeySwapped(key, write_id, verdict.outcome, verdict.revision)
+
+    async def settle(
+        self, key: str, expected: int, value: bytes, write_id: str, since: int = 0
+    ) -> KeySwapped:
+        """Ask again for a swap that another life of this process left unknown.
+
+        Within one life ``swap`` remembers by itself.
+
+        :param since: a revision of the store from before the first try.
+        """
+        self.unsettled.setdefault(write_id, since)
+        return await self.swap(key, expected, value, write_id)
+
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> collections.abc.AsyncGenerator[Changes, None]:
+        """Yield the changes after a revision, for as long as it is read.
+
+        It goes on through cuts and outages. With 0, and where the service has
+        dropped the changes that are missing, it yields the whole list first.
+        No key's change is yielded after a later one of the same key, and no
+        ``Changes`` after one of a higher revision.
+        """
+        return Watch(self, prefix, from_revision).changes()
+
+    async def grant(self, ttl_seconds: int) -> Lease:
+        """Grant a lease, see ``Leases``."""
+        return await self.leases.grant(ttl_seconds)
+
+    async def keep_alive(self, lease: Lease) -> Lease:
+        """Renew a lease, see ``Leases``."""
+        return await self.leases.keep_alive(lease)
+
+    async def put(self, key: str, value: bytes, lease: Lease) -> None:
+        """Write a key that only this process writes and that goes with a lease.
+
+        :raises UnavailableError: if it isn't known to be written.
+        """
+        request = protocol.put_request(self._name(key), value, lease.identifier)
+        await self.request(protocol.PUT, request, protocol.Reply, WRITE_COST)
+
+    async def close(self) -> None:
+        """Close the connections."""
+        await self.connection.close()
+
+    async def request(
+        self, path: str, body: bytes, kind: type[Kind], cost: float
+    ) -> Kind:
+        """Make a call that can be repeated without harm until it is answered."""
+        deadline = self.clock() + self.patience
+        while True:
+            try:
+                return await self.attempt(path, body, kind, cost, deadline)
+            except CallFailedError:
+                continue
+
+    async def attempt(
+        self, path: str, body: bytes, kind: type[Kind], cost: float, deadline: float
+    ) -> Kind:
+        """Make one call through the gate.
+
+        :raises UnavailableError: if it could not be made before the deadline.
+        :raises CallFailedError: if it was made and not answered.
+        :raises CallRefusedError: if it was refused.
+        """
+        passage = await self.gate.enter(cost, deadline)
+        floor = self.revision
+        name = path.rpartition("/")[2]
+        self.count(f"platform.call.{name}")
+        try:
+            data = await self.connection.call(path, body, passage.timeout)
+            reply = protocol.decode(data, kind)
+            self.raise_floor(reply.header.revision, floor)
+        except CallFailedError as error:
+            self.note_failure(name, error)
+            self.gate.failed(passage, error.timed_out)
+            raise
+        except CallRefusedError as error:
+            self.count(f"platform.refused.{name}")
+            self.problem = error
+            self.gate.succeeded(passage)
+            raise
+        except BaseException:
+            self.gate.abandoned(passage)
+            raise
+        self.problem = None
+        self.gate.succeeded(passage)
+        return reply
+
+    def note_failure(self, name: str, error: CallFailedError) -> None:
+        """Count a failed call and keep the error for the operators."""
+        self.count(f"platform.failure.{name}")
+        if error.timed_out:
+            self.count("platform.timeout")
+        if not isinstance(error.__cause__, RevisionWentBackError):
+            self.problem = error
+
+    def short_name(self, name: bytes) -> str:
+        """Return a key without this store's prefix."""
+        return name.decode().removeprefix(self.prefix)
+
+    def _name(self, key: str) -> bytes:
+        return f"{self.prefix}{key}".encode()
+
+    def raise_floor(self, revision: int, floor: int) -> None:
+        """Refuse a reply from before what the service has already shown.
+
+        A restored backup or a member that was left behind would hand out a
+        state that operators have since replaced. The nodes would notice a
+        setting that reverts; here it is a call without an answer.
+        """
+        if revision < floor:
+            self.count("platform.revision_went_back")
+            self.problem = RevisionWentBackError(
+                f"the key-value service is at revision {revision} and has"
+                f" been at {floor}",
+                "Check whether it was restored from a backup or reads from a"
+                " member that was left behind; see docs/operations/platform.md.",
+            )
+            raise CallFailedError(self.problem.message, sent=True) from self.problem
+        self.revision = max(self.revision, revision)
+
+    async def _settle(
+        self, key: str, expected: int, value: bytes, write_id: str
+    ) -> Verdict | None:
+        """Try a swap until its outcome is certain or patience ends."""
+        doubtful = write_id in self.unsettled or self.forgotten is not None
+        # Noted before anything is sent: if this task is cancelled half-way the
+        # next one with the same write id has to know that a copy is under way.
+        since = self._remember(write_id)
+        body = protocol.swap_request(self._name(key), expected, value)
+        deadline = self.clock() + self.patience
+        while True:
+            try:
+                reply = await self.attempt(
+                    protocol.TRANSACTION,
+                    body,
+                    protocol.TransactionReply,
+                    WRITE_COST,
+                    deadline,
+                )
+                verdict = judge(reply, write_id, doubtful)
+                if verdict is None:
+                    start = max(expected, since) + 1
+                    verdict = await self._search(reply, write_id, start, deadline)
+                if verdict is not None:
+                    self.unsettled.pop(write_id, None)
+                    return verdict
+            except CallFailedError as error:
+                doubtful = doubtful or error.sent
+            except (UnavailableError, CallRefusedError, HistoryCompactedError):
+                if not doubtful:
+                    self.unsettled.pop(write_id, None)
+                return None
+
+    def _remember(self, write_id: str) -> int:
+        """Return the revision above which a swap may be found applied."""
+        floor = self.revision if self.forgotten is None else self.forgotten
+        since = self.unsettled.setdefault(write_id, floor)
+        if len(self.unsettled) > UNSETTLED_LIMIT:
+            # Any swap may now be one that was forgotten, so each is looked for
+            # in the history. That costs a call where a race was lost; taking it
+            # for a new one would call a write lost that was applied.
+            _, dropped = self.unsettled.popitem(last=False)
+            self.forgotten = min(dropped, floor)
+            self.count("platform.swap.forgotten")
+        return since
+
+    async def _search(
+        self,
+        reply: protocol.TransactionReply,
+        write_id: str,
+        start: int,
+        deadline: float,
+    ) -> Verdict | None:
+        """Look for a write in the changes of its key since it could be applied."""
+        current = reply.current
+        if current is None:
+            # The key is gone: not this package's doing, which deletes nothing.
+            # What was applied before that can't be told from here.
+            return None
+        verdict = judge_history([], current, write_id, start)
+        if verdict is not None:
+            return verdict
+        self.count("platform.swap.searched")
+        found: list[protocol.WatchEvent] = []
+        watch = Watch(self, "", start - 1)
+        async for message in watch.messages(current.key, b"", deadline):
+            found += message.events
+            verdict = judge_history(found, current, write_id, start)
+            if verdict is not None:
+                return verdict
+        return None
+
+
+def _check_value(key: str, value: bytes, write_id: str) -> None:
+    if len(value) > protocol.MAXIMUM_VALUE_BYTES:
+        raise ValueTooLargeError(
+            f"{key}: the value has {len(value)} bytes, the service holds"
+            f" {protocol.MAXIMUM_VALUE_BYTES}",
+            "Split the object into several smaller ones.",
+        )
+    if not contains(value, write_id):
+        raise WriteIdMissingError(
+            f"{key}: the value doesn't hold the write id {write_id}",
+            "Encode the write id as a string in the value, in JSON or"
+            " MessagePack; without it a lost reply can't be settled.",
+        )
--- /dev/null
+++ b/src/cactuswalk/platform/watch.py
@@ -0,0 +1,213 @@
+"""Follow changes of the key-value service through cuts, outages and compaction."""
+
+import asyncio
+import collections.abc
+import contextlib
+import math
+import typing
+
+import msgspec
+
+from cactuswalk.decisions.backoff import LONGEST_WAIT_SECONDS, Backoff
+from cactuswalk.decisions.callbudget import READ_COST
+from cactuswalk.platform import protocol
+from cactuswalk.platform.errors import (
+    CallFailedError,
+    CallRefusedError,
+    HistoryCompactedError,
+    UnavailableError,
+)
+
+if typing.TYPE_CHECKING:
+    from cactuswalk.platform.store import KeyValueStore
+
+__all__ = ["Change", "Changes", "Watch"]
+
+# A connection that a firewall has dropped without a word looks like a service
+# without changes. A watch that hears nothing for so long is opened again, which
+# costs a call; the few processes that watch make one each in this time.
+SILENCE_SECONDS = 15.0
+
+# One message of a watch holds the changes of one moment. Past this the node
+# would spend its memory on catching up; it lists instead.
+MAXIMUM_MESSAGE_BYTES = 8 << 20
+
+# Between two tries of a watch that the service refuses, by a wrong token say.
+REFUSED_PAUSE_SECONDS = 5.0
+
+
+class Change(msgspec.Struct, frozen=True):
+    """One key's change; ``value`` is None for a key that is gone."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class Changes(msgspec.Struct, frozen=True):
+    """What a watch has brought.
+
+    :param revision: all changes up to it have now been yielded.
+    :param whole: this is the complete list: a key that isn't in it is gone.
+    """
+
+    revision: int
+    whole: bool
+    changes: list[Change]
+
+
+class Watch:
+    """One watch; ``revision`` is what has been yielded so far."""
+
+    def __init__(self, store: "KeyValueStore", prefix: str, from_revision: int) -> None:
+        self.store = store
+        self.prefix = prefix
+        self.revision = from_revision
+        self.backoff = Backoff()
+        self.opened_at = store.clock()
+
+    async def changes(self) -> collections.abc.AsyncGenerator[Changes, None]:
+        """Yield changes for as long as they are read."""
+        whole = self.revision == 0
+        while True:
+            try:
+                if whole:
+                    yield await self._list()
+                    whole = False
+                name = f"{self.store.prefix}{self.prefix}".encode()
+                end = protocol.prefix_end(name)
+                async for message in self.messages(name, end, math.inf):
+                    news = self._take(message)
+                    if news is not None:
+                        yield news
+            except HistoryCompactedError:
+                whole = True
+            except CallRefusedError:
+                await asyncio.sleep(REFUSED_PAUSE_SECONDS)
+            except (CallFailedError, UnavailableError):
+                await self._pause()
+
+    async def messages(
+        self, key: bytes, range_end: bytes, deadline: float
+    ) -> collections.abc.AsyncGenerator[protocol.WatchResult, None]:
+        """Open one watch and yield its messages until it breaks.
+
+        :raises CallFailedError: when it breaks or the deadline has passed.
+        :raises UnavailableError: if it could not be opened by the deadline.
+        :raises HistoryCompactedError: if changes that are asked for are gone.
+        """
+        passage = await self.store.gate.enter(READ_COST, deadline)
+        self.store.count("platform.call.watch")
+        self.opened_at = self.store.clock()
+        request = protocol.watch_request(key, range_end, self.revision + 1)
+        opened = False
+        pieces = self.store.connection.stream(protocol.WATCH, request, passage.timeout)
+        try:
+            async with contextlib.aclosing(pieces):
+                async for line in self._lines(pieces, passage.timeout, deadline):
+                    result = _result(line)
+                    if not opened:
+                        opened = True
+                        self.store.gate.succeeded(passage)
+                    if result.canceled:
+                        raise self._canceled(result)
+                    yield result
+            raise CallFailedError("the service ended a watch", sent=True)
+        except CallFailedError as error:
+            self.store.note_failure("watch", error)
+            if not opened:
+                self.store.gate.failed(passage, error.timed_out)
+            raise
+        finally:
+            self.store.gate.abandoned(passage)
+
+    async def _pause(self) -> None:
+        """Wait after a break, longer if the watch has hardly lived.
+
+        A proxy that lets a watch open and cuts it at once looks like a service
+        in good health to the gate, and would be called without a pause.
+        """
+        now = self.store.clock()
+        if now - self.opened_at > LONGEST_WAIT_SECONDS:
+            self.backoff.succeeded()
+        self.backoff.failed(now, now, self.store.generator)
+        await asyncio.sleep(self.backoff.remaining(now))
+
+    def _take(self, message: protocol.WatchResult) -> Changes | None:
+        """Return what is new in a message, and move on to its revision."""
+        if message.created:
+            return None
+        if not message.events:
+            self.revision = max(self.revision, message.header.revision)
+            return None
+        # The header of a message with events may be ahead of them: the rest
+        # comes in the next message. Only the events' own revisions count.
+        fresh = [
+            self._change(event)
+            for event in message.events
+            if event.kv.mod_revision > self.revision
+        ]
+        if not fresh:
+            self.store.count("platform.watch.repeated")
+            return None
+        self.revision = max(change.mod_revision for change in fresh)
+        return Changes(self.revision, False, fresh)
+
+    def _change(self, event: protocol.WatchEvent) -> Change:
+        gone = event.type == "DELETE"
+        return Change(
+            self.store.short_name(event.kv.key),
+            None if gone else event.kv.value,
+            event.kv.mod_revision,
+        )
+
+    async def _list(self) -> Changes:
+        revision, listed = await self.store.list(self.prefix)
+        if revision < self.revision:
+            raise CallFailedError("a list is older than the watch", sent=True)
+        self.store.count("platform.watch.listed")
+        self.revision = revision
+        changes = [Change(*entry) for entry in listed]
+        return Changes(revision, True, changes)
+
+    async def _lines(
+        self,
+        pieces: collections.abc.AsyncGenerator[bytes, None],
+        opening_timeout: float,
+        deadline: float,
+    ) -> collections.abc.AsyncGenerator[bytes, None]:
+        """Split what comes into messages, one a line."""
+        buffer = b""
+        silence = opening_timeout
+        while True:
+            limit = min(silence, deadline - self.store.clock())
+            try:
+                async with asyncio.timeout(limit):
+                    piece = await anext(pieces, None)
+            except TimeoutError as error:
+                text = f"a watch heard nothing for {limit:.1f} s"
+                raise CallFailedError(text, sent=True, timed_out=True) from error
+            if piece is None:
+                return
+            silence = SILENCE_SECONDS
+            *lines, buffer = (buffer + piece).split(b"\n")
+            for line in lines:
+                yield line
+            if len(buffer) > MAXIMUM_MESSAGE_BYTES:
+                self.store.count("platform.watch.too_large")
+                raise HistoryCompactedError("a watch's message is too large")
+
+    def _canceled(self, result: protocol.WatchResult) -> Exception:
+        if result.compact_revision:
+            self.store.count("platform.watch.compacted")
+            return HistoryCompactedError(
+                f"changes up to {result.compact_revision} are gone"
+            )
+        return CallFailedError("the service cancelled a watch", sent=True)
+
+
+def _result(line: bytes) -> protocol.WatchResult:
+    result = protocol.decode(line, protocol.WatchReply).result
+    if result is None:
+        raise CallFailedError("the service sent an error to a watch", sent=True)
+    return result
--- a/standins/keyvalue.py
+++ b/standins/keyvalue.py
@@ -50,7 +50,18 @@
 # gRPC codes and the HTTP statuses that the gateway gives them.
 HTTP_STATUSES = {3: 400, 5: 404, 9: 400, 11: 400, 12: 501, 16: 401}
 
+PATHS = {
+    "range": "/v3/kv/range",
+    "put": "/v3/kv/put",
+    "delete": "/v3/kv/deleterange",
+    "txn": "/v3/kv/txn",
+    "grant": "/v3/lease/grant",
+    "keepalive": "/v3/lease/keepalive",
+    "revoke": "/v3/lease/revoke",
+}
+
 Operation = collections.abc.Callable[[Store, wire.Json], wire.Json]
+Send = collections.abc.Callable[[bytes], typing.Awaitable[None]]
 
 
 class KeyValueService:
@@ -66,17 +77,29 @@
         self.port = 0
         self.held: list[collections.abc.Callable[[], object]] = []
         self.watchers: set[asyncio.Task[None]] = set()
+        # Each kind of call with whether it writes, which some faults ask.
+        self.operations: dict[str, tuple[Operation, bool]] = {
+            "range": (wire.range_, False),
+            "put": (wire.put, True),
+            "delete": (wire.delete_range, True),
+            "txn": (wire.transact, True),
+            "grant": (self._grant, True),
+            "keepalive": (self._renew, False),
+            "revoke": (self._revoke, True),
+        }
         self.runner: web.AppRunner | None = None
         self.expiry: asyncio.Task[None] | None = None
 
     async def start(self, port: int = 0) -> None:
         """Listen on the loopback; ``self.port`` is the port afterwards."""
-        self.runner = web.AppRunner(self.application(), shutdown_timeout=0.1)
+        self.runner = web.AppRunner(
+            self.application(), shutdown_timeout=0.1, access_log=None
+        )
         await self.runner.setup()
         site = web.TCPSite(self.runner, "127.0.0.1", port)
         await site.start()
         self.port = self.runner.addresses[0][1]
-        self.expiry = asyncio.create_task(self._expire_leases())
+        self.expiry = asyncio.create_task(self.expire_leases())
 
     async def stop(self) -> None:
         """Close all connections; the state stays in this object."""
@@ -98,13 +121,8 @@
         """Return the routes of the gateway and of the stand-in's own switches."""
         application = web.Application(client_max_size=MAXIMUM_REQUEST_BYTES)
         post = application.router.add_post
-        post("/v3/kv/range", self._handler("range", wire.range_, False))
-        post("/v3/kv/put", self._handler("put", wire.put, True))
-        post("/v3/kv/deleterange", self._handler("delete", wire.delete_range, True))
-        post("/v3/kv/txn", self._handler("txn", wire.transact, True))
-        post("/v3/lease/grant", self._handler("grant", self._grant, True))
-        post("/v3/lease/keepalive", self._handler("keepalive", self._renew, False))
-        post("/v3/lease/revoke", self._handler("revoke", self._revoke, True))
+        for kind, path in PATHS.items():
+            post(path, self._handler(kind))
         post("/v3/watch", self._watch)
         post("/standin/faults", self._set_faults)
         application.router.add_get("/standin/faults", self._get_faults)
@@ -140,17 +158,37 @@
                 apply()
         return len(held)
 
+    async def answer(self, kind: str, body: wire.Json, client: str) -> wire.Json:
+        """Carry out one call, with the faults that are switched on.
+
+        :raises StoreError: if the call is refused.
+        :raises LostRequestError: if it goes missing before it is applied.
+        :raises LostReplyError: if it is applied and the reply goes missing.
+        """
+        self.count(kind, client)
+        operation, writes = self.operations[kind]
+        await self._delay()
+        if self.faults.down:
+            raise LostRequestError
+        return self._operate(operation, body, writes)
+
+    def count(self, kind: str, client: str) -> None:
+        """Count a call; while the service is down it goes no further.
+
+        :raises LostRequestError: if the service is down.
+        """
+        self.calls.add(client, kind, asyncio.get_running_loop().time())
+        if self.faults.down:
+            raise LostRequestError
+
     def _handler(
-        self, kind: str, operation: Operation, writes: bool
+        self, kind: str
     ) -> collections.abc.Callable[[web.Request], typing.Awaitable[web.Response]]:
         async def handle(request: web.Request) -> web.Response:
-            self._enter(request, kind)
+            self._authorise(request)
+            client = request.headers.get("X-Client-Name", "")
             try:
-                body = await request.json()
-                await self._delay()
-                if self.faults.down:
-                    raise LostRequestError
-                reply = self._operate(operation, body, writes)
+                reply = await self.answer(kind, await request.json(), client)
             except StoreError as error:
                 return _error(error)
             except (LostReplyError, LostRequestError):
@@ -177,26 +215,26 @@
             raise LostReplyError
         return reply
 
-    def _enter(self, request: web.Request, kind: str) -> None:
-        client = request.headers.get("X-Client-Name", "")
-        now = asyncio.get_running_loop().time()
-        self.calls.add(client, kind, now)
-        if self.faults.down:
-            _close(request)
-            raise web.HTTPServiceUnavailable
+    def _authorise(self, request: web.Request) -> None:
         if self.token and request.headers.get("Authorization") != self.token:
             body = {"code": 16, "message": "etcdserver: invalid auth token"}
             raise web.HTTPUnauthorized(text=msgspec.json.encode(body).decode())
 
     async def _watch(self, request: web.Request) -> web.StreamResponse:
-        self._enter(request, "watch")
+        self._authorise(request)
+        try:
+            self.count("watch", request.headers.get("X-Client-Name", ""))
+        except LostRequestError:
+            return _close(request)
         create = (await request.json())["create_request"]
         await self._delay()
         response = web.StreamResponse(headers={"Content-Type": "application/json"})
         await response.prepare(request)
-        task = asyncio.create_task(self._stream(response, create))
-        self.watchers.add(task)
-        self.calls.waiting += 1
+
+        async def send(message: bytes) -> None:
+            await response.write(message)
+
+        task = asyncio.create_task(self.stream(send, create))
         try:
             await task
         except asyncio.CancelledError:
@@ -205,11 +243,20 @@
             pass
         finally:
             task.cancel()
+        return response
+
+    async def stream(self, send: Send, create: wire.Json) -> None:
+        """Send the messages of one watch until its task is cancelled."""
+        task = asyncio.current_task()
+        self.watchers.add(task)
+        self.calls.waiting += 1
+        try:
+            await self._follow(send, create)
+        finally:
             self.watchers.discard(task)
             self.calls.waiting -= 1
-        return response
 
-    async def _stream(self, response: web.StreamResponse, create: wire.Json) -> None:
+    async def _follow(self, send: Send, create: wire.Json) -> None:
         key = wire.to_bytes(create.get("key"))
         range_end = wire.to_bytes(create.get("range_end"))
         following = wire.integer(create.get("start_revision"))
@@ -217,14 +264,14 @@
         changed = asyncio.Event()
         self.store.listeners.add(changed.set)
         try:
-            await self._send(response, {"created": True})
+            await self._send(send, {"created": True})
             while True:
                 changed.clear()
                 await self._delay()
                 try:
                     changes = self.store.changes_since(following)
                 except StoreError:
-                    await self._send(response, self._compacted())
+                    await self._send(send, self._compacted())
                     return
                 events = [
                     wire.change_to_json(change)
@@ -232,7 +279,7 @@
                     if in_range(change.key, key, range_end)
                 ]
                 following = max(following, self.store.revision + 1)
-                await self._send(response, {"events": events} if events else {})
+                await self._send(send, {"events": events} if events else {})
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(changed.wait(), PROGRESS_SECONDS)
         finally:
@@ -241,9 +288,9 @@
     def _compacted(self) -> wire.Json:
         return {"canceled": True, "compact_revision": str(self.store.compacted)}
 
-    async def _send(self, response: web.StreamResponse, result: wire.Json) -> None:
+    async def _send(self, send: Send, result: wire.Json) -> None:
         message = {"result": {"header": wire.header(self.store)} | result}
-        await response.write(msgspec.json.encode(message) + b"\n")
+        await send(msgspec.json.encode(message) + b"\n")
 
     def _grant(self, store: Store, request: wire.Json) -> wire.Json:
         now = asyncio.get_running_loop().time()
@@ -265,7 +312,8 @@
         store.revoke(wire.integer(request.get("ID")))
         return {"header": wire.header(store)}
 
-    async def _expire_leases(self) -> None:
+    async def expire_leases(self) -> None:
+        """End leases as they run out, until this task is cancelled."""
         while True:
             await asyncio.sleep(LEASE_POLL_SECONDS)
             # A frozen or absent service ends no lease; etcd too extends leases
