Platform's features split by subject; leased puts taken out

A late copy of an unconditional put could land after a newer one and bring the older value back, so the client offers swaps only.

--- /dev/null
+++ b/features/steps/platform_outage_steps.py
@@ -0,0 +1,160 @@
+"""Steps for outages, the call budget and back-off."""
+
+import asyncio
+import random
+
+from behave import given, then, when
+from hypothesis import given as drawn, settings, strategies
+
+from cactuswalk.decisions import backoff as backoff_module
+from cactuswalk.decisions.backoff import Backoff
+from cactuswalk.decisions.callbudget import CallBudget
+from cactuswalk.state.events import SwapOutcome
+from features.platform_world import PROPERTY, memory_store
+
+
+@given("{number:d} platform clients with reads, a write and a watch")
+def step_clients(context, number):
+    world = context.world
+    context.answers, context.watching = [], set()
+
+    async def use(index):
+        store = memory_store(world.service, f"client-{index}", index)
+
+        async def follow():
+            async for _ in store.watch(f"cell-{index}", 0):
+                context.watching.add(index)
+
+        async def write():
+            value, outcome = b'"write-%d"' % index, SwapOutcome.UNKNOWN
+            while outcome is SwapOutcome.UNKNOWN:
+                swapped = await store.swap(f"cell-{index}", 0, value, f"write-{index}")
+                outcome = swapped.outcome
+            context.answers.append(outcome)
+
+        async def read():
+            while not (await store.read(f"cell-{index}")).known:
+                pass
+            context.answers.append("read")
+
+        await asyncio.gather(follow(), write(), read(), read(), read())
+
+    context.use, context.number = use, number
+
+
+@given("the clients don't back off")
+def step_no_backoff(context):
+    longest = backoff_module.LONGEST_WAIT_SECONDS
+    backoff_module.LONGEST_WAIT_SECONDS = backoff_module.FIRST_WAIT_SECONDS
+
+    def restore():
+        backoff_module.LONGEST_WAIT_SECONDS = longest
+
+    context.clean_ups.append(restore)
+
+
+@when("the service is down for {seconds:d} seconds")
+def step_outage(context, seconds):
+    world = context.world
+    world.service.set_faults({"down": True})
+
+    async def outage():
+        for index in range(context.number):
+            world.tasks.append(asyncio.create_task(context.use(index)))
+        # All begin in the same moment, which no back-off can help; the bound is
+        # for what they do afterwards.
+        await asyncio.sleep(10)
+        world.service.calls.clear()
+        await asyncio.sleep(seconds - 10)
+
+    world.run(outage())
+
+
+@when("the service is back and {seconds:d} seconds pass")
+def step_return(context, seconds):
+    context.world.service.calls.clear()
+    context.world.service.set_faults({"down": False})
+    context.world.run(asyncio.sleep(seconds))
+
+
+@then("no second of the outage saw more than {number:d} calls")
+@then("no second since saw more than {number:d} calls")
+def step_peak(context, number):
+    peak = context.world.service.calls.report()["peak_per_second"]
+    assert 0 < peak <= number, peak
+
+
+@then("some second of the outage saw more than {number:d} calls")
+def step_peak_above(context, number):
+    assert context.world.service.calls.report()["peak_per_second"] > number
+
+
+@then("all platform clients have their answers and watches")
+def step_all_answered(context):
+    assert len(context.watching) == context.number
+    assert context.answers.count(SwapOutcome.APPLIED) == context.number
+    assert context.answers.count("read") == 3 * context.number
+    assert context.world.service.calls.waiting == context.number
+
+
+@when("one platform client reads without pause for {seconds:d} seconds")
+def step_greedy(context, seconds):
+    async def read_on():
+        while True:
+            await context.world.store.read("cell")
+
+    async def greed():
+        readers = [asyncio.create_task(read_on()) for _ in range(5)]
+        await asyncio.sleep(seconds)
+        for reader in readers:
+            reader.cancel()
+
+    context.world.run(greed())
+
+
+@then("the service has seen at most {number:d} calls")
+def step_at_most(context, number):
+    total = context.world.service.calls.report()["total"]
+    assert number / 2 < total <= number, total
+
+
+@then("no use of the call budget spends more than it gained")
+def step_budget_property(context):
+    pauses = strategies.floats(0, 10)
+    costs = strategies.sampled_from([1, 5])
+
+    @settings(max_examples=200, **PROPERTY)
+    @drawn(strategies.lists(strategies.tuples(pauses, costs, strategies.booleans())))
+    def property_holds(uses):
+        budget, now, spent = CallBudget(5.0, 15.0), 0.0, 0
+        for pause, cost, failed in uses:
+            now += pause
+            if budget.remaining(cost, now) == 0:
+                budget.spend(cost, now)
+                spent += cost
+            if failed:
+                budget.empty(now)
+            assert spent <= 15 + 5 * now + 1e-6
+
+    property_holds()
+
+
+@then("no run of failures waits longer or shorter than its bounds")
+def step_backoff_property(context):
+    @settings(max_examples=100, **PROPERTY)
+    @drawn(strategies.integers(1, 2000), strategies.integers())
+    def property_holds(failures, seed):
+        backoff, now, generator = Backoff(), 0.0, random.Random(seed)
+        for number in range(1, failures + 1):
+            backoff.failed(now, now, generator)
+            # One that was under way at the same time is not a second failure.
+            backoff.failed(now - 1, now, generator)
+            bound = min(
+                0.05 * 2 ** min(number, 20), backoff_module.LONGEST_WAIT_SECONDS
+            )
+            assert bound / 2 - 1e-6 <= backoff.remaining(now) <= bound + 1e-6
+            now = backoff.retry_at
+        backoff.succeeded()
+        assert backoff.remaining(now) == 0
+
+    property_holds()
--- a/features/steps/platform_race_steps.py
+++ b/features/steps/platform_race_steps.py
@@ -6,11 +6,11 @@
 import msgspec
 from behave import given, then, when
 from hypothesis import Phase, given as drawn, settings, strategies
-from platform_steps import PROPERTY, World, memory_store
 
 from cactuswalk.platform import KeyValueStore, WriteIdMissingError, settling
 from cactuswalk.platform.settling import Verdict, contains
 from cactuswalk.state.events import KeySwapped, SwapOutcome
+from features.platform_world import PROPERTY, World, memory_store
 from standins.keyvalue_virtual import VirtualLoop
 
 
--- a/src/cactuswalk/platform/connection.py
+++ b/src/cactuswalk/platform/connection.py
@@ -64,7 +64,7 @@
         try:
             async with self._post(path, body, limit) as response:
                 data = await response.read()
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             raise self._failure(path, error, endpoint) from error
         _check(path, response.status, data)
         return data
@@ -78,14 +78,14 @@
         try:
             async with asyncio.timeout(within):
                 response = await self._post(path, body, limit)
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             raise self._failure(path, error, endpoint) from error
         try:
             if response.status != 200:
                 _check(path, response.status, await response.read())
             async for piece in response.content.iter_any():
                 yield piece
-        except (aiohttp.ClientError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError) as error:
             raise self._failure(path, error, endpoint) from error
         finally:
             # A watch never ends by itself: the connection can't be used again.
--- a/src/cactuswalk/platform/leases.py
+++ b/src/cactuswalk/platform/leases.py
@@ -80,7 +80,7 @@
         reply = await self.store.request(
             protocol.KEEP_ALIVE, request, protocol.KeepAliveReply, READ_COST
         )
-        if reply.result.ttl <= 0:
+        if reply.result.ttl <= 0 or self.store.clock() >= lease.expires:
             raise self._lapsed(lease)
         return Lease(lease.identifier, reply.result.ttl, sent + reply.result.ttl)
 
--- a/src/cactuswalk/platform/protocol.py
+++ b/src/cactuswalk/platform/protocol.py
@@ -14,7 +14,6 @@
     "GRANT",
     "KEEP_ALIVE",
     "MAXIMUM_VALUE_BYTES",
-    "PUT",
     "RANGE",
     "TRANSACTION",
     "WATCH",
@@ -32,7 +31,6 @@
     "grant_request",
     "keep_alive_request",
     "prefix_end",
-    "put_request",
     "range_request",
     "swap_request",
     "watch_request",
@@ -44,7 +42,6 @@
 MAXIMUM_VALUE_BYTES = 1 << 20
 
 RANGE = "/v3/kv/range"
-PUT = "/v3/kv/put"
 TRANSACTION = "/v3/kv/txn"
 GRANT = "/v3/lease/grant"
 KEEP_ALIVE = "/v3/lease/keepalive"
@@ -171,11 +168,6 @@
     return _encode({"key": key, "range_end": range_end})
 
 
-def put_request(key: bytes, value: bytes, lease: int) -> bytes:
-    """Write a key that goes when a lease goes."""
-    return _encode({"key": key, "value": value, "lease": str(lease)})
-
-
 def swap_request(key: bytes, expected: int, value: bytes) -> bytes:
     """Write a key if its last change has the expected revision, else read it."""
     compare = {
--- a/src/cactuswalk/platform/store.py
+++ b/src/cactuswalk/platform/store.py
@@ -2,6 +2,7 @@
 
 import collections
 import collections.abc
+import contextlib
 import random
 import typing
 
@@ -167,14 +168,6 @@
         """Renew a lease, see ``Leases``."""
         return await self.leases.keep_alive(lease)
 
-    async def put(self, key: str, value: bytes, lease: Lease) -> None:
-        """Write a key that only this process writes and that goes with a lease.
-
-        :raises UnavailableError: if it isn't known to be written.
-        """
-        request = protocol.put_request(self._name(key), value, lease.identifier)
-        await self.request(protocol.PUT, request, protocol.Reply, WRITE_COST)
-
     async def close(self) -> None:
         """Close the connections."""
         await self.connection.close()
@@ -321,11 +314,13 @@
         self.count("platform.swap.searched")
         found: list[protocol.WatchEvent] = []
         watch = Watch(self, "", start - 1)
-        async for message in watch.messages(current.key, b"", deadline):
-            found += message.events
-            verdict = judge_history(found, current, write_id, start)
-            if verdict is not None:
-                return verdict
+        messages = watch.messages(current.key, b"", deadline)
+        async with contextlib.aclosing(messages):
+            async for message in messages:
+                found += message.events
+                verdict = judge_history(found, current, write_id, start)
+                if verdict is not None:
+                    return verdict
         return None
 
 
