--- a/src/cactuswalk/settings/__init__.py
+++ b/src/cactuswalk/settings/__init__.py
@@ -1,1 +1,33 @@
 """INI settings, checked whole at start."""
+
+from cactuswalk.settings.agent import AgentSettings, load_agent
+from cactuswalk.settings.entry import (
+    CallerIdentity,
+    EntrySettings,
+    LimitSettings,
+    load_entry,
+)
+from cactuswalk.settings.reader import InvalidSettingsError, Mistake
+from cactuswalk.settings.shared import (
+    CurveSettings,
+    HttpSettings,
+    KeyValueSettings,
+    LogSettings,
+    StatsdSettings,
+)
+
+__all__ = [
+    "AgentSettings",
+    "CallerIdentity",
+    "CurveSettings",
+    "EntrySettings",
+    "HttpSettings",
+    "InvalidSettingsError",
+    "KeyValueSettings",
+    "LimitSettings",
+    "LogSettings",
+    "Mistake",
+    "StatsdSettings",
+    "load_agent",
+    "load_entry",
+]
--- /dev/null
+++ b/src/cactuswalk/settings/agent.py
@@ -0,0 +1,133 @@
+"""Settings of ``cactuswalk-agent``."""
+
+from pathlib import Path
+
+import msgspec
+
+from cactuswalk.settings.converters import (
+    NAME_REMEDY,
+    is_name,
+    loopback_address,
+    message_address,
+    name,
+    number,
+)
+from cactuswalk.settings.reader import Reader
+from cactuswalk.settings.retention import read_retention_seconds
+from cactuswalk.settings.shared import (
+    CurveSettings,
+    HttpSettings,
+    KeyValueSettings,
+    LogSettings,
+    StatsdSettings,
+    read_curve,
+    read_http,
+    read_key_value,
+    read_logs,
+    read_peers,
+    read_statsd,
+)
+
+__all__ = ["AgentSettings", "load_agent"]
+
+# An agent may take 64 MB (letter), and its imports take 40 MB of them
+# (measured, see the developers' notes): this leaves room for the rest.
+DEFAULT_RETENTION_BYTES = 8 << 20
+
+# The owner's standing and a start's stamp last this long; a takeover waits for
+# twice that. Shorter lets a pause of the host interrupt starts, longer delays
+# the takeover after an owner's death.
+DEFAULT_CONFIRM_PERIOD_MS = 1_000
+
+# Four pings in a confirm period: three in a row may be lost.
+DEFAULT_PING_PERIOD_MS = 250
+
+# One lost ping must not cost an owner its standing.
+LEAST_PINGS_IN_PERIOD = 3
+
+
+class AgentSettings(msgspec.Struct):
+    """All that an agent is told at its start.
+
+    :param address: where other processes send messages, ``tcp://ip:port``.
+    :param labels: of the worker; the upstream's announcement adds its own.
+    :param http: on the loopback, where the upstream announces itself.
+    :param confirm_period_ms: P of docs/design/ownership.md.
+    :param peers: addresses of processes to learn the configuration from.
+    """
+
+    worker: str
+    cell: str
+    data_centre: str
+    rack: str
+    labels: dict[str, str]
+    address: str
+    http: HttpSettings
+    retention_seconds: int
+    retention_bytes: int
+    confirm_period_ms: int
+    ping_period_ms: int
+    key_value: KeyValueSettings
+    peers: list[str]
+    curve: CurveSettings | None
+    statsd: StatsdSettings | None
+    logs: LogSettings
+
+
+def load_agent(path: str | Path) -> AgentSettings:
+    """Read the settings of an agent.
+
+    :raises InvalidSettingsError: with every mistake in the file.
+    """
+    reader = Reader(path)
+    settings = AgentSettings(
+        worker=reader.get("process", "worker", name),
+        cell=reader.get("process", "cell", name),
+        data_centre=reader.get("process", "data_centre", name),
+        rack=reader.get("process", "rack", name),
+        labels=_read_labels(reader),
+        address=reader.get("process", "address", message_address),
+        http=read_http(reader, "http", loopback_address),
+        retention_seconds=read_retention_seconds(reader),
+        retention_bytes=reader.get(
+            "retention", "bytes", number(1 << 16, 1 << 30), DEFAULT_RETENTION_BYTES
+        ),
+        confirm_period_ms=reader.get(
+            "cell", "confirm_period_ms", number(100, 60_000), DEFAULT_CONFIRM_PERIOD_MS
+        ),
+        ping_period_ms=reader.get(
+            "cell", "ping_period_ms", number(20, 20_000), DEFAULT_PING_PERIOD_MS
+        ),
+        key_value=read_key_value(reader),
+        peers=read_peers(reader),
+        curve=read_curve(reader),
+        statsd=read_statsd(reader),
+        logs=read_logs(reader),
+    )
+    _check_periods(reader, settings)
+    reader.finish()
+    return settings
+
+
+def _read_labels(reader: Reader) -> dict[str, str]:
+    labels = {}
+    for key, value in reader.items("labels"):
+        if not is_name(key) or not is_name(value):
+            reader.note("labels", key, value, "is no label", NAME_REMEDY)
+            continue
+        labels[key] = value
+    return labels
+
+
+def _check_periods(reader: Reader, settings: AgentSettings) -> None:
+    pings = settings.confirm_period_ms // settings.ping_period_ms
+    if pings >= LEAST_PINGS_IN_PERIOD:
+        return
+    highest = settings.confirm_period_ms // LEAST_PINGS_IN_PERIOD
+    reader.note(
+        "cell",
+        "ping_period_ms",
+        str(settings.ping_period_ms),
+        f"leaves fewer than {LEAST_PINGS_IN_PERIOD} pings in a confirm period",
+        f"Give at most {highest}, or raise confirm_period_ms.",
+    )
--- /dev/null
+++ b/src/cactuswalk/settings/converters.py
@@ -0,0 +1,164 @@
+"""Converters from an option's text to its value, each with its remedies."""
+
+import ipaddress
+import re
+from collections.abc import Callable
+from pathlib import Path
+from urllib.parse import urlsplit
+
+from cactuswalk.settings.reader import Rejected
+
+__all__ = [
+    "NAME_REMEDY",
+    "each",
+    "existing_file",
+    "ip_address",
+    "is_name",
+    "loopback_address",
+    "message_address",
+    "name",
+    "number",
+    "one_of",
+    "text",
+    "token_digest",
+    "url",
+    "z85_key",
+]
+
+# Names go into addresses of HTTP, metric names and keys of the key-value
+# service, so they keep to letters that need no escape in any of them.
+_NAME = re.compile(r"[^\W_][\w-]{0,62}")
+NAME_REMEDY = "Use up to 63 letters, digits, '-' and '_', a letter or digit first."
+
+_Z85 = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
+_SHA256 = re.compile(r"[0-9a-f]{64}")
+
+
+def text(written: str) -> str:
+    """Take any text that is not empty."""
+    if not written:
+        raise Rejected("is empty", "Give a value or remove the line.")
+    return written
+
+
+def is_name(written: str) -> bool:
+    """Say whether a text can name something."""
+    return _NAME.fullmatch(written) is not None
+
+
+def name(written: str) -> str:
+    """Take a name."""
+    if not is_name(written):
+        raise Rejected("is no name", NAME_REMEDY)
+    return written
+
+
+def number(lowest: int, highest: int) -> Callable[[str], int]:
+    """Return a converter of whole numbers within two bounds."""
+
+    def convert(written: str) -> int:
+        remedy = f"Give a whole number from {lowest} to {highest}."
+        if not re.fullmatch(r"-?[0-9]{1,18}", written):
+            raise Rejected("is no whole number", remedy)
+        value = int(written)
+        if not lowest <= value <= highest:
+            raise Rejected("is out of bounds", remedy)
+        return value
+
+    return convert
+
+
+def one_of(*choices: str) -> Callable[[str], str]:
+    """Return a converter that takes one of some words."""
+
+    def convert(written: str) -> str:
+        if written not in choices:
+            raise Rejected("is no choice", f"Give one of: {', '.join(choices)}.")
+        return written
+
+    return convert
+
+
+def each(convert: Callable[[str], str]) -> Callable[[str], list[str]]:
+    """Return a converter of lists, separated by commas or white space."""
+
+    def convert_all(written: str) -> list[str]:
+        return [convert(part) for part in re.split(r"[,\s]+", written) if part]
+
+    return convert_all
+
+
+def ip_address(written: str) -> str:
+    """Take an IP number; host names are not looked up."""
+    try:
+        return str(ipaddress.ip_address(written))
+    except ValueError:
+        remedy = "Give an IP number such as 127.0.0.1; names are not looked up."
+        raise Rejected("is no IP number", remedy) from None
+
+
+def loopback_address(written: str) -> str:
+    """Take an IP number of the loopback."""
+    address = ip_address(written)
+    if not ipaddress.ip_address(address).is_loopback:
+        remedy = "Give 127.0.0.1: only the upstream beside the agent may announce."
+        raise Rejected("is not on the loopback", remedy)
+    return address
+
+
+def message_address(written: str) -> str:
+    """Take ``tcp://ip:port`` as another process would reach it."""
+    remedy = "Write tcp://IP:PORT, such as tcp://10.1.0.4:7000, with a port above 0."
+    try:
+        parts = urlsplit(written)
+        host, port = parts.hostname, parts.port
+        address = ipaddress.ip_address(host or "")
+    except ValueError:
+        raise Rejected("is no message address", remedy) from None
+    rest = parts.path or parts.query or parts.fragment or parts.username
+    if parts.scheme != "tcp" or not port or rest:
+        raise Rejected("is no message address", remedy)
+    if address.is_unspecified:
+        remedy = "Give the IP number at which the other processes reach this one."
+        raise Rejected("can't be reached by others", remedy)
+    return written
+
+
+def url(written: str) -> str:
+    """Take an ``http://`` or ``https://`` address without a path."""
+    remedy = "Write http://IP:PORT or https://IP:PORT."
+    try:
+        parts = urlsplit(written)
+        known = parts.scheme in ("http", "https") and parts.hostname
+        _ = parts.port
+    except ValueError:
+        known = False
+    if not known or parts.path.strip("/") or parts.query or parts.fragment:
+        raise Rejected("is no endpoint", remedy)
+    return written.rstrip("/")
+
+
+def existing_file(written: str) -> str:
+    """Take the path of a file that can be read."""
+    try:
+        with Path(written).open("rb"):
+            return written
+    except OSError as error:
+        remedy = "Give the path of a file that this process may read."
+        raise Rejected(f"can't be opened ({error.strerror})", remedy) from None
+
+
+def token_digest(written: str) -> str:
+    """Take the SHA-256 of a token in hexadecimal."""
+    if not _SHA256.fullmatch(written):
+        remedy = "Give 64 hexadecimal digits: printf %s TOKEN | sha256sum."
+        raise Rejected("is no SHA-256 of a token", remedy)
+    return written
+
+
+def z85_key(written: str) -> str:
+    """Take a CURVE key in ZeroMQ's Z85 text."""
+    if not _Z85.fullmatch(written):
+        remedy = "Give the 40 characters that zmq.curve_keypair() returns."
+        raise Rejected("is no CURVE key", remedy)
+    return written
--- /dev/null
+++ b/src/cactuswalk/settings/entry.py
@@ -0,0 +1,223 @@
+"""Settings of ``cactuswalk-entry``."""
+
+from pathlib import Path
+
+import msgspec
+
+from cactuswalk.settings.converters import (
+    NAME_REMEDY,
+    each,
+    is_name,
+    message_address,
+    name,
+    number,
+    token_digest,
+)
+from cactuswalk.settings.reader import Reader, Rejected
+from cactuswalk.settings.retention import read_retention_seconds
+from cactuswalk.settings.shared import (
+    CurveSettings,
+    HttpSettings,
+    KeyValueSettings,
+    LogSettings,
+    StatsdSettings,
+    read_curve,
+    read_http,
+    read_key_value,
+    read_logs,
+    read_peers,
+    read_statsd,
+)
+
+__all__ = ["CallerIdentity", "EntrySettings", "LimitSettings", "load_entry"]
+
+# A job of 140 tasks (brief) then has some 7 kB for each of them. It is also the
+# size of the largest value that the platform keeps.
+DEFAULT_BODY_BYTES = 1 << 20
+
+# Today's 11 workers have 88 slots. At the brief's shortest task, 50 ms, they
+# finish 1,760 tasks a second, so this is about a second of the best case; what
+# waits longer than that is better refused than kept.
+DEFAULT_WAITING_REQUESTS = 2_000
+
+# "A few last several seconds" (brief): twice five of them.
+DEFAULT_DEADLINE_MS = 10_000
+
+# A caller that wants to wait longer asks again with the same key.
+DEFAULT_MAXIMUM_DEADLINE_MS = 60_000
+
+
+class LimitSettings(msgspec.Struct):
+    """Bounds on what callers may ask of an entry."""
+
+    body_bytes: int
+    waiting_requests: int
+    default_deadline_ms: int
+    maximum_deadline_ms: int
+
+
+class CallerIdentity(msgspec.Struct, frozen=True):
+    """Whom a token stands for."""
+
+    caller: str
+    team: str
+
+
+class EntrySettings(msgspec.Struct):
+    """All that an entry is told at its start.
+
+    :param address: where other processes send messages, ``tcp://ip:port``.
+    :param operators_http: None where this entry serves no operators.
+    :param peers: addresses of processes to learn the configuration from.
+    :param callers: by the SHA-256 of the token, in hexadecimal.
+    :param operators: names of operators, by the SHA-256 of the token.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    http: HttpSettings
+    operators_http: HttpSettings | None
+    key_value: KeyValueSettings
+    peers: list[str]
+    limits: LimitSettings
+    retention_seconds: int
+    callers: dict[str, CallerIdentity]
+    operators: dict[str, str]
+    curve: CurveSettings | None
+    statsd: StatsdSettings | None
+    logs: LogSettings
+
+
+def load_entry(path: str | Path) -> EntrySettings:
+    """Read the settings of an entry.
+
+    :raises InvalidSettingsError: with every mistake in the file.
+    """
+    reader = Reader(path)
+    settings = EntrySettings(
+        name=reader.get("process", "name", name),
+        data_centre=reader.get("process", "data_centre", name),
+        address=reader.get("process", "address", message_address),
+        http=read_http(reader, "http"),
+        operators_http=_read_operators_http(reader),
+        key_value=read_key_value(reader),
+        peers=read_peers(reader),
+        limits=_read_limits(reader),
+        retention_seconds=read_retention_seconds(reader),
+        callers=_read_callers(reader),
+        operators=_read_operators(reader),
+        curve=read_curve(reader),
+        statsd=read_statsd(reader),
+        logs=read_logs(reader),
+    )
+    _check_addresses(reader, settings)
+    reader.finish()
+    return settings
+
+
+def _read_operators_http(reader: Reader) -> HttpSettings | None:
+    if not reader.has("operators_http"):
+        return None
+    return read_http(reader, "operators_http")
+
+
+def _read_limits(reader: Reader) -> LimitSettings:
+    section = "limits"
+    reader.has(section)
+    limits = LimitSettings(
+        body_bytes=reader.get(
+            section, "body_bytes", number(1, 64 << 20), DEFAULT_BODY_BYTES
+        ),
+        waiting_requests=reader.get(
+            section, "waiting_requests", number(1, 100_000), DEFAULT_WAITING_REQUESTS
+        ),
+        default_deadline_ms=reader.get(
+            section, "default_deadline_ms", number(1, 3_600_000), DEFAULT_DEADLINE_MS
+        ),
+        maximum_deadline_ms=reader.get(
+            section,
+            "maximum_deadline_ms",
+            number(1, 3_600_000),
+            DEFAULT_MAXIMUM_DEADLINE_MS,
+        ),
+    )
+    if limits.default_deadline_ms > limits.maximum_deadline_ms:
+        reader.note(
+            section,
+            "default_deadline_ms",
+            str(limits.default_deadline_ms),
+            f"is above maximum_deadline_ms ({limits.maximum_deadline_ms})",
+            "Lower the default or raise the maximum.",
+        )
+    return limits
+
+
+def _read_callers(reader: Reader) -> dict[str, CallerIdentity]:
+    """Read ``caller = team, digest, ...``; two digests let a token be replaced."""
+    section = "callers"
+    callers: dict[str, CallerIdentity] = {}
+    lines = reader.items(section)
+    if not lines:
+        remedy = "Add a line 'CALLER = TEAM, SHA256-OF-TOKEN' for each caller."
+        reader.note(section, "", "", "names no caller", remedy)
+    for caller, written in lines:
+        team, _, digests = written.partition(",")
+        team = team.strip()
+        if not is_name(caller) or not is_name(team):
+            reason = "names no caller and team"
+            remedy = f"Write 'CALLER = TEAM, SHA256'. {NAME_REMEDY}"
+            reader.note(section, caller, "", reason, remedy)
+            continue
+        for digest in _read_digests(reader, section, caller, digests):
+            _add_once(reader, section, caller, callers, digest)
+            callers.setdefault(digest, CallerIdentity(caller, team))
+    return callers
+
+
+def _read_operators(reader: Reader) -> dict[str, str]:
+    """Read ``operator = digest, ...``."""
+    section = "operators"
+    operators: dict[str, str] = {}
+    lines = reader.items(section)
+    if reader.parser.has_section("operators_http") and not lines:
+        remedy = "Add a line 'OPERATOR = SHA256-OF-TOKEN' for each operator."
+        reader.note(section, "", "", "names no operator", remedy)
+    for operator, written in lines:
+        if not is_name(operator):
+            reader.note(section, operator, "", "is no name", NAME_REMEDY)
+            continue
+        for digest in _read_digests(reader, section, operator, written):
+            _add_once(reader, section, operator, operators, digest)
+            operators.setdefault(digest, operator)
+    return operators
+
+
+def _read_digests(reader: Reader, section: str, key: str, written: str) -> list[str]:
+    # A token itself, pasted where its digest belongs, must not reach a log.
+    try:
+        digests = each(token_digest)(written)
+    except Rejected as rejected:
+        reader.note(section, key, "", rejected.reason, rejected.remedy)
+        return []
+    if not digests:
+        remedy = "Give the SHA-256 of the token: printf %s TOKEN | sha256sum."
+        reader.note(section, key, "", "has no token", remedy)
+    return digests
+
+
+def _add_once(reader: Reader, section: str, key: str, known: dict, digest: str) -> None:
+    if digest in known:
+        remedy = "Give each its own token; two can't be told apart by one."
+        reader.note(section, key, "", "repeats another one's token", remedy)
+
+
+def _check_addresses(reader: Reader, settings: EntrySettings) -> None:
+    operators = settings.operators_http
+    if operators is None or not operators.port:
+        return
+    if (operators.host, operators.port) == (settings.http.host, settings.http.port):
+        remedy = "Give callers and operators a port each."
+        reader.note(
+            "operators_http", "port", str(operators.port), "is the callers'", remedy
+        )
--- /dev/null
+++ b/src/cactuswalk/settings/reader.py
@@ -0,0 +1,199 @@
+"""Read an INI file option by option, and gather every mistake in it."""
+
+import configparser
+import difflib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from cactuswalk.errors import SettingsError
+
+__all__ = ["InvalidSettingsError", "Mistake", "Reader", "Rejected"]
+
+_REQUIRED = object()
+
+
+class Mistake(msgspec.Struct, frozen=True):
+    """One thing that is wrong with a settings file.
+
+    :param key: empty where the whole section is meant.
+    :param value: as written; empty where there is none or it is secret.
+    """
+
+    section: str
+    key: str
+    value: str
+    reason: str
+    remedy: str
+
+    def show(self) -> str:
+        """Return the mistake as one line and its remedy as another."""
+        place = f"[{self.section}] {self.key}".strip()
+        written = f" = {self.value}" if self.value else ""
+        return f"{place}{written}: {self.reason}\n    Remedy: {self.remedy}"
+
+
+class InvalidSettingsError(SettingsError):
+    """A settings file with mistakes; ``mistakes`` holds every one of them."""
+
+    def __init__(self, path: Path, mistakes: list[Mistake]) -> None:
+        lines = "".join(f"\n  {mistake.show()}" for mistake in mistakes)
+        super().__init__(
+            f"{path} has {len(mistakes)} mistake(s):{lines}",
+            "Correct each of them; nothing has been started.",
+        )
+        self.path = path
+        self.mistakes = mistakes
+
+
+class Rejected(Exception):  # noqa: N818 (never leaves this package)
+    """A value that a converter can't take, with its reason and remedy."""
+
+    def __init__(self, reason: str, remedy: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+        self.remedy = remedy
+
+
+class Reader:
+    """One settings file while it is read.
+
+    :param path: the file.
+    :raises InvalidSettingsError: if the file can't be read as INI at all.
+    """
+
+    __slots__ = ("path", "parser", "mistakes", "asked")
+
+    def __init__(self, path: str | Path) -> None:
+        self.path = Path(path)
+        self.mistakes: list[Mistake] = []
+        self.asked: dict[str, set[str] | None] = {}
+        self.parser = self._parse()
+
+    def has(self, section: str) -> bool:
+        """Say whether an optional section is there; it is known from now on."""
+        self.asked.setdefault(section, set())
+        return self.parser.has_section(section)
+
+    def get(
+        self,
+        section: str,
+        key: str,
+        convert: Callable[[str], Any],
+        default: Any = _REQUIRED,
+        secret: bool = False,
+    ) -> Any:
+        """Return a converted option, or its default.
+
+        A wrong or missing one is noted, and the default (or None) returned, so
+        that the rest of the file is checked too.
+
+        :param secret: never repeat the value in a message.
+        """
+        keys = self.asked.setdefault(section, set())
+        if keys is not None:
+            keys.add(key)
+        fallback = None if default is _REQUIRED else default
+        written = self.parser.get(section, key, fallback=None)
+        if written is None:
+            if default is _REQUIRED:
+                self.note(section, key, "", "is missing", f"Add a line '{key} = ...'.")
+            return fallback
+        try:
+            return convert(written.strip())
+        except Rejected as rejected:
+            shown = "" if secret else written.strip()
+            self.note(section, key, shown, rejected.reason, rejected.remedy)
+            return fallback
+
+    def items(self, section: str) -> list[tuple[str, str]]:
+        """Return all options of a section whose keys are the reader's own."""
+        self.asked[section] = None
+        if not self.parser.has_section(section):
+            return []
+        return [(key, value.strip()) for key, value in self.parser.items(section)]
+
+    def note(
+        self, section: str, key: str, value: str, reason: str, remedy: str
+    ) -> None:
+        """Note a mistake."""
+        self.mistakes.append(Mistake(section, key, value, reason, remedy))
+
+    def finish(self) -> None:
+        """Note what nobody asked for, and raise if there are mistakes.
+
+        A misspelt option would otherwise leave a default in force unseen.
+        """
+        for section in self.parser.sections():
+            if section not in self.asked:
+                remedy = _suggest(section, list(self.asked), "section")
+                self.note(section, "", "", "is no section of this file", remedy)
+                continue
+            keys = self.asked[section]
+            if keys is not None:
+                self._note_unknown_keys(section, keys)
+        if self.mistakes:
+            raise InvalidSettingsError(self.path, self.mistakes)
+
+    def _note_unknown_keys(self, section: str, keys: set[str]) -> None:
+        for key in self.parser.options(section):
+            if key not in keys:
+                remedy = _suggest(key, sorted(keys), "option")
+                self.note(section, key, "", "is no option of this section", remedy)
+
+    def _parse(self) -> configparser.ConfigParser:
+        try:
+            text = self.path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as error:
+            reason = f"can't be read: {error}"
+            remedy = "Give the path of a readable UTF-8 file."
+            self.note("file", "", "", reason, remedy)
+            raise InvalidSettingsError(self.path, self.mistakes) from error
+        try:
+            return _parse_ini(text, strict=True)
+        except (
+            configparser.DuplicateOptionError,
+            configparser.DuplicateSectionError,
+        ) as error:
+            key = getattr(error, "option", "")
+            reason = f"stands twice, again on line {error.lineno}"
+            self.note(error.section, key, "", reason, "Keep one of the two.")
+        except configparser.Error as error:
+            self._refuse(error)
+        try:
+            return _parse_ini(text, strict=False)
+        except configparser.Error as error:
+            self._refuse(error)
+
+    def _refuse(self, error: configparser.Error) -> None:
+        """Give up on a file that is no INI; the rest of it can't be told.
+
+        The parser's message repeats lines of the file, which may hold a secret,
+        so only their numbers are shown.
+        """
+        if isinstance(error, configparser.MissingSectionHeaderError):
+            lines = [error.lineno]
+        else:
+            lines = [line for line, _ in getattr(error, "errors", [])]
+        where = ", ".join(str(line) for line in lines) or "unknown"
+        remedy = "Write '[section]' lines and 'key = value' lines only."
+        self.note("file", "", "", f"is no INI, see line {where}", remedy)
+        raise InvalidSettingsError(self.path, self.mistakes) from error
+
+
+def _parse_ini(text: str, strict: bool) -> configparser.ConfigParser:
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=strict, default_section="\0"
+    )
+    parser.optionxform = str
+    parser.read_string(text)
+    return parser
+
+
+def _suggest(name: str, known: list[str], kind: str) -> str:
+    close = difflib.get_close_matches(name, known, n=1)
+    if close:
+        return f"Did you mean '{close[0]}'? Otherwise remove the {kind}."
+    return f"Remove the {kind}."
