Add label selectors in the usual grammar

Cause: jobs and operators decide by selectors where work may land. An unreadable selector is refused at its character; taken for an empty one it would let work land anywhere. Ruled out: selectors on announced labels alone, since a label could then claim another rack. Conclusion: parse and matches, with a worker's place as labels. make test: 29 passed, 0 failed.

--- a/src/cactuswalk/model/__init__.py
+++ b/src/cactuswalk/model/__init__.py
@@ -16,6 +16,14 @@
     submission_name,
 )
 from cactuswalk.model.job import Job, TaskSpec
+from cactuswalk.model.selector import (
+    Requirement,
+    Selector,
+    SelectorError,
+    matches,
+    parse,
+    worker_labels,
+)
 from cactuswalk.model.worker import Announcement, Capacity
 
 __all__ = [
@@ -27,12 +35,18 @@
     "Outcome",
     "Refusal",
     "RefusalCode",
+    "Requirement",
+    "Selector",
+    "SelectorError",
     "TaskOutcome",
     "TaskResult",
     "TaskSpec",
     "TaskState",
     "birth_ms",
     "digest",
+    "matches",
     "mint",
+    "parse",
     "submission_name",
+    "worker_labels",
 ]
