--- a/features/steps/codec_steps.py
+++ b/features/steps/codec_steps.py
@@ -29,7 +29,7 @@
 @given("an envelope with a cancel and a ping")
 def step_envelope(context):
     owner = Member("w1", "a", "tcp://127.0.0.1:1")
-    ping = Ping("cell", 3, owner, 7, 12, [owner])
+    ping = Ping("cell", 3, owner, 7, 12, 0, [owner])
     context.envelope = Envelope("tcp://127.0.0.1:2", [Cancel("team/key"), ping])
 
 
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Fixtures that steps of several features share."""
--- /dev/null
+++ b/features/support/bag.py
@@ -0,0 +1,354 @@
+"""The real reducers, joined by a bag of messages and a virtual clock.
+
+A fixture, not a simulator of a cluster: messages wait in a heap until their
+time, and a test decides what is lost, late, repeated or cut.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from cactuswalk.messages import Envelope, decode, encode
+from cactuswalk.model import Announcement, Capacity, Job, Member, TaskSpec, digest, mint
+from cactuswalk.state.effects import (
+    CallUpstream,
+    Log,
+    ReadKey,
+    Reply,
+    Send,
+    StopUpstream,
+    SwapKey,
+)
+from cactuswalk.state.entry import EntryState, handle_entry, new_entry
+from cactuswalk.state.events import (
+    Announced,
+    CallerSubmitted,
+    KeyRead,
+    KeySwapped,
+    Received,
+    StopRequested,
+    SwapOutcome,
+    Tick,
+    UpstreamAnswered,
+    UpstreamOutcome,
+)
+from cactuswalk.state.node import Node, handle, new_node
+from cactuswalk.state.timing import Timing
+
+CELL = "cell"
+TICK = 0.05
+# Wall clock in milliseconds at virtual time 0; any day will do.
+WALL_MS = 1_700_000_000_000
+MAXIMUM_BYTES = 16 * 1024 * 1024
+
+
+class Process:
+    """One process: its reducer, and whether it is frozen, cut or dead."""
+
+    def __init__(self, name: str, address: str, state: Node | EntryState) -> None:
+        self.name = name
+        self.address = address
+        self.state = state
+        self.alive = True
+        self.frozen_until = 0.0
+        self.waiting: list = []
+
+    def handle(self, event, now: float) -> list:
+        if isinstance(self.state, Node):
+            return handle(self.state, event, now)
+        return handle_entry(self.state, event, now)
+
+
+class KeyValueFake:
+    """The key-value service: values, one revision, and switches for faults."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, tuple[bytes, int]] = {}
+        self.revision = 0
+        self.down = False
+        self.lose_replies = 0
+        self.delay = 0.003
+        self.calls = 0
+
+    def read(self, effect: ReadKey) -> KeyRead:
+        self.calls += 1
+        if self.down:
+            return KeyRead(effect.key, False, None, 0)
+        value, revision = self.values.get(effect.key, (None, 0))
+        return KeyRead(effect.key, True, value, revision)
+
+    def swap(self, effect: SwapKey) -> KeySwapped:
+        self.calls += 1
+        if self.down:
+            return KeySwapped(effect.key, effect.write_id, SwapOutcome.UNKNOWN, 0)
+        _, revision = self.values.get(effect.key, (None, 0))
+        if revision != effect.expected:
+            return KeySwapped(effect.key, effect.write_id, SwapOutcome.LOST, 0)
+        self.revision += 1
+        self.values[effect.key] = (effect.value, self.revision)
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return KeySwapped(effect.key, effect.write_id, SwapOutcome.UNKNOWN, 0)
+        return KeySwapped(
+            effect.key, effect.write_id, SwapOutcome.APPLIED, self.revision
+        )
+
+
+class Upstream:
+    """An upstream's own record of starts: the judge of what ran."""
+
+    def __init__(self) -> None:
+        self.starts: list[tuple[str, int]] = []
+        self.outcome = UpstreamOutcome.ANSWERED
+        self.status = 200
+
+
+class Bag:
+    """Processes, messages under way, and the virtual clock."""
+
+    def __init__(self, seed: int = 1, timing: Timing | None = None) -> None:
+        self.generator = random.Random(seed)
+        self.timing = timing or Timing()
+        self.now = 100.0
+        self.serial = itertools.count()
+        self.heap: list = []
+        self.processes: dict[str, Process] = {}
+        self.key_value = KeyValueFake()
+        self.upstreams: dict[str, Upstream] = {}
+        self.replies: dict[str, list[Reply]] = {}
+        self.logs: list[tuple[float, str, Log]] = []
+        self.sent: dict[str, int] = {}
+        # A test may set these: which links are cut, and what befalls a message.
+        self.cut: set[tuple[str, str]] = set()
+        self.fate: Callable[[str, str, object], list[float]] = lambda *_: [0.0005]
+        self.on_step: list[Callable] = []
+
+    # Processes
+
+    def add_agent(self, worker: str, slots: int = 8, service: str = "routes"):
+        """Start an agent, a new life if the worker has had one."""
+        address = f"tcp://{worker}"
+        member = Member(worker, f"{self.generator.getrandbits(32):08x}", address)
+        generator = random.Random(self.generator.getrandbits(64))
+        node = new_node(CELL, member, self.timing, generator, MAXIMUM_BYTES, self.now)
+        process = Process(worker, address, node)
+        self.processes[address] = process
+        self.upstreams.setdefault(worker, Upstream())
+        announcement = Announcement(
+            worker, service, "inverness", "rack-1", {}, Capacity(slots)
+        )
+        self._at(0.0, address, Announced(announcement))
+        self._at(self.generator.random() * TICK, address, Tick())
+        return process
+
+    def add_entry(self, name: str):
+        address = f"tcp://{name}"
+        state = new_entry(
+            address,
+            [CELL],
+            self.timing,
+            random.Random(self.generator.getrandbits(64)),
+            WALL_MS,
+        )
+        process = Process(name, address, state)
+        self.processes[address] = process
+        self._at(0.0, address, Tick())
+        return process
+
+    def kill(self, name: str) -> None:
+        self.processes[f"tcp://{name}"].alive = False
+
+    def freeze(self, name: str, seconds: float) -> None:
+        """Stop a process as SIGSTOP does; what comes meanwhile waits."""
+        self.processes[f"tcp://{name}"].frozen_until = self.now + seconds
+
+    def cut_off(self, name: str, both: bool = True) -> None:
+        """Cut what a process sends, and what it is sent."""
+        for address in self.processes:
+            self.cut.add((f"tcp://{name}", address))
+            if both:
+                self.cut.add((address, f"tcp://{name}"))
+
+    def stop(self, name: str) -> None:
+        self._at(0.0, f"tcp://{name}", StopRequested())
+
+    def owner(self) -> Process | None:
+        """Return the process that serves with the highest epoch."""
+        best = None
+        for process in self.processes.values():
+            node = process.state
+            if not process.alive or not isinstance(node, Node) or not node.owner:
+                continue
+            epoch = node.owner.record.epoch
+            if best is None or epoch > best.state.owner.record.epoch:
+                best = process
+        return best
+
+    # Callers
+
+    def job(self, key: str | None = None, tasks: int = 1, **fields) -> Job:
+        born_ms = int(WALL_MS + self.now * 1000)
+        key = key or mint(born_ms, self.generator)
+        bodies = [f"{key}:{index}".encode() for index in range(tasks)]
+        return Job(
+            f"team/{key}",
+            digest(*bodies),
+            fields.pop("service", "routes"),
+            "team",
+            [TaskSpec(body, fields.get("duration_ms", 0)) for body in bodies],
+            request=fields.pop("request", tasks == 1),
+            idempotent=fields.pop("idempotent", False),
+            born_ms=fields.pop("born_ms", born_ms),
+        )
+
+    def submit(
+        self,
+        entry: str,
+        job: Job,
+        waiter: str = "w",
+        remaining_ms: int = 5000,
+        minted: bool = False,
+        after: float = 0.0,
+    ) -> None:
+        event = CallerSubmitted(waiter, job, minted, remaining_ms)
+        self._at(after, f"tcp://{entry}", event)
+
+    def starts(self, submission: str) -> list[tuple[str, int]]:
+        """Return every start of a submission that any upstream has recorded."""
+        return [
+            start
+            for upstream in self.upstreams.values()
+            for start in upstream.starts
+            if start[0] == submission
+        ]
+
+    # Time
+
+    def run(self, seconds: float) -> None:
+        """Let virtual time pass."""
+        end = self.now + seconds
+        while self.heap and self.heap[0][0] <= end:
+            at, _, address, life, event = heapq.heappop(self.heap)
+            self.now = max(self.now, at)
+            self._deliver(address, life, event)
+        self.now = end
+
+    def run_until(self, ready: Callable[[], bool], limit: float = 30.0) -> bool:
+        end = self.now + limit
+        while not ready():
+            if self.now >= end:
+                return False
+            self.run(0.05)
+        return True
+
+    def _at(self, after: float, address: str, event) -> None:
+        process = self.processes[address]
+        heapq.heappush(
+            self.heap,
+            (self.now + after, next(self.serial), address, process, event),
+        )
+
+    def _deliver(self, address: str, life: Process, event) -> None:
+        process = self.processes.get(address)
+        if isinstance(event, bytes):
+            envelope = decode(event)
+            event = Received(envelope.sender, envelope.messages[0])
+            life = process
+        if process is None or not process.alive or life is not process:
+            return
+        if self.now < process.frozen_until:
+            # Woken, it finds everything that came meanwhile, and one tick.
+            heapq.heappush(
+                self.heap,
+                (process.frozen_until, next(self.serial), address, life, event),
+            )
+            return
+        if isinstance(event, Tick):
+            if isinstance(process.state, Node) and process.state.stopped:
+                process.alive = False
+                return
+            self._at(TICK, address, event)
+        for effect in process.handle(event, self.now):
+            self._perform(process, effect)
+        for check in self.on_step:
+            check(self)
+
+    def _perform(self, process: Process, effect) -> None:
+        if isinstance(effect, Send):
+            self._send(process, effect)
+        elif isinstance(effect, CallUpstream):
+            self._call(process, effect)
+        elif isinstance(effect, ReadKey):
+            event = self.key_value.read(effect)
+            self._at(self.key_value.delay, process.address, event)
+        elif isinstance(effect, SwapKey):
+            event = self.key_value.swap(effect)
+            self._at(self.key_value.delay, process.address, event)
+        elif isinstance(effect, Reply):
+            self.replies.setdefault(effect.submission, []).append(effect)
+        elif isinstance(effect, Log):
+            self.logs.append((self.now, process.name, effect))
+        elif isinstance(effect, StopUpstream):
+            pass
+
+    def _send(self, process: Process, effect: Send) -> None:
+        kind = type(effect.message).__name__
+        self.sent[kind] = self.sent.get(kind, 0) + 1
+        if effect.address not in self.processes:
+            return
+        if (process.address, effect.address) in self.cut:
+            return
+        frame = encode(Envelope(process.address, [effect.message]))
+        for delay in self.fate(process.address, effect.address, effect.message):
+            self._at(delay, effect.address, frame)
+
+    def _call(self, process: Process, effect: CallUpstream) -> None:
+        upstream = self.upstreams[process.name]
+        outcome = upstream.outcome
+        if outcome is not UpstreamOutcome.NOT_SENT:
+            upstream.starts.append((effect.submission, effect.index))
+        seconds = max(effect.task.duration_ms, 1) / 1000
+        body = b"answer to " + effect.task.body
+        event = UpstreamAnswered(
+            effect.submission,
+            effect.index,
+            effect.attempt,
+            outcome,
+            upstream.status if outcome is UpstreamOutcome.ANSWERED else 0,
+            body if outcome is UpstreamOutcome.ANSWERED else b"",
+            int(seconds * 1000),
+        )
+        self._at(seconds, process.address, event)
+
+
+def small_cell(agents: int = 5, entries: int = 2, seed: int = 1, **fields) -> Bag:
+    """Return a cell that has found its owner and whose entries know it."""
+    bag = Bag(seed, **fields)
+    for number in range(entries):
+        bag.add_entry(f"entry-{number}")
+    for number in range(agents):
+        bag.add_agent(f"worker-{number}")
+        bag.run(0.1)
+    assert bag.run_until(lambda: is_settled(bag, agents)), "the cell did not settle"
+    return bag
+
+
+def is_settled(bag: Bag, agents: int) -> bool:
+    owner = bag.owner()
+    if owner is None:
+        return False
+    state = owner.state.owner
+    usable = sum(peer.usable for peer in state.peers.values())
+    entries = [
+        process.state
+        for process in bag.processes.values()
+        if isinstance(process.state, EntryState)
+    ]
+    known = all(
+        entry.cells[CELL].epoch == state.record.epoch
+        and entry.cells[CELL].report
+        and sum(entry.cells[CELL].report.free_slots.values()) > 0
+        for entry in entries
+    )
+    return usable == agents and known and (agents == 1 or state.record.backed_up)
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -98,6 +98,12 @@
         self._release(task.job.submission, task.index, worker)
         self.queue.appendleft(task)
 
+    def occupy(self, submission: str, index: int, worker: str, now: float) -> None:
+        """Count a task that an earlier owner started on a worker."""
+        known = self.workers.get(worker)
+        if known is not None:
+            known.running.add((submission, index))
+
     def assign(self, now: float) -> list[Assignment | Shed]:
         """Return all that can be started or must be refused now."""
         decided: list[Assignment | Shed] = []
--- a/src/cactuswalk/messages/__init__.py
+++ b/src/cactuswalk/messages/__init__.py
@@ -2,9 +2,11 @@
 
 from cactuswalk.messages.cell import (
     Adopt,
+    Adopted,
     Declined,
     Fence,
     Fenced,
+    HandOver,
     Heard,
     HeardReply,
     Join,
@@ -39,6 +41,7 @@
 
 __all__ = [
     "Adopt",
+    "Adopted",
     "Answer",
     "Cancel",
     "CellReport",
@@ -49,6 +52,7 @@
     "Envelope",
     "Fence",
     "Fenced",
+    "HandOver",
     "Heard",
     "HeardReply",
     "JobState",
--- a/src/cactuswalk/messages/cell.py
+++ b/src/cactuswalk/messages/cell.py
@@ -13,9 +13,11 @@
 
 __all__ = [
     "Adopt",
+    "Adopted",
     "Declined",
     "Fence",
     "Fenced",
+    "HandOver",
     "Heard",
     "HeardReply",
     "Join",
@@ -37,7 +39,9 @@
 
     :param total: tasks in the job, so that a new owner can tell whether the
         records it holds are all of it.
-    :param attempt: the owner's placement of the task, from 1.
+    :param attempt: names the start: the owner's epoch in the high bits, a count
+        in the low ones, so that it grows across owners too.
+    :param incarnation: the life of the agent that it was started or declined by.
     :param result: set once the task has ended.
     """
 
@@ -48,6 +52,7 @@
     attempt: int
     state: TaskState
     worker: str
+    incarnation: str
     result: TaskResult | None = None
 
 
@@ -72,7 +77,9 @@
     :param serial: repeated in the pong; the owner counts its standing from
         when it sent the ping, never from when the pong came.
     :param configuration: the revision that the owner has in force.
-    :param roster: of the epoch, sent when it has changed, else empty.
+    :param announcement: serial of the agent's announcement that the owner has;
+        an agent with a later one sends it again.
+    :param roster: of the epoch.
     """
 
     cell: str
@@ -80,6 +87,7 @@
     owner: Member
     serial: int
     configuration: int
+    announcement: int
     roster: list[Member]
 
 
@@ -88,7 +96,7 @@
 
     :param stamp: the agent's own monotonic clock in milliseconds; a start has
         to bring it back while it is young.
-    :param running: serials of the starts that it is running.
+    :param running: attempts of the starts that it is running.
     :param announcement_serial: of its latest announcement.
     """
 
@@ -108,15 +116,14 @@
 
     :param incarnation: the life of the agent that it is meant for.
     :param stamp: of that agent's latest pong; an old one is refused.
-    :param serial: of the start, for the pong's list of what is running.
     :param remaining_ms: of the deadline, counted from the stamp.
+    :param idempotent: a later attempt may run though an earlier one has.
     """
 
     cell: str
     epoch: int
     incarnation: str
     stamp: int
-    serial: int
     submission: str
     fingerprint: bytes
     index: int
@@ -125,6 +132,7 @@
     service: str
     task: TaskSpec
     remaining_ms: int
+    idempotent: bool
 
 
 class Result(msgspec.Struct, array_like=True, tag=25):
@@ -196,15 +204,11 @@
 
 
 class Fence(msgspec.Struct, array_like=True, tag=31):
-    """A new owner ends the earlier epochs at an agent and asks for records.
-
-    :param part: which part of the records to send, from 0.
-    """
+    """A new owner ends the earlier epochs at an agent and asks for records."""
 
     cell: str
     epoch: int
     owner: Member
-    part: int
 
 
 class Fenced(msgspec.Struct, array_like=True, tag=32):
@@ -245,8 +249,24 @@
 
 
 class Adopt(msgspec.Struct, array_like=True, tag=35):
-    """Keep these records for a member that leaves or is gone."""
+    """Keep copies of these records, so that one host's death loses none."""
 
     cell: str
     epoch: int
+    token: str
     records: list[Record]
+
+
+class Adopted(msgspec.Struct, array_like=True, tag=36):
+    """The records sent under ``token`` are kept here too."""
+
+    cell: str
+    incarnation: str
+    token: str
+
+
+class HandOver(msgspec.Struct, array_like=True, tag=37):
+    """A stopping owner asks a member to take the cell over at once."""
+
+    cell: str
+    epoch: int
--- a/src/cactuswalk/messages/codec.py
+++ b/src/cactuswalk/messages/codec.py
@@ -37,6 +37,8 @@
     | cell.Witness
     | cell.Witnessed
     | cell.Adopt
+    | cell.Adopted
+    | cell.HandOver
     | configuration.ConfigurationOffer
     | configuration.ConfigurationRequest
     | configuration.ConfigurationUpdate
--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -25,12 +25,19 @@
     :param fresh: the entry minted the identifier and never sent it before, so
         nobody else can have started any of it.
     :param remaining_ms: until the caller's deadline, at the time of sending.
+    :param age_ms: since the identifier's birth, by the entry's wall clock.
+    :param stamp: the owner's own clock, from its latest report to this entry;
+        an old one is refused, so a copy that the network held back can't run
+        after its caller was told that nothing did.
     """
 
     job: Job
     attempt: int
     fresh: bool
     remaining_ms: int
+    age_ms: int
+    epoch: int
+    stamp: int
 
 
 class Answer(msgspec.Struct, array_like=True, tag=2):
@@ -79,15 +86,18 @@
 
 
 class NotOwner(msgspec.Struct, array_like=True, tag=6):
-    """The receiver of a submission does not own the cell; nothing was done.
+    """The receiver does not own the cell; nothing was done with the message.
 
     :param owner: address of the owner it knows of, empty for none.
+    :param submission: the refused one, empty if it was no submission.
+    :param attempt: of the refused submission.
     """
 
     cell: str
     epoch: int
     owner: str
     submission: str
+    attempt: int
 
 
 class Subscribe(msgspec.Struct, array_like=True, tag=7):
@@ -104,6 +114,7 @@
     :param workers: announcements of the cell's workers, sent when ``serial``
         has changed since the last report to that entry, else empty.
     :param configuration: lowest revision in force among the cell's nodes.
+    :param stamp: the owner's monotonic clock in milliseconds, see ``Submit``.
     """
 
     cell: str
@@ -116,3 +127,4 @@
     nodes: int
     configuration: int
     nodes_in_force: int
+    stamp: int
--- a/src/cactuswalk/model/cell.py
+++ b/src/cactuswalk/model/cell.py
@@ -27,6 +27,8 @@
     :param roster: the agents that the owner may start tasks at.
     :param departed: members removed less than the retention window ago that
         took records with them which nobody else holds.
+    :param backed_up: another member holds copies of all records of the owner's
+        own agent, so that the loss of the owner's host alone loses none.
     :param write_id: names the write, so that a swap whose reply was lost can
         be recognised when it is read back.
     """
@@ -37,3 +39,4 @@
     roster: list[Member]
     departed: list[Member]
     write_id: str
+    backed_up: bool = False
--- /dev/null
+++ b/src/cactuswalk/state/agent.py
@@ -0,0 +1,368 @@
+"""The agent beside an upstream: events in, effects out.
+
+It starts what the gate lets pass, records it, and tells the owner of the cell.
+It answers pings, probes and fences from its records alone.
+"""
+
+import math
+
+import msgspec
+
+from cactuswalk.messages import (
+    Adopt,
+    Adopted,
+    Declined,
+    Fence,
+    Fenced,
+    Heard,
+    HeardReply,
+    Join,
+    Message,
+    Ping,
+    Pong,
+    Probe,
+    Record,
+    Result,
+    Running,
+    Start,
+    Witness,
+    Witnessed,
+)
+from cactuswalk.model import (
+    Announcement,
+    Member,
+    TaskOutcome,
+    TaskResult,
+    TaskState,
+    digest,
+)
+from cactuswalk.state.effects import (
+    CallUpstream,
+    Count,
+    Effect,
+    Log,
+    Part,
+    Send,
+    StopUpstream,
+)
+from cactuswalk.state.events import Announced, UpstreamAnswered, UpstreamOutcome
+from cactuswalk.state.gate import (
+    Gate,
+    check_start,
+    record_start,
+    take_epoch,
+    tombstone,
+)
+from cactuswalk.state.retention import RecordBook, newer
+
+__all__ = ["AgentState", "new_agent"]
+
+# Records in one message. At some 200 bytes each without a body this is 40 KB,
+# which holds up neither end's loop for more than a few milliseconds.
+RECORDS_A_PART = 200
+
+# The first status that means that the upstream did not do what was asked, by
+# the fault of its own (RFC 9110, section 15.6).
+FIRST_SERVER_ERROR = 500
+
+
+class AgentState(msgspec.Struct):
+    """What an agent knows.
+
+    :param roster: of the cell, as its owner last sent it.
+    :param heard_at: when the owner in force was last heard.
+    :param copies: records kept for others; the gate does not look at them,
+        since a task may come here after it was declined elsewhere.
+    :param fenced_epoch: the epoch whose fence took ``handed_out``, the records
+        as they stood then; parts that are asked for again must not shift.
+    :param configuration: revision in force here.
+    :param effects: gathered while an event is handled.
+    """
+
+    cell: str
+    gate: Gate
+    copies: RecordBook
+    roster: list[Member] = []
+    heard_at: float = -math.inf
+    announcement: Announcement | None = None
+    announcement_serial: int = 0
+    fenced_epoch: int = 0
+    handed_out: list[Record] = []
+    configuration: int = 0
+    effects: list[Effect] = []
+
+
+def new_agent(cell: str, gate: Gate) -> AgentState:
+    """Return the state of an agent that has just been started."""
+    records = gate.records
+    copies = RecordBook(records.retention, records.maximum_bytes)
+    return AgentState(cell, gate, copies)
+
+
+def on_announced(state: AgentState, event: Announced, now: float) -> None:
+    """The upstream has announced itself, changed, or withdrawn."""
+    state.announcement_serial += 1
+    announcement = event.announcement
+    if announcement is None:
+        state.gate.slots = 0
+        if state.announcement is not None:
+            state.announcement.ready = False
+            state.announcement.serial = state.announcement_serial
+        return
+    announcement.serial = state.announcement_serial
+    state.announcement = announcement
+    state.gate.slots = announcement.capacity.slots if announcement.ready else 0
+
+
+def on_ping(state: AgentState, sender: str, ping: Ping, now: float) -> None:
+    """The owner asks for a confirmation of its epoch."""
+    gate = state.gate
+    if take_epoch(gate, ping.epoch, ping.owner):
+        state.heard_at = now
+        state.roster = ping.roster
+        if ping.announcement != state.announcement_serial and state.announcement:
+            join = Join(state.cell, gate.member, state.announcement)
+            state.effects.append(Send(sender, join))
+    # A deposed owner gets a pong too: the higher epoch in it stops it at once.
+    pong = Pong(
+        state.cell,
+        gate.epoch,
+        gate.member.incarnation,
+        ping.serial,
+        stamp_of(now),
+        list(gate.running.values()),
+        state.configuration,
+        _is_ready(state),
+        state.announcement_serial,
+    )
+    state.effects.append(Send(sender, pong))
+
+
+def on_start(state: AgentState, sender: str, start: Start, now: float) -> None:
+    """The owner wants a task started here."""
+    gate = state.gate
+    verdict = check_start(gate, start, now)
+    if verdict.repeat:
+        state.effects.append(Count("agent.start.repeated"))
+        return
+    if not verdict.passes:
+        tombstone(gate, start, now)
+        state.effects.append(Count("agent.start.declined"))
+        _log(state, "declined a start", start, reason=verdict.reason)
+        declined = Declined(
+            state.cell,
+            gate.member.incarnation,
+            gate.epoch,
+            start.submission,
+            start.index,
+            start.attempt,
+            verdict.reason,
+        )
+        state.effects.append(Send(sender, declined))
+        return
+    record_start(gate, start, now)
+    _log(state, "started a task", start, epoch=start.epoch)
+    left_ms = start.remaining_ms - int(now * 1000 - start.stamp)
+    call = CallUpstream(
+        start.submission,
+        start.index,
+        start.attempt,
+        start.service,
+        start.task,
+        max(left_ms, 1),
+    )
+    state.effects += (Count("agent.start.passed"), call)
+
+
+def on_upstream_answered(
+    state: AgentState, event: UpstreamAnswered, now: float
+) -> None:
+    """The upstream's part of a task has ended."""
+    gate = state.gate
+    place = (event.submission, event.index)
+    record = gate.records.get(*place)
+    if record is None or record.attempt != event.attempt or place not in gate.running:
+        # The record's time has passed, or the call belongs to an attempt that
+        # is settled: an answer must not be taken for another attempt's.
+        state.effects.append(Count("agent.answer.stale"))
+        return
+    del gate.running[place]
+    ended = msgspec.structs.replace(record)
+    if event.outcome is UpstreamOutcome.NOT_SENT:
+        ended.state = TaskState.DECLINED
+    else:
+        ended.result = _result_of(event)
+        done = ended.result.outcome is TaskOutcome.DONE
+        ended.state = TaskState.DONE if done else TaskState.FAILED
+    gate.records.put(ended, now)
+    _tell_owner(state, ended, event.elapsed_ms)
+
+
+def on_probe(state: AgentState, sender: str, probe: Probe, now: float) -> None:
+    """The owner asks what became of an attempt; tell it from the record."""
+    gate = state.gate
+    if probe.epoch != gate.epoch or probe.incarnation != gate.member.incarnation:
+        state.effects.append(Count("agent.probe.refused"))
+        return
+    record = gate.records.get(probe.submission, probe.index)
+    if record is None or (
+        record.state is TaskState.DECLINED and record.attempt < probe.attempt
+    ):
+        record = _decline_unseen(state, probe, now)
+    if record.state is TaskState.RUNNING:
+        place = (probe.submission, probe.index)
+        running = Running(state.cell, gate.member.incarnation, *place, record.attempt)
+        state.effects.append(Send(sender, running))
+        if probe.stop:
+            state.effects.append(StopUpstream(*place, record.attempt))
+        return
+    _tell_owner(state, record, 0)
+
+
+def on_fence(state: AgentState, sender: str, fence: Fence, now: float) -> None:
+    """A new owner has taken the cell: end the old epochs, hand out records."""
+    gate = state.gate
+    if not take_epoch(gate, fence.epoch, fence.owner):
+        state.effects.append(Count("agent.fence.refused"))
+        return
+    state.heard_at = now
+    if state.fenced_epoch != fence.epoch:
+        state.fenced_epoch = fence.epoch
+        state.handed_out = gate.records.all() + state.copies.all()
+    parts = max(1, math.ceil(len(state.handed_out) / RECORDS_A_PART))
+    for part in range(parts):
+        first = part * RECORDS_A_PART
+        fenced = Fenced(
+            state.cell,
+            fence.epoch,
+            gate.member,
+            part,
+            parts,
+            state.handed_out[first : first + RECORDS_A_PART],
+            state.announcement,
+        )
+        state.effects.append(Send(sender, fenced))
+
+
+def on_witness(state: AgentState, sender: str, witness: Witness, now: float) -> None:
+    """The owner starts a task beside itself: keep its record here too."""
+    gate = state.gate
+    young = now * 1000 - witness.stamp <= gate.confirm * 1000
+    if (
+        witness.epoch != gate.epoch
+        or witness.incarnation != gate.member.incarnation
+        or not young
+    ):
+        state.effects.append(Count("agent.witness.refused"))
+        return
+    keep_copy(state, witness.record, now)
+    record = witness.record
+    seen = Witnessed(
+        state.cell,
+        gate.epoch,
+        gate.member.incarnation,
+        record.submission,
+        record.index,
+        record.attempt,
+    )
+    state.effects.append(Send(sender, seen))
+
+
+def on_adopt(state: AgentState, sender: str, adopt: Adopt, now: float) -> None:
+    """Keep copies of another agent's records."""
+    if adopt.epoch < state.gate.epoch:
+        state.effects.append(Count("agent.adopt.refused"))
+        return
+    for record in adopt.records:
+        keep_copy(state, record, now)
+    adopted = Adopted(state.cell, state.gate.member.incarnation, adopt.token)
+    state.effects.append(Send(sender, adopted))
+
+
+def on_heard(state: AgentState, sender: str, heard: Heard, now: float) -> None:
+    """A member misses the owner: say how long it has been silent here."""
+    known = heard.epoch >= state.gate.epoch
+    silent = now - state.heard_at if known else 0.0
+    silent_ms = int(min(silent * 1000, 2**31))
+    reply = HeardReply(state.cell, state.gate.epoch, state.gate.member, silent_ms)
+    state.effects.append(Send(sender, reply))
+
+
+def keep_copy(state: AgentState, record: Record, now: float) -> None:
+    """Keep a copy of a record unless more is known here already."""
+    kept = state.copies.get(record.submission, record.index)
+    state.copies.put(record if kept is None else newer(kept, record), now)
+
+
+def stamp_of(now: float) -> int:
+    """Return the stamp for a moment: whole milliseconds, rounded down."""
+    return int(now * 1000)
+
+
+def _is_ready(state: AgentState) -> bool:
+    return state.gate.slots > 0 and not state.gate.stopping
+
+
+def _decline_unseen(state: AgentState, probe: Probe, now: float) -> Record:
+    """Decline an attempt that never came, so that it can't come later."""
+    record = Record(
+        probe.submission,
+        probe.index,
+        0,
+        b"",
+        probe.attempt,
+        TaskState.DECLINED,
+        state.gate.member.worker,
+        state.gate.member.incarnation,
+    )
+    state.gate.records.put(record, now)
+    return record
+
+
+def _result_of(event: UpstreamAnswered) -> TaskResult:
+    if event.outcome is UpstreamOutcome.UNCERTAIN:
+        reason = "the upstream was called and gave no whole answer"
+        return TaskResult(event.index, TaskOutcome.UNKNOWN, reason=reason)
+    if event.status >= FIRST_SERVER_ERROR:
+        reason = f"the upstream answered with status {event.status}"
+        return TaskResult(event.index, TaskOutcome.FAILED, event.status, reason=reason)
+    return TaskResult(
+        event.index, TaskOutcome.DONE, event.status, event.body, digest(event.body)
+    )
+
+
+def _tell_owner(state: AgentState, record: Record, elapsed_ms: int) -> None:
+    """Tell the owner in force how an attempt ended; it may be a new one."""
+    gate = state.gate
+    if gate.owner is None:
+        return
+    lives = (state.cell, gate.member.incarnation)
+    if record.state is TaskState.DECLINED:
+        message: Message = Declined(
+            *lives,
+            gate.epoch,
+            record.submission,
+            record.index,
+            record.attempt,
+            "it did not start",
+        )
+    else:
+        message = Result(
+            *lives,
+            record.submission,
+            record.index,
+            record.attempt,
+            record.result,
+            elapsed_ms,
+        )
+    state.effects.append(Send(gate.owner.address, message))
+
+
+def _log(state: AgentState, sentence: str, start: Start, **fields: object) -> None:
+    values = {
+        "submission": start.submission,
+        "task": start.index,
+        "attempt": start.attempt,
+        "worker": state.gate.member.worker,
+    }
+    state.effects.append(Log(Part.AGENT, sentence, values | fields))
--- /dev/null
+++ b/src/cactuswalk/state/candidate.py
@@ -0,0 +1,268 @@
+"""How an agent gets into a cell, and when it takes the cell over.
+
+An agent that misses the owner asks the other members. Only if more than half of
+the roster miss it too does it swap the cell's record to the next epoch, so that
+one agent behind a cut doesn't depose an owner that all others hear.
+"""
+
+import random
+
+import msgspec
+
+from cactuswalk.messages import HandOver, Heard, HeardReply, Join
+from cactuswalk.model import CellRecord, Member
+from cactuswalk.state.agent import AgentState
+from cactuswalk.state.effects import Effect, Log, Part, ReadKey, Send, SwapKey
+from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
+from cactuswalk.state.roster import cell_key
+from cactuswalk.state.timing import Timing
+
+__all__ = ["CandidateState", "TakenOver", "new_candidate"]
+
+
+class TakenOver(msgspec.Struct):
+    """The service has confirmed this agent as the owner."""
+
+    record: CellRecord
+    revision: int
+    earlier: CellRecord | None
+
+
+class CandidateState(msgspec.Struct):
+    """What an agent knows on its way to membership or ownership.
+
+    :param record: the cell's record as last read.
+    :param asked_at: when the others were last asked whether they hear the owner.
+    :param silent: workers that confirm its silence, in this round.
+    :param written: the record of a swap that is under way.
+    :param wanted_epoch: the epoch that this agent wants to end: most of the
+        roster miss its owner, or the owner asked for it; 0 for none.
+    :param attempted: by write id, every swap whose end is not known; one that
+        was given up may apply late, and then this agent is the owner.
+    """
+
+    cell: str
+    agent: AgentState
+    timing: Timing
+    generator: random.Random
+    started_at: float
+    record: CellRecord | None = None
+    read_at: float = float("-inf")
+    asked_at: float = float("-inf")
+    silent: set[str] = set()
+    wanted_epoch: int = 0
+    written: CellRecord | None = None
+    attempted: dict[str, TakenOver] = {}
+    written_at: float = float("-inf")
+    effects: list[Effect] = []
+
+    @property
+    def member(self) -> Member:
+        """Return this agent as a member."""
+        return self.agent.gate.member
+
+
+def new_candidate(
+    cell: str,
+    agent: AgentState,
+    timing: Timing,
+    generator: random.Random,
+    now: float,
+) -> CandidateState:
+    """Return the state of an agent that is in no cell yet."""
+    return CandidateState(cell, agent, timing, generator, now)
+
+
+def on_tick(state: CandidateState, now: float) -> None:
+    """Join if outside, look after the owner if inside."""
+    if state.written is not None:
+        if now - state.written_at > state.timing.confirm:
+            _read(state, now)
+        return
+    if state.agent.gate.stopping:
+        return
+    if not _is_member(state):
+        _seek_membership(state, now)
+    elif _silence(state, now) > state.timing.suspect + _stagger(state):
+        _ask_others(state, state.agent.roster, state.agent.gate.epoch, now)
+
+
+def _is_member(state: CandidateState) -> bool:
+    return state.member in state.agent.roster
+
+
+def _silence(state: CandidateState, now: float) -> float:
+    """Return how long the owner has been silent, at most since the start."""
+    return now - max(state.agent.heard_at, state.started_at)
+
+
+def _stagger(state: CandidateState) -> float:
+    """Return an extra wait by rank, so that candidates don't race."""
+    roster = state.agent.roster or (state.record.roster if state.record else [])
+    workers = [member.worker for member in roster]
+    worker = state.member.worker
+    rank = workers.index(worker) if worker in workers else len(workers)
+    return rank * state.timing.suspect_stagger
+
+
+def _seek_membership(state: CandidateState, now: float) -> None:
+    if now - state.read_at >= state.timing.join:
+        _read(state, now)
+    if state.record is None:
+        return
+    if _silence(state, now) > state.timing.suspect + _stagger(state):
+        _ask_others(state, state.record.roster, state.record.epoch, now)
+
+
+def _read(state: CandidateState, now: float) -> None:
+    state.read_at = now
+    state.effects.append(ReadKey(cell_key(state.cell)))
+
+
+def _ask_others(
+    state: CandidateState, roster: list[Member], epoch: int, now: float
+) -> None:
+    """Ask the roster whether the owner is silent for them too."""
+    if now - state.asked_at < state.timing.ping:
+        return
+    state.asked_at = now
+    state.silent = {state.member.worker}
+    state.wanted_epoch = 0
+    for member in roster:
+        if member.worker != state.member.worker:
+            state.effects.append(Send(member.address, Heard(state.cell, epoch)))
+    _take_if_confirmed(state, roster, epoch, now)
+
+
+def on_heard_reply(state: CandidateState, reply: HeardReply, now: float) -> None:
+    """Another member says how long it has missed the owner."""
+    if now - state.asked_at > state.timing.confirm:
+        return
+    if reply.silent_ms < state.timing.suspect * 1000:
+        return
+    state.silent.add(reply.member.worker)
+    if _is_member(state):
+        _take_if_confirmed(state, state.agent.roster, state.agent.gate.epoch, now)
+    elif state.record is not None:
+        _take_if_confirmed(state, state.record.roster, state.record.epoch, now)
+
+
+def _take_if_confirmed(
+    state: CandidateState, roster: list[Member], epoch: int, now: float
+) -> None:
+    if state.wanted_epoch == epoch or state.written is not None:
+        return
+    agreeing = sum(member.worker in state.silent for member in roster)
+    if 2 * agreeing <= len(roster):
+        return
+    state.wanted_epoch = epoch
+    _log(state, "misses the owner with most of the roster", silent=sorted(state.silent))
+    _read(state, now)
+
+
+def on_hand_over(state: CandidateState, message: HandOver, now: float) -> None:
+    """The owner stops as planned and wants this agent to go on."""
+    if state.agent.gate.stopping or message.epoch != state.agent.gate.epoch:
+        return
+    state.wanted_epoch = message.epoch
+    _read(state, now)
+
+
+def on_read(state: CandidateState, event: KeyRead, now: float) -> TakenOver | None:
+    """The cell's record has been read."""
+    if not event.known:
+        return None
+    if event.value is None:
+        state.record = None
+        _write(state, None, 0, now)
+        return None
+    record = msgspec.json.decode(event.value, type=CellRecord)
+    state.record = record
+    if state.written is not None:
+        return _settle_written(state, record, event.revision, now)
+    if record.write_id in state.attempted:
+        return _taken(state, record.write_id, event.revision)
+    if record.epoch == state.wanted_epoch:
+        _write(state, record, event.revision, now)
+    elif not _is_member(state):
+        join = Join(state.cell, state.member, state.agent.announcement)
+        state.effects.append(Send(record.owner.address, join))
+    state.wanted_epoch = 0
+    return None
+
+
+def _settle_written(
+    state: CandidateState, record: CellRecord, revision: int, now: float
+) -> TakenOver | None:
+    """Find out what became of a swap whose outcome was unknown."""
+    written = state.written
+    if record.write_id == written.write_id:
+        return _taken(state, written.write_id, revision)
+    if record.epoch >= written.epoch:
+        state.written = None
+        state.attempted.clear()
+    elif now - state.written_at > 2 * state.timing.confirm:
+        state.written = None
+    return None
+
+
+def _write(
+    state: CandidateState, earlier: CellRecord | None, revision: int, now: float
+) -> None:
+    """Swap the cell's record to an epoch of this agent's."""
+    write_id = f"{state.generator.getrandbits(64):016x}"
+    if earlier is None:
+        record = CellRecord(
+            state.cell, 1, state.member, [state.member], [], write_id, False
+        )
+    else:
+        roster = [
+            state.member if one.worker == state.member.worker else one
+            for one in earlier.roster
+        ]
+        if state.member not in roster:
+            roster.append(state.member)
+        record = CellRecord(
+            state.cell,
+            earlier.epoch + 1,
+            state.member,
+            roster,
+            earlier.departed,
+            write_id,
+            False,
+        )
+    state.written, state.written_at = record, now
+    state.attempted[write_id] = TakenOver(record, 0, earlier)
+    state.wanted_epoch = 0
+    value = msgspec.json.encode(record)
+    state.effects.append(SwapKey(cell_key(state.cell), revision, value, write_id))
+
+
+def on_swapped(
+    state: CandidateState, event: KeySwapped, now: float
+) -> TakenOver | None:
+    """The swap of the cell's record has ended."""
+    if state.written is None or event.write_id != state.written.write_id:
+        return None
+    if event.outcome is SwapOutcome.APPLIED:
+        return _taken(state, event.write_id, event.revision)
+    if event.outcome is SwapOutcome.LOST:
+        state.attempted.pop(event.write_id, None)
+        state.written = None
+    # Unknown: it may apply yet. The next tick reads the record back.
+    return None
+
+
+def _taken(state: CandidateState, write_id: str, revision: int) -> TakenOver:
+    taken = state.attempted[write_id]
+    taken.revision = revision
+    state.written = None
+    state.wanted_epoch = 0
+    state.attempted.clear()
+    return taken
+
+
+def _log(state: CandidateState, sentence: str, **fields: object) -> None:
+    fields["cell"] = state.cell
+    fields["worker"] = state.member.worker
+    state.effects.append(Log(Part.CELL, sentence, fields))
--- /dev/null
+++ b/src/cactuswalk/state/ledger.py
@@ -0,0 +1,172 @@
+"""What an owner keeps of each submission, and how its answer is put together."""
+
+import enum
+
+import msgspec
+
+from cactuswalk.errors import InvariantError
+from cactuswalk.messages import Answer
+from cactuswalk.model import (
+    Job,
+    Outcome,
+    Refusal,
+    TaskOutcome,
+    TaskResult,
+    digest,
+)
+
+__all__ = [
+    "Place",
+    "Stage",
+    "Task",
+    "Tracked",
+    "answer_of",
+    "compose",
+    "end_task",
+    "is_settled",
+]
+
+
+class Stage(enum.Enum):
+    """Where a task stands at the owner."""
+
+    QUEUED = enum.auto()
+    WITNESSING = enum.auto()
+    SENT = enum.auto()
+    ENDED = enum.auto()
+
+
+class Place(msgspec.Struct):
+    """Where and when an attempt was placed.
+
+    :param sent_ping: serial of the last ping sent before the start; a later
+        pong that doesn't list the start shows that it is not running there.
+    :param witness: incarnation of the witness, empty without one.
+    """
+
+    worker: str
+    incarnation: str
+    attempt: int
+    sent_ping: int
+    sent_at: float
+    witness: str = ""
+    probed_at: float = 0.0
+
+
+class Task(msgspec.Struct):
+    """One task of a tracked submission."""
+
+    stage: Stage = Stage.QUEUED
+    place: Place | None = None
+    result: TaskResult | None = None
+
+
+class Tracked(msgspec.Struct):
+    """A submission that this owner answers.
+
+    :param waiters: attempt of each entry that waits, by its address.
+    :param ending: why the job ends before all tasks are done, if it does.
+    :param settle_by: when an ending job is answered with what is known.
+    :param kept_until: when the kept answer is forgotten.
+    """
+
+    job: Job
+    deadline: float
+    tasks: list[Task]
+    waiters: dict[str, int] = {}
+    ending: Refusal | None = None
+    settle_by: float = 0.0
+    answer: Answer | None = None
+    kept_until: float = 0.0
+
+
+def end_task(tracked: Tracked, result: TaskResult) -> bool:
+    """Take a task's result; tell whether it was news.
+
+    The first result stands: a late or repeated one changes nothing.
+    """
+    task = tracked.tasks[result.index]
+    if task.stage is Stage.ENDED:
+        return False
+    task.stage = Stage.ENDED
+    task.result = result
+    return True
+
+
+def is_settled(tracked: Tracked) -> bool:
+    """Tell whether the outcome of every task is known."""
+    return all(task.stage is Stage.ENDED for task in tracked.tasks)
+
+
+def compose(tracked: Tracked) -> tuple[Outcome, list[TaskResult]]:
+    """Return the outcome of a submission and its results, whole and in order.
+
+    A task that was sent and is not settled counts as unknown: a time-out is no
+    evidence that it did not run.
+    """
+    results = [_result_now(index, task) for index, task in enumerate(tracked.tasks)]
+    outcomes = {result.outcome for result in results}
+    if outcomes == {TaskOutcome.DONE}:
+        return Outcome.ANSWERED, results
+    if outcomes == {TaskOutcome.NOT_RUN}:
+        return Outcome.NOT_RUN, results
+    if outcomes & {TaskOutcome.DONE, TaskOutcome.FAILED}:
+        return Outcome.FAILED, results
+    return Outcome.UNKNOWN, results
+
+
+def _result_now(index: int, task: Task) -> TaskResult:
+    if task.result is not None:
+        return task.result
+    if task.stage is Stage.QUEUED:
+        return TaskResult(index, TaskOutcome.NOT_RUN, reason="it was not started")
+    return TaskResult(
+        index, TaskOutcome.UNKNOWN, reason="it was sent to a worker and not settled"
+    )
+
+
+def answer_of(tracked: Tracked, refusal: Refusal | None) -> Answer:
+    """Return the final answer, its attempt left to be set for each waiter.
+
+    :raises InvariantError: if the answer would be partial, or would say "not
+        run" of a submission of which a task was sent and not settled.
+    """
+    outcome, results = compose(tracked)
+    _assert_whole(tracked, outcome, results)
+    # A failed job's results say what became of each task, but no bodies: a
+    # partial answer that looks usable is worse than none.
+    if outcome is not Outcome.ANSWERED:
+        results = [_without_answer(result) for result in results]
+    parts = [result.digest for result in results]
+    return Answer(
+        tracked.job.submission,
+        0,
+        tracked.job.fingerprint,
+        outcome,
+        results,
+        None if outcome is Outcome.ANSWERED else refusal,
+        digest(tracked.job.fingerprint, *parts),
+    )
+
+
+def _without_answer(result: TaskResult) -> TaskResult:
+    return TaskResult(result.index, result.outcome, result.status, reason=result.reason)
+
+
+def _assert_whole(
+    tracked: Tracked, outcome: Outcome, results: list[TaskResult]
+) -> None:
+    name = tracked.job.submission
+    in_order = [result.index for result in results] == list(range(len(tracked.tasks)))
+    done = all(result.outcome is TaskOutcome.DONE for result in results)
+    if not in_order or (outcome is Outcome.ANSWERED) != done:
+        raise InvariantError(
+            f"the answer to {name} would be partial",
+            "Report this with the owner's log; no answer was sent.",
+        )
+    sent = any(task.stage in (Stage.SENT, Stage.WITNESSING) for task in tracked.tasks)
+    if outcome is Outcome.NOT_RUN and sent:
+        raise InvariantError(
+            f"{name} would be told not run while a task of it may run",
+            "Report this with the owner's log; no answer was sent.",
+        )
--- /dev/null
+++ b/src/cactuswalk/state/node.py
@@ -0,0 +1,359 @@
+"""The reducer of an agent's process: agent, candidate, and perhaps owner."""
+
+import random
+from collections.abc import Callable
+
+import msgspec
+
+from cactuswalk.decisions.scheduler import Scheduler
+from cactuswalk.errors import InvariantError
+from cactuswalk.messages import (
+    Adopt,
+    Adopted,
+    Cancel,
+    Declined,
+    Fence,
+    Fenced,
+    HandOver,
+    Heard,
+    HeardReply,
+    Join,
+    Leave,
+    NotOwner,
+    Ping,
+    Pong,
+    Probe,
+    Query,
+    Result,
+    Running,
+    Start,
+    Submit,
+    Subscribe,
+    Witness,
+    Witnessed,
+)
+from cactuswalk.model import Member
+from cactuswalk.state import (
+    agent as agents,
+    candidate as candidates,
+    flights,
+    peers,
+    recovery,
+    roster,
+    submissions,
+)
+from cactuswalk.state.candidate import CandidateState, TakenOver
+from cactuswalk.state.effects import Count, Effect, Log, Part, Send
+from cactuswalk.state.events import (
+    Announced,
+    Event,
+    KeyRead,
+    KeySwapped,
+    Received,
+    StopRequested,
+    Tick,
+    UpstreamAnswered,
+)
+from cactuswalk.state.gate import Gate
+from cactuswalk.state.owner import OwnerState
+from cactuswalk.state.retention import RecordBook
+from cactuswalk.state.timing import Timing
+
+__all__ = ["Node", "handle", "new_node"]
+
+# An owner that stops tries another successor after this long without a takeover.
+HAND_OVER_AGAIN_AFTER = 2.0
+# A stopping agent that can't be taken off the roster, because the key-value
+# service is away, goes after this long; its cell then finds it lost.
+LEAVE_GIVEN_UP_AFTER = 5.0
+
+_TO_AGENT: dict[type, Callable] = {
+    Ping: agents.on_ping,
+    Start: agents.on_start,
+    Probe: agents.on_probe,
+    Fence: agents.on_fence,
+    Witness: agents.on_witness,
+    Adopt: agents.on_adopt,
+    Heard: agents.on_heard,
+}
+_TO_OWNER: dict[type, Callable] = {
+    Pong: peers.on_pong,
+    Subscribe: peers.on_subscribe,
+    Submit: submissions.on_submit,
+    Cancel: submissions.on_cancel,
+    Query: submissions.on_query,
+    Result: flights.on_result,
+    Declined: flights.on_declined,
+    Running: flights.on_running,
+    Witnessed: flights.on_witnessed,
+    Fenced: recovery.on_fenced,
+    Adopted: roster.on_adopted,
+    Join: roster.on_join,
+    Leave: roster.on_leave,
+}
+_TO_CANDIDATE: dict[type, Callable] = {
+    HeardReply: candidates.on_heard_reply,
+    HandOver: candidates.on_hand_over,
+}
+
+
+class Node(msgspec.Struct):
+    """All that an agent's process knows.
+
+    :param make_scheduler: called for each epoch that this node owns.
+    :param idle_since: when a stopping node had nothing left to finish.
+    :param stopped: the process may exit.
+    """
+
+    cell: str
+    timing: Timing
+    generator: random.Random
+    agent: agents.AgentState
+    candidate: CandidateState
+    make_scheduler: Callable[[], Scheduler]
+    owner: OwnerState | None = None
+    stopping: bool = False
+    handed_over_at: float = float("-inf")
+    leave_sent_at: float = float("-inf")
+    idle_since: float | None = None
+    stopped: bool = False
+
+    @property
+    def member(self) -> Member:
+        """Return this life of the agent."""
+        return self.agent.gate.member
+
+
+def new_node(
+    cell: str,
+    member: Member,
+    timing: Timing,
+    generator: random.Random,
+    maximum_bytes: int,
+    now: float,
+    make_scheduler: Callable[[], Scheduler] = Scheduler,
+) -> Node:
+    """Return the state of a process that has just been started."""
+    records = RecordBook(timing.retention, maximum_bytes)
+    agent = agents.new_agent(cell, Gate(member, records, timing.confirm))
+    candidate = candidates.new_candidate(cell, agent, timing, generator, now)
+    return Node(cell, timing, generator, agent, candidate, make_scheduler)
+
+
+def handle(node: Node, event: Event, now: float) -> list[Effect]:
+    """Take one event and return what is to be done.
+
+    What the node sends to itself is handled at once and does not leave it.
+    """
+    _dispatch(node, event, now)
+    outgoing: list[Effect] = []
+    effects = _collect(node, now)
+    while effects:
+        inner = []
+        for effect in effects:
+            if isinstance(effect, Send) and effect.address == node.member.address:
+                inner.append(effect.message)
+            else:
+                outgoing.append(effect)
+        for message in inner:
+            _on_received(node, Received(node.member.address, message), now)
+        effects = _collect(node, now)
+    return outgoing
+
+
+def _collect(node: Node, now: float) -> list[Effect]:
+    """Take the effects of all parts, and see whether the owner is deposed."""
+    effects: list[Effect] = []
+    if node.owner is not None:
+        higher = node.agent.gate.epoch > node.owner.record.epoch
+        if node.owner.deposed or higher:
+            _step_down(node)
+        else:
+            effects += node.owner.effects
+            node.owner.effects = []
+    effects += node.agent.effects + node.candidate.effects
+    node.agent.effects, node.candidate.effects = [], []
+    return effects
+
+
+def _dispatch(node: Node, event: Event, now: float) -> None:
+    if isinstance(event, Received):
+        _on_received(node, event, now)
+    elif isinstance(event, Tick):
+        _on_tick(node, now)
+    elif isinstance(event, UpstreamAnswered):
+        agents.on_upstream_answered(node.agent, event, now)
+    elif isinstance(event, Announced):
+        agents.on_announced(node.agent, event, now)
+    elif isinstance(event, KeyRead):
+        _on_read(node, event, now)
+    elif isinstance(event, KeySwapped):
+        _on_swapped(node, event, now)
+    elif isinstance(event, StopRequested):
+        node.stopping = True
+        node.agent.gate.stopping = True
+
+
+def _on_received(node: Node, event: Received, now: float) -> None:
+    message = event.message
+    kind = type(message)
+    if kind in _TO_AGENT:
+        _TO_AGENT[kind](node.agent, event.sender, message, now)
+    elif kind in _TO_CANDIDATE:
+        _TO_CANDIDATE[kind](node.candidate, message, now)
+    elif kind in _TO_OWNER:
+        if node.owner is not None:
+            _TO_OWNER[kind](node.owner, event.sender, message, now)
+        else:
+            _say_not_owner(node, event)
+
+
+def _say_not_owner(node: Node, event: Received) -> None:
+    """Tell who owns the cell, as far as this agent knows; nothing was done."""
+    message = event.message
+    if not isinstance(message, Submit | Subscribe | Cancel | Query):
+        return
+    gate = node.agent.gate
+    address = gate.owner.address if gate.owner is not None else ""
+    if address == node.member.address:
+        address = ""
+    submission = attempt = None
+    if isinstance(message, Submit):
+        submission, attempt = message.job.submission, message.attempt
+    reply = NotOwner(node.cell, gate.epoch, address, submission or "", attempt or 0)
+    node.agent.effects.append(Send(event.sender, reply))
+
+
+def _on_read(node: Node, event: KeyRead, now: float) -> None:
+    if node.owner is not None:
+        roster.on_read(node.owner, event, now)
+        return
+    taken = candidates.on_read(node.candidate, event, now)
+    if taken is not None:
+        _become_owner(node, taken, now)
+
+
+def _on_swapped(node: Node, event: KeySwapped, now: float) -> None:
+    if node.owner is not None:
+        roster.on_swapped(node.owner, event, now)
+        return
+    taken = candidates.on_swapped(node.candidate, event, now)
+    if taken is not None:
+        _become_owner(node, taken, now)
+
+
+def _become_owner(node: Node, taken: TakenOver, now: float) -> None:
+    """Act as the owner of an epoch that the service has confirmed.
+
+    :raises InvariantError: if this agent knows of a later epoch already.
+    """
+    if taken.record.epoch <= node.agent.gate.epoch:
+        raise InvariantError(
+            f"{node.cell}: epoch {taken.record.epoch} is taken, but "
+            f"{node.agent.gate.epoch} has been seen",
+            "The service has gone back. Stop the cell and restore its record.",
+        )
+    node.owner = OwnerState(
+        node.cell,
+        node.member,
+        taken.record,
+        taken.revision,
+        node.timing,
+        node.generator,
+        node.agent,
+        node.make_scheduler(),
+        RecordBook(node.timing.retention, node.agent.gate.records.maximum_bytes),
+    )
+    recovery.begin_recovery(node.owner, taken.earlier, now)
+
+
+def _step_down(node: Node) -> None:
+    """Stop acting as the owner; entries go to the new one."""
+    owner, node.owner = node.owner, None
+    node.agent.effects.append(
+        Log(
+            Part.OWNER,
+            "stepped down",
+            {"cell": node.cell, "epoch": owner.record.epoch},
+        )
+    )
+    node.agent.effects.append(Count("owner.deposed"))
+    waiting = [(held.sender, held.submit) for held in owner.held]
+    for sender, submit in waiting:
+        _redirect(node, sender, submit.job.submission, submit.attempt)
+    for name in owner.open:
+        for sender, attempt in owner.ledger[name].waiters.items():
+            _redirect(node, sender, name, attempt)
+
+
+def _redirect(node: Node, sender: str, submission: str, attempt: int) -> None:
+    message = NotOwner(node.cell, node.agent.gate.epoch, "", submission, attempt)
+    node.agent.effects.append(Send(sender, message))
+
+
+def _on_tick(node: Node, now: float) -> None:
+    node.agent.gate.records.expire(now)
+    node.agent.copies.expire(now)
+    if node.owner is not None:
+        _tick_owner(node.owner, now)
+    else:
+        candidates.on_tick(node.candidate, now)
+    if node.stopping:
+        _stop(node, now)
+
+
+def _tick_owner(owner: OwnerState, now: float) -> None:
+    recovery.recover(owner, now)
+    peers.ping_peers(owner, now)
+    peers.watch_peers(owner, now)
+    roster.keep_roster(owner, now)
+    submissions.expire_ledger(owner, now)
+    flights.dispatch(owner, now)
+    peers.report(owner, now)
+    owner.recovered.expire(now)
+
+
+def _stop(node: Node, now: float) -> None:
+    """Finish, hand the cell over, leave the roster, and only then go."""
+    if node.owner is not None:
+        _hand_over(node, now)
+        return
+    if node.agent.gate.running:
+        return
+    if node.idle_since is None:
+        node.idle_since = now
+    outside = node.member not in node.agent.roster
+    if outside or now - node.idle_since > LEAVE_GIVEN_UP_AFTER:
+        node.stopped = True
+        return
+    owner = node.agent.gate.owner
+    if owner is not None and now - node.leave_sent_at >= node.timing.ping:
+        node.leave_sent_at = now
+        leave = Leave(node.cell, node.member)
+        node.agent.effects.append(Send(owner.address, leave))
+
+
+def _hand_over(node: Node, now: float) -> None:
+    """Ask another member to take the cell, without waiting for a silence."""
+    owner = node.owner
+    if not node.agent.gate.running and len(owner.record.roster) == 1:
+        # Nobody is left to hand over to; what waits is told so by its entry.
+        node.stopped = not owner.open
+        return
+    if now - node.handed_over_at < HAND_OVER_AGAIN_AFTER:
+        return
+    owner.handing_over = False
+    fit = [
+        peer
+        for peer in owner.peers.values()
+        if peer.member != node.member
+        and not peer.leaving
+        and now - peer.confirmed_at <= node.timing.confirm
+    ]
+    if not fit or owner.pending is not None:
+        return
+    node.handed_over_at = now
+    owner.handing_over = True
+    successor = node.generator.choice(fit).member
+    owner.log("hands the cell over", successor=successor.worker)
+    owner.send(successor.address, HandOver(node.cell, owner.record.epoch))
--- /dev/null
+++ b/src/cactuswalk/state/owner.py
@@ -0,0 +1,184 @@
+"""The owner of a cell: its state, and what every part of it uses.
+
+The parts: ``submissions`` (entries), ``flights`` (starts and results),
+``peers`` (pings, standing, reports), ``roster`` (members, copies) and
+``recovery`` (after a takeover).
+"""
+
+import collections
+import enum
+import random
+
+import msgspec
+
+from cactuswalk.decisions.scheduler import Scheduler
+from cactuswalk.messages import Message, Record, Submit
+from cactuswalk.model import Announcement, CellRecord, Member
+from cactuswalk.state.agent import AgentState
+from cactuswalk.state.effects import Count, Effect, Log, Part, Send
+from cactuswalk.state.ledger import Place, Tracked
+from cactuswalk.state.retention import RecordBook
+from cactuswalk.state.standing import has_standing
+from cactuswalk.state.timing import Timing
+
+__all__ = ["EntryView", "Held", "OwnerState", "Peer", "Phase"]
+
+# The low bits of an attempt count the owner's starts; at the target's 30 starts
+# a second and worker in a cell of 64, 32 bits last 25 days in one epoch. The
+# epoch stands above them.
+ATTEMPT_BITS = 32
+
+
+class Phase(enum.Enum):
+    """Whether an owner collects records still, or serves."""
+
+    RECOVERING = enum.auto()
+    SERVING = enum.auto()
+
+
+class Peer(msgspec.Struct):
+    """What the owner knows of one member of the roster.
+
+    :param confirmed_at: when the last ping that it confirmed was sent.
+    :param stamp_at: when its latest stamp came here.
+    :param flights: attempts placed there, by (submission, index).
+    """
+
+    member: Member
+    announcement: Announcement | None = None
+    pings: dict[int, float] = {}
+    confirmed_at: float = float("-inf")
+    heard_at: float = float("-inf")
+    stamp: int = 0
+    stamp_at: float = float("-inf")
+    ready: bool = False
+    leaving: bool = False
+    fenced: bool = False
+    usable: bool = False
+    configuration: int = 0
+    flights: dict[tuple[str, int], Place] = {}
+
+
+class EntryView(msgspec.Struct):
+    """An entry that gets reports.
+
+    :param serial: of the workers' list that it was sent last.
+    """
+
+    subscribed_at: float
+    serial: int = -1
+
+
+class Held(msgspec.Struct):
+    """A submission that waits until the owner has its records together."""
+
+    sender: str
+    submit: Submit
+    deadline: float
+
+
+class OwnerState(msgspec.Struct):
+    """What the owner of a cell knows.
+
+    :param record: the cell's record as it is known to stand in the service.
+    :param pending: a record whose swap is under way, None if there is none.
+    :param agent: the agent in the same process; its records are this host's.
+    :param open: the submissions that are not answered yet, in order.
+    :param kept: answered ones, in the order in which they are forgotten.
+    :param recovered: records collected at the takeover and ended since.
+    :param backup: the member that keeps copies of what only this host knows,
+        ready once it has confirmed all of them.
+    :param backup_covers: departed members whose records are in the copies that
+        are under way; ``departed_covered`` once they are confirmed.
+    :param taken_over_at: when the fence was complete.
+    :param unsure_until: until then a task without a record may have run, at one
+        of ``unsure_members``, whose records nobody has.
+    :param cancelled: submissions cancelled before they came, and until when.
+    """
+
+    cell: str
+    member: Member
+    record: CellRecord
+    revision: int
+    timing: Timing
+    generator: random.Random
+    agent: AgentState
+    scheduler: Scheduler
+    recovered: RecordBook
+    phase: Phase = Phase.RECOVERING
+    peers: dict[str, Peer] = {}
+    ledger: dict[str, Tracked] = {}
+    open: dict[str, None] = {}
+    kept: collections.deque[Tracked] = msgspec.field(default_factory=collections.deque)
+    held: list[Held] = []
+    cancelled: dict[str, float] = {}
+    entries: dict[str, EntryView] = {}
+    attempts: int = 0
+    ping_serial: int = 0
+    pinged_at: float = float("-inf")
+    reported_at: float = float("-inf")
+    expired_at: float = float("-inf")
+    taken_over_at: float = 0.0
+    unsure_until: float = float("-inf")
+    workers_serial: int = 0
+    deposed: bool = False
+    handing_over: bool = False
+    # Roster and copies, see roster.py.
+    pending: CellRecord | None = None
+    swap_again_at: float = float("-inf")
+    joining: dict[str, Member] = {}
+    backup: Member | None = None
+    backup_tokens: set[str] = set()
+    backup_ready: bool = False
+    backup_serial: int = 0
+    backup_again_at: float = float("-inf")
+    backup_covers: list[Member] = []
+    departed_covered: list[Member] = []
+    # Recovery, see recovery.py.
+    parts: dict[str, dict[int, list[Record]]] = {}
+    fenced_at: float | None = None
+    fence_sent_at: float = float("-inf")
+    replaced: set[str] = set()
+    earlier: CellRecord | None = None
+    unsure_members: list[Member] = []
+    # Handed back at the end of each event.
+    effects: list[Effect] = []
+
+    def send(self, address: str, message: Message) -> None:
+        """Have a message sent."""
+        self.effects.append(Send(address, message))
+
+    def count(self, name: str, by: int = 1) -> None:
+        """Have a counter raised."""
+        self.effects.append(Count(f"owner.{name}", by))
+
+    def log(self, sentence: str, **fields: object) -> None:
+        """Have a log line written."""
+        fields["cell"] = self.cell
+        fields["epoch"] = self.record.epoch
+        self.effects.append(Log(Part.OWNER, sentence, fields))
+
+    def next_attempt(self) -> int:
+        """Return a number for a start: unique, and above all earlier owners'."""
+        self.attempts += 1
+        return (self.record.epoch << ATTEMPT_BITS) | self.attempts
+
+    def rosters(self) -> list[list[Member]]:
+        """Return the rosters of which each has to confirm this owner."""
+        if self.pending is None:
+            return [self.record.roster]
+        return [self.record.roster, self.pending.roster]
+
+    def stands(self, now: float) -> bool:
+        """Tell whether this owner may start tasks now."""
+        if self.phase is not Phase.SERVING or self.deposed or self.handing_over:
+            return False
+        confirmed = {key: peer.confirmed_at for key, peer in self.peers.items()}
+        return has_standing(self.rosters(), confirmed, self.timing.confirm, now)
+
+    def peer_of(self, worker: str) -> Peer | None:
+        """Return the member that speaks for a worker, None if there is none."""
+        for peer in self.peers.values():
+            if peer.member.worker == worker:
+                return peer
+        return None
--- /dev/null
+++ b/src/cactuswalk/state/peers.py
@@ -0,0 +1,156 @@
+"""The owner's view of its members: pings, standing, probes, reports."""
+
+from cactuswalk.messages import CellReport, Ping, Pong, Subscribe
+from cactuswalk.state.agent import stamp_of
+from cactuswalk.state.flights import dispatch, give_up_flights, probe
+from cactuswalk.state.owner import EntryView, OwnerState, Peer, Phase
+
+__all__ = [
+    "is_lost",
+    "on_pong",
+    "on_subscribe",
+    "ping_peers",
+    "report",
+    "send_ping",
+    "watch_peers",
+]
+
+# An entry that has not renewed its wish for two seconds is gone or elsewhere.
+ENTRY_FORGOTTEN_AFTER = 2.0
+
+
+def ping_peers(state: OwnerState, now: float) -> None:
+    """Ask every fenced member for its confirmation, once a ping period."""
+    if now - state.pinged_at < state.timing.ping:
+        return
+    state.pinged_at = now
+    state.ping_serial += 1
+    for peer in state.peers.values():
+        if not peer.fenced:
+            continue
+        oldest = now - 2 * state.timing.confirm
+        peer.pings = {
+            serial: sent_at
+            for serial, sent_at in peer.pings.items()
+            if sent_at > oldest
+        }
+        peer.pings[state.ping_serial] = now
+        send_ping(state, peer)
+
+
+def send_ping(state: OwnerState, peer: Peer) -> None:
+    """Send a member a ping with what is in force."""
+    serial = peer.announcement.serial if peer.announcement else 0
+    ping = Ping(
+        state.cell,
+        state.record.epoch,
+        state.member,
+        state.ping_serial,
+        state.agent.configuration,
+        serial,
+        state.record.roster,
+    )
+    state.send(peer.member.address, ping)
+
+
+def on_pong(state: OwnerState, sender: str, pong: Pong, now: float) -> None:
+    """A member confirms the epoch, or tells of a higher one."""
+    if pong.epoch > state.record.epoch:
+        state.deposed = True
+        return
+    peer = state.peers.get(pong.incarnation)
+    if peer is None or pong.epoch != state.record.epoch:
+        state.count("pong.stranger")
+        return
+    sent_at = peer.pings.pop(pong.serial, None)
+    if sent_at is None or sent_at < peer.confirmed_at:
+        # A repeated or late pong must not make an old confirmation young.
+        return
+    peer.confirmed_at = sent_at
+    peer.heard_at = now
+    peer.stamp, peer.stamp_at = pong.stamp, now
+    peer.ready = pong.ready
+    peer.configuration = pong.configuration
+    _probe_missing(state, peer, pong, now)
+    dispatch(state, now)
+
+
+def _probe_missing(state: OwnerState, peer: Peer, pong: Pong, now: float) -> None:
+    """Ask after starts that should be running there and are not.
+
+    Either the start or its result was lost on the way. Without this the job
+    would hang until its deadline.
+    """
+    running = set(pong.running)
+    for place, flight in list(peer.flights.items()):
+        if flight.attempt in running or flight.sent_ping >= pong.serial:
+            continue
+        if flight.sent_at and now - flight.probed_at >= state.timing.ping:
+            probe(state, peer, place, now, stop=False)
+
+
+def watch_peers(state: OwnerState, now: float) -> None:
+    """Give up what was placed at members that have been silent too long."""
+    for peer in list(state.peers.values()):
+        if is_lost(state, peer, now) and peer.flights:
+            state.log("lost a worker", worker=peer.member.worker)
+            give_up_flights(state, peer, "it was sent to a worker that was lost", now)
+
+
+def is_lost(state: OwnerState, peer: Peer, now: float) -> bool:
+    """Tell whether a member has been silent for too long."""
+    if peer.member == state.member or state.phase is Phase.RECOVERING:
+        return False
+    return now - peer.heard_at > state.timing.lost
+
+
+def on_subscribe(
+    state: OwnerState, sender: str, subscribe: Subscribe, now: float
+) -> None:
+    """An entry wants reports; a new one gets its first at once."""
+    view = state.entries.get(sender)
+    if view is not None:
+        view.subscribed_at = now
+        return
+    state.entries[sender] = EntryView(now)
+    if state.phase is Phase.SERVING:
+        _send_report(state, sender, state.entries[sender], now)
+
+
+def report(state: OwnerState, now: float) -> None:
+    """Send each entry its report, once a report period."""
+    if state.phase is not Phase.SERVING:
+        return
+    if now - state.reported_at < state.timing.report:
+        return
+    state.reported_at = now
+    for address, view in list(state.entries.items()):
+        if now - view.subscribed_at > ENTRY_FORGOTTEN_AFTER:
+            del state.entries[address]
+            continue
+        _send_report(state, address, view, now)
+
+
+def _send_report(state: OwnerState, address: str, view: EntryView, now: float) -> None:
+    workers = []
+    if view.serial != state.workers_serial:
+        view.serial = state.workers_serial
+        workers = [peer.announcement for peer in state.peers.values()]
+        workers = [announcement for announcement in workers if announcement]
+    revisions = [peer.configuration for peer in state.peers.values()]
+    state.send(
+        address,
+        CellReport(
+            state.cell,
+            state.record.epoch,
+            state.member.address,
+            state.workers_serial,
+            state.scheduler.free_slots(),
+            state.scheduler.queued(),
+            workers,
+            len(revisions),
+            min(revisions, default=0),
+            sum(one >= state.agent.configuration for one in revisions),
+            stamp_of(now),
+        ),
+    )
--- /dev/null
+++ b/src/cactuswalk/state/retention.py
@@ -0,0 +1,134 @@
+"""The records an agent keeps: bounded in time, and their bodies in bytes."""
+
+import collections
+
+from cactuswalk.messages import Record
+from cactuswalk.model import TaskOutcome, TaskResult, TaskState
+
+__all__ = ["RecordBook", "is_started", "newer"]
+
+# What a record takes besides its body, measured with sys.getsizeof over the
+# struct, its strings and the two dictionaries that lead to it, rounded up.
+RECORD_BYTES = 1000
+
+
+class RecordBook:
+    """Records by submission and task index.
+
+    A record that may stand between a task and its second start is never given
+    up before its time; when bytes run out, the oldest bodies go first, and a
+    caller who asks for such an answer is told that it is no longer kept.
+
+    :param retention: seconds that a record is kept after its last change.
+    :param maximum_bytes: above which bodies are dropped.
+    """
+
+    __slots__ = (
+        "retention",
+        "maximum_bytes",
+        "by_submission",
+        "bytes",
+        "expiries",
+        "bodies",
+        "count",
+    )
+
+    def __init__(self, retention: float, maximum_bytes: int) -> None:
+        self.retention = retention
+        self.maximum_bytes = maximum_bytes
+        self.by_submission: dict[str, dict[int, Record]] = {}
+        self.bytes = 0
+        self.count = 0
+        self.expiries: collections.deque[tuple[float, Record]] = collections.deque()
+        self.bodies: collections.deque[Record] = collections.deque()
+
+    def get(self, submission: str, index: int) -> Record | None:
+        """Return the record of a task, None if there is none."""
+        return self.by_submission.get(submission, {}).get(index)
+
+    def put(self, record: Record, now: float) -> None:
+        """Keep a record in place of an earlier one of the same task."""
+        tasks = self.by_submission.setdefault(record.submission, {})
+        earlier = tasks.get(record.index)
+        if earlier is not None:
+            self._subtract(earlier)
+        tasks[record.index] = record
+        self.count += 1
+        self.bytes += _size(record)
+        self.expiries.append((now + self.retention, record))
+        if record.result is not None and record.result.body:
+            self.bodies.append(record)
+            self._drop_bodies()
+
+    def has_room(self) -> bool:
+        """Tell whether another start can be recorded within the bound."""
+        return self.count * RECORD_BYTES < self.maximum_bytes
+
+    def expire(self, now: float) -> None:
+        """Forget the records whose time has passed."""
+        while self.expiries and self.expiries[0][0] <= now:
+            _, record = self.expiries.popleft()
+            tasks = self.by_submission.get(record.submission)
+            # A replaced record has an expiry of its own, later in the queue.
+            if tasks is None or tasks.get(record.index) is not record:
+                continue
+            del tasks[record.index]
+            self._subtract(record)
+            if not tasks:
+                del self.by_submission[record.submission]
+
+    def all(self) -> list[Record]:
+        """Return every record, oldest submission first."""
+        return [
+            record for tasks in self.by_submission.values() for record in tasks.values()
+        ]
+
+    def _subtract(self, record: Record) -> None:
+        self.count -= 1
+        self.bytes -= _size(record)
+
+    def _drop_bodies(self) -> None:
+        while self.bytes > self.maximum_bytes and self.bodies:
+            record = self.bodies.popleft()
+            if self.get(record.submission, record.index) is not record:
+                continue
+            self.bytes -= _size(record)
+            record.result = _without_body(record.result)
+            self.bytes += _size(record)
+
+
+def _size(record: Record) -> int:
+    body = len(record.result.body) if record.result else 0
+    return RECORD_BYTES + body
+
+
+def _without_body(result: TaskResult) -> TaskResult:
+    """Return what is left to say of a result whose body is dropped."""
+    if result.outcome is not TaskOutcome.DONE:
+        return TaskResult(
+            result.index, result.outcome, result.status, reason=result.reason
+        )
+    # The task did run. Failed is the truth a caller can act on: there is no
+    # answer to be had, and the task won't be run again.
+    return TaskResult(
+        result.index,
+        TaskOutcome.FAILED,
+        result.status,
+        reason="it ran; its answer is no longer kept",
+    )
+
+
+def newer(one: Record, other: Record) -> Record:
+    """Return which of two records of a task tells more.
+
+    A later attempt exists only because the earlier one was declined, so it
+    counts; within an attempt, an end counts more than its beginning.
+    """
+    if one.attempt != other.attempt:
+        return one if one.attempt > other.attempt else other
+    return other if one.state is TaskState.RUNNING else one
+
+
+def is_started(record: Record) -> bool:
+    """Tell whether a record stands for a start (not a tombstone)."""
+    return record.state is not TaskState.DECLINED
--- /dev/null
+++ b/src/cactuswalk/state/submissions.py
@@ -0,0 +1,308 @@
+"""Submissions at the owner: new ones, repeated ones, cancels and queries."""
+
+from cactuswalk.decisions.scheduler import QueuedTask
+from cactuswalk.messages import Cancel, JobState, NotOwner, Query, Record, Submit
+from cactuswalk.model import (
+    Job,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    TaskOutcome,
+    TaskResult,
+    TaskState,
+)
+from cactuswalk.state.answers import give_answer, refuse, send_answer
+from cactuswalk.state.flights import begin_ending, dispatch
+from cactuswalk.state.ledger import (
+    Place,
+    Stage,
+    Task,
+    Tracked,
+    answer_of,
+    end_task,
+    is_settled,
+)
+from cactuswalk.state.owner import Held, OwnerState, Phase
+
+__all__ = ["expire_ledger", "on_cancel", "on_query", "on_submit", "release_held"]
+
+# A caller whose key was taken by another body has to choose another key.
+KEY_REUSED = Refusal(
+    RefusalCode.KEY_REUSED, "this key was used for another body; take a new key"
+)
+# Longer than a takeover, so that the next try finds an owner that knows.
+RETRY_AFTER_RECOVERY_MS = 5000
+
+
+def on_submit(state: OwnerState, sender: str, submit: Submit, now: float) -> None:
+    """An entry hands in a submission, perhaps not for the first time."""
+    deadline = now + submit.remaining_ms / 1000
+    if state.phase is Phase.RECOVERING:
+        state.held.append(Held(sender, submit, deadline))
+        return
+    _take(state, Held(sender, submit, deadline), now)
+    dispatch(state, now)
+
+
+def release_held(state: OwnerState, now: float) -> None:
+    """Take in what came while the records were being collected."""
+    held, state.held = state.held, []
+    for submission in held:
+        _take(state, submission, now)
+    dispatch(state, now)
+
+
+def _take(state: OwnerState, held: Held, now: float) -> None:
+    submit, job = held.submit, held.submit.job
+    tracked = state.ledger.get(job.submission)
+    if tracked is not None and not _is_new_try(tracked, held):
+        _join(state, tracked, held)
+        return
+    if _is_stale(state, submit, now):
+        state.count("submit.stale")
+        state.send(
+            held.sender,
+            NotOwner(
+                state.cell,
+                state.record.epoch,
+                state.member.address,
+                job.submission,
+                submit.attempt,
+            ),
+        )
+        return
+    refusal = _refusal_before(state, held, now)
+    if refusal is not None:
+        refuse(state, held.sender, submit, refusal, Outcome.NOT_RUN)
+        return
+    _track(state, held, now)
+
+
+def _is_new_try(tracked: Tracked, held: Held) -> bool:
+    """Tell whether a resubmission follows a refusal, and may run now.
+
+    A copy of the very message that was refused may not: its caller has been
+    told that nothing ran and that nothing will.
+    """
+    if tracked.answer is None or tracked.answer.outcome is not Outcome.NOT_RUN:
+        return False
+    if tracked.job.fingerprint != held.submit.job.fingerprint:
+        return False
+    return tracked.waiters.get(held.sender) != held.submit.attempt
+
+
+def _join(state: OwnerState, tracked: Tracked, held: Held) -> None:
+    submit = held.submit
+    if tracked.job.fingerprint != submit.job.fingerprint:
+        refuse(state, held.sender, submit, KEY_REUSED, Outcome.NOT_RUN)
+        return
+    tracked.waiters[held.sender] = submit.attempt
+    state.count("submit.joined")
+    if tracked.answer is not None:
+        send_answer(state, tracked.answer, held.sender, submit.attempt)
+
+
+def _is_stale(state: OwnerState, submit: Submit, now: float) -> bool:
+    """Tell whether a submission was held back by the network.
+
+    Its entry may have given it up long ago and told its caller so.
+    """
+    age = now - submit.stamp / 1000
+    return submit.epoch != state.record.epoch or age > state.timing.confirm
+
+
+def _refusal_before(state: OwnerState, held: Held, now: float) -> Refusal | None:
+    """Return why none of a submission is looked at, None if it is."""
+    job = held.submit.job
+    if state.cancelled.get(job.submission, now) > now:
+        return Refusal(RefusalCode.CANCELLED, "it was cancelled before it came")
+    records = state.recovered.by_submission.get(job.submission, {})
+    known = {record.fingerprint for record in records.values()} - {b""}
+    if known - {job.fingerprint}:
+        return KEY_REUSED
+    if records:
+        return None
+    if now >= held.deadline and not _may_have_started(state, held.submit, now):
+        return Refusal(RefusalCode.DEADLINE_PASSED, "the deadline has passed")
+    return None
+
+
+def _track(state: OwnerState, held: Held, now: float) -> None:
+    job = held.submit.job
+    tracked = Tracked(job, held.deadline, [Task() for _ in job.tasks])
+    tracked.waiters[held.sender] = held.submit.attempt
+    records = state.recovered.by_submission.get(job.submission, {})
+    unsure = _may_have_started(state, held.submit, now)
+    if not records and not unsure:
+        refusal = state.scheduler.admit(job, held.deadline, now)
+        _open(state, tracked)
+        if refusal is not None:
+            begin_ending(state, tracked, refusal, now)
+        return
+    _open(state, tracked)
+    _restore(state, tracked, records, unsure, now)
+
+
+def _open(state: OwnerState, tracked: Tracked) -> None:
+    name = tracked.job.submission
+    state.ledger[name] = tracked
+    state.open[name] = None
+
+
+def _may_have_started(state: OwnerState, submit: Submit, now: float) -> bool:
+    """Tell whether a task without a record may have been started all the same.
+
+    It can't have been if the records are complete, if nobody was ever given
+    the submission, or if it was born after the takeover, clocks allowed for.
+    """
+    if now >= state.unsure_until or submit.fresh:
+        return False
+    born_at = now - submit.age_ms / 1000
+    return born_at <= state.taken_over_at + state.timing.clock_margin
+
+
+def _restore(
+    state: OwnerState,
+    tracked: Tracked,
+    records: dict[int, Record],
+    unsure: bool,
+    now: float,
+) -> None:
+    """Go on with a submission of an earlier owner, starting nothing again."""
+    state.count("submit.restored")
+    for index in range(len(tracked.tasks)):
+        record = records.get(index)
+        if record is None or record.state is TaskState.DECLINED:
+            if unsure:
+                _end_unknown(tracked, index, "records of a lost worker are missing")
+            continue
+        _restore_task(state, tracked, record)
+    failed = _first_failed(tracked)
+    if is_settled(tracked):
+        give_answer(state, tracked, failed, now)
+        return
+    if failed is not None:
+        begin_ending(state, tracked, failed, now)
+        return
+    for index, task in enumerate(tracked.tasks):
+        if task.stage is Stage.QUEUED:
+            queued = QueuedTask(tracked.job, index, now, tracked.deadline)
+            state.scheduler.requeue(queued, "", now)
+
+
+def _restore_task(state: OwnerState, tracked: Tracked, record: Record) -> None:
+    task = tracked.tasks[record.index]
+    if record.result is not None:
+        end_task(tracked, record.result)
+        return
+    peer = state.peers.get(record.incarnation)
+    flight = peer and peer.flights.get((record.submission, record.index))
+    if not flight or flight.attempt != record.attempt:
+        _end_unknown(tracked, record.index, "it started on a worker that was lost")
+        return
+    task.stage, task.place = Stage.SENT, flight
+
+
+def _end_unknown(tracked: Tracked, index: int, reason: str) -> None:
+    end_task(tracked, TaskResult(index, TaskOutcome.UNKNOWN, reason=reason))
+
+
+def _first_failed(tracked: Tracked) -> Refusal | None:
+    for task in tracked.tasks:
+        if task.result is None or task.result.outcome is TaskOutcome.DONE:
+            continue
+        return Refusal(
+            RefusalCode.RECORDS_LOST
+            if task.result.outcome is TaskOutcome.UNKNOWN
+            else RefusalCode.UPSTREAM_FAILED,
+            f"task {task.result.index}: {task.result.reason}",
+            RETRY_AFTER_RECOVERY_MS,
+        )
+    return None
+
+
+def on_cancel(state: OwnerState, sender: str, cancel: Cancel, now: float) -> None:
+    """A caller wants a submission stopped."""
+    tracked = state.ledger.get(cancel.submission)
+    if tracked is None:
+        # It may still be on its way here: then it must not start any more.
+        state.cancelled[cancel.submission] = now + state.timing.retention
+        state.send(sender, job_state(state, Query(cancel.submission, "")))
+        return
+    if tracked.answer is None:
+        refusal = Refusal(RefusalCode.CANCELLED, "its caller cancelled it")
+        begin_ending(state, tracked, refusal, now)
+    elif sender in tracked.waiters:
+        send_answer(state, tracked.answer, sender, tracked.waiters[sender])
+
+
+def on_query(state: OwnerState, sender: str, query: Query, now: float) -> None:
+    """An entry asks where a submission stands."""
+    if state.phase is Phase.RECOVERING:
+        return
+    state.send(sender, job_state(state, query))
+
+
+def job_state(state: OwnerState, query: Query) -> JobState:
+    """Return where a submission stands, from the ledger or from records."""
+    tracked = state.ledger.get(query.submission)
+    if tracked is None:
+        tracked = _from_records(state, query.submission)
+    if tracked is None:
+        return JobState(query.submission, query.request, False, 0, 0, 0, 0, None)
+    stages = [task.stage for task in tracked.tasks]
+    return JobState(
+        query.submission,
+        query.request,
+        True,
+        len(stages),
+        stages.count(Stage.QUEUED),
+        stages.count(Stage.SENT) + stages.count(Stage.WITNESSING),
+        stages.count(Stage.ENDED),
+        tracked.answer,
+    )
+
+
+def _from_records(state: OwnerState, submission: str) -> Tracked | None:
+    """Rebuild an entry of the ledger that nobody has resubmitted."""
+    records = state.recovered.by_submission.get(submission)
+    if not records:
+        return None
+    total = max(record.total for record in records.values())
+    some = next(iter(records.values()))
+    job = Job(submission, some.fingerprint, "", "", [])
+    tracked = Tracked(job, 0.0, [Task() for _ in range(total)])
+    for record in records.values():
+        if record.result is not None:
+            end_task(tracked, record.result)
+        elif record.state is TaskState.RUNNING:
+            tracked.tasks[record.index].stage = Stage.SENT
+            tracked.tasks[record.index].place = Place(
+                record.worker, record.incarnation, record.attempt, 0, 0.0
+            )
+    if total and is_settled(tracked):
+        tracked.answer = answer_of(tracked, _first_failed(tracked))
+    return tracked
+
+
+def expire_ledger(state: OwnerState, now: float) -> None:
+    """End what is past its deadline, forget what has been kept long enough."""
+    for name in list(state.open):
+        tracked = state.ledger[name]
+        if tracked.answer is not None:
+            continue
+        if tracked.ending is not None and now >= tracked.settle_by:
+            give_answer(state, tracked, tracked.ending, now)
+        elif tracked.ending is None and now >= tracked.deadline:
+            refusal = Refusal(
+                RefusalCode.TIMED_OUT, "the deadline passed before it was answered"
+            )
+            begin_ending(state, tracked, refusal, now)
+    while state.kept and state.kept[0].kept_until <= now:
+        tracked = state.kept.popleft()
+        name = tracked.job.submission
+        # A new try after a refusal has an entry of its own.
+        if state.ledger.get(name) is tracked:
+            del state.ledger[name]
+    for name in [key for key, until in state.cancelled.items() if until <= now]:
+        del state.cancelled[name]
--- /dev/null
+++ b/src/cactuswalk/state/timing.py
@@ -0,0 +1,43 @@
+"""Spans of time that the promises rest on, with their grounds."""
+
+import msgspec
+
+__all__ = ["Timing"]
+
+
+class Timing(msgspec.Struct, frozen=True):
+    """Spans in seconds; the same on every node of a cell.
+
+    :param confirm: P of docs/design/ownership.md. One second is some hundred
+        times the round trip and well above a pause of the garbage collector,
+        and 2P leaves a takeover within a few seconds.
+    :param ping: four pings in P, so that two may be lost without a stop.
+    :param suspect: silence after which a member asks the others; above P, so
+        that an owner without standing has stopped by then.
+    :param suspect_stagger: added per rank, so that one candidate swaps first.
+    :param lost: silence after which an agent's running tasks are given up as
+        unknown and it is taken off the roster. Above the two seconds in which
+        it must stop getting work, which it does after P.
+    :param retention: how long records and answers are kept.
+    :param settle: how long an ended job waits for the agents' word on what is
+        still running; fifty round trips.
+    :param report: between two reports to an entry; as ``ping``.
+    :param query: first wait of an entry for a sign of a submission; above
+        nearly all run times, so that it is seldom asked in vain.
+    :param join: between two tries to join a cell.
+    :param clock_margin: how far wall clocks may differ (birth times only). A
+        clock further off makes a submission seem too old or unborn, which is
+        refused; it can't make one start twice within the margin.
+    """
+
+    confirm: float = 1.0
+    ping: float = 0.25
+    suspect: float = 1.2
+    suspect_stagger: float = 0.15
+    lost: float = 3.0
+    retention: float = 600.0
+    settle: float = 0.05
+    report: float = 0.25
+    query: float = 1.0
+    join: float = 0.5
+    clock_margin: float = 30.0
