--- /dev/null
+++ b/src/cactuswalk/http/health.py
@@ -0,0 +1,29 @@
+"""Health and readiness, for the balancer and for whoever watches a process."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+__all__ = ["add_health"]
+
+
+def add_health(
+    application: web.Application, not_ready: Callable[[], list[str]]
+) -> None:
+    """Serve ``/health`` (it answers at all) and ``/ready`` (give it work).
+
+    :param not_ready: the reasons against giving it work; none if there are none.
+    """
+
+    async def health(request: web.Request) -> web.Response:
+        return web.json_response({"status": "alive"})
+
+    async def ready(request: web.Request) -> web.Response:
+        reasons = not_ready()
+        status = 503 if reasons else 200
+        return web.json_response(
+            {"ready": not reasons, "reasons": reasons}, status=status
+        )
+
+    application.router.add_get("/health", health)
+    application.router.add_get("/ready", ready)
--- /dev/null
+++ b/src/cactuswalk/http/middleware.py
@@ -0,0 +1,51 @@
+"""Turn whatever ends a handler early into a problem response."""
+
+import logging
+
+from aiohttp import web
+
+from cactuswalk.http.problems import (
+    InputCode,
+    Problem,
+    ProblemError,
+    problem_response,
+)
+from cactuswalk.model import Outcome
+
+__all__ = ["problem_middleware"]
+
+logger = logging.getLogger(__name__)
+
+_CODES = {
+    404: InputCode.NO_SUCH_PATH,
+    405: InputCode.METHOD_NOT_ALLOWED,
+    413: InputCode.BODY_TOO_LARGE,
+}
+
+
+@web.middleware
+async def problem_middleware(request: web.Request, handler) -> web.StreamResponse:
+    """Answer with a problem where a handler raises."""
+    try:
+        return await handler(request)
+    except ProblemError as error:
+        return problem_response(error.problem, error.headers)
+    except web.HTTPException as error:
+        return _of_http_exception(request, error)
+    except Exception:
+        # A fault of the program. What it had started is not known here, so the
+        # caller must not be told "not run".
+        logger.exception("a handler of %s failed", request.method)
+        problem = Problem(
+            InputCode.INTERNAL, "the entry failed", outcome=Outcome.UNKNOWN
+        )
+        return problem_response(problem)
+
+
+def _of_http_exception(request: web.Request, error: web.HTTPException) -> web.Response:
+    code = _CODES.get(error.status, InputCode.INVALID_HEADER)
+    headers = {}
+    if "Allow" in error.headers:
+        headers["Allow"] = error.headers["Allow"]
+    detail = f"{request.method} {request.path}: {error.reason}"
+    return problem_response(Problem(code, detail), headers)
--- /dev/null
+++ b/src/cactuswalk/http/problems.py
@@ -0,0 +1,210 @@
+"""Errors towards HTTP clients: application/problem+json (RFC 9457).
+
+One table gives each stable code its status and remedy. ``outcome`` tells the
+truth about the work: ``not_run``, ``failed`` or ``unknown``.
+"""
+
+import enum
+import http
+import math
+from collections.abc import Mapping
+
+import msgspec
+from aiohttp import web
+
+from cactuswalk.model import Outcome, Refusal, RefusalCode
+
+__all__ = [
+    "PROBLEM_KINDS",
+    "InputCode",
+    "Problem",
+    "ProblemError",
+    "ProblemKind",
+    "problem_of_refusal",
+    "problem_response",
+]
+
+
+class InputCode(enum.StrEnum):
+    """What is wrong with a request itself; nothing was started or kept."""
+
+    UNAUTHENTICATED = "unauthenticated"
+    NO_SUCH_PATH = "no_such_path"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    BODY_TOO_LARGE = "body_too_large"
+    UNSUPPORTED_MEDIA_TYPE = "unsupported_media_type"
+    MALFORMED_JSON = "malformed_json"
+    MALFORMED_JOB = "malformed_job"
+    EMPTY_JOB = "empty_job"
+    TOO_MANY_TASKS = "too_many_tasks"
+    INVALID_HEADER = "invalid_header"
+    INVALID_DEADLINE = "invalid_deadline"
+    INVALID_SELECTOR = "invalid_selector"
+    INVALID_KEY = "invalid_idempotency_key"
+    KEY_WITHOUT_BIRTH = "idempotency_key_without_birth"
+    KEY_FROM_FUTURE = "idempotency_key_from_future"
+    INCOMPLETE_BODY = "incomplete_body"
+    MALFORMED_ANNOUNCEMENT = "malformed_announcement"
+    INTERNAL = "internal"
+
+
+class ProblemKind(msgspec.Struct, frozen=True):
+    """What every problem of a code has in common."""
+
+    status: int
+    remedy: str
+
+
+PROBLEM_KINDS: Mapping[str, ProblemKind] = {
+    InputCode.UNAUTHENTICATED: ProblemKind(
+        401, "Send 'Authorization: Bearer TOKEN' with a token that is set up here."
+    ),
+    InputCode.NO_SUCH_PATH: ProblemKind(404, "See docs/callers.md for the paths."),
+    InputCode.METHOD_NOT_ALLOWED: ProblemKind(
+        405, "Use a method that the Allow header names."
+    ),
+    InputCode.BODY_TOO_LARGE: ProblemKind(
+        413, "Send less, or have the operators raise [limits] body_bytes."
+    ),
+    InputCode.UNSUPPORTED_MEDIA_TYPE: ProblemKind(
+        415, "Send JSON as application/json, without Content-Encoding."
+    ),
+    InputCode.MALFORMED_JSON: ProblemKind(400, "Send one JSON value in UTF-8."),
+    InputCode.MALFORMED_JOB: ProblemKind(
+        400, 'Send {"tasks": [{"body": ...}, ...]}; docs/callers.md has the fields.'
+    ),
+    InputCode.EMPTY_JOB: ProblemKind(400, "Put 1 to 140 tasks into a job."),
+    InputCode.TOO_MANY_TASKS: ProblemKind(
+        400, "Put 1 to 140 tasks into a job, and the rest into another."
+    ),
+    InputCode.INVALID_HEADER: ProblemKind(
+        400, "Correct the header; docs/callers.md has its form."
+    ),
+    InputCode.INVALID_DEADLINE: ProblemKind(
+        400, "Give milliseconds within the entry's maximum."
+    ),
+    InputCode.INVALID_SELECTOR: ProblemKind(
+        400, "Correct the selector; docs/callers.md has its grammar."
+    ),
+    InputCode.INVALID_KEY: ProblemKind(
+        400, "Use 1 to 128 letters, digits, '.', '_', ':', '~' or '-', best a UUIDv7."
+    ),
+    InputCode.KEY_WITHOUT_BIRTH: ProblemKind(
+        400,
+        "Make the key a UUID version 7, or send Cactuswalk-First-Sent with the time "
+        "(RFC 3339) at which you first sent it, the same with each resubmission.",
+    ),
+    InputCode.KEY_FROM_FUTURE: ProblemKind(
+        400, "Set the clock of the host that makes the keys, then use a new key."
+    ),
+    InputCode.INCOMPLETE_BODY: ProblemKind(400, "Send the whole body."),
+    InputCode.MALFORMED_ANNOUNCEMENT: ProblemKind(
+        400, "Send the fields that docs/upstreams.md names."
+    ),
+    InputCode.INTERNAL: ProblemKind(
+        500, "Ask again with the same idempotency key; tell the operators."
+    ),
+    RefusalCode.OVERLOADED: ProblemKind(503, "Ask again after Retry-After."),
+    RefusalCode.QUOTA_EXCEEDED: ProblemKind(
+        429, "Ask again after Retry-After, or have the team's quota raised."
+    ),
+    RefusalCode.DEADLINE_PASSED: ProblemKind(
+        504, "Ask again with a deadline that leaves time for the work."
+    ),
+    RefusalCode.DEADLINE_UNREACHABLE: ProblemKind(
+        503, "Ask again after Retry-After, or give more time."
+    ),
+    RefusalCode.NEVER_FITS: ProblemKind(
+        422, "Change the selector or the declared sizes; no worker matches them."
+    ),
+    RefusalCode.NO_WORKER_NOW: ProblemKind(503, "Ask again after Retry-After."),
+    RefusalCode.UNKNOWN_SERVICE: ProblemKind(
+        404, "Correct the service's name, or have the operators create it."
+    ),
+    RefusalCode.KEY_REUSED: ProblemKind(
+        422, "Use a new key for another request; a resubmission repeats all of it."
+    ),
+    RefusalCode.TOO_OLD: ProblemKind(
+        410, "Find out in your own records what became of it, then use a new key."
+    ),
+    RefusalCode.CANCELLED: ProblemKind(409, "Use a new key to have it done after all."),
+    RefusalCode.NO_OWNER: ProblemKind(503, "Ask again with the same key."),
+    RefusalCode.STOPPING: ProblemKind(503, "Ask again; another entry takes it."),
+    RefusalCode.WORKER_LOST: ProblemKind(
+        502, "Look at 'outcome': only 'not_run' is safe to send with a new key."
+    ),
+    RefusalCode.UPSTREAM_FAILED: ProblemKind(
+        502, "Look into the upstream; use a new key to try again."
+    ),
+    RefusalCode.TIMED_OUT: ProblemKind(
+        504, "Ask again with the same key to get the answer, if there is one."
+    ),
+    RefusalCode.RECORDS_LOST: ProblemKind(
+        502, "Find out in your own records what became of it, then use a new key."
+    ),
+    RefusalCode.NOT_FOUND: ProblemKind(
+        404, "Check the identifier; records are kept for the retention time only."
+    ),
+}
+
+
+class Problem(msgspec.Struct, omit_defaults=True):
+    """One error, as its client reads it.
+
+    :param remedy: what to do; the table's one unless it is given.
+    :param tasks: of a failed job, how each task ended.
+    """
+
+    code: str
+    detail: str
+    outcome: Outcome = Outcome.NOT_RUN
+    remedy: str = ""
+    retry_after_ms: int | None = None
+    submission: str = ""
+    upstream_status: int = 0
+    tasks: list[dict[str, object]] = []
+
+
+class ProblemError(Exception):
+    """Ends the handling of a request with a problem."""
+
+    def __init__(self, problem: Problem, headers: dict[str, str] | None = None) -> None:
+        super().__init__(problem.detail)
+        self.problem = problem
+        self.headers = headers or {}
+
+
+def problem_of_refusal(outcome: Outcome, refusal: Refusal) -> Problem:
+    """Return the problem that tells a caller of a refusal."""
+    return Problem(
+        code=refusal.code.value,
+        detail=refusal.message,
+        outcome=outcome,
+        retry_after_ms=refusal.retry_after_ms,
+    )
+
+
+def problem_response(
+    problem: Problem, headers: dict[str, str] | None = None
+) -> web.Response:
+    """Return the response that carries a problem."""
+    kind = PROBLEM_KINDS[problem.code]
+    fields = msgspec.to_builtins(problem)
+    body = {
+        "type": f"urn:cactuswalk:problem:{problem.code}",
+        "title": http.HTTPStatus(kind.status).phrase,
+        "status": kind.status,
+        **fields,
+        "outcome": problem.outcome.value,
+        "remedy": problem.remedy or kind.remedy,
+    }
+    headers = dict(headers or {})
+    if problem.retry_after_ms is not None:
+        # Whole seconds only (RFC 9110); rounded up, since early is too early.
+        headers["Retry-After"] = str(math.ceil(problem.retry_after_ms / 1000))
+    return web.Response(
+        status=kind.status,
+        body=msgspec.json.encode(body),
+        content_type="application/problem+json",
+        headers=headers,
+    )
--- a/src/cactuswalk/settings/converters.py
+++ b/src/cactuswalk/settings/converters.py
@@ -25,8 +25,8 @@
     "z85_key",
 ]
 
-# Names go into addresses of HTTP, metric names and keys of the key-value
-# service, so they keep to letters that need no escape in any of them.
+# Names go into metric names, log lines and keys of the key-value service, so
+# they hold no separator of any of them: no dot, slash, colon or white space.
 _NAME = re.compile(r"[^\W_][\w-]{0,62}")
 NAME_REMEDY = "Use up to 63 letters, digits, '-' and '_', a letter or digit first."
 
--- /dev/null
+++ b/standins/upstream.py
@@ -0,0 +1,346 @@
+"""A stand-in for an upstream: it runs tasks by sleeping, and records each start.
+
+Its record is the judge of double starts: a task of a submission must have one
+start in the records of all upstreams together. Faults are switched at run time.
+
+    python -m standins.upstream --port 0 --port-file F --agent http://127.0.0.1:7001 \
+        --name w1 --service booking --slots 8 --record FILE
+"""
+
+import asyncio
+import contextlib
+import hashlib
+import json
+import os
+import signal
+import time
+from pathlib import Path
+
+import aiohttp
+import click
+import msgspec
+from aiohttp import web
+
+__all__ = ["Faults", "Options", "StandInUpstream", "main", "make_application"]
+
+ANNOUNCE_EVERY_SECONDS = 1.0
+
+# After its withdrawal an upstream may still get what was on its way.
+QUIET_BEFORE_EXIT_SECONDS = 0.5
+
+
+class Options(msgspec.Struct):
+    """What the stand-in is, and what it announces."""
+
+    name: str
+    service: str
+    agent: str = ""
+    slots: int = 8
+    connections: int = 64
+    memory_mb: int = 0
+    accelerators: int = 0
+    labels: dict[str, str] = {}
+    record: str = ""
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True):
+    """What goes wrong from now on; what is left out is right again.
+
+    :param slow: factor on every run time.
+    :param frozen: nothing moves and nothing is announced until it is unset.
+    :param fail: every task fails at once, without running.
+    :param cut: half of the answer is sent, then the connection closed.
+    :param close: the work is done, and the connection closed without answer.
+    :param late_ms: a finished answer is held back for this long.
+    :param twice: the answer is sent twice on its connection.
+    """
+
+    slow: float = 1.0
+    frozen: bool = False
+    fail: bool = False
+    cut: bool = False
+    close: bool = False
+    late_ms: int = 0
+    twice: bool = False
+
+
+class RunningTask:
+    """A task while it runs; ``changed`` wakes it to look at its fields."""
+
+    __slots__ = ("changed", "left", "factor", "stopped")
+
+    def __init__(self, seconds: float) -> None:
+        self.changed = asyncio.Event()
+        self.left = seconds
+        self.factor = 1.0
+        self.stopped = False
+
+    async def run(self, slow: float) -> None:
+        """Sleep for the task's time, unless it is stopped or throttled."""
+        while self.left > 0 and not self.stopped:
+            began = time.monotonic()
+            pace = self.factor * slow
+            self.changed.clear()
+            try:
+                await asyncio.wait_for(self.changed.wait(), self.left * pace)
+            except TimeoutError:
+                return
+            self.left -= (time.monotonic() - began) / pace
+
+
+class StandInUpstream:
+    """The state of one stand-in: its record, its faults, its running tasks."""
+
+    def __init__(self, options: Options) -> None:
+        self.options = options
+        self.faults = Faults()
+        self.thawed = asyncio.Event()
+        self.thawed.set()
+        self.records: list[dict] = []
+        self.running: dict[tuple[str, int], RunningTask] = {}
+        self.most_running = 0
+        self.record_file = None
+        if options.record:
+            self.record_file = Path(options.record).open("a", encoding="utf-8")
+
+    def note(self, event: str, submission: str, index: int, **fields: object) -> None:
+        """Append to the record; a line reaches its file before anything goes on."""
+        record = {
+            "event": event,
+            "submission": submission,
+            "index": index,
+            "worker": self.options.name,
+            "at": time.time(),
+            **fields,
+        }
+        self.records.append(record)
+        if self.record_file is not None:
+            self.record_file.write(json.dumps(record) + "\n")
+            self.record_file.flush()
+
+    def double_starts(self) -> list[list]:
+        """Return each (submission, index) that has started here more than once."""
+        seen: dict[tuple[str, int], int] = {}
+        for record in self.records:
+            if record["event"] == "start":
+                key = (record["submission"], record["index"])
+                seen[key] = seen.get(key, 0) + 1
+        return [[*key, starts] for key, starts in seen.items() if starts > 1]
+
+
+async def run_task(upstream: StandInUpstream, request: web.Request):
+    """Run a task: sleep for its ``duration_ms``, answer a digest of its input."""
+    body = await request.read()
+    try:
+        submission = request.headers["Cactuswalk-Submission"]
+        index = int(request.headers["Cactuswalk-Task"])
+        attempt = int(request.headers["Cactuswalk-Attempt"])
+        work = json.loads(body)
+        seconds = float(work.get("duration_ms", 0)) / 1000
+    except (KeyError, ValueError, AttributeError, TypeError) as error:
+        return web.json_response({"error": f"no task: {error!r}"}, status=400)
+    await upstream.thawed.wait()
+    upstream.note("start", submission, index, attempt=attempt, work=work.get("work"))
+    task = RunningTask(seconds)
+    upstream.running[submission, index] = task
+    upstream.most_running = max(upstream.most_running, len(upstream.running))
+    outcome = "cut"
+    try:
+        if upstream.faults.fail:
+            outcome = "failed"
+            return web.json_response({"error": "fails everything"}, status=500)
+        await task.run(upstream.faults.slow)
+        await upstream.thawed.wait()
+        outcome = "stopped" if task.stopped else "done"
+    finally:
+        upstream.running.pop((submission, index), None)
+        upstream.note("end", submission, index, attempt=attempt, outcome=outcome)
+    if task.stopped:
+        return web.json_response({"error": "stopped"}, status=409)
+    answer = {
+        "submission": submission,
+        "index": index,
+        "attempt": attempt,
+        "worker": upstream.options.name,
+        "work": work.get("work"),
+        "digest": hashlib.sha256(body).hexdigest(),
+    }
+    return await deliver(upstream.faults, request, json.dumps(answer).encode())
+
+
+async def deliver(faults: Faults, request: web.Request, body: bytes):
+    """Send the answer, or what the faults leave of it."""
+    if faults.late_ms:
+        await asyncio.sleep(faults.late_ms / 1000)
+    if not (faults.cut or faults.close or faults.twice):
+        return web.Response(body=body, content_type="application/json")
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n".encode()
+    transport = request.transport
+    if transport is None:
+        return web.Response()
+    if faults.cut:
+        transport.write(head + body[: len(body) // 2])
+    elif faults.twice:
+        transport.write((head + body) * 2)
+    transport.close()
+    return web.Response()
+
+
+async def steer_task(upstream: StandInUpstream, request: web.Request):
+    """Stop, throttle or checkpoint a running task."""
+    submission = request.match_info["submission"]
+    index = int(request.match_info["index"])
+    action = request.match_info["action"]
+    task = upstream.running.get((submission, index))
+    if task is None:
+        return web.json_response({"error": "not running"}, status=404)
+    if action == "stop":
+        task.stopped = True
+    elif action == "throttle":
+        task.factor = max(1.0, float((await request.json()).get("factor", 2.0)))
+    upstream.note(action, submission, index)
+    task.changed.set()
+    # Let the task wake and reckon what is left of it.
+    await asyncio.sleep(0.005)
+    return web.json_response({"left_ms": round(task.left * 1000)})
+
+
+async def set_faults(upstream: StandInUpstream, request: web.Request):
+    """Replace the faults."""
+    try:
+        upstream.faults = msgspec.json.decode(await request.read(), type=Faults)
+    except msgspec.MsgspecError as error:
+        return web.json_response({"error": str(error)}, status=400)
+    if upstream.faults.frozen:
+        upstream.thawed.clear()
+    else:
+        upstream.thawed.set()
+    return web.json_response(msgspec.to_builtins(upstream.faults))
+
+
+async def show_record(upstream: StandInUpstream, request: web.Request):
+    """Return all starts and ends, and which tasks have started twice here."""
+    return web.json_response(
+        {
+            "worker": upstream.options.name,
+            "most_running": upstream.most_running,
+            "running": len(upstream.running),
+            "double_starts": upstream.double_starts(),
+            "records": upstream.records,
+        }
+    )
+
+
+def make_application(upstream: StandInUpstream) -> web.Application:
+    """Return the HTTP application of a stand-in."""
+
+    def bind(handler):
+        async def handle(request: web.Request):
+            return await handler(upstream, request)
+
+        return handle
+
+    application = web.Application(client_max_size=64 << 20)
+    application.router.add_post("/tasks", bind(run_task))
+    application.router.add_post(
+        r"/tasks/{submission}/{index:\d+}/{action:stop|throttle|checkpoint}",
+        bind(steer_task),
+    )
+    application.router.add_post("/standin/faults", bind(set_faults))
+    application.router.add_get("/standin/record", bind(show_record))
+    return application
+
+
+async def announce(upstream: StandInUpstream, port: int) -> None:
+    """Announce the upstream to its agent, again every second."""
+    options = upstream.options
+    announcement = {
+        "service": options.service,
+        "port": port,
+        "slots": options.slots,
+        "connections": options.connections,
+        "memory_mb": options.memory_mb,
+        "accelerators": options.accelerators,
+        "labels": options.labels,
+    }
+    timeout = aiohttp.ClientTimeout(total=ANNOUNCE_EVERY_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            await upstream.thawed.wait()
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                address = f"{options.agent}/announce"
+                async with session.post(address, json=announcement) as response:
+                    await response.read()
+            await asyncio.sleep(ANNOUNCE_EVERY_SECONDS)
+
+
+async def withdraw(options: Options) -> None:
+    """Tell the agent that this upstream leaves."""
+    timeout = aiohttp.ClientTimeout(total=ANNOUNCE_EVERY_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+            async with session.delete(f"{options.agent}/announce") as response:
+                await response.read()
+
+
+async def finish(upstream: StandInUpstream) -> None:
+    """Return once nothing has run for a while."""
+    quiet_since = time.monotonic()
+    while time.monotonic() - quiet_since < QUIET_BEFORE_EXIT_SECONDS:
+        await asyncio.sleep(0.02)
+        if upstream.running:
+            quiet_since = time.monotonic()
+
+
+def write_port(path: str, port: int) -> None:
+    """Write the port in one step, so that a reader never sees half of it."""
+    partial = f"{path}.partial"
+    Path(partial).write_text(f"{port}\n", encoding="utf-8")
+    os.replace(partial, path)
+
+
+async def serve(options: Options, host: str, port: int, port_file: str) -> None:
+    """Serve until SIGTERM; then withdraw, finish what runs, and return."""
+    upstream = StandInUpstream(options)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    runner = web.AppRunner(make_application(upstream), access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, host, port).start()
+    bound = runner.addresses[0][1]
+    if port_file:
+        write_port(port_file, bound)
+    announcing = None
+    if options.agent:
+        announcing = asyncio.create_task(announce(upstream, bound))
+    await stopping.wait()
+    if announcing is not None:
+        announcing.cancel()
+        await withdraw(options)
+    await finish(upstream)
+    await runner.cleanup()
+
+
+@click.command()
+@click.option("--host", default="127.0.0.1", show_default=True)
+@click.option("--port", default=0, help="0 lets the system choose.")
+@click.option("--port-file", default="", help="Write the chosen port here.")
+@click.option("--agent", default="", help="URL of the agent to announce to.")
+@click.option("--name", required=True)
+@click.option("--service", required=True)
+@click.option("--slots", default=8, show_default=True)
+@click.option("--connections", default=64, show_default=True)
+@click.option("--memory-mb", default=0)
+@click.option("--accelerators", default=0)
+@click.option("--label", "labels", multiple=True, help="KEY=VALUE, repeated.")
+@click.option("--record", default="", help="Append starts and ends to this file.")
+def main(host, port, port_file, labels, **fields):
+    """Run a stand-in for an upstream."""
+    pairs = dict(label.split("=", 1) for label in labels)
+    asyncio.run(serve(Options(labels=pairs, **fields), host, port, port_file))
+
+
+if __name__ == "__main__":
+    main()
