--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,12 @@
 
 clean:
 	rm -rf build .ruff_cache .hypothesis
+
+demo: $(VENV)/.ready
+	$(PYTHON) -m tools.demo
+
+slopes: $(VENV)/.ready
+	$(PYTHON) -m tools.slopes
+
+measure: $(VENV)/.ready
+	$(PYTHON) -m tools.latency
--- a/tools/tables.py
+++ b/tools/tables.py
@@ -14,6 +14,9 @@
 HIGHEST = 3600 * SCALE
 DIGITS = 3
 
+# Markdown takes a rule of fewer dashes for text.
+NARROWEST = 3
+
 
 class Histogram:
     """Positive numbers with three significant digits, in fixed memory."""
@@ -41,7 +44,7 @@
     """Return a Markdown table; columns of numbers are set to the right."""
     texts = [[_text(cell) for cell in row] for row in rows]
     columns = list(zip(headers, *texts, strict=True))
-    widths = [max(len(cell) for cell in column) for column in columns]
+    widths = [max(NARROWEST, *map(len, column)) for column in columns]
     right = [
         bool(rows) and all(isinstance(row[i], int | float) for row in rows)
         for i in range(len(headers))
