--- /dev/null
+++ b/src/cactuswalk/commands/agent.py
@@ -0,0 +1,24 @@
+"""The ``cactuswalk-agent`` command."""
+
+from cactuswalk.commands.process import daemon_command
+from cactuswalk.runtime.agent import AgentProcess
+from cactuswalk.settings import load_agent
+
+__all__ = ["main"]
+
+HELP = """Run the agent beside one upstream.
+
+The upstream announces itself on the loopback; the agent starts what the cell's
+owner sends, once, and records it. SIGTERM is a planned stop: what runs is
+finished, the cell is handed over if this agent owns it, and the exit status is
+0. Wrong settings are all reported at once, with exit status 2.
+
+Example: cactuswalk-agent --settings examples/glenmorrow/agent.ini
+"""
+
+main = daemon_command(
+    "cactuswalk-agent", HELP, lambda path: AgentProcess(load_agent(path))
+)
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/cactuswalk/commands/process.py
@@ -0,0 +1,43 @@
+"""What the two daemons' commands share."""
+
+import asyncio
+import sys
+from collections.abc import Callable
+
+import click
+import uvloop
+
+import cactuswalk
+from cactuswalk.errors import CactuswalkError
+
+__all__ = ["daemon_command"]
+
+
+def daemon_command(name: str, help_text: str, make: Callable) -> click.Command:
+    """Return the command of a daemon.
+
+    :param make: given the path of the settings, returns the process object.
+    """
+
+    @click.command(name, help=help_text)
+    @click.version_option(cactuswalk.__version__, prog_name=name)
+    @click.option(
+        "--settings",
+        "path",
+        required=True,
+        type=click.Path(exists=True, dir_okay=False),
+        help="The INI file with this process's settings.",
+    )
+    def command(path: str) -> None:
+        try:
+            process = make(path)
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                runner.run(process.run())
+        except CactuswalkError as error:
+            click.echo(error.show(), err=True)
+            sys.exit(error.exit_code)
+        except OSError as error:
+            click.echo(f"Error [host]: {error}", err=True)
+            sys.exit(1)
+
+    return command
--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -45,6 +45,7 @@
 
     :param results: of every task, in order, for ``answered`` and ``failed``.
     :param digest: over the results' digests, checked by the entry.
+    :param epoch: of the owner that gives it.
     """
 
     submission: str
@@ -54,6 +55,7 @@
     results: list[TaskResult]
     refusal: Refusal | None
     digest: bytes
+    epoch: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
--- /dev/null
+++ b/src/cactuswalk/runtime/application.py
@@ -0,0 +1,164 @@
+"""The application object: one loop on one thread, and what lives with it.
+
+Subsystems are started by hooks in order and ended in the reverse order; the
+application owns each of them, so nothing outlives it.
+"""
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+
+from cactuswalk.errors import InvariantError
+from cactuswalk.state.effects import Count, Effect, Gauge, Log, Part, Send
+from cactuswalk.state.events import Event, Received, StopRequested, Tick
+
+__all__ = ["Application", "Hook"]
+
+# The reducers measure their spans in tenths of seconds.
+TICK_SECONDS = 0.05
+# Ticks between two looks for sockets that are spoken to no more.
+IDLE_LOOK_TICKS = 200
+
+Hook = tuple[Callable[[], Awaitable[None]], Callable[[], Awaitable[None]]]
+
+
+class Application:
+    """Runs a reducer: I/O becomes events, effects become I/O.
+
+    :param name: of the process, for its log lines.
+    :param reduce: the reducer, ``(event, now) -> effects``.
+    :param is_stopped: tells whether a planned stop is complete.
+    :param write_log: takes each ``Log`` effect.
+    :param metrics: has ``count(name, by)`` and ``gauge(name, value)``.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        reduce: Callable[[Event, float], list[Effect]],
+        is_stopped: Callable[[], bool],
+        write_log: Callable[[Log], None],
+        metrics,
+    ) -> None:
+        self.name = name
+        self.reduce = reduce
+        self.is_stopped = is_stopped
+        self.write_log = write_log
+        self.metrics = metrics
+        self.transport = None
+        self.performers: dict[type, Callable] = {
+            Log: write_log,
+            Count: lambda effect: metrics.count(effect.name, effect.by),
+            Gauge: lambda effect: metrics.gauge(effect.name, effect.value),
+        }
+        self.hooks: list[Hook] = []
+        self.tasks: set[asyncio.Task] = set()
+        self.flush_scheduled = False
+        self.stopping = False
+        self.failure: BaseException | None = None
+        self.ended: asyncio.Event | None = None
+
+    def add_hook(
+        self,
+        start: Callable[[], Awaitable[None]],
+        stop: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Have a subsystem started with the application, and ended with it."""
+        self.hooks.append((start, stop))
+
+    def feed(self, event: Event) -> None:
+        """Give the reducer an event, and perform what it wants done."""
+        if self.failure is not None:
+            return
+        now = time.monotonic()
+        try:
+            effects = self.reduce(event, now)
+        except InvariantError as error:
+            self._fail(error)
+            return
+        for effect in effects:
+            if isinstance(effect, Send):
+                self.transport.send(effect.address, effect.message, now)
+            else:
+                self.performers[type(effect)](effect)
+        if self.transport.dirty and not self.flush_scheduled:
+            self.flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def receive(self, sender: str, message) -> None:
+        """Give the reducer a message from another process."""
+        self.feed(Received(sender, message))
+
+    def spawn(self, work: Awaitable[None]) -> None:
+        """Run something in the background; it ends with the application."""
+        task = asyncio.get_running_loop().create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._on_task_done)
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete.
+
+        :raises BaseException: whatever ended a background task or a reducer.
+        """
+        self.ended = asyncio.Event()
+        loop = asyncio.get_running_loop()
+        # A second signal changes nothing: what is in flight is never cut off.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self.request_stop)
+        started: list[Hook] = []
+        try:
+            for hook in self.hooks:
+                await hook[0]()
+                started.append(hook)
+            self.spawn(self._tick())
+            await self.ended.wait()
+        finally:
+            for task in list(self.tasks):
+                task.cancel()
+            for hook in reversed(started):
+                await hook[1]()
+            self._flush()
+        if self.failure is not None:
+            raise self.failure
+
+    def request_stop(self) -> None:
+        """Begin a planned stop: take nothing new, finish everything."""
+        if self.stopping:
+            return
+        self.stopping = True
+        self.feed(StopRequested())
+
+    async def _tick(self) -> None:
+        ticks = 0
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.transport.poll()
+            self.feed(Tick())
+            ticks += 1
+            if ticks % IDLE_LOOK_TICKS == 0:
+                self.transport.close_idle(time.monotonic())
+            if self.stopping and self.is_stopped():
+                self.ended.set()
+                return
+
+    def _flush(self) -> None:
+        self.flush_scheduled = False
+        self.transport.flush()
+
+    def _on_task_done(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._fail(task.exception())
+
+    def _fail(self, error: BaseException) -> None:
+        """Stop serving: a promise would be broken by going on."""
+        if self.failure is not None:
+            return
+        self.failure = error
+        code = getattr(error, "code", "internal")
+        self.metrics.count(f"failure.{code}", 1)
+        fields = {"process": self.name, "code": code, "reason": str(error)}
+        self.write_log(Log(Part.PROCESS, "stops on a failure", fields))
+        if self.ended is not None:
+            self.ended.set()
--- /dev/null
+++ b/src/cactuswalk/runtime/entry.py
@@ -0,0 +1,162 @@
+"""The entry's process: callers by HTTP, owners by messages."""
+
+import asyncio
+import itertools
+import random
+import secrets
+import time
+
+from cactuswalk.http.callers import EntryCallables, make_callers_application
+from cactuswalk.http.server import HttpServer
+from cactuswalk.messages import JobState
+from cactuswalk.platform import open_store
+from cactuswalk.runtime.application import Application
+from cactuswalk.runtime.keys import Keys, address_with_key
+from cactuswalk.runtime.keyvalue import KeyValuePort
+from cactuswalk.runtime.logs import open_logs
+from cactuswalk.runtime.metrics import make_metrics
+from cactuswalk.runtime.transport import Transport
+from cactuswalk.settings import EntrySettings
+from cactuswalk.state.effects import Reply, ReplyState
+from cactuswalk.state.entry import EntryState, handle_entry, new_entry
+from cactuswalk.state.events import CallerAsked, CallerGone, CallerSubmitted
+from cactuswalk.state.timing import Timing
+
+__all__ = ["EntryProcess"]
+
+# Calls on the key-value service a second, and how many may come at once: an
+# entry holds two watches and writes its operators' changes.
+CALL_RATE = 20.0
+CALL_BURST = 40.0
+
+
+class EntryProcess:
+    """Everything that one entry's process owns."""
+
+    def __init__(self, settings: EntrySettings) -> None:
+        self.settings = settings
+        self.log = open_logs(settings.logs, settings.name)
+        self.metrics = make_metrics(settings.statsd)
+        self.generator = random.Random(secrets.randbits(64))
+        self.waiting: dict[str, asyncio.Future] = {}
+        self.questions: dict[str, asyncio.Future] = {}
+        self.serial = itertools.count(1)
+        self.state = self._make_state()
+        self.application = Application(
+            settings.name,
+            lambda event, now: handle_entry(self.state, event, now),
+            self._is_stopped,
+            self.log.write,
+            self.metrics,
+        )
+        keys = Keys(settings.curve) if settings.curve else None
+        self.transport = Transport(
+            self.state.address, self.application.receive, self.metrics.count, keys
+        )
+        self.application.transport = self.transport
+        self.application.performers[Reply] = self._reply
+        self.application.performers[ReplyState] = self._reply_state
+        self._add_hooks()
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        await self.application.run()
+
+    def _make_state(self) -> EntryState:
+        address = self.settings.address
+        if self.settings.curve:
+            address = address_with_key(address, self.settings.curve.public_key)
+        timing = Timing(retention=float(self.settings.retention_seconds))
+        wall_ms = time.time() * 1000 - time.monotonic() * 1000
+        return new_entry(address, [], timing, self.generator, wall_ms)
+
+    def _add_hooks(self) -> None:
+        application, settings = self.application, self.settings
+        callables = EntryCallables(
+            self.submit,
+            application.feed,
+            application.feed,
+            self.query,
+            self._not_ready,
+            lambda name: self.metrics.count(name, 1),
+        )
+        finish_seconds = settings.limits.maximum_deadline_ms / 1000
+        self.server = HttpServer(
+            make_callers_application(
+                settings, callables, time.time, random.Random(secrets.randbits(64))
+            ),
+            settings.http,
+            finish_seconds,
+        )
+        application.add_hook(self._open_transport, self._close_transport)
+        application.add_hook(self._open_store, self._close_store)
+        application.add_hook(self.server.start, self.server.stop)
+
+    async def _open_transport(self) -> None:
+        self.transport.open()
+
+    async def _close_transport(self) -> None:
+        self.transport.close()
+
+    async def _open_store(self) -> None:
+        settings = self.settings.key_value
+        self.store = open_store(
+            settings.endpoints,
+            self.settings.name,
+            CALL_RATE,
+            CALL_BURST,
+            prefix=settings.prefix,
+            timeout=settings.timeout_ms / 1000,
+            generator=random.Random(self.generator.getrandbits(64)),
+            count=lambda name: self.metrics.count(name, 1),
+        )
+        port = KeyValuePort(self.application, self.store)
+        self.application.spawn(port.watch("cells/"))
+
+    async def _close_store(self) -> None:
+        await self.store.close()
+
+    async def submit(self, event: CallerSubmitted) -> Reply:
+        """Hand a submission to the reducer and wait for its one reply."""
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[event.waiter] = future
+        self.application.feed(event)
+        try:
+            return await future
+        finally:
+            if self.waiting.pop(event.waiter, None) is not None:
+                self.application.feed(CallerGone(event.waiter))
+
+    async def query(self, submission: str, service: str) -> JobState | None:
+        """Ask the owners where a submission stands."""
+        request = str(next(self.serial))
+        future = asyncio.get_running_loop().create_future()
+        self.questions[request] = future
+        self.application.feed(CallerAsked(request, submission, service))
+        try:
+            return await future
+        finally:
+            self.questions.pop(request, None)
+
+    def _reply(self, effect: Reply) -> None:
+        future = self.waiting.pop(effect.waiter, None)
+        if future is not None and not future.done():
+            future.set_result(effect)
+
+    def _reply_state(self, effect: ReplyState) -> None:
+        future = self.questions.get(effect.request)
+        if future is not None and not future.done():
+            future.set_result(effect.state)
+
+    def _is_stopped(self) -> bool:
+        return not self.state.pending and not self.waiting
+
+    def _not_ready(self) -> list[str]:
+        if self.application.stopping:
+            return ["this entry is stopping"]
+        now = time.monotonic()
+        confirm = self.state.timing.confirm
+        views = self.state.cells.values()
+        if not any(now - view.stamp_at <= confirm for view in views):
+            return ["no cell's owner reports to this entry"]
+        return []
--- /dev/null
+++ b/src/cactuswalk/runtime/keyvalue.py
@@ -0,0 +1,57 @@
+"""Turn the reducers' wishes on the key-value service into calls and events."""
+
+from cactuswalk.platform import KeyValueStore
+from cactuswalk.runtime.application import Application
+from cactuswalk.state.effects import ReadKey, SwapKey
+from cactuswalk.state.events import KeyRead
+
+__all__ = ["KeyValuePort"]
+
+
+class KeyValuePort:
+    """Performs ``ReadKey`` and ``SwapKey``; each ends in one event.
+
+    One call a key is under way at a time: a reducer that asks again each tick
+    while the service is away must not queue up calls for its return.
+    """
+
+    def __init__(self, application: Application, store: KeyValueStore) -> None:
+        self.application = application
+        self.store = store
+        self.under_way: set[str] = set()
+        application.performers[ReadKey] = self.read
+        application.performers[SwapKey] = self.swap
+
+    def read(self, effect: ReadKey) -> None:
+        """Begin a read, unless one of the same key is under way."""
+        mark = f"read {effect.key}"
+        if mark not in self.under_way:
+            self.under_way.add(mark)
+            self.application.spawn(self._read(effect, mark))
+
+    def swap(self, effect: SwapKey) -> None:
+        """Begin a swap, unless the same write is under way."""
+        mark = f"swap {effect.write_id}"
+        if mark not in self.under_way:
+            self.under_way.add(mark)
+            self.application.spawn(self._swap(effect, mark))
+
+    async def watch(self, prefix: str) -> None:
+        """Feed every change under a prefix as a ``KeyRead``, without end."""
+        async for changes in self.store.watch(prefix, 0):
+            for change in changes.changes:
+                self.application.feed(
+                    KeyRead(change.key, True, change.value, change.mod_revision)
+                )
+
+    async def _read(self, effect: ReadKey, mark: str) -> None:
+        event = await self.store.read(effect.key)
+        self.under_way.discard(mark)
+        self.application.feed(event)
+
+    async def _swap(self, effect: SwapKey, mark: str) -> None:
+        event = await self.store.swap(
+            effect.key, effect.expected, effect.value, effect.write_id
+        )
+        self.under_way.discard(mark)
+        self.application.feed(event)
--- /dev/null
+++ b/src/cactuswalk/runtime/transport.py
@@ -0,0 +1,184 @@
+"""Messages between processes: ZeroMQ PULL for what comes, PUSH for each peer.
+
+All messages of one turn of the loop for one peer leave as one frame. Delivery
+is not promised; the reducers expect loss, repetition and delay.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+import zmq
+
+from cactuswalk.errors import CactuswalkError, MalformedMessageError
+from cactuswalk.messages import Envelope, Message, decode, encode
+from cactuswalk.runtime.keys import KEY_SEPARATOR, Keys
+
+__all__ = ["Transport", "TransportError"]
+
+# Frames that may wait for a peer that doesn't read. Beyond it they are dropped:
+# what waited longer would be refused as stale anyway.
+HIGH_WATER_MARK = 10_000
+# A reconnecting peer is tried this often: twice in the time after which an
+# owner stops using a worker.
+RECONNECT_MS = 100
+RECONNECT_MAXIMUM_MS = 500
+# Connections to peers that nothing was sent to for this long are closed, so
+# that replaced hosts don't leave sockets behind.
+IDLE_AFTER = 60.0
+# Frames that one turn of the loop takes in before timers and HTTP get theirs.
+FRAMES_A_TURN = 200
+
+
+class TransportError(CactuswalkError):
+    """The process can't listen at its address."""
+
+    code = "transport"
+
+
+class Peer:
+    """The socket towards one process, and what this turn has for it."""
+
+    __slots__ = ("socket", "waiting", "used_at")
+
+    def __init__(self, socket: zmq.Socket, now: float) -> None:
+        self.socket = socket
+        self.waiting: list[Message] = []
+        self.used_at = now
+
+
+class Transport:
+    """The sockets of one process.
+
+    :param address: where it listens, as other processes are told.
+    :param on_message: called in the loop with sender and message.
+    :param count: called with the name of a counter and what to add.
+    :param keys: CURVE key pair and the allowed public keys, None for none.
+    """
+
+    def __init__(
+        self,
+        address: str,
+        on_message: Callable[[str, Message], None],
+        count: Callable[[str, int], None],
+        keys: Keys | None = None,
+    ) -> None:
+        self.address = address
+        self.on_message = on_message
+        self.count = count
+        self.keys = keys
+        self.context = zmq.Context()
+        self.peers: dict[str, Peer] = {}
+        self.dirty: set[str] = set()
+        self.inbound: zmq.Socket | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None
+
+    def open(self) -> None:
+        """Listen; needs the running loop.
+
+        :raises TransportError: if the address is taken or not this host's.
+        """
+        self.loop = asyncio.get_running_loop()
+        self.inbound = self.context.socket(zmq.PULL)
+        self.inbound.set_hwm(HIGH_WATER_MARK)
+        self.inbound.linger = 0
+        if self.keys is not None:
+            self.keys.protect_server(self.context, self.inbound, self.count)
+        try:
+            self.inbound.bind(endpoint_of(self.address))
+        except zmq.ZMQError as error:
+            raise TransportError(
+                f"can't listen at {endpoint_of(self.address)}: {error}",
+                "Give this process an address of this host that is free.",
+            ) from error
+        self.loop.add_reader(self.inbound.fileno(), self._on_readable)
+
+    def close(self) -> None:
+        """Close all sockets; frames that still wait get a moment to leave."""
+        if self.inbound is not None:
+            self.loop.remove_reader(self.inbound.fileno())
+            self.inbound.close()
+        for peer in self.peers.values():
+            peer.socket.close(linger=200)
+        if self.keys is not None:
+            self.keys.stop()
+        self.context.term()
+
+    def send(self, address: str, message: Message, now: float) -> None:
+        """Have a message leave with this turn's frame for its receiver."""
+        peer = self.peers.get(address)
+        if peer is None:
+            socket = self._connect(address)
+            if socket is None:
+                return
+            peer = self.peers[address] = Peer(socket, now)
+        peer.used_at = now
+        peer.waiting.append(message)
+        self.dirty.add(address)
+
+    def flush(self) -> None:
+        """Send what this turn has gathered, one frame a receiver."""
+        for address in self.dirty:
+            peer = self.peers[address]
+            frame = encode(Envelope(self.address, peer.waiting))
+            peer.waiting = []
+            try:
+                peer.socket.send(frame, zmq.DONTWAIT, copy=False)
+                self.count("transport.frames_sent", 1)
+                self.count("transport.bytes_sent", len(frame))
+            except zmq.Again:
+                self.count("transport.dropped", 1)
+        self.dirty.clear()
+
+    def close_idle(self, now: float) -> None:
+        """Close the sockets towards peers that are spoken to no more."""
+        for address, peer in list(self.peers.items()):
+            if now - peer.used_at > IDLE_AFTER and not peer.waiting:
+                peer.socket.close(linger=0)
+                del self.peers[address]
+
+    def poll(self) -> None:
+        """Take in what waits; ZeroMQ's descriptor can miss an edge."""
+        self._on_readable()
+
+    def _connect(self, address: str) -> zmq.Socket | None:
+        socket = self.context.socket(zmq.PUSH)
+        socket.set_hwm(HIGH_WATER_MARK)
+        socket.linger = 0
+        # Without it, frames pile up for a process that is gone, and reach the
+        # next one at its address long after they meant anything.
+        socket.immediate = 1
+        socket.reconnect_ivl = RECONNECT_MS
+        socket.reconnect_ivl_max = RECONNECT_MAXIMUM_MS
+        if self.keys is not None and not self.keys.protect_client(socket, address):
+            socket.close()
+            self.count("transport.key_refused", 1)
+            return None
+        socket.connect(endpoint_of(address))
+        return socket
+
+    def _on_readable(self) -> None:
+        if self.inbound is None or self.inbound.closed:
+            return
+        for _ in range(FRAMES_A_TURN):
+            try:
+                frame = self.inbound.recv(zmq.DONTWAIT)
+            except zmq.Again:
+                return
+            self._take(frame)
+        # More may wait, and the descriptor won't say so again.
+        self.loop.call_soon(self._on_readable)
+
+    def _take(self, frame: bytes) -> None:
+        self.count("transport.frames_received", 1)
+        try:
+            envelope = decode(frame)
+        except MalformedMessageError:
+            self.count("transport.malformed", 1)
+            return
+        for message in envelope.messages:
+            self.on_message(envelope.sender, message)
+
+
+def endpoint_of(address: str) -> str:
+    """Return the part of an address that ZeroMQ connects to."""
+    return address.split(KEY_SEPARATOR)[0]
--- a/src/cactuswalk/state/answers.py
+++ b/src/cactuswalk/state/answers.py
@@ -24,7 +24,7 @@
             f"{job.submission} would be answered twice",
             "Report this with the owner's log; the first answer stands.",
         )
-    tracked.answer = answer_of(tracked, refusal)
+    tracked.answer = answer_of(tracked, refusal, state.is_confirmed(now))
     tracked.kept_until = now + state.timing.retention
     state.open.pop(job.submission, None)
     state.kept.append(tracked)
@@ -44,13 +44,18 @@
 
 def send_answer(state: OwnerState, answer: Answer, address: str, attempt: int) -> None:
     """Send an answer to one entry, under the attempt that it waits for."""
-    state.send(address, msgspec.structs.replace(answer, attempt=attempt))
+    epoch = state.record.epoch
+    state.send(address, msgspec.structs.replace(answer, attempt=attempt, epoch=epoch))
 
 
 def refuse(
     state: OwnerState, sender: str, submit: Submit, refusal: Refusal, outcome: Outcome
 ) -> None:
-    """Answer a submission that is not taken into the ledger."""
+    """Answer a submission that is not taken into the ledger.
+
+    :param outcome: the truth; "not run" needs a confirmed owner or a body that
+        was never run under its key.
+    """
     job = submit.job
     state.count(f"answer.{outcome}")
     state.log(
@@ -60,6 +65,13 @@
         reason=refusal.message,
     )
     answer = Answer(
-        job.submission, submit.attempt, job.fingerprint, outcome, [], refusal, b""
+        job.submission,
+        submit.attempt,
+        job.fingerprint,
+        outcome,
+        [],
+        refusal,
+        b"",
+        state.record.epoch,
     )
     state.send(sender, answer)
--- a/src/cactuswalk/state/effects.py
+++ b/src/cactuswalk/state/effects.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cactuswalk.messages import Message
+from cactuswalk.messages import JobState, Message
 from cactuswalk.model import Outcome, Refusal, TaskResult, TaskSpec
 
 __all__ = [
@@ -16,6 +16,7 @@
     "Part",
     "ReadKey",
     "Reply",
+    "ReplyState",
     "Send",
     "StopUpstream",
     "SwapKey",
@@ -30,6 +31,7 @@
     AGENT = "agent"
     CELL = "cell"
     CONFIGURATION = "configuration"
+    PROCESS = "process"
 
 
 class Send(msgspec.Struct, array_like=True):
@@ -68,6 +70,13 @@
     refusal: Refusal | None
 
 
+class ReplyState(msgspec.Struct):
+    """Tell a caller where a submission stands; None if no owner answered."""
+
+    request: str
+    state: JobState | None
+
+
 class ReadKey(msgspec.Struct):
     """Read a key of the key-value service; ends in ``KeyRead``."""
 
@@ -112,5 +121,14 @@
 
 
 Effect = (
-    Send | CallUpstream | StopUpstream | Reply | ReadKey | SwapKey | Log | Count | Gauge
+    Send
+    | CallUpstream
+    | StopUpstream
+    | Reply
+    | ReplyState
+    | ReadKey
+    | SwapKey
+    | Log
+    | Count
+    | Gauge
 )
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -28,8 +28,18 @@
     RefusalCode,
     digest,
 )
-from cactuswalk.state.effects import Count, Effect, Log, Part, ReadKey, Reply, Send
+from cactuswalk.state.effects import (
+    Count,
+    Effect,
+    Log,
+    Part,
+    ReadKey,
+    Reply,
+    ReplyState,
+    Send,
+)
 from cactuswalk.state.events import (
+    CallerAsked,
     CallerCancelled,
     CallerGone,
     CallerSubmitted,
@@ -94,6 +104,17 @@
     sign_at: float = 0.0
     query_after: float = 0.0
     minted: bool = False
+    cancelled: bool = False
+
+
+class Asked(msgspec.Struct):
+    """A caller's question where a submission stands.
+
+    :param owners: how many owners have yet to answer.
+    """
+
+    until: float
+    owners: int
 
 
 class EntryState(msgspec.Struct):
@@ -103,7 +124,7 @@
         rest on it.
     :param attempt: number of the last submit sent; starts at random, so that a
         restarted entry at the same address does not repeat one.
-    :param queries: states of jobs that callers ask for, by request.
+    :param asked: questions of callers that owners have not answered yet.
     """
 
     address: str
@@ -112,8 +133,7 @@
     wall_ms: float
     cells: dict[str, CellView] = {}
     pending: dict[str, Pending] = {}
-    queries: dict[str, float] = {}
-    answered_queries: list[JobState] = []
+    asked: dict[str, Asked] = {}
     attempt: int = 0
     stopping: bool = False
     effects: list[Effect] = []
@@ -143,6 +163,8 @@
         _on_tick(state, now)
     elif isinstance(event, CallerCancelled):
         _on_caller_cancelled(state, event, now)
+    elif isinstance(event, CallerAsked):
+        _on_caller_asked(state, event, now)
     elif isinstance(event, CallerGone):
         _on_caller_gone(state, event)
     elif isinstance(event, KeyRead):
@@ -169,9 +191,7 @@
     job = event.job
     refusal = _refusal_at_door(state, event, now)
     if refusal is not None:
-        outcome = Outcome.NOT_RUN
-        if refusal.code is RefusalCode.TOO_OLD:
-            outcome = Outcome.UNKNOWN
+        outcome = _outcome_unsent(event.minted)
         _reply(state, event.waiter, job.submission, outcome, refusal)
         return
     pending = state.pending.get(job.submission)
@@ -233,6 +253,15 @@
     return None
 
 
+def _outcome_unsent(minted: bool) -> Outcome:
+    """Return what is true of a submission that this entry has sent to nobody.
+
+    A caller's own key may have been submitted before, through another entry,
+    and have run: then only an owner can say "not run".
+    """
+    return Outcome.NOT_RUN if minted else Outcome.UNKNOWN
+
+
 def _age_ms(state: EntryState, job: Job, now: float) -> float:
     return now * 1000 + state.wall_ms - job.born_ms
 
@@ -287,6 +316,11 @@
     if pending is None or answer.attempt not in pending.attempts:
         state.effects.append(Count("entry.answer.stale"))
         return
+    view = state.cells[pending.cell]
+    if answer.outcome is Outcome.NOT_RUN and answer.epoch < view.epoch:
+        # A deposed owner's word that came late: the new one may have started it.
+        state.effects.append(Count("entry.answer.deposed"))
+        return
     if answer.fingerprint != pending.job.fingerprint or not _is_whole(pending, answer):
         # Cut short or mixed up: nothing of it may reach the caller. The query
         # timer asks the owner for it again.
@@ -418,8 +452,7 @@
 def _on_job_state(state: EntryState, message: JobState, now: float) -> None:
     """The owner says where a submission stands."""
     if message.request:
-        state.queries.pop(message.request, None)
-        state.answered_queries.append(message)
+        _answer_question(state, message)
         return
     pending = state.pending.get(message.submission)
     if pending is None:
@@ -431,19 +464,51 @@
         return
     pending.sign_at = now
     pending.query_after *= 2
+    if not message.known and pending.cancelled:
+        refusal = Refusal(
+            RefusalCode.CANCELLED, "it was cancelled; nothing more of it will start"
+        )
+        _give_up(state, pending, Outcome.UNKNOWN, refusal)
+        return
     if not message.known and state.cells[pending.cell].epoch == pending.sent_epoch:
         # The submit was lost on the way; the owner joins a repeated one.
         _submit(state, pending, state.cells[pending.cell], now)
 
 
+def _on_caller_asked(state: EntryState, event: CallerAsked, now: float) -> None:
+    """Ask the owners of the cells where the submission may be."""
+    owners = sorted(
+        view.owner
+        for view in state.cells.values()
+        if view.owner and (not event.service or event.service in view.services)
+    )
+    if not owners:
+        state.effects.append(ReplyState(event.request, None))
+        return
+    state.asked[event.request] = Asked(now + state.timing.query, len(owners))
+    for owner in owners:
+        state.effects.append(Send(owner, Query(event.submission, event.request)))
+
+
+def _answer_question(state: EntryState, message: JobState) -> None:
+    asked = state.asked.get(message.request)
+    if asked is None:
+        return
+    asked.owners -= 1
+    if message.known or asked.owners == 0:
+        del state.asked[message.request]
+        state.effects.append(ReplyState(message.request, message))
+
+
 def _on_caller_cancelled(state: EntryState, event: CallerCancelled, now: float) -> None:
     pending = state.pending.get(event.submission)
     if pending is not None and not pending.sent:
         refusal = Refusal(RefusalCode.CANCELLED, "its caller cancelled it")
-        _give_up(state, pending, Outcome.NOT_RUN, refusal)
+        _give_up(state, pending, _outcome_unsent(pending.minted), refusal)
         return
     owners = {view.owner for view in state.cells.values() if view.owner}
     if pending is not None:
+        pending.cancelled = True
         owners = {state.cells[pending.cell].owner} - {""}
     for owner in sorted(owners):
         state.effects.append(Send(owner, Cancel(event.submission)))
@@ -477,8 +542,9 @@
         _keep_view(state, view, now)
     for pending in list(state.pending.values()):
         _keep_pending(state, pending, now)
-    for request in [key for key, until in state.queries.items() if until <= now]:
-        del state.queries[request]
+    for request in [key for key, asked in state.asked.items() if asked.until <= now]:
+        del state.asked[request]
+        state.effects.append(ReplyState(request, None))
 
 
 def _keep_view(state: EntryState, view: CellView, now: float) -> None:
@@ -506,7 +572,7 @@
             f"cell {view.cell} has had no owner for {OWNER_AWAITED:.0f} s",
             RETRY_WITHOUT_OWNER_MS,
         )
-        _give_up(state, pending, Outcome.NOT_RUN, refusal)
+        _give_up(state, pending, _outcome_unsent(pending.minted), refusal)
         return
     if pending.sent and view.owner and now - pending.sign_at >= pending.query_after:
         pending.sign_at = now
@@ -522,7 +588,7 @@
             "its deadline passed before an owner of its cell was found",
             RETRY_WITHOUT_OWNER_MS,
         )
-        _give_up(state, pending, Outcome.NOT_RUN, refusal)
+        _give_up(state, pending, _outcome_unsent(pending.minted), refusal)
         return
     if view.owner:
         state.effects.append(Send(view.owner, Cancel(pending.job.submission)))
--- a/src/cactuswalk/state/events.py
+++ b/src/cactuswalk/state/events.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "Announced",
+    "CallerAsked",
     "CallerCancelled",
     "CallerGone",
     "CallerSubmitted",
@@ -60,6 +61,18 @@
     submission: str
 
 
+class CallerAsked(msgspec.Struct):
+    """A caller wants to know where a submission stands.
+
+    :param request: names the question; the ``ReplyState`` repeats it.
+    :param service: whose cells to ask; empty for all.
+    """
+
+    request: str
+    submission: str
+    service: str = ""
+
+
 class CallerGone(msgspec.Struct):
     """The caller's connection is closed; nobody waits at ``waiter`` now."""
 
@@ -144,6 +157,7 @@
     | StopRequested
     | CallerSubmitted
     | CallerCancelled
+    | CallerAsked
     | CallerGone
     | UpstreamAnswered
     | Announced
--- a/src/cactuswalk/state/ledger.py
+++ b/src/cactuswalk/state/ledger.py
@@ -98,13 +98,18 @@
     return all(task.stage is Stage.ENDED for task in tracked.tasks)
 
 
-def compose(tracked: Tracked) -> tuple[Outcome, list[TaskResult]]:
+def compose(tracked: Tracked, confirmed: bool) -> tuple[Outcome, list[TaskResult]]:
     """Return the outcome of a submission and its results, whole and in order.
 
     A task that was sent and is not settled counts as unknown: a time-out is no
     evidence that it did not run.
+
+    :param confirmed: no other owner can be serving. If one can, a task that
+        this owner has not started may run there, for a caller who came again.
     """
     results = [_result_now(index, task) for index, task in enumerate(tracked.tasks)]
+    if not confirmed:
+        results = [_doubted(result) for result in results]
     outcomes = {result.outcome for result in results}
     if outcomes == {TaskOutcome.DONE}:
         return Outcome.ANSWERED, results
@@ -125,13 +130,20 @@
     )
 
 
-def answer_of(tracked: Tracked, refusal: Refusal | None) -> Answer:
+def _doubted(result: TaskResult) -> TaskResult:
+    if result.outcome is not TaskOutcome.NOT_RUN:
+        return result
+    reason = "its owner lost its cell, and another may have started it"
+    return TaskResult(result.index, TaskOutcome.UNKNOWN, reason=reason)
+
+
+def answer_of(tracked: Tracked, refusal: Refusal | None, confirmed: bool) -> Answer:
     """Return the final answer, its attempt left to be set for each waiter.
 
     :raises InvariantError: if the answer would be partial, or would say "not
         run" of a submission of which a task was sent and not settled.
     """
-    outcome, results = compose(tracked)
+    outcome, results = compose(tracked, confirmed)
     _assert_whole(tracked, outcome, results)
     # A failed job's results say what became of each task, but no bodies: a
     # partial answer that looks usable is worse than none.
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -171,7 +171,11 @@
 
     def stands(self, now: float) -> bool:
         """Tell whether this owner may start tasks now."""
-        if self.phase is not Phase.SERVING or self.deposed or self.handing_over:
+        return not self.handing_over and self.is_confirmed(now)
+
+    def is_confirmed(self, now: float) -> bool:
+        """Tell whether no other owner can be serving now."""
+        if self.phase is not Phase.SERVING or self.deposed:
             return False
         confirmed = {key: peer.confirmed_at for key, peer in self.peers.items()}
         return has_standing(self.rosters(), confirmed, self.timing.confirm, now)
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -225,8 +225,9 @@
     if peer.leaving:
         # The last ping tells a stopping agent that it may go.
         send_ping(state, peer)
-    if not any(one.worker == member.worker for one in state.record.roster):
-        state.scheduler.remove_worker(member.worker, now)
+    # A new life of the worker announces itself anew; until then the scheduler
+    # must not take it for the one that could be given work.
+    state.scheduler.remove_worker(member.worker, now)
     if state.backup == member:
         state.backup, state.backup_ready = None, False
 
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -1,5 +1,7 @@
 """Submissions at the owner: new ones, repeated ones, cancels and queries."""
 
+import msgspec
+
 from cactuswalk.decisions.scheduler import QueuedTask
 from cactuswalk.messages import Cancel, JobState, NotOwner, Query, Record, Submit
 from cactuswalk.model import (
@@ -73,7 +75,9 @@
         return
     refusal = _refusal_before(state, held, now)
     if refusal is not None:
-        refuse(state, held.sender, submit, refusal, Outcome.NOT_RUN)
+        certain = refusal is KEY_REUSED or state.is_confirmed(now)
+        outcome = Outcome.NOT_RUN if certain else Outcome.UNKNOWN
+        refuse(state, held.sender, submit, refusal, outcome)
         return
     _track(state, held, now)
 
@@ -114,15 +118,15 @@
 def _refusal_before(state: OwnerState, held: Held, now: float) -> Refusal | None:
     """Return why none of a submission is looked at, None if it is."""
     job = held.submit.job
-    if state.cancelled.get(job.submission, now) > now:
-        return Refusal(RefusalCode.CANCELLED, "it was cancelled before it came")
     records = state.recovered.by_submission.get(job.submission, {})
     known = {record.fingerprint for record in records.values()} - {b""}
     if known - {job.fingerprint}:
         return KEY_REUSED
-    if records:
+    if records or _may_have_started(state, held.submit, now):
         return None
-    if now >= held.deadline and not _may_have_started(state, held.submit, now):
+    if state.cancelled.get(job.submission, now) > now:
+        return Refusal(RefusalCode.CANCELLED, "it was cancelled before it came")
+    if now >= held.deadline:
         return Refusal(RefusalCode.DEADLINE_PASSED, "the deadline has passed")
     return None
 
@@ -227,7 +231,8 @@
     if tracked is None:
         # It may still be on its way here: then it must not start any more.
         state.cancelled[cancel.submission] = now + state.timing.retention
-        state.send(sender, job_state(state, Query(cancel.submission, "")))
+        if state.phase is Phase.SERVING:
+            state.send(sender, job_state(state, Query(cancel.submission, "")))
         return
     if tracked.answer is None:
         refusal = Refusal(RefusalCode.CANCELLED, "its caller cancelled it")
@@ -259,7 +264,8 @@
         stages.count(Stage.QUEUED),
         stages.count(Stage.SENT) + stages.count(Stage.WITNESSING),
         stages.count(Stage.ENDED),
-        tracked.answer,
+        tracked.answer
+        and msgspec.structs.replace(tracked.answer, epoch=state.record.epoch),
     )
 
 
@@ -281,7 +287,7 @@
                 record.worker, record.incarnation, record.attempt, 0, 0.0
             )
     if total and is_settled(tracked):
-        tracked.answer = answer_of(tracked, _first_failed(tracked))
+        tracked.answer = answer_of(tracked, _first_failed(tracked), True)
     return tracked
 
 
