Callers' interface, logs and metrics

Problems ride as problem+json with one table of statuses and remedies. A refusal by the entry says 'not_run' only where every copy of the request meets it alike; one on grounds that change (full, token, limits, deadline) says 'unknown' under a caller's own key, since an earlier copy may have run. Header fields of ours that a path doesn't know are refused: a misspelt deadline would be ignored. A reply that isn't the whole answer to its job ends in 500 and is counted.

--- /dev/null
+++ b/features/steps/logs_metrics_steps.py
@@ -0,0 +1,139 @@
+"""Steps for logs and metrics."""
+
+import json
+import logging
+import math
+import socket
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from cactuswalk.errors import SettingsError
+from cactuswalk.runtime.logs import open_logs
+from cactuswalk.runtime.metrics import make_metrics
+from cactuswalk.settings import LogSettings, StatsdSettings
+from cactuswalk.state.effects import Log, Part
+from features.edges_support import add_clean_up
+
+
+@given('a log file of the process "{process}" at level "{level}"')
+def step_log(context, process, level):
+    directory = tempfile.TemporaryDirectory()
+    add_clean_up(context, directory.cleanup)
+    context.log_path = Path(directory.name) / "log"
+    context.logs = open_logs(LogSettings(level, str(context.log_path)), process)
+    add_clean_up(context, context.logs.close)
+
+
+@when("a decision of the owner is logged with awkward fields")
+def step_write(context):
+    sentence = "task 0 of vets/a starts on w7: most free slots"
+    fields = {
+        "among": ["w7", "w9"],
+        "level": 3,
+        "task_uuid": "mine",
+        "fingerprint": b"\x01\xff",
+        "large": 1 << 80,
+        "pressure": math.nan,
+        "odd": {1: {2}, "who": Part.OWNER},
+    }
+    context.logs.write(Log(Part.OWNER, sentence, fields))
+
+
+@when('a library warns that "{text}"')
+def step_library(context, text):
+    logging.getLogger("aiohttp.server").warning(text)
+    logging.getLogger("aiohttp.server").info("not this")
+
+
+@then('the log file has one line whose message is "{message}"')
+def step_line(context, message):
+    (line,) = context.log_path.read_text(encoding="utf-8").splitlines()
+    context.line = json.loads(line)
+    assert context.line["message"] == message, line
+
+
+@then("the log line keeps the process, the part, the level and every field")
+def step_fields(context):
+    wanted = {
+        "process": "dingwall-5",
+        "part": "owner",
+        "level": "info",
+        "level_": 3,
+        "task_uuid_": "mine",
+        "among": ["w7", "w9"],
+        "fingerprint": "01ff",
+        "large": str(1 << 80),
+        "odd": {"1": [2], "who": "owner"},
+    }
+    assert wanted.items() <= context.line.items(), context.line
+
+
+@when("a log file is asked for in a directory that is not there")
+def step_no_directory(context):
+    try:
+        open_logs(LogSettings("info", "no-such-directory/log"), "w")
+    except SettingsError as error:
+        context.log_error = error
+
+
+@then("the log is refused with exit code 2 and a remedy")
+def step_log_refused(context):
+    assert context.log_error.exit_code == 2
+    assert context.log_error.remedy
+
+
+@given("a statsd server and metrics that go to it")
+def step_statsd(context):
+    context.statsd = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+    context.statsd.bind(("127.0.0.1", 0))
+    context.statsd.settimeout(5)
+    add_clean_up(context, context.statsd.close)
+    make(context, context.statsd.getsockname()[1])
+
+
+@given("metrics that go to a statsd server that is away")
+def step_statsd_away(context):
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as bound:
+        bound.bind(("127.0.0.1", 0))
+        port = bound.getsockname()[1]
+    make(context, port)
+
+
+@given("metrics without settings")
+def step_no_metrics(context):
+    context.metrics = make_metrics(None)
+
+
+def make(context, port):
+    context.metrics = make_metrics(StatsdSettings("127.0.0.1", port, "glenmorrow"))
+    add_clean_up(context, context.metrics.close)
+
+
+@when("{starts:d} starts are counted, a gauge set twice and {timings:d} timings taken")
+def step_count(context, starts, timings):
+    for _ in range(starts):
+        context.metrics.count("agent.starts")
+    context.metrics.gauge("owner.queued", 3)
+    context.metrics.gauge("owner.queued", 5)
+    for _ in range(timings):
+        context.metrics.timing("upstream.call", 12)
+    context.metrics.flush()
+
+
+@then("the statsd server gets, in packets of at most {size:d} bytes")
+def step_packets(context, size):
+    wanted = {row["line"].strip() for row in context.table}
+    lines = []
+    while not wanted <= set(lines):
+        packet = context.statsd.recv(65_536)
+        assert len(packet) <= size, len(packet)
+        lines += packet.decode().split("\n")
+    assert len(lines) == 5, lines
+
+
+@then("nothing is raised, then or with the next ones")
+def step_again(context):
+    step_count(context, 1, 1)
+    context.metrics.close()
--- /dev/null
+++ b/src/cactuswalk/http/bodies.py
@@ -0,0 +1,131 @@
+"""Read the bodies of submissions, and bind a key to all that it stands for."""
+
+import asyncio
+from typing import Annotated
+
+import msgspec
+from aiohttp import web
+
+from cactuswalk.http.headers import (
+    MAXIMUM_ACCELERATORS,
+    MAXIMUM_DURATION_MS,
+    MAXIMUM_MEMORY_MB,
+    check_selector,
+    check_specialised_key,
+    refuse,
+)
+from cactuswalk.http.problems import InputCode
+from cactuswalk.model import Job, TaskSpec, digest
+from cactuswalk.model.job import MAXIMUM_TASKS
+
+__all__ = ["JobBody", "fingerprint", "read_body", "read_job", "read_request_task"]
+
+# A caller that sends its body slower than this holds a place for nothing: even
+# a body at the limit takes well under a second at 1 ms latency.
+BODY_TIMEOUT_SECONDS = 10.0
+
+
+# The last two are what common clients say of a body that nobody has named a type
+# for (curl --data, aiohttp with bytes); it has to be JSON all the same.
+ACCEPTED_TYPES = frozenset(
+    {
+        "application/json",
+        "application/octet-stream",
+        "application/x-www-form-urlencoded",
+    }
+)
+
+
+class JobTask(msgspec.Struct, forbid_unknown_fields=True):
+    """A task as a caller writes it; the body is kept byte for byte."""
+
+    body: msgspec.Raw
+    duration_ms: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_DURATION_MS)] = 0
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_MEMORY_MB)] = 0
+    accelerators: Annotated[int, msgspec.Meta(ge=0, le=MAXIMUM_ACCELERATORS)] = 0
+
+
+class JobBody(msgspec.Struct, forbid_unknown_fields=True):
+    """A job as a caller writes it."""
+
+    tasks: list[JobTask]
+    selector: str = ""
+    key: str = ""
+
+
+_job_decoder = msgspec.json.Decoder(JobBody)
+_any_decoder = msgspec.json.Decoder(msgspec.Raw)
+
+
+async def read_body(request: web.Request) -> bytes:
+    """Return the whole body of a request that says it is JSON.
+
+    :raises ProblemError: if it is something else, too long or not whole.
+    """
+    if request.headers.get("Content-Encoding", "identity").lower() != "identity":
+        raise refuse(InputCode.UNSUPPORTED_MEDIA_TYPE, "the body is encoded")
+    if request.content_type not in ACCEPTED_TYPES:
+        raise refuse(
+            InputCode.UNSUPPORTED_MEDIA_TYPE, f"the body is {request.content_type}"
+        )
+    try:
+        async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+            return await request.read()
+    except TimeoutError:
+        raise refuse(InputCode.INCOMPLETE_BODY, "the body came too slowly") from None
+    except web.RequestPayloadError as error:
+        raise refuse(InputCode.INCOMPLETE_BODY, "the body is broken") from error
+
+
+def read_request_task(
+    body: bytes, duration_ms: int, memory_mb: int, accelerators: int
+) -> TaskSpec:
+    """Return the one task of a request whose body is one JSON value."""
+    _decode(_any_decoder, body)
+    return TaskSpec(body, duration_ms, memory_mb, accelerators)
+
+
+def read_job(body: bytes) -> tuple[list[TaskSpec], str, str]:
+    """Return the tasks, the selector and the key of a job."""
+    job = _decode(_job_decoder, body)
+    if not job.tasks:
+        raise refuse(InputCode.EMPTY_JOB, "the job has no tasks")
+    if len(job.tasks) > MAXIMUM_TASKS:
+        raise refuse(InputCode.TOO_MANY_TASKS, f"the job has {len(job.tasks)} tasks")
+    tasks = [
+        TaskSpec(bytes(task.body), task.duration_ms, task.memory_mb, task.accelerators)
+        for task in job.tasks
+    ]
+    return tasks, check_selector(job.selector), check_specialised_key(job.key)
+
+
+def _decode(decoder: msgspec.json.Decoder, body: bytes):
+    try:
+        # The decoder passes over parts that it only copies; a stray byte in one
+        # would fail at the upstream, after the start.
+        body.decode("utf-8")
+        return decoder.decode(body)
+    except msgspec.ValidationError as error:
+        raise refuse(InputCode.MALFORMED_JOB, str(error)) from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        detail = f"the body is no JSON: {error}"
+        raise refuse(InputCode.MALFORMED_JSON, detail) from error
+    except RecursionError as error:
+        detail = "the body is nested too deeply"
+        raise refuse(InputCode.MALFORMED_JSON, detail) from error
+
+
+def fingerprint(job: Job, first_sent_ms: int) -> bytes:
+    """Return a digest of all that a resubmission has to repeat.
+
+    The deadline is left out, since less of it is left each time; the caller is,
+    since a colleague of the team may ask for the same answer. A changed
+    ``first_sent_ms`` would make an old submission young, so it is in.
+    """
+    flags = f"{job.idempotent:d}{job.request:d}{first_sent_ms}"
+    parts = [job.service, job.selector, job.key, flags]
+    encoded = [part.encode("utf-8") for part in parts]
+    for task in job.tasks:
+        sizes = f"{task.duration_ms},{task.memory_mb},{task.accelerators}"
+        encoded += [sizes.encode(), task.body]
+    return digest(*encoded)
--- /dev/null
+++ b/src/cactuswalk/http/callers.py
@@ -0,0 +1,333 @@
+"""The callers' interface of an entry; docs/callers.md describes it."""
+
+import asyncio
+import hashlib
+import itertools
+import random
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from aiohttp import web
+
+from cactuswalk.errors import InvariantError
+from cactuswalk.http.answers import answer_submission, describe_state
+from cactuswalk.http.bodies import (
+    fingerprint,
+    read_body,
+    read_job,
+    read_request_task,
+)
+from cactuswalk.http.headers import (
+    JOB_HEADERS,
+    REQUEST_HEADERS,
+    SubmissionKey,
+    is_key,
+    read_deadline_ms,
+    read_declared_work,
+    read_key,
+    refuse,
+    refuse_unknown_headers,
+    wants_async,
+)
+from cactuswalk.http.health import add_health
+from cactuswalk.http.middleware import problem_middleware
+from cactuswalk.http.problems import InputCode, Problem, ProblemError
+from cactuswalk.messages import JobState
+from cactuswalk.model import Job, Outcome, RefusalCode, mint, submission_name
+from cactuswalk.settings import CallerIdentity, EntrySettings
+from cactuswalk.settings.converters import is_name
+from cactuswalk.state.effects import Reply
+from cactuswalk.state.events import CallerCancelled, CallerGone, CallerSubmitted
+
+__all__ = ["EntryCallables", "make_callers_application"]
+
+# With "Prefer: respond-async" and no wait of the caller's: long enough for a
+# refusal by the owner, a round trip away, to be told at once.
+DEFAULT_ASYNC_WAIT_SECONDS = 0.05
+
+OVERLOADED_RETRY_MS = 1_000
+
+
+class EntryCallables(msgspec.Struct):
+    """What the application object of an entry does for its callers.
+
+    :param submit: hands a job in and waits for its one reply; cancelled where
+        nobody waits any more.
+    :param gone: tells that nobody waits at a waiter now.
+    :param cancel: stops a submission.
+    :param query: asks where a submission stands, at the owner of a service or,
+        for an empty one, at all; None if no owner has answered.
+    :param not_ready: reasons why this entry is not ready; none if it is.
+    :param count: adds one to a counter.
+    """
+
+    submit: Callable[[CallerSubmitted], Awaitable[Reply]]
+    gone: Callable[[CallerGone], None]
+    cancel: Callable[[CallerCancelled], None]
+    query: Callable[[str, str], Awaitable[JobState | None]]
+    not_ready: Callable[[], list[str]]
+    count: Callable[[str], None] = lambda name: None
+
+
+class CallersEdge:
+    """The state of the callers' interface: who waits, and what serves them."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        entry: EntryCallables,
+        wall_clock: Callable[[], float],
+        generator: random.Random,
+    ) -> None:
+        self.settings = settings
+        self.entry = entry
+        self.wall_clock = wall_clock
+        self.generator = generator
+        self.waiters = itertools.count(1)
+        self.waiting = 0
+        self.background: set[asyncio.Task] = set()
+
+    def identify(self, request: web.Request) -> CallerIdentity:
+        """Return whom the request's token stands for.
+
+        Looking a digest up takes no longer for a token that is nearly right.
+        """
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        found = None
+        if scheme.lower() == "bearer":
+            encoded = token.strip().encode("utf-8", "surrogateescape")
+            found = self.settings.callers.get(hashlib.sha256(encoded).hexdigest())
+        if found is None:
+            problem = Problem(InputCode.UNAUTHENTICATED, "no token, or an unknown one")
+            raise ProblemError(problem, {"WWW-Authenticate": "Bearer"})
+        return found
+
+    async def submit_request(self, request: web.Request) -> web.Response:
+        """Handle a single request."""
+        arrived = time.monotonic()
+        identity = self.identify(request)
+        refuse_unknown_headers(request, REQUEST_HEADERS)
+        service = read_service(request)
+        declared = read_declared_work(request)
+        key, deadline_ms = self._read_common(request)
+        task = read_request_task(
+            await read_body(request),
+            declared.duration_ms,
+            declared.memory_mb,
+            declared.accelerators,
+        )
+        job = Job(
+            submission="",
+            fingerprint=b"",
+            service=service,
+            team=identity.team,
+            tasks=[task],
+            caller=identity.caller,
+            selector=declared.selector,
+            key=declared.specialised_key,
+            idempotent=declared.idempotent,
+            request=True,
+        )
+        event = self._event(job, key, deadline_ms, arrived)
+        return await self._wait(event)
+
+    async def submit_job(self, request: web.Request) -> web.Response:
+        """Handle a job of several tasks."""
+        arrived = time.monotonic()
+        identity = self.identify(request)
+        refuse_unknown_headers(request, JOB_HEADERS)
+        service = read_service(request)
+        key, deadline_ms = self._read_common(request)
+        wait_seconds = wants_async(request)
+        tasks, selector, specialised_key = read_job(await read_body(request))
+        job = Job(
+            submission="",
+            fingerprint=b"",
+            service=service,
+            team=identity.team,
+            tasks=tasks,
+            caller=identity.caller,
+            selector=selector,
+            key=specialised_key,
+        )
+        event = self._event(job, key, deadline_ms, arrived)
+        if wait_seconds is None:
+            return await self._wait(event)
+        return await self._wait_in_background(event, wait_seconds)
+
+    async def show_state(self, request: web.Request) -> web.Response:
+        """Tell where a submission stands."""
+        identity = self.identify(request)
+        key, state = await self._query(identity, request)
+        return _state_response(200, key, state)
+
+    async def cancel(self, request: web.Request) -> web.Response:
+        """Stop a submission: what has not started never will."""
+        identity = self.identify(request)
+        key, state = await self._query(identity, request)
+        if state.answer is not None:
+            return _state_response(200, key, state)
+        name = submission_name(identity.team, key)
+        self.entry.cancel(CallerCancelled(name))
+        return _state_response(202, key, state)
+
+    def _read_common(self, request: web.Request) -> tuple[SubmissionKey, int]:
+        self._refuse_overload()
+        limits = self.settings.limits
+        now_ms = int(self.wall_clock() * 1000)
+        key = read_key(request, now_ms, self.settings.retention_seconds)
+        deadline_ms = read_deadline_ms(
+            request, limits.default_deadline_ms, limits.maximum_deadline_ms
+        )
+        return key, deadline_ms
+
+    def _event(
+        self, job: Job, key: SubmissionKey, deadline_ms: int, arrived: float
+    ) -> CallerSubmitted:
+        """Return the event for a job; its body's time is taken off the deadline."""
+        remaining_ms = deadline_ms - int((time.monotonic() - arrived) * 1000)
+        if remaining_ms <= 0:
+            raise refuse(
+                RefusalCode.DEADLINE_PASSED, "the deadline passed while the body came"
+            )
+        identifier, born_ms = key.key, key.born_ms
+        if key.minted:
+            born_ms = int(self.wall_clock() * 1000)
+            identifier = mint(born_ms, self.generator)
+        job.submission = submission_name(job.team, identifier)
+        job.born_ms = born_ms
+        job.fingerprint = fingerprint(job, key.first_sent_ms)
+        waiter = f"{self.settings.name}/{next(self.waiters)}"
+        return CallerSubmitted(waiter, job, key.minted, remaining_ms)
+
+    def _refuse_overload(self) -> None:
+        if self.waiting < self.settings.limits.waiting_requests:
+            return
+        problem = Problem(
+            RefusalCode.OVERLOADED.value,
+            f"{self.waiting} requests wait at this entry",
+            retry_after_ms=OVERLOADED_RETRY_MS,
+        )
+        raise ProblemError(problem)
+
+    async def _wait(self, event: CallerSubmitted) -> web.Response:
+        # Again, since others may have come while the body was read.
+        self._refuse_overload()
+        self.waiting += 1
+        try:
+            reply = await self.entry.submit(event)
+        except asyncio.CancelledError:
+            # The caller has closed its connection; without this word its work
+            # would go on and hold a slot for nobody.
+            self.entry.gone(CallerGone(event.waiter))
+            raise
+        finally:
+            self.waiting -= 1
+        try:
+            response = answer_submission(event.job, reply)
+        except InvariantError:
+            self.entry.count("callers.invariant_violated")
+            raise
+        self.entry.count(f"callers.{reply.outcome.value}")
+        return response
+
+    async def _wait_in_background(
+        self, event: CallerSubmitted, wait_seconds: float
+    ) -> web.Response:
+        waiting = asyncio.create_task(self._wait(event))
+        self.background.add(waiting)
+        waiting.add_done_callback(self._forget)
+        seconds = wait_seconds or DEFAULT_ASYNC_WAIT_SECONDS
+        done, _ = await asyncio.wait({waiting}, timeout=seconds)
+        if done:
+            return waiting.result()
+        key = event.job.submission.partition("/")[2]
+        location = f"/v1/jobs/{key}?service={event.job.service}"
+        return web.json_response(
+            {"submission": key, "state": "queued", "location": location},
+            status=202,
+            headers={
+                "Location": location,
+                "Preference-Applied": "respond-async",
+                "Cactuswalk-Submission": key,
+            },
+        )
+
+    def _forget(self, waiting: asyncio.Task) -> None:
+        self.background.discard(waiting)
+        if not waiting.cancelled() and waiting.exception() is not None:
+            self.entry.count("callers.background_failed")
+
+    async def _query(
+        self, identity: CallerIdentity, request: web.Request
+    ) -> tuple[str, JobState]:
+        key = request.match_info["key"]
+        service = request.query.get("service", "")
+        if not is_key(key) or (service and not is_name(service)):
+            raise _not_found(key)
+        name = submission_name(identity.team, key)
+        state = await self.entry.query(name, service)
+        if state is None:
+            problem = Problem(
+                RefusalCode.NO_OWNER.value,
+                "no owner has answered",
+                Outcome.UNKNOWN,
+                retry_after_ms=OVERLOADED_RETRY_MS,
+            )
+            raise ProblemError(problem)
+        if not state.known:
+            raise _not_found(key)
+        return key, state
+
+
+def read_service(request: web.Request) -> str:
+    """Return the service in the path; whether it exists the entry knows."""
+    service = request.match_info["service"]
+    if not is_name(service):
+        raise refuse(RefusalCode.UNKNOWN_SERVICE, "the path names no service")
+    return service
+
+
+def make_callers_application(
+    settings: EntrySettings,
+    entry: EntryCallables,
+    wall_clock: Callable[[], float] = time.time,
+    generator: random.Random | None = None,
+) -> web.Application:
+    """Return the HTTP application for callers.
+
+    :param wall_clock: seconds since the Unix epoch, for births of keys only.
+    :param generator: source of minted identifiers.
+    """
+    edge = CallersEdge(settings, entry, wall_clock, generator or random.SystemRandom())
+    application = web.Application(
+        client_max_size=settings.limits.body_bytes, middlewares=[problem_middleware]
+    )
+    router = application.router
+    router.add_post("/v1/services/{service}/requests", edge.submit_request)
+    router.add_post("/v1/services/{service}/jobs", edge.submit_job)
+    router.add_get("/v1/jobs/{key}", edge.show_state)
+    router.add_delete("/v1/jobs/{key}", edge.cancel)
+    add_health(application, entry.not_ready)
+    return application
+
+
+def _not_found(key: str) -> ProblemError:
+    # No record does not mean that it never ran: it may be older than records.
+    return ProblemError(
+        Problem(
+            RefusalCode.NOT_FOUND.value,
+            f"there is no record of {key[:128]}",
+            Outcome.UNKNOWN,
+        )
+    )
+
+
+def _state_response(status: int, key: str, state: JobState) -> web.Response:
+    return web.Response(
+        status=status,
+        body=msgspec.json.encode(describe_state(key, state)),
+        content_type="application/json",
+        headers={"Cache-Control": "no-store"},
+    )
--- /dev/null
+++ b/src/cactuswalk/http/headers.py
@@ -0,0 +1,276 @@
+"""Read and check the headers of a submission."""
+
+import datetime
+import re
+
+import msgspec
+from aiohttp import web
+
+from cactuswalk.http.problems import InputCode, Problem, ProblemError
+from cactuswalk.model import Outcome, RefusalCode, SelectorError, birth_ms, parse
+
+__all__ = [
+    "CLOCK_MARGIN_MS",
+    "JOB_HEADERS",
+    "REQUEST_HEADERS",
+    "DeclaredWork",
+    "SubmissionKey",
+    "check_selector",
+    "check_specialised_key",
+    "is_key",
+    "read_deadline_ms",
+    "read_declared_work",
+    "read_key",
+    "refuse",
+    "refuse_unknown_headers",
+    "wants_async",
+]
+
+# How far the clock that made a key may be off ours. Hosts that keep their time
+# by NTP are within milliseconds; ten seconds covers a missed correction. The
+# margin is taken off the retention window, so that "too old to know" is said
+# while the records are still there for certain, and a key born further ahead is
+# refused, since it would outlive its records.
+CLOCK_MARGIN_MS = 10_000
+
+# A caller that speaks in seconds or counts of its own is bound by these.
+MAXIMUM_DURATION_MS = 3_600_000
+MAXIMUM_MEMORY_MB = 1 << 30
+MAXIMUM_ACCELERATORS = 1_000
+MAXIMUM_SELECTOR_LENGTH = 1_024
+MAXIMUM_SPECIALISED_KEY_LENGTH = 128
+
+JOB_HEADERS = frozenset({"cactuswalk-deadline-ms", "cactuswalk-first-sent"})
+REQUEST_HEADERS = JOB_HEADERS | {
+    "cactuswalk-idempotent",
+    "cactuswalk-selector",
+    "cactuswalk-key",
+    "cactuswalk-duration-ms",
+    "cactuswalk-memory-mb",
+    "cactuswalk-accelerators",
+}
+
+_KEY = re.compile(r"[A-Za-z0-9._:~-]{1,128}")
+_RFC3339 = re.compile(
+    r"\d{4}-\d\d-\d\dT\d\d:\d\d:\d\d(\.\d{1,6})?(Z|[+-]\d\d:\d\d)", re.ASCII
+)
+_WHOLE_NUMBER = re.compile(r"-?[0-9]{1,15}")
+_WAIT = re.compile(r"wait=([0-9]{1,5})")
+
+
+class SubmissionKey(msgspec.Struct, frozen=True):
+    """The identifier of a submission within its team.
+
+    :param minted: the entry has to make it; ``key`` is empty.
+    :param first_sent_ms: from the header; 0 where the key carries its birth.
+    """
+
+    key: str = ""
+    minted: bool = True
+    born_ms: int = 0
+    first_sent_ms: int = 0
+
+
+class DeclaredWork(msgspec.Struct, frozen=True):
+    """What a caller declares of a single request."""
+
+    idempotent: bool
+    selector: str
+    specialised_key: str
+    duration_ms: int
+    memory_mb: int
+    accelerators: int
+
+
+def refuse(code: str, detail: str, remedy: str = "") -> ProblemError:
+    """Return the error that ends a request with nothing started."""
+    return ProblemError(Problem(code, detail, remedy=remedy))
+
+
+def is_key(text: str) -> bool:
+    """Say whether a text can be an idempotency key."""
+    return _KEY.fullmatch(text) is not None
+
+
+def single(request: web.Request, name: str) -> str | None:
+    """Return a header's value; one that stands twice says two things."""
+    values = request.headers.getall(name, [])
+    if not values:
+        return None
+    if len(values) > 1:
+        raise refuse(InputCode.INVALID_HEADER, f"{name} stands {len(values)} times")
+    return values[0].strip()
+
+
+def refuse_unknown_headers(request: web.Request, known: frozenset[str]) -> None:
+    """Refuse headers of ours that mean nothing here.
+
+    A misspelt or misplaced one would be passed over in silence, and the work
+    done without the deadline or the selector that the caller wrote.
+    """
+    for name in request.headers:
+        lower = name.lower()
+        if lower.startswith("cactuswalk-") and lower not in known:
+            raise refuse(
+                InputCode.INVALID_HEADER,
+                f"{lower} is no header of this path",
+                "Correct its name; in a job, put it into the body instead.",
+            )
+
+
+def read_key(
+    request: web.Request, now_ms: int, retention_seconds: int
+) -> SubmissionKey:
+    """Read ``Idempotency-Key`` and when it was born.
+
+    :param now_ms: wall clock in milliseconds since the Unix epoch.
+    """
+    written = single(request, "Idempotency-Key")
+    first_sent = single(request, "Cactuswalk-First-Sent")
+    if written is None:
+        if first_sent is not None:
+            raise refuse(
+                InputCode.INVALID_HEADER,
+                "Cactuswalk-First-Sent means nothing without Idempotency-Key",
+            )
+        return SubmissionKey()
+    # The draft writes it as a structured string, in quotes.
+    key = written
+    if len(written) >= 2 and written[0] == written[-1] == '"':
+        key = written[1:-1]
+    if not is_key(key):
+        raise refuse(InputCode.INVALID_KEY, "the idempotency key can't be used")
+    born, first_sent_ms = birth_ms(key), 0
+    if born is None and first_sent is None:
+        raise refuse(
+            InputCode.KEY_WITHOUT_BIRTH, f"{key} does not tell when it was made"
+        )
+    if born is None:
+        born = first_sent_ms = _read_time_ms(first_sent)
+    _check_birth(key, born, now_ms, retention_seconds)
+    return SubmissionKey(key, False, born, first_sent_ms)
+
+
+def _check_birth(key: str, born: int, now_ms: int, retention_seconds: int) -> None:
+    if born > now_ms + CLOCK_MARGIN_MS:
+        raise refuse(
+            InputCode.KEY_FROM_FUTURE,
+            f"{key} was made {born - now_ms} ms ahead of this entry's clock",
+        )
+    age_ms = now_ms - born
+    if age_ms > retention_seconds * 1000 - CLOCK_MARGIN_MS:
+        detail = f"{key} was made {age_ms} ms ago; records are kept for "
+        problem = Problem(
+            code=RefusalCode.TOO_OLD.value,
+            detail=f"{detail}{retention_seconds} s",
+            outcome=Outcome.UNKNOWN,
+        )
+        raise ProblemError(problem)
+
+
+def _read_time_ms(written: str) -> int:
+    name = "Cactuswalk-First-Sent"
+    remedy = "Write a time as in 2026-12-02T22:00:00Z (RFC 3339)."
+    if not _RFC3339.fullmatch(written):
+        raise refuse(InputCode.INVALID_HEADER, f"{name} is no time", remedy)
+    try:
+        moment = datetime.datetime.fromisoformat(written)
+        return int(moment.timestamp() * 1000)
+    except (ValueError, OverflowError):
+        raise refuse(InputCode.INVALID_HEADER, f"{name} is no time", remedy) from None
+
+
+def read_deadline_ms(request: web.Request, default_ms: int, maximum_ms: int) -> int:
+    """Read how long the caller waits, from the arrival of the request."""
+    written = single(request, "Cactuswalk-Deadline-Ms")
+    if written is None:
+        return default_ms
+    remedy = f"Give 1 to {maximum_ms} milliseconds, or leave the header out."
+    if not _WHOLE_NUMBER.fullmatch(written):
+        raise refuse(
+            InputCode.INVALID_DEADLINE, "the deadline is no whole number", remedy
+        )
+    deadline_ms = int(written)
+    if deadline_ms <= 0:
+        raise refuse(RefusalCode.DEADLINE_PASSED, "the deadline has passed already")
+    if deadline_ms > maximum_ms:
+        raise refuse(
+            InputCode.INVALID_DEADLINE,
+            f"{deadline_ms} ms are above this entry's maximum",
+            remedy,
+        )
+    return deadline_ms
+
+
+def read_declared_work(request: web.Request) -> DeclaredWork:
+    """Read what a caller declares of a single request."""
+    return DeclaredWork(
+        idempotent=_read_boolean(request, "Cactuswalk-Idempotent"),
+        selector=check_selector(single(request, "Cactuswalk-Selector") or ""),
+        specialised_key=check_specialised_key(single(request, "Cactuswalk-Key") or ""),
+        duration_ms=_read_count(request, "Cactuswalk-Duration-Ms", MAXIMUM_DURATION_MS),
+        memory_mb=_read_count(request, "Cactuswalk-Memory-Mb", MAXIMUM_MEMORY_MB),
+        accelerators=_read_count(
+            request, "Cactuswalk-Accelerators", MAXIMUM_ACCELERATORS
+        ),
+    )
+
+
+def _read_boolean(request: web.Request, name: str) -> bool:
+    written = single(request, name)
+    if written not in (None, "?0", "?1"):
+        raise refuse(
+            InputCode.INVALID_HEADER,
+            f"{name} is neither ?1 nor ?0",
+            "Write ?1 for true, ?0 for false (RFC 8941).",
+        )
+    return written == "?1"
+
+
+def _read_count(request: web.Request, name: str, highest: int) -> int:
+    written = single(request, name)
+    if written is None:
+        return 0
+    if not _WHOLE_NUMBER.fullmatch(written) or not 0 <= int(written) <= highest:
+        raise refuse(
+            InputCode.INVALID_HEADER,
+            f"{name} is out of bounds",
+            f"Give a whole number from 0 to {highest}.",
+        )
+    return int(written)
+
+
+def check_selector(written: str) -> str:
+    """Return a selector that can be read; an unreadable one is refused."""
+    if len(written) > MAXIMUM_SELECTOR_LENGTH:
+        raise refuse(
+            InputCode.INVALID_SELECTOR,
+            f"the selector has {len(written)} characters",
+            f"Use at most {MAXIMUM_SELECTOR_LENGTH}.",
+        )
+    try:
+        parse(written)
+    except SelectorError as error:
+        raise refuse(InputCode.INVALID_SELECTOR, error.message, error.remedy) from error
+    return written
+
+
+def check_specialised_key(written: str) -> str:
+    """Return a key that prefers a worker, if it is short and printable."""
+    if len(written) > MAXIMUM_SPECIALISED_KEY_LENGTH or not written.isprintable():
+        raise refuse(
+            InputCode.INVALID_HEADER,
+            "the key that prefers a worker can't be used",
+            f"Use up to {MAXIMUM_SPECIALISED_KEY_LENGTH} printable characters.",
+        )
+    return written
+
+
+def wants_async(request: web.Request) -> float | None:
+    """Return the seconds to wait before 202 (RFC 7240); None without a wish."""
+    preferences = ",".join(request.headers.getall("Prefer", []))
+    words = [word.strip().lower() for word in re.split("[,;]", preferences)]
+    if "respond-async" not in words:
+        return None
+    waits = [int(found[1]) for word in words if (found := _WAIT.fullmatch(word))]
+    return float(waits[0]) if waits else 0.0
--- a/src/cactuswalk/http/middleware.py
+++ b/src/cactuswalk/http/middleware.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from cactuswalk.http.problems import (
+    CHANGING_GROUNDS,
     InputCode,
     Problem,
     ProblemError,
@@ -29,7 +30,7 @@
     try:
         return await handler(request)
     except ProblemError as error:
-        return problem_response(error.problem, error.headers)
+        return _refuse(request, error.problem, error.headers)
     except web.HTTPException as error:
         return _of_http_exception(request, error)
     except Exception:
@@ -48,4 +49,14 @@
     if "Allow" in error.headers:
         headers["Allow"] = error.headers["Allow"]
     detail = f"{request.method} {request.path}: {error.reason}"
-    return problem_response(Problem(code, detail), headers)
+    return _refuse(request, Problem(code, detail), headers)
+
+
+def _refuse(
+    request: web.Request, problem: Problem, headers: dict[str, str]
+) -> web.Response:
+    """Answer for this request alone; an earlier copy of it may have run."""
+    if problem.code in CHANGING_GROUNDS and "Idempotency-Key" in request.headers:
+        problem.outcome = Outcome.UNKNOWN
+        problem.remedy = "Ask again with the same key; an earlier copy may have run."
+    return problem_response(problem, headers)
--- a/src/cactuswalk/http/problems.py
+++ b/src/cactuswalk/http/problems.py
@@ -15,6 +15,7 @@
 from cactuswalk.model import Outcome, Refusal, RefusalCode
 
 __all__ = [
+    "CHANGING_GROUNDS",
     "PROBLEM_KINDS",
     "InputCode",
     "Problem",
@@ -148,6 +149,22 @@
 }
 
 
+# Refusals whose grounds may have changed since the same request was taken: its
+# resubmission under a key of the caller's can meet one while the first copy
+# runs. This entry can't tell then, and "not run" might be a lie that books a
+# pen twice. All other input codes strike every copy of a request alike.
+CHANGING_GROUNDS = frozenset(
+    {
+        InputCode.UNAUTHENTICATED,
+        InputCode.BODY_TOO_LARGE,
+        InputCode.INVALID_DEADLINE,
+        InputCode.INCOMPLETE_BODY,
+        RefusalCode.OVERLOADED,
+        RefusalCode.DEADLINE_PASSED,
+    }
+)
+
+
 class Problem(msgspec.Struct, omit_defaults=True):
     """One error, as its client reads it.
 
@@ -189,6 +206,8 @@
 ) -> web.Response:
     """Return the response that carries a problem."""
     kind = PROBLEM_KINDS[problem.code]
+    # Bytes of a header or a path that are no UTF-8 must not end in a 500.
+    problem.detail = problem.detail.encode("utf-8", "replace").decode()
     fields = msgspec.to_builtins(problem)
     body = {
         "type": f"urn:cactuswalk:problem:{problem.code}",
