--- a/tools/load.py
+++ b/tools/load.py
@@ -31,6 +31,9 @@
 # to answer at the deadline itself.
 PATIENCE_S = 5.0
 
+# Upstreams announce themselves once a second.
+SERVED_WITHIN_S = 15.0
+
 # Empty requests whose median is the empty round trip of a run.
 EMPTY_REQUESTS = 25
 
@@ -125,7 +128,7 @@
         "Cactuswalk-Deadline-Ms": str(arrival.kind.deadline_ms),
     }
     if arrival.kind.idempotent:
-        headers["Cactuswalk-Idempotent"] = "true"
+        headers["Cactuswalk-Idempotent"] = "?1"
     return headers
 
 
@@ -171,6 +174,25 @@
     return [result.get("body") or {} for result in said.get("results", [])]
 
 
+async def until_served(caller: Caller) -> None:
+    """Return once every entry has had an empty request of each service answered.
+
+    A ready entry may not have heard of the upstreams yet, which announce
+    themselves a moment after their agents have started.
+    """
+    end = time.monotonic() + SERVED_WITHIN_S
+    services = {kind.service: kind for kind in KINDS if kind.idempotent}
+    for kind in services.values():
+        for _ in caller.entries:
+            sent = await caller.send(empty_arrival(kind), time.monotonic())
+            while sent.outcome != "answered":
+                if time.monotonic() > end:
+                    raise click.ClickException(f"{kind.service} isn't served: {sent}")
+                await asyncio.sleep(0.1)
+                caller.turn -= 1
+                sent = await caller.send(empty_arrival(kind), time.monotonic())
+
+
 async def empty_round_trip(caller: Caller, arrival: Arrival) -> float:
     """Return the median response time of a request that takes no time."""
     times = []
@@ -199,6 +221,7 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         caller = Caller(session, entries, planned.seed)
+        await until_served(caller)
         empty_s = await empty_round_trip(caller, empty_arrival(KINDS[0]))
         began = time.monotonic()
         tasks: list[asyncio.Task[Sent]] = []
