--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -1,24 +1,28 @@
 """Measure what each role costs by each of its drivers, and write the tables.
 
-    python -m tools.slopes             # measure, write docs/measurements/slopes.md
+    python -m tools.slopes             # measure, write the pages
     python -m tools.slopes --counts    # and set tools/counts.json to this run
 
 Counts are exact: a feature compares a fresh small run with the checked-in ones.
 """
 
 import json
-from pathlib import Path
 
 import click
 
+from tools.capacity import capacity_blocks
+from tools.capacity_failures import failure_block
 from tools.series import Series, counts_of, describe
 from tools.slopes_cell import cell_series
+from tools.slopes_entry import entry_series
+from tools.slopes_process import process_series
 from tools.tables import ROOT, replace_block
 
 __all__ = ["COUNTS", "main", "measure", "small_counts"]
 
 COUNTS = ROOT / "tools" / "counts.json"
 PAGE = ROOT / "docs" / "measurements" / "slopes.md"
+CAPACITY = ROOT / "docs" / "CAPACITY.md"
 
 # Series whose exact counts CI takes again; each takes well under a second.
 SMALL = (
@@ -27,12 +31,15 @@
     "request path by job size",
     "takeover by records",
     "agents replaced in a cell",
+    "a cell started whole",
+    "an outage of the service",
+    "an entry by cells",
 )
 
 
 def all_series() -> list[Series]:
     """Return every series, not measured yet."""
-    return cell_series()
+    return cell_series() + entry_series() + process_series()
 
 
 def measure(names: tuple[str, ...] = ()) -> list[Series]:
@@ -50,22 +57,21 @@
 
 @click.command()
 @click.option("--counts", is_flag=True, help="Set the checked-in counts to this run.")
-@click.option("--page", default=str(PAGE), help="Page whose block is replaced.")
-def main(counts: bool, page: str) -> None:
-    """Measure all slopes and write them into the page."""
-    measured = []
-    for one in all_series():
+def main(counts: bool) -> None:
+    """Measure all slopes, and write the tables of the two pages."""
+    measured = all_series()
+    for one in measured:
         click.echo(f"measuring: {one.name}")
         one.run()
-        measured.append(one)
         click.echo(describe(one) + "\n")
-    text = "\n\n".join(describe(one) for one in measured)
-    replace_block(Path(page), "slopes", text)
+    replace_block(PAGE, "slopes", "\n\n".join(describe(one) for one in measured))
+    for name, text in capacity_blocks(measured).items():
+        replace_block(CAPACITY, name, text)
+    replace_block(CAPACITY, "failures", failure_block(measured))
     if counts:
         chosen = [one for one in measured if one.name in SMALL]
-        COUNTS.write_text(
-            json.dumps(counts_of(chosen), indent=1) + "\n", encoding="utf-8"
-        )
+        text = json.dumps(counts_of(chosen), indent=1)
+        COUNTS.write_text(f"{text}\n", encoding="utf-8")
         click.echo(f"wrote {COUNTS.name}")
 
 
--- a/tools/slopes_cell.py
+++ b/tools/slopes_cell.py
@@ -7,6 +7,7 @@
 from cactuswalk.state.ledger import Place, Stage, Task, Tracked, end_task
 from cactuswalk.state.node import Node
 from cactuswalk.state.retention import RecordBook
+from features.support.bag import is_settled
 from tools.metered import (
     MeteredBag,
     allocated_by,
@@ -26,12 +27,16 @@
 # Task time in the request path's runs, in milliseconds; the brief's shortest.
 TASK_MS = 50
 
-PEERS = (4, 8, 16, 32)
+# The brief's target.
+LARGEST_JOB = 140
+
+PEERS = (4, 8, 16, 32, 64)
 ENTRIES = (1, 2, 4, 8)
 STARTS = (100, 200, 400, 800)
 JOB_SIZES = (1, 20, 70, 140)
 RECORDS = (1000, 2000, 4000, 8000)
 SUBMISSIONS = (500, 1000, 2000, 4000)
+TASKS_KEPT = (1400, 2800, 5600, 11200)
 TAKEOVER_RECORDS = (200, 400, 800, 1600)
 RESTARTS = (1, 2, 3, 4)
 
@@ -45,10 +50,13 @@
         Series("request path by job size", "tasks", JOB_SIZES, path_by_job_size),
         Series("an agent by its records", "records", RECORDS, agent_by_records),
         Series("an owner by answers kept", "answers", SUBMISSIONS, owner_by_answers),
+        Series("an owner by tasks of jobs kept", "tasks", TASKS_KEPT, owner_by_tasks),
         Series("an owner by open jobs", "open", SUBMISSIONS, owner_by_open),
         Series("takeover by records", "records", TAKEOVER_RECORDS, takeover),
         Series("takeover by agents", "agents", PEERS, takeover_by_peers),
         Series("agents replaced in a cell", "replaced", RESTARTS, replace_agents),
+        Series("a cell started whole", "agents", PEERS, start_whole),
+        Series("an outage of the service", "agents", PEERS, outage),
     ]
 
 
@@ -170,20 +178,31 @@
     return point
 
 
-def keep_answers(bag: MeteredBag, answers: int) -> None:
+def owner_by_tasks(tasks: int) -> Point:
+    """Have an owner keep the answers of jobs of 140 with so many tasks."""
+    bag = metered_cell(4, 1)
+    point = Point()
+    jobs = tasks // LARGEST_JOB
+    point.time(
+        "ledger bytes", allocated_by(lambda: keep_answers(bag, jobs, LARGEST_JOB))
+    )
+    return point
+
+
+def keep_answers(bag: MeteredBag, answers: int, tasks: int = 1) -> None:
     """Put answered submissions into the owner's ledger, as the path does."""
     state = bag.owner().state.owner
     for _ in range(answers):
-        job = bag.job(duration_ms=TASK_MS)
-        tracked = Tracked(job, bag.now + 5, [Task()])
+        job = bag.job(tasks=tasks, duration_ms=TASK_MS)
+        tracked = Tracked(job, bag.now + 5, [Task() for _ in job.tasks])
         tracked.waiters["tcp://entry-0"] = 1
-        task = tracked.tasks[0]
-        task.stage = Stage.SENT
-        task.place = Place("worker-1", "life", 1, 1, bag.now)
-        body = ANSWER_BODY + job.submission.encode()
-        result = TaskResult(0, TaskOutcome.DONE, 200, body, digest(body))
         state.ledger[job.submission] = tracked
-        end_task(tracked, result)
+        for index, task in enumerate(tracked.tasks):
+            task.stage = Stage.SENT
+            task.place = Place("worker-1", "life", index + 1000, index + 1000, bag.now)
+            body = ANSWER_BODY + job.tasks[index].body
+            result = TaskResult(index, TaskOutcome.DONE, 200, body, digest(body))
+            end_task(tracked, result)
         give_answer(state, tracked, None, bag.now)
         state.effects.clear()
 
@@ -271,3 +290,37 @@
     calls = sum(meter.keyvalue_calls for meter in bag.meters.values())
     point.count("key-value calls", calls)
     return point
+
+
+def start_whole(agents: int) -> Point:
+    """Start all agents of a cell at one moment, as after a power cut."""
+    bag = MeteredBag()
+    bag.add_entry("entry-0")
+    for number in range(agents):
+        bag.add_agent(f"worker-{number}")
+    began = bag.now
+    if not bag.run_until(lambda: is_settled(bag, agents), 60.0):
+        raise RuntimeError(f"a cell of {agents} did not settle")
+    point = Point()
+    calls = sum(meter.keyvalue_calls for meter in bag.meters.values())
+    point.count("key-value calls", calls)
+    control = sum(meter.control.messages for meter in bag.meters.values())
+    point.count("control messages", control / 2)
+    point.count("virtual s until served", round(bag.now - began, 2))
+    return point
+
+
+def outage(agents: int) -> Point:
+    """Take the key-value service away, and then the owner too."""
+    bag = metered_cell(agents, 1)
+    bag.key_value.down = True
+    bag.run(IDLE_S)
+    point = Point()
+    calls = sum(meter.keyvalue_calls for meter in bag.meters.values())
+    point.count("calls tried/s", calls / IDLE_S)
+    bag.kill(bag.owner().name)
+    bag.reset()
+    bag.run(IDLE_S)
+    calls = sum(meter.keyvalue_calls for meter in bag.meters.values())
+    point.count("calls tried/s without an owner", calls / IDLE_S)
+    return point
