--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -70,7 +70,9 @@
     """What an agent knows.
 
     :param roster: of the cell, as its owner last sent it.
-    :param heard_at: when the owner in force was last heard.
+    :param heard_at: when the owner in force was last heard; at first when this
+        agent started, or its word would depose an owner that it just has not
+        been pinged by yet.
     :param copies: records kept for others; the gate does not look at them,
         since a task may come here after it was declined elsewhere.
     :param fenced_epoch: the epoch whose fence took ``handed_out``, the records
@@ -83,7 +85,7 @@
     gate: Gate
     copies: RecordBook
     roster: list[Member] = []
-    heard_at: float = -math.inf
+    heard_at: float = 0.0
     announcement: Announcement | None = None
     announcement_serial: int = 0
     fenced_epoch: int = 0
@@ -92,11 +94,11 @@
     effects: list[Effect] = []
 
 
-def new_agent(cell: str, gate: Gate) -> AgentState:
+def new_agent(cell: str, gate: Gate, now: float) -> AgentState:
     """Return the state of an agent that has just been started."""
     records = gate.records
     copies = RecordBook(records.retention, records.maximum_bytes)
-    return AgentState(cell, gate, copies)
+    return AgentState(cell, gate, copies, heard_at=now)
 
 
 def on_announced(state: AgentState, event: Announced, now: float) -> None:
--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -45,7 +45,6 @@
     agent: AgentState
     timing: Timing
     generator: random.Random
-    started_at: float
     record: CellRecord | None = None
     read_at: float = float("-inf")
     asked_at: float = float("-inf")
@@ -67,10 +66,9 @@
     agent: AgentState,
     timing: Timing,
     generator: random.Random,
-    now: float,
 ) -> CandidateState:
     """Return the state of an agent that is in no cell yet."""
-    return CandidateState(cell, agent, timing, generator, now)
+    return CandidateState(cell, agent, timing, generator)
 
 
 def on_tick(state: CandidateState, now: float) -> None:
@@ -93,7 +91,7 @@
 
 def _silence(state: CandidateState, now: float) -> float:
     """Return how long the owner has been silent, at most since the start."""
-    return now - max(state.agent.heard_at, state.started_at)
+    return now - state.agent.heard_at
 
 
 def _stagger(state: CandidateState) -> float:
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -135,8 +135,8 @@
 ) -> Node:
     """Return the state of a process that has just been started."""
     records = RecordBook(timing.retention, maximum_bytes)
-    agent = agents.new_agent(cell, Gate(member, records, timing.confirm))
-    candidate = candidates.new_candidate(cell, agent, timing, generator, now)
+    agent = agents.new_agent(cell, Gate(member, records, timing.confirm), now)
+    candidate = candidates.new_candidate(cell, agent, timing, generator)
     return Node(cell, timing, generator, agent, candidate, make_scheduler)
 
 
