--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -23,6 +23,7 @@
 from cactuswalk.state.entry import EntryState, handle_entry, new_entry
 from cactuswalk.state.events import (
     Announced,
+    CallerCancelled,
     CallerSubmitted,
     KeyRead,
     KeySwapped,
@@ -95,11 +96,33 @@
         )
 
 
+class Began:
+    """One start, as the upstream saw it."""
+
+    def __init__(self, submission: str, index: int, at: float, worker: str) -> None:
+        self.submission = submission
+        self.index = index
+        self.at = at
+        self.worker = worker
+
+
+class Handed:
+    """One submission by a caller, and the reply to it."""
+
+    def __init__(self, waiter: str, job: Job, entry: str, at: float) -> None:
+        self.waiter = waiter
+        self.job = job
+        self.entry = entry
+        self.at = at
+        self.reply: Reply | None = None
+        self.replied_at = float("inf")
+
+
 class Upstream:
     """An upstream's own record of starts: the judge of what ran."""
 
     def __init__(self) -> None:
-        self.starts: list[tuple[str, int]] = []
+        self.starts: list[Began] = []
         self.outcome = UpstreamOutcome.ANSWERED
         self.status = 200
 
@@ -116,7 +139,7 @@
         self.processes: dict[str, Process] = {}
         self.key_value = KeyValueFake()
         self.upstreams: dict[str, Upstream] = {}
-        self.replies: dict[str, list[Reply]] = {}
+        self.handed: dict[str, Handed] = {}
         self.logs: list[tuple[float, str, Log]] = []
         self.sent: dict[str, int] = {}
         # A test may set these: which links are cut, and what befalls a message.
@@ -206,22 +229,23 @@
         self,
         entry: str,
         job: Job,
-        waiter: str = "w",
         remaining_ms: int = 5000,
         minted: bool = False,
-        after: float = 0.0,
-    ) -> None:
+    ) -> Handed:
+        """Submit a job at an entry; the reply appears in what is returned."""
+        waiter = f"waiter-{len(self.handed)}"
+        handed = Handed(waiter, job, entry, self.now)
+        self.handed[waiter] = handed
         event = CallerSubmitted(waiter, job, minted, remaining_ms)
-        self._at(after, f"tcp://{entry}", event)
+        self._at(0.0, f"tcp://{entry}", event)
+        return handed
+
+    def cancel(self, entry: str, job: Job) -> None:
+        self._at(0.0, f"tcp://{entry}", CallerCancelled(job.submission))
 
-    def starts(self, submission: str) -> list[tuple[str, int]]:
-        """Return every start of a submission that any upstream has recorded."""
-        return [
-            start
-            for upstream in self.upstreams.values()
-            for start in upstream.starts
-            if start[0] == submission
-        ]
+    def starts(self) -> list[Began]:
+        """Return every start that any upstream has recorded."""
+        return [one for upstream in self.upstreams.values() for one in upstream.starts]
 
     # Time
 
@@ -286,7 +310,9 @@
             event = self.key_value.swap(effect)
             self._at(self.key_value.delay, process.address, event)
         elif isinstance(effect, Reply):
-            self.replies.setdefault(effect.submission, []).append(effect)
+            handed = self.handed[effect.waiter]
+            assert handed.reply is None, f"{effect.waiter} is answered twice"
+            handed.reply, handed.replied_at = effect, self.now
         elif isinstance(effect, Log):
             self.logs.append((self.now, process.name, effect))
         elif isinstance(effect, StopUpstream):
@@ -307,7 +333,8 @@
         upstream = self.upstreams[process.name]
         outcome = upstream.outcome
         if outcome is not UpstreamOutcome.NOT_SENT:
-            upstream.starts.append((effect.submission, effect.index))
+            began = Began(effect.submission, effect.index, self.now, process.name)
+            upstream.starts.append(began)
         seconds = max(effect.task.duration_ms, 1) / 1000
         body = b"answer to " + effect.task.body
         event = UpstreamAnswered(
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,90 @@
+"""Long randomised runs of the reducers: ``make soak``.
+
+Prints its seed first, so that a run can be repeated, and at the end how many
+scripts and faults of each kind it tried. A script that breaks a promise is
+printed in its smallest form, and the exit status is 1.
+"""
+
+import collections
+import secrets
+import sys
+import time
+
+import click
+from hypothesis import HealthCheck, Phase, given, seed as seeded, settings
+
+from features.support.judge import violations
+from features.support.script import SCRIPTS, play
+
+# Scripts between two looks at the clock.
+BATCH = 200
+
+
+class Tally:
+    """What has been tried so far."""
+
+    def __init__(self) -> None:
+        self.scripts = 0
+        self.steps: collections.Counter[str] = collections.Counter()
+        self.outcomes: collections.Counter[str] = collections.Counter()
+
+    def add(self, played) -> None:
+        """Count one script that has been run."""
+        self.scripts += 1
+        self.steps.update(played.counts)
+        for handed in played.bag.handed.values():
+            if handed.reply is not None:
+                self.outcomes[str(handed.reply.outcome)] += 1
+
+    def show(self) -> str:
+        """Return the tally as lines."""
+        steps = ", ".join(f"{name} {count}" for name, count in self.steps.items())
+        told = ", ".join(f"{name} {count}" for name, count in self.outcomes.items())
+        return f"scripts {self.scripts}\nsteps: {steps}\ncallers were told: {told}"
+
+
+def run_batch(seed: int, count: int, tally: Tally) -> None:
+    """Run some scripts.
+
+    :raises AssertionError: with the smallest script that breaks a promise.
+    """
+
+    @seeded(seed)
+    @settings(
+        max_examples=count,
+        database=None,
+        deadline=None,
+        suppress_health_check=list(HealthCheck),
+        phases=[Phase.generate, Phase.shrink],
+    )
+    @given(SCRIPTS)
+    def run(script):
+        played = play(script)
+        tally.add(played)
+        assert violations(played.bag) == [], violations(played.bag)
+
+    run()
+
+
+@click.command()
+@click.option("--seconds", default=3600.0, show_default=True, help="How long to run.")
+@click.option("--seed", type=int, default=None, help="Repeat a run by its seed.")
+def main(seconds: float, seed: int | None) -> None:
+    """Run random scripts of submissions and faults until time is up."""
+    seed = secrets.randbits(32) if seed is None else seed
+    click.echo(f"seed {seed}")
+    tally, end = Tally(), time.monotonic() + seconds
+    try:
+        while time.monotonic() < end:
+            run_batch(seed, BATCH, tally)
+            seed += 1
+    except Exception as error:
+        click.echo(f"failed at seed {seed}: {error}\n{tally.show()}")
+        for note in getattr(error, "__notes__", []):
+            click.echo(note)
+        sys.exit(1)
+    click.echo(f"{tally.show()}\nviolations 0")
+
+
+if __name__ == "__main__":
+    main()
