Takeover: wait for the old owner's last confirmation, not for 2P

Cause: a new owner waited 2P after fencing a majority, 2 of the 3.3 s between an owner's death and its jobs moving on. The wait is there for two things: starts by the old owner, and its word 'not run'. Starts: every agent that it could use is either fenced or counted as missing, and then a task without a record is called unknown, so no wait is needed. Its word: it has standing for P after a majority last confirmed it; each agent now says in Fenced when it last did. Ruled out: leaving the wait out (a refused caller could be told 'not run' while the new owner starts the task for a resubmission). Second fault, found by reading: a candidate that died between its swap and its fence left a record whose epoch nobody had seen, and the cell had no owner for ever. The epoch in question is now the record's, if it is higher.

--- a/src/cactuswalk/messages/cell.py
+++ b/src/cactuswalk/messages/cell.py
@@ -212,7 +212,11 @@
 
 
 class Fenced(msgspec.Struct, array_like=True, tag=32):
-    """An agent has taken the new epoch; here is a part of its records."""
+    """An agent has taken the new epoch; here is a part of its records.
+
+    :param silent_ms: since it last confirmed an earlier owner, when it was
+        fenced; a process that has just started counts from its start.
+    """
 
     cell: str
     epoch: int
@@ -221,6 +225,7 @@
     parts: int
     records: list[Record]
     announcement: Announcement | None
+    silent_ms: int
 
 
 class Witness(msgspec.Struct, array_like=True, tag=33):
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -75,6 +75,8 @@
         been pinged by yet.
     :param copies: records kept for others; the gate does not look at them,
         since a task may come here after it was declined elsewhere.
+    :param confirmed_at: when an owner of an epoch before the last fence was last
+        confirmed.
     :param fenced_epoch: the epoch whose fence took ``handed_out``, the records
         as they stood then; parts that are asked for again must not shift.
     :param configuration: revision in force here.
@@ -88,6 +90,7 @@
     heard_at: float = 0.0
     announcement: Announcement | None = None
     announcement_serial: int = 0
+    confirmed_at: float = 0.0
     fenced_epoch: int = 0
     handed_out: list[Record] = []
     configuration: int = 0
@@ -98,7 +101,7 @@
     """Return the state of an agent that has just been started."""
     records = gate.records
     copies = RecordBook(records.retention, records.maximum_bytes)
-    return AgentState(cell, gate, copies, heard_at=now)
+    return AgentState(cell, gate, copies, heard_at=now, confirmed_at=now)
 
 
 def on_announced(state: AgentState, event: Announced, now: float) -> None:
@@ -119,7 +122,10 @@
 def on_ping(state: AgentState, sender: str, ping: Ping, now: float) -> None:
     """The owner asks for a confirmation of its epoch."""
     gate = state.gate
+    earlier = gate.epoch
     if take_epoch(gate, ping.epoch, ping.owner):
+        if ping.epoch > earlier:
+            state.confirmed_at = state.heard_at
         state.heard_at = now
         state.roster = ping.roster
         if ping.announcement != state.announcement_serial and state.announcement:
@@ -224,9 +230,12 @@
 def on_fence(state: AgentState, sender: str, fence: Fence, now: float) -> None:
     """A new owner has taken the cell: end the old epochs, hand out records."""
     gate = state.gate
+    earlier = gate.epoch
     if not take_epoch(gate, fence.epoch, fence.owner):
         state.effects.append(Count("agent.fence.refused"))
         return
+    if fence.epoch > earlier:
+        state.confirmed_at = state.heard_at
     state.heard_at = now
     if state.fenced_epoch != fence.epoch:
         state.fenced_epoch = fence.epoch
@@ -242,6 +251,7 @@
             parts,
             state.handed_out[first : first + RECORDS_A_PART],
             state.announcement,
+            int((now - state.confirmed_at) * 1000),
         )
         state.effects.append(Send(sender, fenced))
 
--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -31,7 +31,8 @@
 class CandidateState(msgspec.Struct):
     """What an agent knows on its way to membership or ownership.
 
-    :param record: the cell's record as last read.
+    :param record: the cell's record as last read; its epoch was first read at
+        ``record_at``.
     :param asked_at: when the others were last asked whether they hear the owner.
     :param silent: workers that confirm its silence, in this round.
     :param written: the record of a swap that is under way.
@@ -46,6 +47,7 @@
     timing: Timing
     generator: random.Random
     record: CellRecord | None = None
+    record_at: float = 0.0
     read_at: float = float("-inf")
     asked_at: float = float("-inf")
     silent: set[str] = set()
@@ -81,8 +83,8 @@
         return
     if not _is_member(state):
         _seek_membership(state, now)
-    elif _silence(state, now) > state.timing.suspect + _stagger(state):
-        _ask_others(state, state.agent.roster, state.agent.gate.epoch, now)
+    if _silence(state, now) > state.timing.suspect + _stagger(state):
+        _ask_others(state, now)
 
 
 def _is_member(state: CandidateState) -> bool:
@@ -90,13 +92,28 @@
 
 
 def _silence(state: CandidateState, now: float) -> float:
-    """Return how long the owner has been silent, at most since the start."""
-    return now - state.agent.heard_at
+    """Return how long the owner has been silent.
+
+    One that took the cell a moment ago counts from when its record was first
+    read; it has yet to make itself heard.
+    """
+    heard_at = state.agent.heard_at
+    if state.record is not None and state.record.epoch > state.agent.gate.epoch:
+        heard_at = max(heard_at, state.record_at)
+    return now - heard_at
+
+
+def _in_question(state: CandidateState) -> tuple[int, list[Member]]:
+    """Return the epoch whose owner is missed, and its roster."""
+    record = state.record
+    if record is not None and record.epoch > state.agent.gate.epoch:
+        return record.epoch, record.roster
+    return state.agent.gate.epoch, state.agent.roster
 
 
 def _stagger(state: CandidateState) -> float:
     """Return an extra wait by rank, so that candidates don't race."""
-    roster = state.agent.roster or (state.record.roster if state.record else [])
+    _, roster = _in_question(state)
     workers = [member.worker for member in roster]
     worker = state.member.worker
     rank = workers.index(worker) if worker in workers else len(workers)
@@ -106,10 +123,6 @@
 def _seek_membership(state: CandidateState, now: float) -> None:
     if now - state.read_at >= state.timing.join:
         _read(state, now)
-    if state.record is None:
-        return
-    if _silence(state, now) > state.timing.suspect + _stagger(state):
-        _ask_others(state, state.record.roster, state.record.epoch, now)
 
 
 def _read(state: CandidateState, now: float) -> None:
@@ -117,11 +130,10 @@
     state.effects.append(ReadKey(cell_key(state.cell)))
 
 
-def _ask_others(
-    state: CandidateState, roster: list[Member], epoch: int, now: float
-) -> None:
+def _ask_others(state: CandidateState, now: float) -> None:
     """Ask the roster whether the owner is silent for them too."""
-    if now - state.asked_at < state.timing.ping:
+    epoch, roster = _in_question(state)
+    if now - state.asked_at < state.timing.ping or not roster:
         return
     state.asked_at = now
     state.silent = {state.member.worker}
@@ -129,7 +141,7 @@
     for member in roster:
         if member.worker != state.member.worker:
             state.effects.append(Send(member.address, Heard(state.cell, epoch)))
-    _take_if_confirmed(state, roster, epoch, now)
+    _take_if_confirmed(state, now)
 
 
 def on_heard_reply(state: CandidateState, reply: HeardReply, now: float) -> None:
@@ -139,15 +151,11 @@
     if reply.silent_ms < state.timing.suspect * 1000:
         return
     state.silent.add(reply.member.worker)
-    if _is_member(state):
-        _take_if_confirmed(state, state.agent.roster, state.agent.gate.epoch, now)
-    elif state.record is not None:
-        _take_if_confirmed(state, state.record.roster, state.record.epoch, now)
+    _take_if_confirmed(state, now)
 
 
-def _take_if_confirmed(
-    state: CandidateState, roster: list[Member], epoch: int, now: float
-) -> None:
+def _take_if_confirmed(state: CandidateState, now: float) -> None:
+    epoch, roster = _in_question(state)
     if state.wanted_epoch == epoch or state.written is not None:
         return
     agreeing = sum(member.worker in state.silent for member in roster)
@@ -175,6 +183,8 @@
         _write(state, None, 0, now)
         return None
     record = msgspec.json.decode(event.value, type=CellRecord)
+    if state.record is None or record.epoch > state.record.epoch:
+        state.record_at = now
     state.record = record
     if state.written is not None:
         return _settle_written(state, record, event.revision, now)
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -91,6 +91,7 @@
     :param backup_covers: departed members whose records are in the copies that
         are under way; ``departed_covered`` once they are confirmed.
     :param taken_over_at: when the fence was complete.
+    :param old_owner_until: until then an earlier owner may have standing.
     :param unsure_until: until then a task without a record may have run, at one
         of ``unsure_members``, whose records nobody has.
     :param cancelled: submissions cancelled before they came, and until when.
@@ -137,6 +138,7 @@
     # Recovery, see recovery.py.
     parts: dict[str, dict[int, list[Record]]] = {}
     fenced_at: float | None = None
+    old_owner_until: float = float("-inf")
     fence_sent_at: float = float("-inf")
     replaced: set[str] = set()
     earlier: CellRecord | None = None
--- a/src/cactuswalk/state/recovery.py
+++ b/src/cactuswalk/state/recovery.py
@@ -16,10 +16,9 @@
 
 __all__ = ["begin_recovery", "on_fenced", "recover"]
 
-# Spans of P that a new owner waits once it has fenced more than half: the old
-# owner decides for one P after that, and what it decided passes an agent's gate
-# for one more.
-FENCE_WAIT_SPANS = 2
+# How long members that may still answer the fence are waited for, in spans of P.
+# Without their records, tasks that have none have to be called unknown.
+STRAGGLER_SPANS = 1
 
 
 def begin_recovery(state: OwnerState, earlier: CellRecord | None, now: float) -> None:
@@ -54,6 +53,7 @@
     if fenced.epoch != state.record.epoch:
         state.deposed = state.deposed or fenced.epoch > state.record.epoch
         return
+    _note_confirmation(state, fenced, now)
     peer = state.peers.get(fenced.member.incarnation)
     if peer is None:
         _note_replaced(state, fenced.member)
@@ -80,6 +80,13 @@
     recover(state, now)
 
 
+def _note_confirmation(state: OwnerState, fenced: Fenced, now: float) -> None:
+    """Put off serving for P after a member's last word to an earlier owner."""
+    confirmed_at = now - fenced.silent_ms / 1000
+    until = confirmed_at + state.timing.confirm
+    state.old_owner_until = max(state.old_owner_until, until)
+
+
 def _take_record(state: OwnerState, record: Record, now: float) -> None:
     known = state.recovered.get(record.submission, record.index)
     state.recovered.put(record if known is None else newer(known, record), now)
@@ -116,13 +123,22 @@
 
 
 def _may_serve(state: OwnerState, now: float) -> bool:
-    if not _missing(state):
+    """Tell whether the old owner is certainly out, and the records are in.
+
+    It is out once all members are fenced, its own agent among them; or once P
+    has passed since any of a fenced majority last confirmed it, because each
+    majority that it could count on shares a member with the fenced one.
+    """
+    missing = _missing(state)
+    if not missing:
         return True
-    if not _majority(state):
+    if not _majority(state) or now < state.old_owner_until:
         return False
     if state.fenced_at is None:
         state.fenced_at = now
-    return now >= state.fenced_at + FENCE_WAIT_SPANS * state.timing.confirm
+    if state.earlier is not None and missing == [state.earlier.owner]:
+        return True
+    return now >= state.fenced_at + STRAGGLER_SPANS * state.timing.confirm
 
 
 def _members_without_records(state: OwnerState) -> list[Member]:
