--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -1,7 +1,7 @@
 """Measure what each role costs by each of its drivers, and write the tables.
 
     python -m tools.slopes             # measure, write the pages
-    python -m tools.slopes --counts    # and set tools/counts.json to this run
+    python -m tools.slopes --counts    # only set tools/counts.json
 
 Counts are exact: a feature compares a fresh small run with the checked-in ones.
 """
@@ -12,13 +12,14 @@
 
 from tools.capacity import capacity_blocks
 from tools.capacity_failures import failure_block
+from tools.fits import FEWEST_SIZES
 from tools.series import Series, counts_of, describe
 from tools.slopes_cell import cell_series
 from tools.slopes_entry import entry_series
 from tools.slopes_process import process_series
 from tools.tables import ROOT, replace_block
 
-__all__ = ["COUNTS", "main", "measure", "small_counts"]
+__all__ = ["COUNTS", "main", "small_counts"]
 
 COUNTS = ROOT / "tools" / "counts.json"
 PAGE = ROOT / "docs" / "measurements" / "slopes.md"
@@ -42,23 +43,29 @@
     return cell_series() + entry_series() + process_series()
 
 
-def measure(names: tuple[str, ...] = ()) -> list[Series]:
-    """Measure the named series, or all, one after the other."""
-    chosen = [one for one in all_series() if not names or one.name in names]
+def small_counts() -> dict:
+    """Return the exact counts of the series and sizes that CI takes again."""
+    chosen = [one for one in all_series() if one.name in SMALL]
     for one in chosen:
+        one.sizes = one.sizes[:FEWEST_SIZES]
         one.run()
-    return chosen
+    return counts_of(chosen)
 
 
-def small_counts() -> dict:
-    """Return the exact counts of the series that CI takes again."""
-    return counts_of(measure(SMALL))
+def write_counts() -> None:
+    """Set the checked-in counts to a fresh small run."""
+    text = json.dumps(small_counts(), indent=1)
+    COUNTS.write_text(f"{text}\n", encoding="utf-8")
+    click.echo(f"wrote {COUNTS.name}")
 
 
 @click.command()
-@click.option("--counts", is_flag=True, help="Set the checked-in counts to this run.")
+@click.option("--counts", is_flag=True, help="Only set the checked-in counts.")
 def main(counts: bool) -> None:
     """Measure all slopes, and write the tables of the two pages."""
+    if counts:
+        write_counts()
+        return
     measured = all_series()
     for one in measured:
         click.echo(f"measuring: {one.name}")
@@ -68,11 +75,6 @@
     for name, text in capacity_blocks(measured).items():
         replace_block(CAPACITY, name, text)
     replace_block(CAPACITY, "failures", failure_block(measured))
-    if counts:
-        chosen = [one for one in measured if one.name in SMALL]
-        text = json.dumps(counts_of(chosen), indent=1)
-        COUNTS.write_text(f"{text}\n", encoding="utf-8")
-        click.echo(f"wrote {COUNTS.name}")
 
 
 if __name__ == "__main__":
