Metrics flush themselves in a loop; peers may name their public key

Cause: the runtime calls count and gauge but never flush, so nothing would have been sent; and its addresses carry '?key=', which the settings refused.

--- a/features/http_logs_metrics.feature
+++ b/features/http_logs_metrics.feature
@@ -25,6 +25,13 @@
       | glenmorrow.owner.queued:5\|g            |
       | glenmorrow.upstream.call:12.000000\|ms  |
 
+  Scenario: In a loop, metrics are sent without being asked for
+    Given a statsd server and metrics that go to it
+    When a start is counted in a loop that runs for a while
+    Then the statsd server gets, in packets of at most 1200 bytes
+      | line                         |
+      | glenmorrow.agent.starts:1\|c |
+
   Scenario: A statsd server that is away costs nothing
     The metrics host is being replaced. Its absence must never reach a caller.
     Given metrics that go to a statsd server that is away
--- a/features/settings_files.feature
+++ b/features/settings_files.feature
@@ -45,14 +45,23 @@
       | cell    | ping_period_ms | 600      |
       | labels  | no_space       | a b      |
       | process | rack           |          |
+      | peers   | addresses      | tcp://10.1.0.4:7000?key=1 |
     When the settings are loaded
     Then the settings mistakes are
       | section | option         | remedy              |
       | process | rack           | Use up to 63        |
       | labels  | no_space       | Use up to 63        |
       | http    | host           | Give 127.0.0.1      |
+      | peers   | addresses      | Write tcp://IP:PORT?key=HEX |
       | cell    | ping_period_ms | Give at most 333    |
 
+  Scenario: A peer may be written with the key to be found there
+    Given settings of an agent with these options changed
+      | section | option    | value                                                                                              |
+      | peers   | addresses | tcp://10.1.0.4:7000, tcp://[::1]:7000?key=00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff00ff |
+    When the settings are loaded
+    Then the settings name the data centre "Dingwall"
+
   Scenario: A missing file and a file that is no INI are told apart
     When settings are loaded from a file that is not there
     Then the settings mistakes are
--- a/features/steps/logs_metrics_steps.py
+++ b/features/steps/logs_metrics_steps.py
@@ -14,7 +14,7 @@
 from cactuswalk.runtime.metrics import make_metrics
 from cactuswalk.settings import LogSettings, StatsdSettings
 from cactuswalk.state.effects import Log, Part
-from features.edges_support import add_clean_up
+from features.edges_support import add_clean_up, run, until
 
 
 @given('a log file of the process "{process}" at level "{level}"')
@@ -120,6 +120,17 @@
     for _ in range(timings):
         context.metrics.timing("upstream.call", 12)
     context.metrics.flush()
+    context.sent = timings + 2
+
+
+@when("a start is counted in a loop that runs for a while")
+def step_count_in_loop(context):
+    async def count():
+        context.metrics.count("agent.starts")
+        await until(lambda: context.metrics.timer is None)
+
+    run(context, count())
+    context.sent = 1
 
 
 @then("the statsd server gets, in packets of at most {size:d} bytes")
@@ -130,7 +141,7 @@
         packet = context.statsd.recv(65_536)
         assert len(packet) <= size, len(packet)
         lines += packet.decode().split("\n")
-    assert len(lines) == 5, lines
+    assert len(lines) == context.sent, lines
 
 
 @then("nothing is raised, then or with the next ones")
--- a/src/cactuswalk/settings/converters.py
+++ b/src/cactuswalk/settings/converters.py
@@ -19,6 +19,7 @@
     "name",
     "number",
     "one_of",
+    "peer_address",
     "text",
     "token_digest",
     "url",
@@ -31,6 +32,7 @@
 NAME_REMEDY = "Use up to 63 letters, digits, '-' and '_', a letter or digit first."
 
 _Z85 = re.compile(r"[0-9a-zA-Z.\-:+=^!/*?&<>()\[\]{}@%$#]{40}")
+_CURVE_HEX = re.compile(r"[0-9a-f]{64}")
 _SHA256 = re.compile(r"[0-9a-f]{64}")
 
 
@@ -124,6 +126,16 @@
     return written
 
 
+def peer_address(written: str) -> str:
+    """Take a message address, with the public key to be found there if any."""
+    address, separator, key = written.partition("?key=")
+    if separator and not _CURVE_HEX.fullmatch(key):
+        remedy = "Write tcp://IP:PORT?key=HEX, as docs/operations/settings.md shows."
+        raise Rejected("names no public key", remedy)
+    message_address(address)
+    return written
+
+
 def url(written: str) -> str:
     """Take an ``http://`` or ``https://`` address without a path."""
     remedy = "Write http://IP:PORT or https://IP:PORT."
--- a/src/cactuswalk/settings/shared.py
+++ b/src/cactuswalk/settings/shared.py
@@ -6,9 +6,9 @@
     each,
     existing_file,
     ip_address,
-    message_address,
     number,
     one_of,
+    peer_address,
     text,
     url,
     z85_key,
@@ -122,7 +122,7 @@
 def read_peers(reader: Reader) -> list[str]:
     """Read whom to ask for the configuration while the service is away."""
     reader.has("peers")
-    return reader.get("peers", "addresses", each(message_address), [])
+    return reader.get("peers", "addresses", each(peer_address), [])
 
 
 def read_curve(reader: Reader) -> CurveSettings | None:
