--- a/src/cactuswalk/http/problems.py
+++ b/src/cactuswalk/http/problems.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from cactuswalk.errors import CactuswalkError
 from cactuswalk.model import Outcome, Refusal, RefusalCode
 
 __all__ = [
@@ -182,11 +183,13 @@
     tasks: list[dict[str, object]] = []
 
 
-class ProblemError(Exception):
+class ProblemError(CactuswalkError):
     """Ends the handling of a request with a problem."""
 
     def __init__(self, problem: Problem, headers: dict[str, str] | None = None) -> None:
-        super().__init__(problem.detail)
+        remedy = problem.remedy or PROBLEM_KINDS[problem.code].remedy
+        super().__init__(problem.detail, remedy)
+        self.code = problem.code
         self.problem = problem
         self.headers = headers or {}
 
--- a/src/cactuswalk/http/upstream.py
+++ b/src/cactuswalk/http/upstream.py
@@ -5,6 +5,7 @@
 since the upstream may have done the work.
 """
 
+import logging
 import time
 from types import SimpleNamespace
 from urllib.parse import quote
@@ -12,11 +13,14 @@
 import aiohttp
 from yarl import URL
 
+from cactuswalk.errors import CactuswalkError
 from cactuswalk.state.effects import CallUpstream, StopUpstream
 from cactuswalk.state.events import UpstreamAnswered, UpstreamOutcome
 
 __all__ = ["MAXIMUM_ANSWER_BYTES", "UpstreamClient"]
 
+logger = logging.getLogger(__name__)
+
 # The brief's guard: 64 connections to an upstream, until it announces its own.
 DEFAULT_CONNECTIONS = 64
 
@@ -37,17 +41,35 @@
 STOP_TIMEOUT_SECONDS = 2.0
 
 
-class AnswerTooLargeError(Exception):
+class CallError(CactuswalkError):
+    """A call of an upstream that is not made, or whose answer doesn't count."""
+
+    code = "upstream_call"
+
+
+class NotConnectedError(CallError):
+    """The call is not made; nothing of it has left."""
+
+    code = "upstream_not_connected"
+
+
+class AnswerTooLargeError(CallError):
     """The upstream's answer is above the limit."""
 
+    code = "upstream_answer_too_large"
+
 
-class AnswerUnboundedError(Exception):
+class AnswerUnboundedError(CallError):
     """An answer without a length: one that is cut short would look whole."""
 
+    code = "upstream_answer_unbounded"
 
-class AnswerMixedUpError(Exception):
+
+class AnswerMixedUpError(CallError):
     """An answer that does not name the request that it was read for."""
 
+    code = "upstream_answer_mixed_up"
+
 
 class UpstreamClient:
     """Calls to one upstream.
@@ -107,14 +129,20 @@
             status, body = ANSWER_TOO_LARGE_STATUS, str(error).encode()
         except (
             aiohttp.ClientError,
-            AnswerMixedUpError,
-            AnswerUnboundedError,
+            CallError,
             OSError,
             TimeoutError,
             ValueError,
-        ):
+        ) as error:
             if not trace.connected:
                 outcome = UpstreamOutcome.NOT_SENT
+            logger.warning(
+                "task %d of %s is %s at the upstream: %r",
+                effect.index,
+                effect.submission,
+                outcome.value,
+                error,
+            )
         finally:
             self.in_flight -= 1
         return UpstreamAnswered(
@@ -151,9 +179,15 @@
         self, effect: CallUpstream, trace: SimpleNamespace
     ) -> tuple[int, bytes]:
         if self.url is None or self.fresh is None:
-            raise aiohttp.ClientConnectionError("no upstream has announced itself")
+            raise NotConnectedError(
+                "no upstream has announced itself",
+                "Have the upstream announce itself; see docs/upstreams.md.",
+            )
         if self.in_flight > self.connections:
-            raise aiohttp.ClientConnectionError("every connection is in use")
+            raise NotConnectedError(
+                f"all {self.connections} connections are in use",
+                "Have the upstream announce more connections than slots.",
+            )
         session, echo = self.fresh, {}
         identity = {
             "Cactuswalk-Submission": effect.submission,
@@ -204,7 +238,10 @@
         if response.headers.get(name) != value:
             # What else comes on this connection is some other request's too.
             response.close()
-            raise AnswerMixedUpError
+            raise AnswerMixedUpError(
+                f"{name} is {response.headers.get(name)} in the answer to {value}",
+                "Repeat the request's headers in the answer, or announce no echoes.",
+            )
 
 
 async def _read_whole(response: aiohttp.ClientResponse) -> bytes:
@@ -212,12 +249,16 @@
     length = response.content_length
     chunked = "chunked" in response.headers.get("Transfer-Encoding", "").lower()
     if length is None and not chunked and response.status not in (204, 304):
-        raise AnswerUnboundedError
+        raise AnswerUnboundedError(
+            "the answer has no length",
+            "Have the upstream send Content-Length or chunks.",
+        )
     body = bytearray()
     async for chunk in response.content.iter_any():
         body += chunk
         if len(body) > MAXIMUM_ANSWER_BYTES:
             raise AnswerTooLargeError(
-                f"the answer is above {MAXIMUM_ANSWER_BYTES} bytes"
+                f"the answer is above {MAXIMUM_ANSWER_BYTES} bytes",
+                "Have the upstream answer less, such as where to fetch the rest.",
             )
     return bytes(body)
--- a/src/cactuswalk/runtime/logs.py
+++ b/src/cactuswalk/runtime/logs.py
@@ -112,7 +112,7 @@
 
 
 class LibraryHandler(logging.Handler):
-    """Writes what libraries log, such as a handler that raised, as our lines."""
+    """Writes what libraries and the HTTP edges log as lines of their parts."""
 
     def __init__(self, process: str) -> None:
         super().__init__(logging.WARNING)
@@ -120,12 +120,13 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write one record."""
+        part = "http" if record.name.startswith("cactuswalk.") else "library"
         eliot.log_message(
             message_type=MESSAGE_TYPE,
             level=record.levelname.lower(),
-            part="library",
+            part=part,
             process=self.process,
-            message=f"library: {self.format(record)}",
+            message=f"{part}: {self.format(record)}",
             logger=record.name,
         )
 
--- a/src/cactuswalk/settings/converters.py
+++ b/src/cactuswalk/settings/converters.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 from urllib.parse import urlsplit
 
-from cactuswalk.settings.reader import Rejected
+from cactuswalk.settings.reader import RejectedValueError
 
 __all__ = [
     "NAME_REMEDY",
@@ -39,7 +39,7 @@
 def text(written: str) -> str:
     """Take any text that is not empty."""
     if not written:
-        raise Rejected("is empty", "Give a value or remove the line.")
+        raise RejectedValueError("is empty", "Give a value or remove the line.")
     return written
 
 
@@ -51,7 +51,7 @@
 def name(written: str) -> str:
     """Take a name."""
     if not is_name(written):
-        raise Rejected("is no name", NAME_REMEDY)
+        raise RejectedValueError("is no name", NAME_REMEDY)
     return written
 
 
@@ -61,10 +61,10 @@
     def convert(written: str) -> int:
         remedy = f"Give a whole number from {lowest} to {highest}."
         if not re.fullmatch(r"-?[0-9]{1,18}", written):
-            raise Rejected("is no whole number", remedy)
+            raise RejectedValueError("is no whole number", remedy)
         value = int(written)
         if not lowest <= value <= highest:
-            raise Rejected("is out of bounds", remedy)
+            raise RejectedValueError("is out of bounds", remedy)
         return value
 
     return convert
@@ -75,7 +75,9 @@
 
     def convert(written: str) -> str:
         if written not in choices:
-            raise Rejected("is no choice", f"Give one of: {', '.join(choices)}.")
+            raise RejectedValueError(
+                "is no choice", f"Give one of: {', '.join(choices)}."
+            )
         return written
 
     return convert
@@ -96,7 +98,7 @@
         return str(ipaddress.ip_address(written))
     except ValueError:
         remedy = "Give an IP number such as 127.0.0.1; names are not looked up."
-        raise Rejected("is no IP number", remedy) from None
+        raise RejectedValueError("is no IP number", remedy) from None
 
 
 def loopback_address(written: str) -> str:
@@ -104,7 +106,7 @@
     address = ip_address(written)
     if not ipaddress.ip_address(address).is_loopback:
         remedy = "Give 127.0.0.1: only the upstream beside the agent may announce."
-        raise Rejected("is not on the loopback", remedy)
+        raise RejectedValueError("is not on the loopback", remedy)
     return address
 
 
@@ -116,13 +118,13 @@
         host, port = parts.hostname, parts.port
         address = ipaddress.ip_address(host or "")
     except ValueError:
-        raise Rejected("is no message address", remedy) from None
+        raise RejectedValueError("is no message address", remedy) from None
     rest = parts.path or parts.query or parts.fragment or parts.username
     if parts.scheme != "tcp" or not port or rest:
-        raise Rejected("is no message address", remedy)
+        raise RejectedValueError("is no message address", remedy)
     if address.is_unspecified:
         remedy = "Give the IP number at which the other processes reach this one."
-        raise Rejected("can't be reached by others", remedy)
+        raise RejectedValueError("can't be reached by others", remedy)
     return written
 
 
@@ -131,7 +133,7 @@
     address, separator, key = written.partition("?key=")
     if separator and not _CURVE_HEX.fullmatch(key):
         remedy = "Write tcp://IP:PORT?key=HEX, as docs/operations/settings.md shows."
-        raise Rejected("names no public key", remedy)
+        raise RejectedValueError("names no public key", remedy)
     message_address(address)
     return written
 
@@ -146,7 +148,7 @@
     except ValueError:
         known = False
     if not known or parts.path.strip("/") or parts.query or parts.fragment:
-        raise Rejected("is no endpoint", remedy)
+        raise RejectedValueError("is no endpoint", remedy)
     return written.rstrip("/")
 
 
@@ -157,14 +159,16 @@
             return written
     except OSError as error:
         remedy = "Give the path of a file that this process may read."
-        raise Rejected(f"can't be opened ({error.strerror})", remedy) from None
+        raise RejectedValueError(
+            f"can't be opened ({error.strerror})", remedy
+        ) from None
 
 
 def token_digest(written: str) -> str:
     """Take the SHA-256 of a token in hexadecimal."""
     if not _SHA256.fullmatch(written):
         remedy = "Give 64 hexadecimal digits: printf %s TOKEN | sha256sum."
-        raise Rejected("is no SHA-256 of a token", remedy)
+        raise RejectedValueError("is no SHA-256 of a token", remedy)
     return written
 
 
@@ -172,5 +176,5 @@
     """Take a CURVE key in ZeroMQ's Z85 text."""
     if not _Z85.fullmatch(written):
         remedy = "Give the 40 characters that zmq.curve_keypair() returns."
-        raise Rejected("is no CURVE key", remedy)
+        raise RejectedValueError("is no CURVE key", remedy)
     return written
--- a/src/cactuswalk/settings/entry.py
+++ b/src/cactuswalk/settings/entry.py
@@ -13,7 +13,7 @@
     number,
     token_digest,
 )
-from cactuswalk.settings.reader import Reader, Rejected
+from cactuswalk.settings.reader import Reader, RejectedValueError
 from cactuswalk.settings.retention import read_retention_seconds
 from cactuswalk.settings.shared import (
     CurveSettings,
@@ -197,8 +197,8 @@
     # A token itself, pasted where its digest belongs, must not reach a log.
     try:
         digests = each(token_digest)(written)
-    except Rejected as rejected:
-        reader.note(section, key, "", rejected.reason, rejected.remedy)
+    except RejectedValueError as rejected:
+        reader.note(section, key, "", rejected.message, rejected.remedy)
         return []
     if not digests:
         remedy = "Give the SHA-256 of the token: printf %s TOKEN | sha256sum."
--- a/src/cactuswalk/settings/reader.py
+++ b/src/cactuswalk/settings/reader.py
@@ -10,7 +10,7 @@
 
 from cactuswalk.errors import SettingsError
 
-__all__ = ["InvalidSettingsError", "Mistake", "Reader", "Rejected"]
+__all__ = ["InvalidSettingsError", "Mistake", "Reader", "RejectedValueError"]
 
 _REQUIRED = object()
 
@@ -48,13 +48,8 @@
         self.mistakes = mistakes
 
 
-class Rejected(Exception):  # noqa: N818 (never leaves this package)
-    """A value that a converter can't take, with its reason and remedy."""
-
-    def __init__(self, reason: str, remedy: str) -> None:
-        super().__init__(reason)
-        self.reason = reason
-        self.remedy = remedy
+class RejectedValueError(SettingsError):
+    """A value that a converter can't take; the reader makes a mistake of it."""
 
 
 class Reader:
@@ -103,9 +98,9 @@
             return fallback
         try:
             return convert(written.strip())
-        except Rejected as rejected:
+        except RejectedValueError as rejected:
             shown = "" if secret else written.strip()
-            self.note(section, key, shown, rejected.reason, rejected.remedy)
+            self.note(section, key, shown, rejected.message, rejected.remedy)
             return fallback
 
     def items(self, section: str) -> list[tuple[str, str]]:
--- a/src/cactuswalk/settings/retention.py
+++ b/src/cactuswalk/settings/retention.py
@@ -18,5 +18,5 @@
     """
     reader.has("retention")
     return reader.get(
-        "retention", "seconds", number(10, 86_400), DEFAULT_RETENTION_SECONDS
+        "retention", "seconds", number(30, 86_400), DEFAULT_RETENTION_SECONDS
     )
