A stopped task ends with a 5xx, which the agent takes for failed

The agent's reducer takes a status below 500 for a whole answer (seat taken is one), so the stand-in's 409 made a cancelled job 'answered' (seen in a trial of the whole path on a scratch copy).

--- a/features/upstream_calls.feature
+++ b/features/upstream_calls.feature
@@ -104,5 +104,5 @@
   Scenario: A running task is stopped
     Given an upstream stand-in that the client calls
     When a running task of "schools/c" is stopped at the upstream
-    Then the upstream call is "answered" with status 409
+    Then the upstream call is "answered" with status 503
     And the record of the upstream reads "start, stop, end"
