--- a/features/edges_support.py
+++ b/features/edges_support.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import time
+from pathlib import Path
 
 import aiohttp
 from aiohttp import web
 
 from standins.upstream import Options, StandInUpstream, make_application
 
+EXAMPLES = Path(__file__).resolve().parent.parent / "examples"
 PATIENCE_SECONDS = 10
 
 
--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -17,6 +17,7 @@
 from cactuswalk.settings import load_agent
 from cactuswalk.state.effects import CallUpstream
 from features.edges_support import (
+    EXAMPLES,
     add_clean_up,
     request,
     run,
@@ -25,8 +26,6 @@
     wait_until,
 )
 
-EXAMPLES = Path(__file__).resolve().parent.parent.parent / "examples"
-
 
 @given("an agent's announcement application")
 def step_application(context, expire_seconds=EXPIRE_SECONDS):
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -1,19 +1,12 @@
-"""Steps for the callers' interface."""
+"""Steps for what callers are answered."""
 
 import asyncio
-import datetime
-import hashlib
 import json
-import random
 import uuid
-from pathlib import Path
 
 import aiohttp
 from behave import given, then, when
-from hypothesis import given as for_all, settings as hypothesis_settings, strategies
-from yarl import URL
 
-from cactuswalk.http import EntryCallables, HttpServer, make_callers_application
 from cactuswalk.messages import Answer, JobState
 from cactuswalk.model import (
     Outcome,
@@ -21,93 +14,27 @@
     RefusalCode,
     TaskOutcome,
     TaskResult,
-    mint,
 )
-from cactuswalk.settings import CallerIdentity, HttpSettings, load_entry
 from cactuswalk.state.effects import Reply
-from features.edges_support import add_clean_up, request, run, until
-
-EXAMPLES = Path(__file__).resolve().parent.parent.parent / "examples"
-NOW = datetime.datetime(2026, 12, 2, 11, tzinfo=datetime.UTC).timestamp()
-NOW_MS = int(NOW * 1000)
-UUID7 = mint(NOW_MS - 5000, random.Random(7))
-TOKEN = {"Authorization": "Bearer demo-desk-token"}
-OTHER_TOKEN = {"Authorization": "Bearer demo-gate-token"}
-SECRET = "body-of-a-task"
-
-
-class FakeEntry:
-    """Answers each task by its own body, or as a scenario says."""
-
-    def __init__(self):
-        self.events, self.gone, self.cancelled = [], [], []
-        self.reply, self.state = self.echo, None
-        self.released = asyncio.Event()
-
-    async def submit(self, event):
-        self.events.append(event)
-        return await self.reply(event)
-
-    async def query(self, submission, service):
-        return self.state(submission) if self.state else None
-
-    async def echo(self, event):
-        results = [
-            TaskResult(index, TaskOutcome.DONE, 200, task.body)
-            for index, task in enumerate(event.job.tasks)
-        ]
-        return Reply(
-            event.waiter, event.job.submission, Outcome.ANSWERED, results, None
-        )
-
-    async def late(self, event):
-        await self.released.wait()
-        return await self.echo(event)
+from features.callers_support import (
+    NOW_MS,
+    OK,
+    OTHER_TOKEN,
+    SECRET,
+    TOKEN,
+    UUID7,
+    assert_problem,
+    job_of,
+    open_callers,
+    post,
+    send,
+)
+from features.edges_support import run, until
 
 
 @given("a callers' application before a fake entry")
 def step_application(context):
-    settings = load_entry(EXAMPLES / "glenmorrow-entry.ini")
-    digest = hashlib.sha256("žeton".encode()).hexdigest()
-    settings.callers[digest] = CallerIdentity("other", "other")
-    entry = context.entry = FakeEntry()
-    callables = EntryCallables(
-        submit=entry.submit,
-        gone=entry.gone.append,
-        cancel=entry.cancelled.append,
-        query=entry.query,
-        not_ready=list,
-    )
-    application = make_callers_application(
-        settings, callables, lambda: NOW, random.Random(1)
-    )
-    context.settings = settings
-    context.server = HttpServer(application, HttpSettings("127.0.0.1", 0), 5)
-    run(context, context.server.start())
-    add_clean_up(context, lambda: run(context, stop_server(context)))
-    context.base = f"http://127.0.0.1:{context.server.port}"
-
-
-async def stop_server(context):
-    context.entry.released.set()
-    await context.server.stop()
-
-
-def send(context, method, path, headers=None, body=b"", token=TOKEN):
-    merged = list((token or {}).items()) + list((headers or {}).items())
-    url = path if isinstance(path, URL) else f"{context.base}{path}"
-    answer = request(context, method, url, headers=merged, data=body)
-    context.status, context.headers, context.body = answer
-
-
-def post(context, service, body, headers=None, kind="requests", **arguments):
-    path = f"/v1/services/{service}/{kind}"
-    send(context, "POST", path, headers, body, **arguments)
-
-
-def job_of(count):
-    tasks = [{"body": {"task": index, "what": SECRET}} for index in range(count)]
-    return json.dumps({"tasks": tasks}).encode()
+    open_callers(context)
 
 
 @when('a caller posts the request {body} to "{service}"')
@@ -175,74 +102,12 @@
     assert [result["body"]["task"] for result in results] == list(range(count))
 
 
-OK = b'{"pupil": 7}'
-TOMORROW = mint(NOW_MS + 86_400_000, random.Random(3))
-BAD_INPUT = {
-    "no token": {"token": None},
-    "an unknown token": {"token": {"Authorization": "Bearer x"}},
-    "a body over the limit": {"body": b'"' + b"x" * (1 << 20) + b'"'},
-    "an encoded body": {"headers": {"Content-Encoding": "gzip"}},
-    "a body of XML": {"headers": {"Content-Type": "text/xml"}},
-    "malformed JSON": {"body": b'{"pupil": '},
-    "an empty body": {"body": b""},
-    "deeply nested JSON": {"body": b"[" * 100_000},
-    "a job of 0 tasks": {"body": job_of(0), "kind": "jobs"},
-    "a job of 141 tasks": {"body": job_of(141), "kind": "jobs"},
-    "a job with a stray field": {"body": b'{"tasks":[],"x":1}', "kind": "jobs"},
-    "a job that is a list": {"body": b"[]", "kind": "jobs"},
-    "a past deadline": {"headers": {"Cactuswalk-Deadline-Ms": "-5"}},
-    "a deadline of one year": {"headers": {"Cactuswalk-Deadline-Ms": "31536000000"}},
-    "a deadline in words": {"headers": {"Cactuswalk-Deadline-Ms": "soon"}},
-    "a selector cut short": {"headers": {"Cactuswalk-Selector": "rack in (r1"}},
-    "a selector of odd bytes": {"headers": {"Cactuswalk-Selector": "\udcff=1"}},
-    "a misspelt header": {"headers": {"Cactuswalk-Deadline": "5"}},
-    "a job's header selector": {
-        "headers": {"Cactuswalk-Selector": "size=large"},
-        "body": job_of(1),
-        "kind": "jobs",
-    },
-    "idempotent by a word": {"headers": {"Cactuswalk-Idempotent": "yes"}},
-    "a service that is none": {"service": "a%20b"},
-    "a key with a slash": {"headers": {"Idempotency-Key": "a/b"}},
-    "a key without a birth": {"headers": {"Idempotency-Key": "order-17"}},
-    "a key from tomorrow": {"headers": {"Idempotency-Key": TOMORROW}},
-    "a first-sent in words": {
-        "headers": {"Idempotency-Key": "a", "Cactuswalk-First-Sent": "today"}
-    },
-    "a first-sent without key": {
-        "headers": {"Cactuswalk-First-Sent": "2026-12-02T10:59:00Z"}
-    },
-}
-
-
-@when("a caller sends bad input: {kind}")
-def step_bad_input(context, kind):
-    if kind == "an unknown path":
-        send(context, "POST", "/v2/x", body=OK)
-    elif kind == "a path of odd bytes":
-        send(context, "GET", URL(f"{context.base}/%FF%2F", encoded=True))
-    elif kind == "a wrong method":
-        send(context, "PUT", "/v1/services/booking/requests", body=OK)
-        assert context.headers["Allow"] == "POST", context.headers
-    elif kind == "two deadlines":
-        headers = [*TOKEN.items(), *[("Cactuswalk-Deadline-Ms", "9")] * 2]
-        url = f"{context.base}/v1/services/booking/requests"
-        answer = request(context, "POST", url, headers=headers, data=OK)
-        context.status, context.headers, context.body = answer
-    else:
-        post(context, **{"service": "booking", "body": OK} | BAD_INPUT[kind])
-
-
 @then(
     'the caller gets the problem "{code}" with status {status:d} and the outcome '
     '"{outcome}"'
 )
 def step_problem(context, code, status, outcome):
-    problem = json.loads(context.body)
-    assert context.headers["Content-Type"] == "application/problem+json"
-    assert (problem["code"], context.status) == (code, status), problem
-    assert problem["status"] == status and problem["outcome"] == outcome, problem
-    assert problem["remedy"] and problem["detail"] and problem["title"], problem
+    assert_problem(context, code, status, outcome)
 
 
 @then("the entry was handed nothing")
@@ -250,22 +115,6 @@
     assert context.entry.events == []
 
 
-@when("a caller posts a request with the key {key} and first sent {first_sent}")
-def step_key(context, key, first_sent):
-    headers = {"Idempotency-Key": key.replace("a UUIDv7", UUID7)}
-    if first_sent != "never":
-        headers["Cactuswalk-First-Sent"] = first_sent
-    post(context, "booking", OK, headers)
-
-
-@then("the entry was handed a request born at {born}")
-def step_born(context, born):
-    (event,) = context.entry.events
-    assert not event.minted and context.status == 200, context.body
-    wanted = NOW_MS - (5000 if born == "the key's birth" else 60_000)
-    assert event.job.born_ms == wanted, event
-
-
 @given("{count:d} caller may wait at a time")
 def step_limit(context, count):
     context.settings.limits.waiting_requests = count
@@ -306,34 +155,6 @@
     assert context.headers["Retry-After"] == str(seconds), context.headers
 
 
-def fingerprint_of(context, changed):
-    fields = {"service": "route-planning", "body": '{"pupil": 7}'}
-    headers = {
-        "Idempotency-Key": "order-17",
-        "Cactuswalk-First-Sent": "2026-12-02T10:59:00Z",
-    }
-    for name, value in changed.items():
-        (fields if name in fields else headers)[name] = value
-    post(context, fields["service"], fields["body"].encode(), headers)
-    assert context.status == 200, context.body
-    return context.entry.events[-1].job.fingerprint
-
-
-@then("changing any of these changes the fingerprint, and a repetition doesn't")
-def step_fingerprints(context):
-    first = context.first = fingerprint_of(context, {})
-    assert fingerprint_of(context, {}) == first
-    changed = [json.loads(row["changed"].replace("\\\\", "")) for row in context.table]
-    others = [fingerprint_of(context, fields) for fields in changed]
-    assert len({first, *others}) == len(others) + 1
-
-
-@then("the fingerprint does not hang on the deadline")
-def step_deadline_free(context):
-    deadline = {"Cactuswalk-Deadline-Ms": "77"}
-    assert fingerprint_of(context, deadline) == context.first
-
-
 @then("each refusal code is told with each outcome, status, remedy and Retry-After")
 def step_refusals(context):
     for code in RefusalCode:
@@ -496,71 +317,3 @@
     context.entry.state = None
     send(context, "GET", context.location)
     step_problem(context, code, 503, "unknown")
-
-
-HEADER_NAMES = [
-    *("Idempotency-Key", "Cactuswalk-First-Sent", "Cactuswalk-Deadline-Ms"),
-    *("Cactuswalk-Idempotent", "Cactuswalk-Selector", "Cactuswalk-Key"),
-    *("Cactuswalk-Duration-Ms", "Cactuswalk-Memory-Mb", "Prefer", "Content-Type"),
-    *("Cactuswalk-Accelerators", "Cactuswalk-Bogus", "Content-Encoding", "Accept"),
-]
-
-
-@when("Hypothesis sends headers, paths and bodies")
-def step_fuzz(context):
-    context.statuses = []
-    printable = strategies.text(
-        strategies.characters(min_codepoint=32, blacklist_categories=["Cs", "Cc"]),
-        max_size=30,
-    )
-    value = strategies.one_of(
-        printable,
-        strategies.sampled_from(["0", "1", "9" * 30, "-1", "?1", UUID7, '"', "a in ("]),
-        strategies.sampled_from(["9999-12-31T23:59:59Z", "0001-01-01T00:00:00+23:59"]),
-    )
-    headers = strategies.dictionaries(
-        strategies.sampled_from(HEADER_NAMES), value, max_size=4
-    )
-    inner = strategies.recursive(
-        strategies.one_of(strategies.integers(), printable, strategies.none()),
-        lambda leaf: strategies.lists(leaf, max_size=3),
-        max_leaves=4,
-    )
-    task = strategies.dictionaries(
-        strategies.sampled_from(["body", "duration_ms", "memory_mb", "x"]), inner
-    )
-    job = strategies.fixed_dictionaries(
-        {}, optional={"tasks": strategies.lists(task, max_size=3), "selector": inner}
-    )
-    body = strategies.one_of(
-        strategies.binary(max_size=40), job.map(lambda j: json.dumps(j).encode())
-    )
-
-    @hypothesis_settings(
-        max_examples=200, derandomize=True, database=None, deadline=None
-    )
-    @for_all(
-        strategies.sampled_from(["requests", "jobs"]),
-        strategies.one_of(strategies.just("booking"), printable),
-        headers,
-        body,
-    )
-    def send_one(kind, service, chosen, sent):
-        url = URL(context.base) / "v1" / "services"
-        url = url.joinpath(service.replace("/", "") or "x", kind)
-        send(context, "POST", url, chosen, sent)
-        context.statuses.append((context.status, chosen, sent))
-
-    send_one()
-
-
-@then("no caller got a 500, and all that was handed on is well-formed")
-def step_fuzzed(context):
-    assert all(status != 500 for status, _, _ in context.statuses)
-    started = sum(status in (200, 202) for status, _, _ in context.statuses)
-    assert len(context.entry.events) == started > 0, started
-    for event in context.entry.events:
-        assert 0 < event.remaining_ms <= 60_000 and event.job.service.isprintable()
-        assert 1 <= len(event.job.tasks) <= 140
-        for task in event.job.tasks:
-            json.loads(task.body)
--- a/features/steps/settings_steps.py
+++ b/features/steps/settings_steps.py
@@ -9,16 +9,14 @@
 from hypothesis import given as for_all, settings as hypothesis_settings, strategies
 
 from cactuswalk.settings import InvalidSettingsError, load_agent, load_entry
+from features.edges_support import EXAMPLES, add_clean_up
 
-EXAMPLES = Path(__file__).resolve().parent.parent.parent / "examples"
 LOADERS = {"entry": load_entry, "agent": load_agent}
 
 
 def write_file(context, text):
     directory = tempfile.TemporaryDirectory()
-    if not hasattr(context, "clean_ups"):
-        context.clean_ups = []
-    context.clean_ups.append(directory.cleanup)
+    add_clean_up(context, directory.cleanup)
     path = Path(directory.name) / "settings.ini"
     path.write_text(text, encoding="utf-8")
     return path
