Features for late bodies and stray bytes

Cause: 2 of 22 hand-made mutants of the edges survived (the second check of the waiting limit; the UTF-8 check of parts that are copied).

--- a/features/http_callers.feature
+++ b/features/http_callers.feature
@@ -46,6 +46,8 @@
       | a body of XML            | 415    | unsupported_media_type        |
       | malformed JSON           | 400    | malformed_json                |
       | an empty body            | 400    | malformed_json                |
+      | a string of odd bytes    | 400    | malformed_json                |
+      | odd bytes in a task      | 400    | malformed_json                |
       | deeply nested JSON       | 400    | malformed_json                |
       | a job of 0 tasks         | 400    | empty_job                     |
       | a job of 141 tasks       | 400    | too_many_tasks                |
@@ -102,6 +104,13 @@
     When a caller waits and another posts without a key
     Then the caller gets the problem "overloaded" with status 503 and the outcome "not_run"
 
+  Scenario: Callers whose bodies come late can't pass the limit together
+    On a slow line many bodies arrive at one time. Checked at their heads only, all
+    of them would be let in, and the entry would hold far more than it can answer.
+    Given 1 caller may wait at a time
+    When 5 callers send their heads, and their bodies later
+    Then 1 of them is handed on and 4 are told "overloaded"
+
   Scenario: A key stands for all that a resubmission must repeat
     Then changing any of these changes the fingerprint, and a repetition doesn't
       | changed                                      |
--- a/features/steps/callers_input_steps.py
+++ b/features/steps/callers_input_steps.py
@@ -26,6 +26,8 @@
     "a body of XML": {"headers": {"Content-Type": "text/xml"}},
     "malformed JSON": {"body": b'{"pupil": '},
     "an empty body": {"body": b""},
+    "a string of odd bytes": {"body": b'"\xff"'},
+    "odd bytes in a task": {"body": b'{"tasks":[{"body":"\xff"}]}', "kind": "jobs"},
     "deeply nested JSON": {"body": b"[" * 100_000},
     "a job of 0 tasks": {"body": job_of(0), "kind": "jobs"},
     "a job of 141 tasks": {"body": job_of(141), "kind": "jobs"},
--- a/features/steps/callers_steps.py
+++ b/features/steps/callers_steps.py
@@ -213,13 +213,44 @@
     assert SECRET.encode() not in context.body, context.body
 
 
+async def send_head(context):
+    streams = await asyncio.open_connection("127.0.0.1", context.server.port)
+    head = "POST /v1/services/booking/requests HTTP/1.1\r\nHost: x\r\n"
+    head += f"Authorization: {TOKEN['Authorization']}\r\nContent-Length: 12\r\n\r\n"
+    streams[1].write(head.encode())
+    return streams
+
+
+@when("{count:d} callers send their heads, and their bodies later")
+def step_late_bodies(context, count):
+    async def send_all():
+        streams = [await send_head(context) for _ in range(count)]
+        await asyncio.sleep(0.05)
+        for _, writer in streams:
+            writer.write(OK)
+        reading = [asyncio.create_task(r.readuntil(b"}")) for r, _ in streams]
+        await until(lambda: sum(task.done() for task in reading) == count - 1)
+        context.handed = len(context.entry.events)
+        context.entry.released.set()
+        context.raw_answers = await asyncio.gather(*reading)
+        for _, writer in streams:
+            writer.close()
+
+    run(context, send_all())
+
+
+@then('{handed:d} of them is handed on and {refused:d} are told "{code}"')
+def step_late_bodies_refused(context, handed, refused, code):
+    assert context.handed == handed, context.handed
+    told = [f'"code":"{code}"'.encode() in raw for raw in context.raw_answers]
+    assert told.count(True) == refused, context.raw_answers
+
+
 @when("a caller posts a request and closes its connection")
 def step_close(context):
     async def post_and_close():
-        reader, writer = await asyncio.open_connection("127.0.0.1", context.server.port)
-        head = "POST /v1/services/booking/requests HTTP/1.1\r\nHost: x\r\n"
-        head += f"Authorization: {TOKEN['Authorization']}\r\nContent-Length: 12\r\n\r\n"
-        writer.write(head.encode() + OK)
+        _, writer = await send_head(context)
+        writer.write(OK)
         await until(lambda: context.entry.events)
         writer.close()
         await until(lambda: context.entry.gone)
