--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -4,7 +4,9 @@
 from hypothesis import HealthCheck, Phase, given as drawn, seed, settings
 
 from features.support.judge import violations
+from features.support.matrix import play_cell
 from features.support.script import SCRIPTS, play
+from tools import matrix
 
 
 @given("{count:d} scripts of submissions and faults, from seed {number:d}")
@@ -37,3 +39,26 @@
 @then("no promise was broken in any of them")
 def step_none(context):
     assert context.played >= context.script_count
+
+
+@when('"{fault}" strikes at each of these steps')
+def step_strike(context, fault):
+    context.broken = []
+    for row in context.table:
+        _, broken = play_cell(row["step"], fault)
+        context.broken += [f"{row['step']}: {sentence}" for sentence in broken]
+
+
+@then("no promise was broken at any step")
+def step_none_at_any(context):
+    assert not context.broken, "\n".join(context.broken)
+
+
+@when("the feature is rendered from the lists")
+def step_render(context):
+    context.rendered = matrix.render()
+
+
+@then("it is this file to the letter")
+def step_to_the_letter(context):
+    assert matrix.FEATURE.read_text(encoding="utf-8") == context.rendered
--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -109,7 +109,7 @@
 class Handed:
     """One submission by a caller, and the reply to it."""
 
-    def __init__(self, waiter: str, job: Job, entry: str, at: float) -> None:
+    def __init__(self, waiter: str, job: Job, entry: Process, at: float) -> None:
         self.waiter = waiter
         self.job = job
         self.entry = entry
@@ -145,7 +145,9 @@
         # A test may set these: which links are cut, and what befalls a message.
         self.cut: set[tuple[str, str]] = set()
         self.fate: Callable[[str, str, object], list[float]] = lambda *_: [0.0005]
-        self.on_step: list[Callable] = []
+        # Told of each moment: ("taken" | "sent" | "performed", process, what,
+        # delays of the message under way); returns those delays, or others.
+        self.watch: Callable | None = None
 
     # Processes
 
@@ -234,7 +236,8 @@
     ) -> Handed:
         """Submit a job at an entry; the reply appears in what is returned."""
         waiter = f"waiter-{len(self.handed)}"
-        handed = Handed(waiter, job, entry, self.now)
+        process = self.processes[f"tcp://{entry}"]
+        handed = Handed(waiter, job, process, self.now)
         self.handed[waiter] = handed
         event = CallerSubmitted(waiter, job, minted, remaining_ms)
         self._at(0.0, f"tcp://{entry}", event)
@@ -293,16 +296,23 @@
                 process.alive = False
                 return
             self._at(TICK, address, event)
-        for effect in process.handle(event, self.now):
+        effects = process.handle(event, self.now)
+        for effect in effects:
             self._perform(process, effect)
-        for check in self.on_step:
-            check(self)
+        what = event.message if isinstance(event, Received) else event
+        self._tell("taken", process, what, [])
+
+    def _tell(self, kind: str, process: Process, what, delays: list) -> list:
+        if self.watch is None:
+            return delays
+        return self.watch(kind, process, what, delays)
 
     def _perform(self, process: Process, effect) -> None:
         if isinstance(effect, Send):
             self._send(process, effect)
         elif isinstance(effect, CallUpstream):
             self._call(process, effect)
+            self._tell("performed", process, effect, [])
         elif isinstance(effect, ReadKey):
             event = self.key_value.read(effect)
             self._at(self.key_value.delay, process.address, event)
@@ -326,7 +336,9 @@
         if (process.address, effect.address) in self.cut:
             return
         frame = encode(Envelope(process.address, [effect.message]))
-        for delay in self.fate(process.address, effect.address, effect.message):
+        delays = self.fate(process.address, effect.address, effect.message)
+        delays = self._tell("sent", process, effect.message, delays)
+        for delay in delays:
             self._at(delay, effect.address, frame)
 
     def _call(self, process: Process, effect: CallUpstream) -> None:
--- a/features/support/judge.py
+++ b/features/support/judge.py
@@ -14,7 +14,7 @@
     found = _double_starts(bag, by_task)
     for handed in bag.handed.values():
         if handed.reply is None:
-            if _entry_lives(bag, handed):
+            if handed.entry.alive:
                 found.append(f"{handed.waiter} got no answer")
             continue
         found += _not_whole(handed)
@@ -36,11 +36,6 @@
     ]
 
 
-def _entry_lives(bag: Bag, handed: Handed) -> bool:
-    process = bag.processes.get(f"tcp://{handed.entry}")
-    return process is not None and process.alive
-
-
 def _not_whole(handed: Handed) -> list[str]:
     reply, job = handed.reply, handed.job
     if reply.outcome is not Outcome.ANSWERED:
