Decide under load in small pure modules behind Scheduler

Cause: the frame's scheduler was first come first served over a list, with an O(queue) cancel and no admission. Now: lanes per kind of worker wanted, fair share by virtual time (team, caller), admission and shedding by deadline, ejection with trial, affinity, budgets, estimates, guard. Ruled out: one queue searched for each free slot (O(queue x workers)).

--- /dev/null
+++ b/src/cactuswalk/decisions/admission.py
@@ -0,0 +1,114 @@
+"""Take a job only if it can be answered in time; else refuse it at once.
+
+Load pattern: lasting overload, or a burst of ten times the capacity. Without this
+the queue grows until everything in it is answered too late: slots work for callers
+who have given up, and useful throughput collapses while the machines are busy.
+
+The time until a job would be answered is reckoned from the work that is queued and
+the slots that drain it, in three ways: behind everything; behind its own team's
+backlog at the team's guaranteed share; behind its own caller's at the caller's. The
+least of them holds, since the fair share keeps it: a light team is not refused for
+the flood of another. A job that can't be answered by its deadline is refused with
+the time after which the same reckoning would have let it in.
+"""
+
+import msgspec
+
+from cactuswalk.model import Refusal, RefusalCode
+
+__all__ = ["Backlog", "judge", "retry_after_ms"]
+
+# The reckoned time in the queue counts this many times. Run times are heavy-tailed
+# and a job ends with its last task: see docs/design/decisions/admission.md.
+WAIT_MARGIN = 1.5
+
+# A task is given up as hopeless only if less than this part of its expected run
+# time is left: with heavy-tailed run times most tasks are shorter than the mean.
+HOPEFUL_PART = 0.5
+
+# Sooner than this nothing has changed: a fifth of a mean run time.
+LEAST_RETRY_MS = 50
+
+
+class Backlog(msgspec.Struct, frozen=True):
+    """What a job would find, in slot seconds of expected work.
+
+    :param slots: that can take this job's tasks; none busy is not assumed.
+    :param guaranteed_team: part of the slots that the team has when all queue.
+    :param maximum_running: the team's quota, None for no limit.
+    :param own: work of the job itself.
+    :param longest: expected run time of its longest task, in seconds.
+    """
+
+    slots: int
+    everyone: float
+    team: float
+    caller: float
+    guaranteed_team: float
+    guaranteed_caller: float
+    maximum_running: int | None
+    own: float
+    longest: float
+
+    @property
+    def wait(self) -> float:
+        """Return the reckoned time until the last task has a slot, in seconds."""
+        if self.slots == 0:
+            return 0.0
+        team_slots = self.slots * self.guaranteed_team
+        caller_slots = team_slots * self.guaranteed_caller
+        return min(
+            (self.everyone + self.own) / self.slots,
+            (self.team + self.own) / team_slots,
+            (self.caller + self.own) / caller_slots,
+        )
+
+    @property
+    def quota_wait(self) -> float:
+        """Return the time that the team's own limit makes it wait."""
+        if self.maximum_running is None:
+            return 0.0
+        return (self.team + self.own) / max(1, self.maximum_running)
+
+
+def judge(backlog: Backlog, remaining: float, jitter: float) -> Refusal | None:
+    """Return why a job is refused, None if it is taken.
+
+    :param remaining: until the caller's deadline, in seconds.
+    :param jitter: drawn from 0 to 1, so that refused callers don't return
+        together.
+    """
+    hopeful = backlog.longest * HOPEFUL_PART
+    if hopeful > remaining:
+        return Refusal(
+            RefusalCode.DEADLINE_UNREACHABLE,
+            f"its longest task is expected to take {backlog.longest:.3f} s, and "
+            f"{max(0.0, remaining):.3f} s are left",
+        )
+    late_by_quota = late(backlog.quota_wait, hopeful, remaining)
+    if late_by_quota > 0 and backlog.maximum_running is not None:
+        return Refusal(
+            RefusalCode.QUOTA_EXCEEDED,
+            f"the team may run {backlog.maximum_running} tasks at a time, and its "
+            f"queue needs {backlog.quota_wait:.1f} s; {remaining:.1f} s are left",
+            retry_after_ms(late_by_quota, jitter),
+        )
+    late_by = late(backlog.wait, hopeful, remaining)
+    if late_by <= 0:
+        return None
+    return Refusal(
+        RefusalCode.OVERLOADED,
+        f"the queue before it needs {backlog.wait:.1f} s, and {remaining:.1f} s "
+        "are left",
+        retry_after_ms(late_by, jitter),
+    )
+
+
+def late(wait: float, run: float, remaining: float) -> float:
+    """Return how much too long the queue is, in seconds of draining."""
+    return wait * WAIT_MARGIN + run - remaining
+
+
+def retry_after_ms(late_by: float, jitter: float) -> int:
+    """Return when to come back: the queue drains a second of work a second."""
+    return LEAST_RETRY_MS + int(late_by / WAIT_MARGIN * (1 + jitter) * 1000)
--- /dev/null
+++ b/src/cactuswalk/decisions/binding.py
@@ -0,0 +1,117 @@
+"""Fill free slots from the queue, and clear the queue of what is hopeless."""
+
+from cactuswalk.decisions import placement
+from cactuswalk.decisions.budget import may_be_repeated
+from cactuswalk.decisions.cellstate import CellState
+from cactuswalk.decisions.fitting import RETRY_MS
+from cactuswalk.decisions.longtasks import slots_for_long
+from cactuswalk.decisions.placement import RunningTask
+from cactuswalk.decisions.queueing import Lane, QueuedJob, TeamQueue
+from cactuswalk.decisions.service import Service
+from cactuswalk.decisions.tasks import Assignment, Shed
+from cactuswalk.model import Refusal, RefusalCode
+
+__all__ = ["assign_service", "drop_empty_lanes", "shed_hopeless"]
+
+
+def assign_service(
+    cell: CellState, state: Service, now: float, decided: list[Assignment | Shed]
+) -> None:
+    """Fill the free slots of a service in the order of its queue."""
+    lanes = [lane for lane in state.lanes.values() if lane.queued]
+    while lanes:
+        best = first_lane(cell, state, lanes)
+        if best is None:
+            return
+        lane, team = best
+        assignment = start_first(cell, state, lane, team, now)
+        if assignment is None:
+            lanes.remove(lane)
+            continue
+        decided.append(assignment)
+
+
+def first_lane(
+    cell: CellState, state: Service, lanes: list[Lane]
+) -> tuple[Lane, TeamQueue] | None:
+    """Return the lane whose first task goes next, and that task's team."""
+    best = best_key = None
+    for lane in list(lanes):
+        found = lane.first() if has_room(cell, state, lane) else None
+        if found is None:
+            lanes.remove(lane)
+            continue
+        if best_key is None or found[0] < best_key:
+            best_key, best = found[0], (lane, found[1])
+    return best
+
+
+def has_room(cell: CellState, state: Service, lane: Lane) -> bool:
+    """Return whether a task of a lane could find a slot at all."""
+    group = cell.pool.group(lane.key.service, lane.key.selector)
+    if not group.open or not lane.queued:
+        return False
+    return not lane.key.long or state.long_running < slots_for_long(group.slots)
+
+
+def start_first(
+    cell: CellState, state: Service, lane: Lane, team: TeamQueue, now: float
+) -> Assignment | None:
+    """Start the first task of a lane, None if no free worker has room."""
+    queued, index = lane.peek(team)
+    spec = queued.job.tasks[index]
+    memory_mb = state.sizes.predict(spec.memory_mb)
+    group = cell.pool.group(lane.key.service, lane.key.selector)
+    choice = placement.choose(group, queued.job, memory_mb, spec.accelerators)
+    if choice is None:
+        return None
+    lane.take(queued, index)
+    charged = queued.expected[index]
+    state.begin(queued, lane, charged)
+    state.count_out(queued, lane, [index])
+    state.retries.earn()
+    state.hedges.earn()
+    task = RunningTask(index, now, charged, memory_mb, spec.accelerators, queued, lane)
+    cell.place(choice.worker, task, now)
+    if may_be_repeated(queued.job):
+        cell.hedgeable[queued.job.submission] = (choice.worker, task)
+    return Assignment(queued.task(index), choice.worker.name, choice.reason)
+
+
+def shed_hopeless(
+    cell: CellState, state: Service, now: float, decided: list[Assignment | Shed]
+) -> None:
+    """Refuse the jobs that can't be answered in time any more."""
+    for queued in state.deadlines.take_hopeless(now):
+        refusal = refuse_late(cell, queued, now)
+        for index in cell.withdraw(queued):
+            decided.append(Shed(queued.task(index), refusal))
+
+
+def refuse_late(cell: CellState, queued: QueuedJob, now: float) -> Refusal:
+    """Return why a queued job will not be answered in time."""
+    job = queued.job
+    group = cell.pool.group(job.service, job.selector)
+    if group.slots == 0:
+        message = f"no worker of {job.service} that fits it was able to take it"
+        return Refusal(RefusalCode.NO_WORKER_NOW, message, RETRY_MS)
+    state = cell.service(job.service)
+    drain_ms = int(state.queued_seconds / group.slots * 1000)
+    waited = now - queued.queued_at
+    if now >= queued.deadline:
+        message = f"the deadline passed after {waited:.1f} s in the queue"
+        return Refusal(RefusalCode.DEADLINE_PASSED, message, drain_ms)
+    message = f"too little time is left after {waited:.1f} s in the queue"
+    return Refusal(RefusalCode.DEADLINE_UNREACHABLE, message, drain_ms)
+
+
+def drop_empty_lanes(cell: CellState, state: Service) -> None:
+    """Forget lanes that nothing uses, and the groups of their selectors."""
+    empty = [key for key, lane in state.lanes.items() if not lane.queued]
+    for key in empty:
+        if state.lanes[key].running == 0:
+            del state.lanes[key]
+    used = {key.selector for key in state.lanes}
+    for service, selector in list(cell.pool.groups):
+        if service == state.name and selector and selector not in used:
+            cell.pool.drop_group(service, selector)
--- /dev/null
+++ b/src/cactuswalk/decisions/fitting.py
@@ -0,0 +1,124 @@
+"""Tell a job that can never run from one that can't run now.
+
+Load pattern: jobs whose labels or sizes no worker meets. Taken in, they wait for
+their deadline and are refused then, with callers who try again for ever; told
+"never" when their only worker is being restarted, callers give up on work that
+would have run a second later.
+
+Never means: of all workers of the service that are known, and of those that left
+not long ago, none could run some task of the job even if it were idle. Everything
+else is "not now", with a time to come back.
+"""
+
+import msgspec
+
+from cactuswalk.model import (
+    Announcement,
+    Job,
+    Refusal,
+    RefusalCode,
+    TaskSpec,
+    matches,
+    parse,
+    worker_labels,
+)
+
+__all__ = ["Departed", "judge_fit", "misfit"]
+
+# A worker that left within this time may be on its way back: the brief's 1,100
+# restarts and replacements a day are done well within the hour.
+REMEMBER_SECONDS = 3600.0
+MOST_DEPARTED = 256
+
+# A restarted worker announces itself about a second after its start.
+RETRY_MS = 1000
+
+
+class Departed(msgspec.Struct):
+    """Workers that have left lately, by name, with the time they left."""
+
+    workers: dict[str, tuple[Announcement, float]] = msgspec.field(default_factory=dict)
+
+    def add(self, announcement: Announcement, now: float) -> None:
+        """Remember a worker that has left."""
+        self.workers.pop(announcement.worker, None)
+        self.workers[announcement.worker] = (announcement, now)
+        if len(self.workers) > MOST_DEPARTED:
+            del self.workers[next(iter(self.workers))]
+
+    def known(self, now: float) -> list[Announcement]:
+        """Return those that left not long ago."""
+        oldest = now - REMEMBER_SECONDS
+        return [entry for entry, left in self.workers.values() if left >= oldest]
+
+
+def misfit(announcement: Announcement, job: Job, spec: TaskSpec) -> str:
+    """Return why a worker can never run a task, empty if it could when idle."""
+    if announcement.service != job.service:
+        return f"it serves {announcement.service}, not {job.service}"
+    if not matches(parse(job.selector), worker_labels(announcement)):
+        return f"its labels do not match {job.selector!r}"
+    capacity = announcement.capacity
+    if capacity.memory_mb and spec.memory_mb > capacity.memory_mb:
+        return f"a task needs {spec.memory_mb} MB, it has {capacity.memory_mb} MB"
+    if spec.accelerators > capacity.accelerators:
+        found = capacity.accelerators
+        return f"a task needs {spec.accelerators} accelerators, it has {found}"
+    if min(capacity.slots, capacity.connections) < 1:
+        return "it has no slots"
+    return ""
+
+
+def largest(tasks: list[TaskSpec]) -> TaskSpec:
+    """Return a task that needs as much of everything as any of them."""
+    memory_mb = max(task.memory_mb for task in tasks)
+    accelerators = max(task.accelerators for task in tasks)
+    return TaskSpec(b"", 0, memory_mb, accelerators)
+
+
+def judge_fit(
+    job: Job, present: list[Announcement], departed: list[Announcement]
+) -> Refusal | None:
+    """Return why a job can't be run by these workers, None if it can.
+
+    :param present: announcements of the workers that are there, of any service.
+    :param departed: of those that left not long ago.
+    """
+    here = [entry for entry in present if entry.service == job.service]
+    gone = [entry for entry in departed if entry.service == job.service]
+    if not here:
+        return Refusal(
+            RefusalCode.NO_WORKER_NOW, f"no worker serves {job.service} now", RETRY_MS
+        )
+    ready = [entry for entry in here if entry.ready]
+    if any(not misfit(entry, job, largest(job.tasks)) for entry in ready):
+        return None
+    for spec in distinct(job.tasks):
+        if any(not misfit(entry, job, spec) for entry in ready):
+            continue
+        return refuse_misfit(job, spec, here, gone)
+    return None
+
+
+def distinct(tasks: list[TaskSpec]) -> list[TaskSpec]:
+    """Return one task of each size."""
+    sizes = {(task.memory_mb, task.accelerators): task for task in tasks}
+    return list(sizes.values())
+
+
+def refuse_misfit(
+    job: Job, spec: TaskSpec, here: list[Announcement], gone: list[Announcement]
+) -> Refusal:
+    """Return the refusal of a job with a task that no ready worker can run."""
+    if any(not misfit(entry, job, spec) for entry in here + gone):
+        return Refusal(
+            RefusalCode.NO_WORKER_NOW,
+            f"the workers of {job.service} that could run it are away",
+            RETRY_MS,
+        )
+    reason = misfit(here[0], job, spec)
+    return Refusal(
+        RefusalCode.NEVER_FITS,
+        f"none of the {len(here)} workers of {job.service} can ever run it; "
+        f"{here[0].worker}: {reason}",
+    )
--- /dev/null
+++ b/src/cactuswalk/decisions/placement.py
@@ -0,0 +1,297 @@
+"""Choose a worker with a free slot; nothing is bound before there is one.
+
+Load pattern: heavy-tailed run times. Whoever binds a task to a worker's own queue
+on arrival binds some behind a task of several seconds while slots elsewhere are
+free. Here a task waits in its lane until a slot is free: with exact knowledge of
+the cell that equals one shared queue over all slots, but for the message delay.
+
+Among free workers the one with the smallest part of its slots in use is taken,
+then the rack with the smallest part: a rack that goes takes its share of the work
+and no more. Workers that drag or are on trial come last, but for idempotent
+requests, which a trial can't hurt. Only workers with a free slot are looked at, so
+a full cell costs nothing to ask.
+"""
+
+import msgspec
+
+from cactuswalk.decisions.affinity import preferred
+from cactuswalk.decisions.ejection import Health
+from cactuswalk.model import Announcement, Job, matches, parse, worker_labels
+
+__all__ = [
+    "Choice",
+    "Group",
+    "Pool",
+    "Rack",
+    "RunningTask",
+    "Worker",
+    "choose",
+    "fits",
+]
+
+
+class RunningTask(msgspec.Struct, eq=False):
+    """A task that holds a slot, and what it was reckoned with.
+
+    :param charged: slot seconds that its team and caller have paid for.
+    :param owner: the scheduler's entry for its job.
+    """
+
+    index: int
+    started_at: float
+    charged: float
+    memory_mb: float
+    accelerators: int
+    owner: object
+    lane: object
+
+
+class Rack(msgspec.Struct, eq=False):
+    """The slots of a service in one rack."""
+
+    slots: int = 0
+    running: int = 0
+
+    @property
+    def load(self) -> float:
+        """Return the part of the slots in use."""
+        return self.running / self.slots if self.slots else 1.0
+
+
+class Worker(msgspec.Struct, eq=False):
+    """What the scheduler knows of a worker.
+
+    :param usable: the owner may start tasks there now.
+    :param able: slots that count as capacity: 0 while it is away.
+    :param free: slots that can take a task now.
+    """
+
+    announcement: Announcement
+    labels: dict[str, str]
+    usable: bool
+    rack: Rack
+    drained: bool = False
+    health: Health = msgspec.field(default_factory=Health)
+    running: dict[tuple[str, int], RunningTask] = msgspec.field(default_factory=dict)
+    groups: list["Group"] = msgspec.field(default_factory=list)
+    memory_mb: float = 0.0
+    accelerators: int = 0
+    able: int = 0
+    free: int = 0
+
+    @property
+    def name(self) -> str:
+        """Return the worker's name."""
+        return self.announcement.worker
+
+    @property
+    def slots(self) -> int:
+        """Return its slots; a task holds a connection as well."""
+        capacity = self.announcement.capacity
+        return min(capacity.slots, capacity.connections)
+
+    @property
+    def load(self) -> float:
+        """Return the part of its slots in use."""
+        return len(self.running) / self.slots if self.slots else 1.0
+
+    def why_not(self, mean: float, now: float) -> str:
+        """Return why it takes nothing at all now, an empty text if it does."""
+        if not self.announcement.ready:
+            return "its upstream is not ready"
+        if not self.usable:
+            return "the owner has not heard from it lately"
+        if self.drained:
+            return "it is drained"
+        oldest = next(iter(self.running.values()), None)
+        started = oldest.started_at if oldest else now
+        if self.health.hangs(len(self.running), started, mean, now):
+            return "nothing has ended there for long"
+        return self.health.away(now)
+
+
+class Group(msgspec.Struct, eq=False):
+    """The workers of a service that one selector matches.
+
+    :param open: those that have a free slot, by name.
+    :param slots: of those that are able to take work.
+    """
+
+    members: dict[str, Worker] = msgspec.field(default_factory=dict)
+    open: dict[str, Worker] = msgspec.field(default_factory=dict)
+    slots: int = 0
+
+
+class Choice(msgspec.Struct):
+    """The worker chosen for a task, and why, for the log."""
+
+    worker: Worker
+    reason: str
+
+
+def fits(worker: Worker, memory_mb: float, accelerators: int) -> str:
+    """Return why a task is too large for what is free, empty if it is not.
+
+    A task that is larger than the whole worker by its corrected memory, but not
+    as declared, may run there alone: the correction must not make a job of a
+    kind that ran yesterday one that never fits.
+    """
+    capacity = worker.announcement.capacity
+    alone = not worker.running
+    if capacity.memory_mb and memory_mb and not alone:
+        if worker.memory_mb + memory_mb > capacity.memory_mb:
+            return "its memory is taken"
+    if worker.accelerators + accelerators > capacity.accelerators:
+        return "its accelerators are taken"
+    return ""
+
+
+class Pool:
+    """The workers of a cell, grouped by the selectors that are in use."""
+
+    def __init__(self) -> None:
+        self.workers: dict[str, Worker] = {}
+        self.groups: dict[tuple[str, str], Group] = {}
+        self.racks: dict[tuple[str, str], Rack] = {}
+
+    def put(self, announcement: Announcement, usable: bool) -> Worker:
+        """Add a worker, or take a changed announcement of a known one."""
+        known = self.workers.get(announcement.worker)
+        if known is not None:
+            self.take_out(known)
+        place = (announcement.service, announcement.rack)
+        rack = self.racks.setdefault(place, Rack())
+        if known is None:
+            labels = worker_labels(announcement)
+            known = Worker(announcement, labels, usable, rack)
+        known.announcement = announcement
+        known.labels = worker_labels(announcement)
+        known.usable = usable
+        known.rack = rack
+        rack.slots += known.slots
+        rack.running += len(known.running)
+        self.workers[announcement.worker] = known
+        for (service, selector), group in self.groups.items():
+            if self.belongs(known, service, selector):
+                self.join(known, group)
+        return known
+
+    def remove(self, name: str) -> Worker | None:
+        """Forget a worker and return it."""
+        worker = self.workers.pop(name, None)
+        if worker is not None:
+            self.take_out(worker)
+        return worker
+
+    def take_out(self, worker: Worker) -> None:
+        """Take a worker out of its groups and its rack."""
+        worker.rack.slots -= worker.slots
+        worker.rack.running -= len(worker.running)
+        for group in worker.groups:
+            del group.members[worker.name]
+            group.open.pop(worker.name, None)
+            group.slots -= worker.able
+        worker.groups = []
+        worker.able = worker.free = 0
+
+    def join(self, worker: Worker, group: Group) -> None:
+        """Count a worker in a group."""
+        group.members[worker.name] = worker
+        group.slots += worker.able
+        worker.groups.append(group)
+        if worker.free > 0:
+            group.open[worker.name] = worker
+
+    def belongs(self, worker: Worker, service: str, selector: str) -> bool:
+        """Return whether a worker is in a group."""
+        if worker.announcement.service != service:
+            return False
+        return matches(parse(selector), worker.labels)
+
+    def group(self, service: str, selector: str) -> Group:
+        """Return the group of a selector, formed when it is first asked for."""
+        known = self.groups.get((service, selector))
+        if known is None:
+            known = self.groups[service, selector] = Group()
+            for worker in self.workers.values():
+                if self.belongs(worker, service, selector):
+                    self.join(worker, known)
+        return known
+
+    def drop_group(self, service: str, selector: str) -> None:
+        """Forget a group that no queued task uses."""
+        group = self.groups.pop((service, selector), None)
+        if group is None:
+            return
+        for worker in group.members.values():
+            worker.groups.remove(group)
+
+    def refresh(self, worker: Worker, mean: float, now: float) -> None:
+        """Reckon again what a worker can take, and tell its groups."""
+        able = 0
+        if not worker.why_not(mean, now):
+            able = worker.health.slots(worker.slots)
+        free = max(0, able - len(worker.running))
+        change = able - worker.able
+        worker.able, worker.free = able, free
+        for group in worker.groups:
+            group.slots += change
+            if free > 0:
+                group.open[worker.name] = worker
+            else:
+                group.open.pop(worker.name, None)
+
+    def occupy(self, worker: Worker, submission: str, task: RunningTask) -> None:
+        """Give a task a slot and what else it needs."""
+        worker.running[submission, task.index] = task
+        worker.rack.running += 1
+        worker.memory_mb += task.memory_mb
+        worker.accelerators += task.accelerators
+
+    def release(
+        self, worker: Worker, submission: str, index: int
+    ) -> RunningTask | None:
+        """Take back what a task held, None if it held nothing."""
+        task = worker.running.pop((submission, index), None)
+        if task is None:
+            return None
+        worker.rack.running -= 1
+        worker.memory_mb -= task.memory_mb
+        worker.accelerators -= task.accelerators
+        return task
+
+
+def choose(
+    group: Group, job: Job, memory_mb: float, accelerators: int
+) -> Choice | None:
+    """Return the best worker of a group with room for a task, None if none has."""
+    candidates = [
+        worker
+        for worker in group.open.values()
+        if not fits(worker, memory_mb, accelerators)
+    ]
+    if not candidates:
+        return None
+    harmless = job.request and job.idempotent
+    if harmless:
+        for worker in candidates:
+            if worker.health.on_trial and not worker.running:
+                return Choice(worker, "trial of a returning worker")
+    sound = [worker for worker in candidates if is_sound(worker)]
+    if not sound:
+        return Choice(min(candidates, key=load_order), "no sound worker is free")
+    if job.key:
+        worker = preferred(job.key, sound)
+        if worker is not None:
+            return Choice(worker, "its key is served there")
+    return Choice(min(sound, key=load_order), "least loaded of the free workers")
+
+
+def is_sound(worker: Worker) -> bool:
+    """Return whether nothing speaks against a worker."""
+    return not worker.health.dragging and worker.health.allowance is None
+
+
+def load_order(worker: Worker) -> tuple[float, float]:
+    """Order workers by load, then by the load of their racks."""
+    return worker.load, worker.rack.load
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -4,121 +4,164 @@
 here sends, reads a clock or knows an address.
 """
 
-import collections
-
-import msgspec
-
-from cactuswalk.model import Announcement, Job, Refusal, RefusalCode, TaskSpec
+import random
+
+from cactuswalk.decisions.admission import judge
+from cactuswalk.decisions.binding import (
+    assign_service,
+    drop_empty_lanes,
+    shed_hopeless,
+)
+from cactuswalk.decisions.budget import may_be_repeated
+from cactuswalk.decisions.cellstate import CellState
+from cactuswalk.decisions.explaining import explain_worker
+from cactuswalk.decisions.fairness import Quota
+from cactuswalk.decisions.fitting import judge_fit
+from cactuswalk.decisions.guard import GuardAction, Usage, judge_usage
+from cactuswalk.decisions.joborder import JobOrder, by_virtual_finish
+from cactuswalk.decisions.queueing import Lane
+from cactuswalk.decisions.secondattempts import hedges
+from cactuswalk.decisions.tasks import Assignment, Explanation, QueuedTask, Shed
+from cactuswalk.model import Announcement, Job, Refusal
 
 __all__ = ["Assignment", "Explanation", "QueuedTask", "Scheduler", "Shed"]
 
+# How often all workers are looked at for what time alone has changed (an ejection
+# that ends, a worker that hangs): two of the runtime's ticks.
+REVIEW_SECONDS = 0.1
 
-class QueuedTask(msgspec.Struct):
-    """A task that waits for a worker.
-
-    :param deadline: on the owner's monotonic clock, in seconds.
-    """
-
-    job: Job
-    index: int
-    queued_at: float
-    deadline: float
-
-    @property
-    def spec(self) -> TaskSpec:
-        """Return what the caller declared of the task."""
-        return self.job.tasks[self.index]
-
-
-class Assignment(msgspec.Struct):
-    """Start this task on this worker now; ``reason`` goes to the log."""
-
-    task: QueuedTask
-    worker: str
-    reason: str
-
-
-class Shed(msgspec.Struct):
-    """Refuse this queued task now: it can't be answered in time."""
-
-    task: QueuedTask
-    refusal: Refusal
+# Seeds the generator where none is handed in, so that runs can be repeated.
+DEFAULT_SEED = 20261202
 
 
-class Explanation(msgspec.Struct):
-    """Why a worker can or can't take a job; ``verdict`` is a sentence."""
-
-    worker: str
-    fits: bool
-    verdict: str
-
-
-class WorkerState(msgspec.Struct):
-    """What the scheduler knows of a worker."""
-
-    announcement: Announcement
-    usable: bool
-    running: set[tuple[str, int]]
+class Scheduler:
+    """Queue, choose and shed for the workers of one cell.
 
+    :param generator: spreads the times at which refused callers come back.
+    :param order: of jobs with the same claim to the next slot.
+    """
 
-class Scheduler:
-    """Queue, choose and shed for the workers of one cell."""
+    def __init__(
+        self,
+        generator: random.Random | None = None,
+        order: JobOrder = by_virtual_finish,
+    ) -> None:
+        self.generator = generator or random.Random(DEFAULT_SEED)
+        self.cell = CellState(order)
+        self.next_review = 0.0
 
-    def __init__(self) -> None:
-        self.queue: collections.deque[QueuedTask] = collections.deque()
-        self.workers: dict[str, WorkerState] = {}
+    # Workers.
 
     def set_worker(self, announcement: Announcement, usable: bool, now: float) -> None:
-        """Add a worker or take a changed announcement of it."""
-        known = self.workers.get(announcement.worker)
-        running = known.running if known else set()
-        self.workers[announcement.worker] = WorkerState(announcement, usable, running)
+        """Add a worker or take a changed announcement of it.
+
+        One that joins a cell which is at work begins on trial: it may be cold, or
+        back because it was broken.
+        """
+        is_new = announcement.worker not in self.cell.pool.workers
+        worker = self.cell.pool.put(announcement, usable)
+        if is_new and self.returns(announcement, now):
+            worker.health.begin_trial()
+        self.cell.refresh(worker, now)
+
+    def returns(self, announcement: Announcement, now: float) -> bool:
+        """Return whether a worker has left this cell not long ago."""
+        name = announcement.worker
+        return any(gone.worker == name for gone in self.cell.departed.known(now))
 
     def remove_worker(self, worker: str, now: float) -> None:
         """Forget a worker; what runs there is the owner's to settle."""
-        self.workers.pop(worker, None)
+        known = self.cell.pool.workers.get(worker)
+        if known is None:
+            return
+        for submission, index in list(known.running):
+            self.cell.release(known, submission, index, now)
+        self.cell.pool.remove(worker)
+        self.cell.departed.add(known.announcement, now)
+
+    def set_drained(self, worker: str, drained: bool, now: float) -> None:
+        """Give a worker nothing new, or let it take work again."""
+        known = self.cell.pool.workers.get(worker)
+        if known is not None:
+            known.drained = drained
+            self.cell.refresh(known, now)
+
+    def set_quota(
+        self,
+        service: str,
+        team: str,
+        weight: float = 1.0,
+        maximum_running: int | None = None,
+    ) -> None:
+        """Put a team's weight and limit in a service in force."""
+        state = self.cell.service(service)
+        state.teams.set_quota(team, Quota(weight, maximum_running))
+        for lane in state.lanes.values():
+            lane.unpark(team)
+
+    def usage_report(
+        self, worker: str, usages: list[Usage], now: float
+    ) -> dict[str, GuardAction]:
+        """Take a late report on what runs on a worker; return what to do there."""
+        known = self.cell.pool.workers.get(worker)
+        if known is None:
+            return {}
+        declared = sum(usage.declared_mb for usage in usages)
+        used = sum(usage.used_mb for usage in usages if usage.declared_mb)
+        state = self.cell.service(known.announcement.service)
+        state.sizes.observe(declared, used)
+        capacity = known.announcement.capacity
+        return judge_usage(usages, capacity.memory_mb, capacity.slots)
+
+    # Jobs.
 
     def admit(self, job: Job, deadline: float, now: float) -> Refusal | None:
         """Take a whole job into the queue, or say why none of it is taken."""
-        if not any(
-            worker.announcement.service == job.service
-            for worker in self.workers.values()
-        ):
-            return Refusal(
-                RefusalCode.NO_WORKER_NOW,
-                f"no worker serves {job.service} now",
-                1000,
-            )
-        for index in range(len(job.tasks)):
-            self.queue.append(QueuedTask(job, index, now, deadline))
+        if job.submission in self.cell.jobs:
+            return None
+        present = [worker.announcement for worker in self.cell.pool.workers.values()]
+        refusal = judge_fit(job, present, self.cell.departed.known(now))
+        if refusal is not None:
+            return refusal
+        queued = self.cell.open(job, now, deadline)
+        state = self.cell.service(job.service)
+        group = self.cell.pool.group(job.service, job.selector)
+        free = sum(worker.free for worker in group.open.values())
+        backlog = state.backlog(queued, group.slots, free)
+        refusal = judge(backlog, deadline - now, self.generator.random())
+        if refusal is not None:
+            return refusal
+        self.cell.jobs[job.submission] = queued
+        by_lane: dict[Lane, list[int]] = {}
+        for index, lane in enumerate(queued.lanes):
+            by_lane.setdefault(lane, []).append(index)
+        for lane, indexes in by_lane.items():
+            state.enqueue(queued, lane, indexes)
+        state.deadlines.add(queued, state.jobs_queued)
         return None
 
     def requeue(self, task: QueuedTask, worker: str, now: float) -> None:
-        """Put back a task that its worker has declined, at the front."""
-        self._release(task.job.submission, task.index, worker)
-        self.queue.appendleft(task)
-
-    def assign(self, now: float) -> list[Assignment | Shed]:
-        """Return all that can be started or must be refused now."""
-        decided: list[Assignment | Shed] = []
-        waiting: collections.deque[QueuedTask] = collections.deque()
-        while self.queue:
-            task = self.queue.popleft()
-            if now >= task.deadline:
-                refusal = Refusal(
-                    RefusalCode.DEADLINE_PASSED, "the deadline passed in the queue"
-                )
-                decided.append(Shed(task, refusal))
-                continue
-            worker = self._choose(task)
-            if worker is None:
-                waiting.append(task)
-                continue
-            worker.running.add((task.job.submission, task.index))
-            name = worker.announcement.worker
-            decided.append(Assignment(task, name, "most free slots"))
-        self.queue = waiting
-        return decided
+        """Put back a task that its worker has declined, at the front.
+
+        A task that waits already is left where it is: a decline that is repeated
+        by the network would otherwise queue it twice, and start it twice.
+        """
+        submission = task.job.submission
+        queued = self.cell.jobs.get(submission)
+        if queued is None:
+            queued = self.cell.open(task.job, task.queued_at, task.deadline)
+            self.cell.jobs[submission] = queued
+        state = self.cell.service(task.job.service)
+        lane = queued.lanes[task.index]
+        lane = queued.lanes[task.index] = state.lanes.setdefault(lane.key, lane)
+        if task.index in queued.pending.get(lane, ()):
+            return
+        state.enqueue(queued, lane, [task.index], front=True)
+        state.deadlines.add(queued, state.jobs_queued)
+        known = self.cell.pool.workers.get(worker)
+        if known is not None and (submission, task.index) in known.running:
+            known.health.decline(now)
+            self.cell.release(known, submission, task.index, now)
 
     def finished(
         self,
@@ -130,51 +173,83 @@
         now: float,
     ) -> None:
         """Free what a task held on a worker, and learn from how it ended."""
-        self._release(submission, index, worker)
+        known = self.cell.pool.workers.get(worker)
+        if known is None or (submission, index) not in known.running:
+            return
+        task = known.running[submission, index]
+        service = task.owner.job.service
+        state = self.cell.service(service)
+        if succeeded:
+            self.cell.learn(state, known, task, elapsed_ms / 1000, now)
+        else:
+            known.health.fail(submission, self.cell.others(known, now), now)
+        self.cell.release(known, submission, index, now)
 
     def cancel(self, submission: str, now: float) -> list[QueuedTask]:
         """Take the queued tasks of a submission out and return them."""
-        taken = [task for task in self.queue if task.job.submission == submission]
-        self.queue = collections.deque(
-            task for task in self.queue if task.job.submission != submission
-        )
-        return taken
+        queued = self.cell.jobs.get(submission)
+        if queued is None:
+            return []
+        indexes = self.cell.withdraw(queued)
+        return [queued.task(index) for index in indexes]
+
+    # Decisions.
+
+    def assign(self, now: float) -> list[Assignment | Shed]:
+        """Return all that can be started or must be refused now."""
+        if now >= self.next_review:
+            self.review(now)
+        decided: list[Assignment | Shed] = []
+        for state in self.cell.services.values():
+            if state.queued:
+                shed_hopeless(self.cell, state, now, decided)
+                assign_service(self.cell, state, now, decided)
+        return decided
+
+    def review(self, now: float) -> None:
+        """Look at all workers for what has changed by time alone."""
+        self.next_review = now + REVIEW_SECONDS
+        for worker in self.cell.pool.workers.values():
+            self.cell.refresh(worker, now)
+        for state in self.cell.services.values():
+            drop_empty_lanes(self.cell, state)
+
+    # Second attempts.
+
+    def may_retry(self, task: QueuedTask, now: float) -> bool:
+        """Return whether a failed request may be tried again, and pay for it."""
+        if not may_be_repeated(task.job) or now >= task.deadline:
+            return False
+        return self.cell.service(task.job.service).retries.spend()
+
+    def hedges(self, now: float) -> list[Assignment]:
+        """Return second attempts at stragglers, onto idle slots, in the budget.
+
+        The owner takes the first answer. Each attempt ends in ``finished``.
+        """
+        return hedges(self.cell, now)
+
+    # Reports.
 
     def free_slots(self) -> dict[str, int]:
         """Return the free slots per service."""
         free: dict[str, int] = {}
-        for worker in self.workers.values():
+        for worker in self.cell.pool.workers.values():
             service = worker.announcement.service
-            free[service] = free.get(service, 0) + _free(worker)
+            free[service] = free.get(service, 0) + worker.free
         return free
 
     def queued(self) -> dict[str, int]:
         """Return the queued tasks per service."""
-        return dict(collections.Counter(task.job.service for task in self.queue))
+        return {
+            name: state.queued
+            for name, state in self.cell.services.items()
+            if state.queued
+        }
 
     def explain(self, job: Job, now: float) -> list[Explanation]:
         """Say of each worker whether it could take the job, and why not."""
         return [
-            Explanation(name, worker.announcement.service == job.service, "service")
-            for name, worker in sorted(self.workers.items())
+            explain_worker(self.cell, worker, job, now)
+            for _, worker in sorted(self.cell.pool.workers.items())
         ]
-
-    def _choose(self, task: QueuedTask) -> WorkerState | None:
-        candidates = [
-            worker
-            for worker in self.workers.values()
-            if worker.announcement.service == task.job.service and _free(worker) > 0
-        ]
-        return max(candidates, key=_free, default=None)
-
-    def _release(self, submission: str, index: int, worker: str) -> None:
-        known = self.workers.get(worker)
-        if known is not None:
-            known.running.discard((submission, index))
-
-
-def _free(worker: WorkerState) -> int:
-    """Return the slots of a worker that can take a task now."""
-    if not worker.usable or not worker.announcement.ready:
-        return 0
-    return worker.announcement.capacity.slots - len(worker.running)
--- /dev/null
+++ b/src/cactuswalk/decisions/secondattempts.py
@@ -0,0 +1,66 @@
+"""Second attempts at requests that have started: which, where and when."""
+
+from cactuswalk.decisions import placement
+from cactuswalk.decisions.cellstate import CellState
+from cactuswalk.decisions.hedging import is_straggler
+from cactuswalk.decisions.placement import RunningTask, Worker
+from cactuswalk.decisions.service import Service
+from cactuswalk.decisions.tasks import Assignment
+
+__all__ = ["hedges"]
+
+
+def hedges(cell: CellState, now: float) -> list[Assignment]:
+    """Return second attempts at stragglers, onto idle slots, in the budget.
+
+    The owner takes the first answer. Each attempt ends in ``finished``.
+    """
+    decided = []
+    for submission, (worker, task) in list(cell.hedgeable.items()):
+        state = cell.service(task.owner.job.service)
+        elapsed = now - task.started_at
+        if elapsed <= state.high.seconds:
+            break
+        if not is_straggler(elapsed, task.charged, state.high.seconds):
+            continue
+        if state.queued:
+            continue
+        other = hedge_worker(cell, worker, task)
+        if other is None or not state.hedges.spend():
+            continue
+        del cell.hedgeable[submission]
+        decided.append(start_hedge(cell, state, other, task, now))
+    return decided
+
+
+def hedge_worker(cell: CellState, worker: Worker, task: RunningTask) -> Worker | None:
+    """Return the least loaded other worker that has room."""
+    job = task.owner.job
+    group = cell.pool.group(job.service, job.selector)
+    others = [
+        other
+        for other in group.open.values()
+        if other is not worker
+        and placement.is_sound(other)
+        and not placement.fits(other, task.memory_mb, task.accelerators)
+    ]
+    return min(others, key=placement.load_order, default=None)
+
+
+def start_hedge(
+    cell: CellState, state: Service, worker: Worker, task: RunningTask, now: float
+) -> Assignment:
+    """Start the second attempt at a task."""
+    state.begin(task.owner, task.lane, task.charged)
+    second = RunningTask(
+        task.index,
+        now,
+        task.charged,
+        task.memory_mb,
+        task.accelerators,
+        task.owner,
+        task.lane,
+    )
+    cell.place(worker, second, now)
+    reason = f"hedge after {now - task.started_at:.2f} s"
+    return Assignment(task.owner.task(task.index), worker.name, reason)
--- /dev/null
+++ b/src/cactuswalk/decisions/service.py
@@ -0,0 +1,146 @@
+"""What the scheduler keeps of one service: its queue, shares and estimates."""
+
+import msgspec
+
+from cactuswalk.decisions.admission import Backlog
+from cactuswalk.decisions.budget import Budget, hedge_budget, retry_budget
+from cactuswalk.decisions.estimation import DurationEstimate, SizeEstimate
+from cactuswalk.decisions.fairness import (
+    CALLER_STEP_SECONDS,
+    TEAM_STEP_SECONDS,
+    Share,
+    ShareTree,
+)
+from cactuswalk.decisions.hedging import HighPercentile
+from cactuswalk.decisions.longtasks import is_long
+from cactuswalk.decisions.queueing import Lane, LaneKey, QueuedJob, lane_key
+from cactuswalk.decisions.shedding import DeadlineQueue
+from cactuswalk.model import TaskSpec
+
+__all__ = ["Service"]
+
+
+class Service(msgspec.Struct, eq=False):
+    """The queue of one service.
+
+    :param jobs_queued: jobs that have tasks queued.
+    :param long_running: long tasks that hold a slot.
+    """
+
+    name: str
+    teams: ShareTree
+    callers: dict[str, ShareTree]
+    deadlines: DeadlineQueue
+    durations: DurationEstimate
+    sizes: SizeEstimate
+    high: HighPercentile
+    retries: Budget
+    hedges: Budget
+    lanes: dict[LaneKey, Lane]
+    queued: int = 0
+    queued_seconds: float = 0.0
+    jobs_queued: int = 0
+    long_running: int = 0
+
+    @classmethod
+    def empty(cls, name: str) -> "Service":
+        """Return the state of a service that nothing is known of."""
+        return cls(
+            name,
+            ShareTree(TEAM_STEP_SECONDS),
+            {},
+            DeadlineQueue(),
+            DurationEstimate(),
+            SizeEstimate(),
+            HighPercentile(),
+            retry_budget(),
+            hedge_budget(),
+            {},
+        )
+
+    def shares(self, team: str, caller: str) -> tuple[Share, Share]:
+        """Return the shares of a team and of one of its callers."""
+        callers = self.callers.get(team)
+        if callers is None:
+            callers = self.callers[team] = ShareTree(CALLER_STEP_SECONDS)
+        return self.teams.share(team), callers.share(caller)
+
+    def lane(self, queued: QueuedJob, spec: TaskSpec, expected: float) -> Lane:
+        """Return the lane of a task, a new one if it is the first of its kind."""
+        durations = self.durations
+        long = durations.declarations_help and is_long(expected, durations.mean)
+        key = lane_key(queued.job, spec, long)
+        known = self.lanes.get(key)
+        if known is None:
+            known = self.lanes[key] = Lane(key)
+        return known
+
+    def enqueue(
+        self, queued: QueuedJob, lane: Lane, indexes: list[int], front: bool = False
+    ) -> None:
+        """Queue some tasks of a job in one lane."""
+        seconds = sum(queued.expected[index] for index in indexes)
+        callers = self.callers.setdefault(
+            queued.team.name, ShareTree(CALLER_STEP_SECONDS)
+        )
+        self.teams.enqueue(queued.team, len(indexes), seconds)
+        callers.enqueue(queued.caller, len(indexes), seconds)
+        self.jobs_queued += queued.queued == 0
+        queued.queued += len(indexes)
+        self.queued += len(indexes)
+        self.queued_seconds += seconds
+        lane.add(queued, indexes, front)
+
+    def count_out(self, queued: QueuedJob, lane: Lane, indexes: list[int]) -> None:
+        """Count tasks that have left their lane: started, shed or cancelled."""
+        seconds = sum(queued.expected[index] for index in indexes)
+        queued.queued -= len(indexes)
+        self.jobs_queued -= queued.queued == 0
+        self.queued -= len(indexes)
+        left = self.queued_seconds - seconds
+        self.queued_seconds = max(0.0, left) if self.queued else 0.0
+        self.callers[queued.team.name].dequeue(queued.caller, len(indexes), seconds)
+        self.teams.dequeue(queued.team, len(indexes), seconds)
+        lane.forget(queued.team, queued.caller)
+
+    def begin(self, queued: QueuedJob, lane: Lane, charged: float) -> None:
+        """Count a task that starts."""
+        self.teams.start(queued.team, charged)
+        self.callers[queued.team.name].start(queued.caller, charged)
+        queued.running += 1
+        queued.dispatched = True
+        lane.running += 1
+        self.long_running += lane.key.long
+
+    def end(self, queued: QueuedJob, lane: Lane, charged: float, used: float) -> None:
+        """Count a task that has ended."""
+        queued.running -= 1
+        lane.running -= 1
+        self.long_running -= lane.key.long
+        self.callers[queued.team.name].end(queued.caller, charged, used)
+        self.teams.end(queued.team, charged, used)
+        if queued.team.quota.maximum_running is not None:
+            for other in self.lanes.values():
+                other.unpark(queued.team.name)
+
+    def backlog(self, queued: QueuedJob, slots: int, free: int) -> Backlog:
+        """Return what a new job finds, see ``Backlog``.
+
+        :param slots: that can take its tasks.
+        :param free: of these, the ones that are idle.
+        """
+        own = sum(queued.expected)
+        longest = max(queued.expected)
+        team, caller = queued.team, queued.caller
+        idle = free - self.queued >= len(queued.expected)
+        return Backlog(
+            slots=0 if idle else slots,
+            everyone=self.queued_seconds,
+            team=team.queued_seconds,
+            caller=caller.queued_seconds,
+            guaranteed_team=self.teams.guaranteed(team),
+            guaranteed_caller=self.callers[team.name].guaranteed(caller),
+            maximum_running=team.quota.maximum_running,
+            own=own,
+            longest=longest,
+        )
