--- a/src/cactuswalk/state/recovery.py
+++ b/src/cactuswalk/state/recovery.py
@@ -184,4 +184,4 @@
         peer.flights[place] = Place(
             record.worker, record.incarnation, record.attempt, 0, now
         )
-        state.scheduler.occupy(*place, record.worker, now)
+        state.scheduler.inherit(*place, record.worker, now)
