The judge counts a refusal from when it was given

The judge compared the start with the arrival. Ruled out: a lie by the owner (nothing had started when it decided); holding the second back until the first refusal has arrived, which no owner can know. The rule is as strict for starts before the word; a start after it still needs another open submission of the caller.

--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -116,6 +116,8 @@
         self.at = at
         self.reply: Reply | None = None
         self.replied_at = float("inf")
+        # When the word that the reply passes on left its author.
+        self.decided_at = float("inf")
 
 
 class Upstream:
@@ -148,6 +150,7 @@
         # Told of each moment: ("taken" | "sent" | "performed", process, what,
         # delays of the message under way); returns those delays, or others.
         self.watch: Callable | None = None
+        self.word_at = 0.0
 
     # Processes
 
@@ -278,8 +281,10 @@
 
     def _deliver(self, address: str, life: Process, event) -> None:
         process = self.processes.get(address)
-        if isinstance(event, bytes):
-            envelope = decode(event)
+        self.word_at = self.now
+        if isinstance(event, tuple):
+            frame, self.word_at = event
+            envelope = decode(frame)
             event = Received(envelope.sender, envelope.messages[0])
             life = process
         if process is None or not process.alive or life is not process:
@@ -323,6 +328,7 @@
             handed = self.handed[effect.waiter]
             assert handed.reply is None, f"{effect.waiter} is answered twice"
             handed.reply, handed.replied_at = effect, self.now
+            handed.decided_at = self.word_at
         elif isinstance(effect, Log):
             self.logs.append((self.now, process.name, effect))
         elif isinstance(effect, StopUpstream):
@@ -339,7 +345,7 @@
         delays = self.fate(process.address, effect.address, effect.message)
         delays = self._tell("sent", process, effect.message, delays)
         for delay in delays:
-            self._at(delay, effect.address, frame)
+            self._at(delay, effect.address, (frame, self.now))
 
     def _call(self, process: Process, effect: CallUpstream) -> None:
         upstream = self.upstreams[process.name]
