--- a/src/cactuswalk/state/retention.py
+++ b/src/cactuswalk/state/retention.py
@@ -7,9 +7,19 @@
 
 __all__ = ["RecordBook", "is_started", "newer"]
 
-# What a record takes besides its body, measured with sys.getsizeof over the
-# struct, its strings and the two dictionaries that lead to it, rounded up.
-RECORD_BYTES = 1000
+# What a record takes besides its body: 715 bytes measured with tracemalloc for
+# submissions of one task (100,000 records, Python 3.11), 190 for those of 20.
+RECORD_BYTES = 800
+
+
+class Kept:
+    """The records of one submission, and when the last of them changed."""
+
+    __slots__ = ("tasks", "changed_at")
+
+    def __init__(self) -> None:
+        self.tasks: dict[int, Record] = {}
+        self.changed_at = 0.0
 
 
 class RecordBook:
@@ -17,9 +27,11 @@
 
     A record that may stand between a task and its second start is never given
     up before its time; when bytes run out, the oldest bodies go first, and a
-    caller who asks for such an answer is told that it is no longer kept.
+    caller who asks for such an answer is told that it is no longer kept. The
+    records of one submission are forgotten together, so that what is left of
+    one is never taken for the whole.
 
-    :param retention: seconds that a record is kept after its last change.
+    :param retention: seconds that a submission is kept after its last change.
     :param maximum_bytes: above which bodies are dropped.
     """
 
@@ -36,26 +48,35 @@
     def __init__(self, retention: float, maximum_bytes: int) -> None:
         self.retention = retention
         self.maximum_bytes = maximum_bytes
-        self.by_submission: dict[str, dict[int, Record]] = {}
+        self.by_submission: dict[str, Kept] = {}
         self.bytes = 0
         self.count = 0
-        self.expiries: collections.deque[tuple[float, Record]] = collections.deque()
+        self.expiries: collections.deque[tuple[float, str]] = collections.deque()
         self.bodies: collections.deque[Record] = collections.deque()
 
     def get(self, submission: str, index: int) -> Record | None:
         """Return the record of a task, None if there is none."""
-        return self.by_submission.get(submission, {}).get(index)
+        kept = self.by_submission.get(submission)
+        return kept.tasks.get(index) if kept is not None else None
+
+    def of(self, submission: str) -> dict[int, Record]:
+        """Return the records of a submission by index, empty if there are none."""
+        kept = self.by_submission.get(submission)
+        return kept.tasks if kept is not None else {}
 
     def put(self, record: Record, now: float) -> None:
         """Keep a record in place of an earlier one of the same task."""
-        tasks = self.by_submission.setdefault(record.submission, {})
-        earlier = tasks.get(record.index)
+        kept = self.by_submission.get(record.submission)
+        if kept is None:
+            kept = self.by_submission[record.submission] = Kept()
+            self.expiries.append((now + self.retention, record.submission))
+        earlier = kept.tasks.get(record.index)
         if earlier is not None:
             self._subtract(earlier)
-        tasks[record.index] = record
+        kept.tasks[record.index] = record
+        kept.changed_at = now
         self.count += 1
         self.bytes += _size(record)
-        self.expiries.append((now + self.retention, record))
         if record.result is not None and record.result.body:
             self.bodies.append(record)
             self._drop_bodies()
@@ -65,22 +86,24 @@
         return self.count * RECORD_BYTES < self.maximum_bytes
 
     def expire(self, now: float) -> None:
-        """Forget the records whose time has passed."""
+        """Forget the submissions whose time has passed."""
         while self.expiries and self.expiries[0][0] <= now:
-            _, record = self.expiries.popleft()
-            tasks = self.by_submission.get(record.submission)
-            # A replaced record has an expiry of its own, later in the queue.
-            if tasks is None or tasks.get(record.index) is not record:
+            _, submission = self.expiries.popleft()
+            kept = self.by_submission[submission]
+            due = kept.changed_at + self.retention
+            if due > now:
+                self.expiries.append((due, submission))
                 continue
-            del tasks[record.index]
-            self._subtract(record)
-            if not tasks:
-                del self.by_submission[record.submission]
+            for record in kept.tasks.values():
+                self._subtract(record)
+            del self.by_submission[submission]
 
     def all(self) -> list[Record]:
         """Return every record, oldest submission first."""
         return [
-            record for tasks in self.by_submission.values() for record in tasks.values()
+            record
+            for kept in self.by_submission.values()
+            for record in kept.tasks.values()
         ]
 
     def _subtract(self, record: Record) -> None:
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -118,7 +118,7 @@
 def _refusal_before(state: OwnerState, held: Held, now: float) -> Refusal | None:
     """Return why none of a submission is looked at, None if it is."""
     job = held.submit.job
-    records = state.recovered.by_submission.get(job.submission, {})
+    records = state.recovered.of(job.submission)
     known = {record.fingerprint for record in records.values()} - {b""}
     if known - {job.fingerprint}:
         return KEY_REUSED
@@ -135,7 +135,7 @@
     job = held.submit.job
     tracked = Tracked(job, held.deadline, [Task() for _ in job.tasks])
     tracked.waiters[held.sender] = held.submit.attempt
-    records = state.recovered.by_submission.get(job.submission, {})
+    records = state.recovered.of(job.submission)
     unsure = _may_have_started(state, held.submit, now)
     if not records and not unsure:
         refusal = state.scheduler.admit(job, held.deadline, now)
@@ -271,7 +271,7 @@
 
 def _from_records(state: OwnerState, submission: str) -> Tracked | None:
     """Rebuild an entry of the ledger that nobody has resubmitted."""
-    records = state.recovered.by_submission.get(submission)
+    records = state.recovered.of(submission)
     if not records:
         return None
     total = max(record.total for record in records.values())
