--- a/features/support/judge.py
+++ b/features/support/judge.py
@@ -14,7 +14,7 @@
     found = _double_starts(bag, by_task)
     for handed in bag.handed.values():
         if handed.reply is None:
-            if _entry_lives(bag, handed):
+            if handed.entry.alive:
                 found.append(f"{handed.waiter} got no answer")
             continue
         found += _not_whole(handed)
@@ -36,11 +36,6 @@
     ]
 
 
-def _entry_lives(bag: Bag, handed: Handed) -> bool:
-    process = bag.processes.get(f"tcp://{handed.entry}")
-    return process is not None and process.alive
-
-
 def _not_whole(handed: Handed) -> list[str]:
     reply, job = handed.reply, handed.job
     if reply.outcome is not Outcome.ANSWERED:
@@ -54,21 +49,21 @@
 def _untrue(bag: Bag, handed: Handed, by_task: dict) -> list[str]:
     """Return where "not run" was said of a task that had run, or ran later.
 
-    A start after the word is true to it only if another submission of the same
-    key, by the caller, was open at the time.
+    A start after the word was given is true to it only if another submission of
+    the same key, by the caller, was open at the time.
     """
     found = []
     for index in _said_not_run(handed):
         for began in by_task.get((handed.job.submission, index), []):
-            if began.at <= handed.replied_at:
+            if began.at <= handed.decided_at:
                 found.append(
-                    f"{handed.waiter} was told at {handed.replied_at:.3f} that task "
+                    f"{handed.waiter} was told at {handed.decided_at:.3f} that task "
                     f"{index} had not run; it started at {began.at:.3f}"
                 )
             elif not _asked_again(bag, handed, began):
                 found.append(
                     f"{handed.waiter} was told that task {index} did not run; it "
-                    f"started {began.at - handed.replied_at:.3f} s later"
+                    f"started {began.at - handed.decided_at:.3f} s later"
                 )
     return found
 
