Planned stops: unready first, flush before closing, a bound without a successor

An entry closed its listener 50 ms after SIGTERM, before a balancer can have seen its 503. An owner whose service was away never ended. An entry now serves on for 3 s while /ready says 503.

--- a/src/cactuswalk/commands/agent.py
+++ b/src/cactuswalk/commands/agent.py
@@ -13,7 +13,7 @@
 finished, the cell is handed over if this agent owns it, and the exit status is
 0. Wrong settings are all reported at once, with exit status 2.
 
-Example: cactuswalk-agent --settings examples/glenmorrow/agent.ini
+Example: cactuswalk-agent --settings examples/glenmorrow-agent.ini
 """
 
 main = daemon_command(
--- a/src/cactuswalk/commands/entry.py
+++ b/src/cactuswalk/commands/entry.py
@@ -13,7 +13,7 @@
 finished, and the exit status is 0. Wrong settings are all reported at once, with
 exit status 2.
 
-Example: cactuswalk-entry --settings examples/glenmorrow/entry.ini
+Example: cactuswalk-entry --settings examples/glenmorrow-entry.ini
 """
 
 main = daemon_command(
--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -122,6 +122,8 @@
 
     async def _close_store(self) -> None:
         await self.store.close()
+        self.metrics.close()
+        self.log.close()
 
     def _not_ready(self) -> list[str]:
         reasons = []
--- a/src/cactuswalk/runtime/application.py
+++ b/src/cactuswalk/runtime/application.py
@@ -31,6 +31,8 @@
     :param is_stopped: tells whether a planned stop is complete.
     :param write_log: takes each ``Log`` effect.
     :param metrics: has ``count(name, by)`` and ``gauge(name, value)``.
+    :param unready_seconds: how long a process that is to stop only says so, and
+        serves on.
     """
 
     def __init__(
@@ -38,14 +40,16 @@
         name: str,
         reduce: Callable[[Event, float], list[Effect]],
         is_stopped: Callable[[], bool],
-        write_log: Callable[[Log], None],
+        write_log: Callable[..., None],
         metrics,
+        unready_seconds: float = 0.0,
     ) -> None:
         self.name = name
         self.reduce = reduce
         self.is_stopped = is_stopped
         self.write_log = write_log
         self.metrics = metrics
+        self.unready_seconds = unready_seconds
         self.transport = None
         self.performers: dict[type, Callable] = {
             Log: write_log,
@@ -56,6 +60,7 @@
         self.tasks: set[asyncio.Task] = set()
         self.flush_scheduled = False
         self.stopping = False
+        self.told_to_stop = False
         self.failure: BaseException | None = None
         self.ended: asyncio.Event | None = None
 
@@ -116,9 +121,9 @@
         finally:
             for task in list(self.tasks):
                 task.cancel()
+            self._flush()
             for hook in reversed(started):
                 await hook[1]()
-            self._flush()
         if self.failure is not None:
             raise self.failure
 
@@ -127,6 +132,10 @@
         if self.stopping:
             return
         self.stopping = True
+        asyncio.get_running_loop().call_later(self.unready_seconds, self._stop)
+
+    def _stop(self) -> None:
+        self.told_to_stop = True
         self.feed(StopRequested())
 
     async def _tick(self) -> None:
@@ -138,7 +147,7 @@
             ticks += 1
             if ticks % IDLE_LOOK_TICKS == 0:
                 self.transport.close_idle(time.monotonic())
-            if self.stopping and self.is_stopped():
+            if self.told_to_stop and self.is_stopped():
                 self.ended.set()
                 return
 
@@ -159,6 +168,6 @@
         code = getattr(error, "code", "internal")
         self.metrics.count(f"failure.{code}", 1)
         fields = {"process": self.name, "code": code, "reason": str(error)}
-        self.write_log(Log(Part.PROCESS, "stops on a failure", fields))
+        self.write_log(Log(Part.PROCESS, "stops on a failure", fields), "error")
         if self.ended is not None:
             self.ended.set()
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -20,11 +20,15 @@
 from cactuswalk.settings import EntrySettings
 from cactuswalk.state.effects import Reply, ReplyState
 from cactuswalk.state.entry import EntryState, handle_entry, new_entry
-from cactuswalk.state.events import CallerAsked, CallerGone, CallerSubmitted
+from cactuswalk.state.events import CallerAsked, CallerSubmitted
 from cactuswalk.state.timing import Timing
 
 __all__ = ["EntryProcess"]
 
+# From the first 503 of /ready to the end of the listener: a balancer asks once in
+# one to two seconds, and sends new connections until it has been told.
+UNREADY_SECONDS = 3.0
+
 
 class EntryProcess:
     """Everything that one entry's process owns."""
@@ -44,6 +48,7 @@
             self._is_stopped,
             self.log.write,
             self.metrics,
+            UNREADY_SECONDS,
         )
         keys = Keys(settings.curve) if settings.curve else None
         self.transport = Transport(
@@ -111,6 +116,8 @@
 
     async def _close_store(self) -> None:
         await self.store.close()
+        self.metrics.close()
+        self.log.close()
 
     async def submit(self, event: CallerSubmitted) -> Reply:
         """Hand a submission to the reducer and wait for its one reply."""
@@ -120,8 +127,7 @@
         try:
             return await future
         finally:
-            if self.waiting.pop(event.waiter, None) is not None:
-                self.application.feed(CallerGone(event.waiter))
+            self.waiting.pop(event.waiter, None)
 
     async def query(self, submission: str, service: str) -> JobState | None:
         """Ask the owners where a submission stands."""
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -32,6 +32,8 @@
 # Messages for a peer that is not connected (yet) are held this long: some tries
 # to connect, and less than the age at which they are refused.
 HELD_FOR = 0.5
+# How long frames that were handed to ZeroMQ may take to leave at the end.
+LINGER_MS = 200
 RETRY_AFTER = 0.005
 
 
@@ -109,7 +111,9 @@
             self.loop.remove_reader(self.inbound.fileno())
             self.inbound.close()
         for peer in self.peers.values():
-            peer.socket.close(linger=200)
+            peer.socket.close(linger=LINGER_MS)
+        self.peers.clear()
+        self.dirty.clear()
         if self.keys is not None:
             self.keys.stop()
         self.context.term()
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -63,6 +63,11 @@
 
 # An owner that stops tries another successor after this long without a takeover.
 HAND_OVER_AGAIN_AFTER = 2.0
+# An owner that can't hand its cell over, because the key-value service or every
+# other member is away, serves on this long and then goes when nothing is open;
+# after the second span it goes all the same: above the longest deadline.
+HAND_OVER_GIVEN_UP_AFTER = 10.0
+STOP_GIVEN_UP_AFTER = 90.0
 # A stopping agent that can't be taken off the roster, because the key-value
 # service is away, goes after this long; its cell then finds it lost.
 LEAVE_GIVEN_UP_AFTER = 5.0
@@ -113,6 +118,7 @@
     make_scheduler: Callable[[], Scheduler]
     owner: OwnerState | None = None
     stopping: bool = False
+    stopping_since: float = 0.0
     handed_over_at: float = float("-inf")
     leave_sent_at: float = float("-inf")
     idle_since: float | None = None
@@ -190,6 +196,8 @@
     elif isinstance(event, KeySwapped):
         _on_swapped(node, event, now)
     elif isinstance(event, StopRequested):
+        if not node.stopping:
+            node.stopping_since = now
         node.stopping = True
         node.agent.gate.stopping = True
 
@@ -338,10 +346,14 @@
 def _hand_over(node: Node, now: float) -> None:
     """Ask another member to take the cell, without waiting for a silence."""
     owner = node.owner
-    if not node.agent.gate.running and len(owner.record.roster) == 1:
-        # Nobody is left to hand over to; what waits is told so by its entry.
-        node.stopped = not owner.open
-        return
+    alone = len(owner.record.roster) == 1
+    waited = now - node.stopping_since
+    if alone or waited > HAND_OVER_GIVEN_UP_AFTER:
+        # Nobody can take the cell over; its entries tell so who comes next.
+        busy = owner.open or node.agent.gate.running
+        node.stopped = not busy or waited > STOP_GIVEN_UP_AFTER
+        if alone or node.stopped:
+            return
     if now - node.handed_over_at < HAND_OVER_AGAIN_AFTER:
         return
     owner.handing_over = False
