--- a/features/platform_swap.feature
+++ b/features/platform_swap.feature
@@ -108,6 +108,22 @@
     delays and repeats. Whoever is told "applied" is in the history once, whoever
     is told "lost" never is, and every doubt can be settled in the end.
     Then no race of swaps contradicts what its clients were told
+    And nor does it where clients remember one doubt only
+
+  Scenario: A process is replaced with a swap in doubt
+    A write is applied, its reply is lost, another operator changes the object, the
+    host is replaced. The next process repeats the swap from its records;
+    told that it lost, it would make the change a second time.
+    Given a platform service in virtual time
+    And the service loses the replies of the next 1 writes
+    And another writer replaces the value as soon as a call fails
+    And the service goes down as soon as a call fails
+    When a platform client swaps the key
+    Then the swap is told as unknown
+    When the service is back
+    And the client is replaced and the next one asks for the same swap
+    Then the swap is told as applied
+    And the write is in the history exactly once
 
   Scenario Outline: The race finds a client that guesses
     This client <guess>. Two owners of one cell, or an operator's change that
