Compare binding policies, and choose order, shares and margins by it

What did it, one at a time: order by patience; steps of 3 and 1 slot seconds; declared times by regression on a logarithmic scale; hurrying started jobs before they get hopeless; a wait margin that learns from sheds, and the rate a team is given in place of all slots.

--- a/src/cactuswalk/decisions/admission.py
+++ b/src/cactuswalk/decisions/admission.py
@@ -6,21 +6,30 @@
 
 The time until a job would be answered is reckoned from the work that is queued and
 the slots that drain it, in three ways: behind everything; behind its own team's
-backlog at the team's guaranteed share; behind its own caller's at the caller's. The
-least of them holds, since the fair share keeps it: a light team is not refused for
-the flood of another. A job that can't be answered by its deadline is refused with
+backlog at the rate that the team is given; behind its own caller's at the caller's
+part of that. The least of them holds, since the fair share keeps it: a light team is
+not refused for the flood of another, and a heavy one is not told of slots that others
+will take. A job that can't be answered by its deadline is refused with
 the time after which the same reckoning would have let it in.
 """
 
+import math
+
 import msgspec
 
 from cactuswalk.model import Refusal, RefusalCode
 
-__all__ = ["Backlog", "judge", "retry_after_ms"]
+__all__ = ["Backlog", "WaitMargin", "judge", "retry_after_ms"]
+
+# The reckoned time in the queue counts this many times, at least and at most.
+LEAST_MARGIN = 2.0
+GREATEST_MARGIN = 10.0
+FIRST_MARGIN = 2.0
 
-# The reckoned time in the queue counts this many times. Run times are heavy-tailed
-# and a job ends with its last task: see docs/design/decisions/admission.md.
-WAIT_MARGIN = 1.5
+# One admitted job in a thousand may turn out hopeless in the queue; the margin moves
+# by up to a tenth with each that does.
+HOPELESS_PART = 0.001
+MARGIN_STEP = 0.1
 
 # A task is given up as hopeless only if less than this part of its expected run
 # time is left: with heavy-tailed run times most tasks are shorter than the mean.
@@ -30,45 +39,78 @@
 LEAST_RETRY_MS = 50
 
 
+class WaitMargin(msgspec.Struct):
+    """Learns by how much the reckoned time in the queue falls short.
+
+    Who is overtaken, how wrong declarations are and how fast the slots drain can't
+    be known beforehand. So the margin grows with each admitted job that has to be
+    shed, and shrinks with each that is started whole, such that one in a thousand
+    is shed (stochastic approximation of a percentile).
+    """
+
+    factor: float = FIRST_MARGIN
+
+    def started(self) -> None:
+        """Take note of an admitted job whose last task has a slot."""
+        self.move(-MARGIN_STEP * HOPELESS_PART)
+
+    def shed(self) -> None:
+        """Take note of an admitted job that became hopeless in the queue."""
+        self.move(MARGIN_STEP * (1 - HOPELESS_PART))
+
+    def move(self, step: float) -> None:
+        """Move the margin by a small part of itself, within its bounds."""
+        moved = self.factor * (1 + step)
+        self.factor = min(GREATEST_MARGIN, max(LEAST_MARGIN, moved))
+
+
 class Backlog(msgspec.Struct, frozen=True):
     """What a job would find, in slot seconds of expected work.
 
     :param slots: that can take this job's tasks; none busy is not assumed.
+    :param team_rate: slot seconds that the team is given per second while it
+        waits, None if it has not waited long.
     :param guaranteed_team: part of the slots that the team has when all queue.
     :param maximum_running: the team's quota, None for no limit.
     :param own: work of the job itself.
     :param longest: expected run time of its longest task, in seconds.
+    :param margin: by which the reckoned time has lately fallen short.
     """
 
     slots: int
     everyone: float
     team: float
     caller: float
+    team_rate: float | None
     guaranteed_team: float
     guaranteed_caller: float
     maximum_running: int | None
     own: float
     longest: float
+    margin: float = FIRST_MARGIN
 
     @property
     def wait(self) -> float:
-        """Return the reckoned time until the last task has a slot, in seconds."""
+        """Return the time until the last task has a slot, in seconds."""
         if self.slots == 0:
             return 0.0
-        team_slots = self.slots * self.guaranteed_team
-        caller_slots = team_slots * self.guaranteed_caller
-        return min(
-            (self.everyone + self.own) / self.slots,
-            (self.team + self.own) / team_slots,
-            (self.caller + self.own) / caller_slots,
-        )
+        rate = self.slots * self.guaranteed_team
+        behind_all = (self.everyone + self.own) / self.slots
+        if self.team_rate is not None:
+            # What the team gets is known, so what it might get does not count.
+            rate = max(rate, self.team_rate)
+            behind_all = math.inf
+        behind_team = (self.team + self.own) / rate
+        behind_caller = (self.caller + self.own) / (rate * self.guaranteed_caller)
+        return self.margin * min(behind_all, behind_team, behind_caller)
 
     @property
     def quota_wait(self) -> float:
         """Return the time that the team's own limit makes it wait."""
         if self.maximum_running is None:
             return 0.0
-        return (self.team + self.own) / max(1, self.maximum_running)
+        reckoned = (self.team + self.own) / max(1, self.maximum_running)
+        return self.margin * reckoned
 
 
 def judge(backlog: Backlog, remaining: float, jitter: float) -> Refusal | None:
@@ -106,9 +148,9 @@
 
 def late(wait: float, run: float, remaining: float) -> float:
     """Return how much too long the queue is, in seconds of draining."""
-    return wait * WAIT_MARGIN + run - remaining
+    return wait + run - remaining
 
 
 def retry_after_ms(late_by: float, jitter: float) -> int:
     """Return when to come back: the queue drains a second of work a second."""
-    return LEAST_RETRY_MS + int(late_by / WAIT_MARGIN * (1 + jitter) * 1000)
+    return LEAST_RETRY_MS + int(late_by * (1 + jitter) * 1000)
--- a/src/cactuswalk/decisions/binding.py
+++ b/src/cactuswalk/decisions/binding.py
@@ -67,7 +67,7 @@
         return None
     lane.take(queued, index)
     charged = queued.expected[index]
-    state.begin(queued, lane, charged)
+    state.begin(queued, lane, charged, now)
     state.count_out(queued, lane, [index])
     state.retries.earn()
     state.hedges.earn()
@@ -81,9 +81,14 @@
 def shed_hopeless(
     cell: CellState, state: Service, now: float, decided: list[Assignment | Shed]
 ) -> None:
-    """Refuse the jobs that can't be answered in time any more."""
+    """Refuse the jobs that can't be answered in time any more; hurry others."""
+    for queued in state.deadlines.take_hurried(now):
+        queued.urgent = True
+        for lane in queued.pending:
+            lane.hurry(queued)
     for queued in state.deadlines.take_hopeless(now):
         refusal = refuse_late(cell, queued, now)
+        state.margin.shed()
         for index in cell.withdraw(queued):
             decided.append(Shed(queued.task(index), refusal))
 
--- a/src/cactuswalk/decisions/cellstate.py
+++ b/src/cactuswalk/decisions/cellstate.py
@@ -32,7 +32,7 @@
         expected = [state.durations.predict(task.duration_ms) for task in job.tasks]
         slots = self.pool.group(job.service, job.selector).slots
         self.opened += 1
-        place = self.order(queued_at, deadline, sum(expected), slots)
+        place = self.order(queued_at, deadline, expected, slots)
         order = (place, self.opened)
         team, caller = state.shares(job.team, job.caller)
         queued = QueuedJob(
--- a/src/cactuswalk/decisions/estimation.py
+++ b/src/cactuswalk/decisions/estimation.py
@@ -5,10 +5,11 @@
 everything is refused while slots stand idle, or ten times shorter, and work is
 accepted that can't be answered in time.
 
-Two predictors run side by side for each service: the declared time times a
-learned factor, which is right when callers are wrong alike, and the plain mean,
-which is right when declarations carry no information. The one with the smaller
-recent error is used.
+A declared time is read on a logarithmic scale against what callers declare on the
+whole, and counts only as far as it has lately told long tasks from short ones: the
+slope of a running regression. If all callers are wrong by the same factor, the
+factor drops out; if declarations carry no information, the slope goes to zero and
+the mean run time is left.
 """
 
 import math
@@ -21,58 +22,80 @@
 # logarithmic scale (223 ms), and a mean above it for the tail of several seconds.
 PRIOR_SECONDS = 0.3
 
-# Weight of a new observation once the estimate is warm. 1/64 follows a change
-# within about 64 tasks, a quarter of a second at today's rates, and holds the
-# sampling error of a heavy-tailed mean (deviation about the mean) near 12%.
-GAIN = 1 / 64
+# Before anything is observed a declaration counts half, as if callers' errors were
+# as wide as the run times themselves.
+PRIOR_VARIANCE = 1.0
+PRIOR_COVARIANCE = 0.5
 
-# A declared time is believed within this factor after correction: one absurd
-# declaration must not decide an admission by itself.
-WIDEST_CORRECTION = 100.0
+# Weight of a new observation. 1/128 follows a change within about 128 tasks, half a
+# second at today's rates, and holds the sampling error of a mean whose deviation is
+# as large as itself near 6%.
+GAIN = 1 / 128
+
+# Observations that the prior is worth.
+PRIOR_WEIGHT = 8
+
+# Declarations count as telling long from short above this part of the variance
+# explained: at a quarter, a task declared four times the mean is longer than the
+# mean in some two of three cases.
+TELLING_PART = 0.25
 
 
 class DurationEstimate(msgspec.Struct):
-    """Predicts the run times of one service's tasks, in seconds."""
+    """Predicts the run times of one service's tasks, in seconds.
+
+    Centres, variances and the covariance are of logarithms of seconds.
+    """
 
     mean: float = PRIOR_SECONDS
-    factor: float = 1.0
-    error_of_mean: float = 0.0
-    error_of_declared: float = 0.0
+    run_centre: float = math.log(PRIOR_SECONDS)
+    declared_centre: float = math.log(PRIOR_SECONDS)
+    run_variance: float = PRIOR_VARIANCE
+    declared_variance: float = PRIOR_VARIANCE
+    covariance: float = PRIOR_COVARIANCE
     observed: int = 0
 
     def predict(self, declared_ms: int) -> float:
         """Return the run time to reckon with, in seconds."""
-        if declared_ms <= 0 or self.error_of_declared > self.error_of_mean:
+        if declared_ms <= 0:
             return self.mean
-        return declared_ms / 1000 * self.factor
+        slope = self.slope
+        distance = math.log(declared_ms / 1000) - self.declared_centre
+        # The mean of exp(slope * distance) over log-normal declarations; without
+        # it the predictions would be too long on average.
+        spread = slope * slope * self.declared_variance / 2
+        return self.mean * math.exp(slope * distance - spread)
+
+    @property
+    def slope(self) -> float:
+        """Return how far a declaration counts, from 0 to 1."""
+        if self.declared_variance < 1e-6:
+            return 0.0
+        return min(1.0, max(0.0, self.covariance / self.declared_variance))
 
     @property
     def declarations_help(self) -> bool:
-        """Return whether declared times have lately beaten the plain mean."""
-        return self.observed > 1 and self.error_of_declared < self.error_of_mean
+        """Return whether declared times have lately told long from short."""
+        variances = self.declared_variance * self.run_variance
+        if variances < 1e-9 or self.covariance <= 0:
+            return False
+        return self.covariance**2 / variances > TELLING_PART
 
     def observe(self, declared_ms: int, seconds: float) -> None:
-        """Learn from a task that succeeded.
-
-        Errors are compared on a logarithmic scale, on which ten times too long
-        is as wrong as ten times too short.
-        """
+        """Learn from a task that succeeded."""
         seconds = max(seconds, 0.001)
         self.observed += 1
-        gain = max(GAIN, 1 / (self.observed + 1))
-        off_mean = abs(math.log(seconds / self.mean))
-        self.error_of_mean += gain * (off_mean - self.error_of_mean)
+        gain = max(GAIN, 1 / (self.observed + PRIOR_WEIGHT))
         self.mean += gain * (seconds - self.mean)
+        off_run = math.log(seconds) - self.run_centre
+        self.run_centre += gain * off_run
+        self.run_variance += gain * (off_run**2 - self.run_variance)
         if declared_ms <= 0:
             return
-        declared = declared_ms / 1000
-        off_declared = abs(math.log(seconds / (declared * self.factor)))
-        self.error_of_declared += gain * (off_declared - self.error_of_declared)
-        ratio = math.log(seconds / declared)
-        learned = math.log(self.factor)
-        learned += gain * (ratio - learned)
-        limit = math.log(WIDEST_CORRECTION)
-        self.factor = math.exp(min(limit, max(-limit, learned)))
+        off_declared = math.log(declared_ms / 1000) - self.declared_centre
+        self.declared_centre += gain * off_declared
+        self.declared_variance += gain * (off_declared**2 - self.declared_variance)
+        self.covariance += gain * (off_run * off_declared - self.covariance)
 
 
 # A reservation follows use upwards four times as fast as downwards: memory that
--- a/src/cactuswalk/decisions/fairness.py
+++ b/src/cactuswalk/decisions/fairness.py
@@ -7,23 +7,28 @@
 Each team has a virtual time that grows with the slot time it uses, divided by its
 weight; the queued team that is furthest behind goes first. While others have
 nothing queued a team may use every slot (its idle share is lent out), and it gives
-the share back with the next slot that comes free: one that wakes starts level with
-the field, and no one is owed for time spent idle. Callers share their team's part
+the share back with the next slot that comes free: one that wakes starts where the
+others are, and no one is owed for time spent idle. Callers share their team's part
 in the same way. Virtual times are compared in steps of a burst, so that ordinary
 traffic is ordered by the jobs' own order and only a real excess makes a team wait.
 """
 
+import math
+
 import msgspec
 
 __all__ = ["Quota", "Share", "ShareTree"]
 
-# Slot seconds that a caller may be ahead of the others before it has to wait. The
-# largest job of the brief, 140 tasks, at 0.3 s a task: such a job by itself is no
-# excess. A smaller step lets jobs interleave, and all end later.
-CALLER_STEP_SECONDS = 42.0
+# Virtual times are compared in steps of this many slot seconds; within a step the
+# jobs' own order decides. Measured in docs/design/decisions/fair-share.md: smaller
+# steps keep a light team or caller further from a flood, larger ones let a burst be
+# served in the jobs' order.
+TEAM_STEP_SECONDS = 3.0
+CALLER_STEP_SECONDS = 1.0
 
-# The same for a team, whose callers may each have such a job in hand.
-TEAM_STEP_SECONDS = 42.0
+# What a team was given is looked at over about this time: some four mean run times,
+# so that it does not jump with each slot, and short against callers' deadlines.
+DRAIN_SECONDS = 1.0
 
 # Callers come and go by the million; above this many shares, or twice what was
 # left last time, those that are idle are dropped.
@@ -33,7 +38,8 @@
 class Quota(msgspec.Struct, frozen=True):
     """What a team is entitled to.
 
-    :param weight: of its share against other teams that have work queued.
+    :param weight: of its share against other teams that have work queued,
+        relative to 1.0, the weight of a team without a quota.
     :param maximum_running: tasks at one time, also when slots are idle; None
         for no limit.
     """
@@ -50,6 +56,8 @@
         it is settled with the next charge, so that keys in heaps change only
         when their member is being served.
     :param queued_seconds: run time that is expected of what is queued.
+    :param waiting_since: when it last had nothing queued.
+    :param drained: slot seconds started lately, see ``drain_rate``.
     """
 
     name: str
@@ -60,6 +68,9 @@
     queued_seconds: float = 0.0
     queued: int = 0
     running: int = 0
+    waiting_since: float = 0.0
+    drained: float = 0.0
+    drained_at: float = 0.0
 
     @property
     def level(self) -> int:
@@ -77,6 +88,24 @@
         """Return whether nothing is queued and nothing runs."""
         return self.queued == 0 and self.running == 0
 
+    def drain(self, seconds: float, now: float) -> None:
+        """Count slot seconds that were started, of which older ones fade."""
+        faded = math.exp(-(now - self.drained_at) / DRAIN_SECONDS)
+        self.drained = self.drained * faded + seconds
+        self.drained_at = now
+
+    def drain_rate(self, now: float) -> float | None:
+        """Return the slot seconds started per second while work is waiting.
+
+        None while it has not waited long enough to tell.
+        """
+        waited = now - self.waiting_since
+        if self.queued == 0 or waited < DRAIN_SECONDS:
+            return None
+        faded = math.exp(-(now - self.drained_at) / DRAIN_SECONDS)
+        seen = 1 - math.exp(-waited / DRAIN_SECONDS)
+        return self.drained * faded / (DRAIN_SECONDS * seen)
+
     def charge(self, seconds: float) -> None:
         """Pay for a task that starts, and settle what was charged wrongly."""
         paid = (seconds + self.correction) / self.quota.weight
@@ -88,12 +117,23 @@
     """The shares of one service's teams, or of one team's callers.
 
     :param step: see ``Share.level``, in slot seconds.
+    :param head_start: steps that one which wakes starts ahead of the field; no
+        more, so that nobody saves up for a flood by being idle.
     """
 
-    __slots__ = ("field", "quotas", "shares", "step", "sweep_above", "weight")
-
-    def __init__(self, step: float) -> None:
+    __slots__ = (
+        "field",
+        "head_start",
+        "quotas",
+        "shares",
+        "step",
+        "sweep_above",
+        "weight",
+    )
+
+    def __init__(self, step: float, head_start: int = 0) -> None:
         self.step = step
+        self.head_start = head_start
         self.field = 0.0
         self.shares: dict[str, Share] = {}
         self.quotas: dict[str, Quota] = {}
@@ -127,17 +167,15 @@
             self.weight += quota.weight - known.quota.weight
         known.quota = quota
 
-    def enqueue(self, share: Share, tasks: int, seconds: float) -> None:
-        """Count queued tasks; one that wakes starts just behind the field.
-
-        The step behind is what lets a light user pass at once the backlog of a
-        heavy one; no more than a step, so that nobody saves up for a flood.
-        """
+    def enqueue(self, share: Share, tasks: int, seconds: float, now: float) -> None:
+        """Count queued tasks; one that wakes starts at the field."""
         if share.queued == 0:
             self.shares.setdefault(share.name, share)
             self.weight += share.quota.weight
-            behind = max(0.0, self.field - self.step)
-            share.virtual_time = max(share.virtual_time, behind)
+            share.waiting_since = share.drained_at = now
+            share.drained = 0.0
+            start = max(0.0, self.field - self.head_start * self.step)
+            share.virtual_time = max(share.virtual_time, start)
         share.queued += tasks
         share.queued_seconds += seconds
 
@@ -150,11 +188,12 @@
             share.queued_seconds = 0.0
             self.forget_if_idle(share)
 
-    def start(self, share: Share, seconds: float) -> None:
+    def start(self, share: Share, seconds: float, now: float) -> None:
         """Charge for a started task; the field moves on with who is served."""
         self.field = max(self.field, share.level * self.step)
         share.running += 1
         share.charge(seconds)
+        share.drain(seconds, now)
 
     def end(self, share: Share, charged: float, used: float) -> None:
         """Count a task that has ended, and note what was charged wrongly."""
--- a/src/cactuswalk/decisions/joborder.py
+++ b/src/cactuswalk/decisions/joborder.py
@@ -1,9 +1,10 @@
 """The order of jobs that have the same claim to the next slot.
 
-Load pattern: jobs of 140 tasks among single requests. A job is answered only when
-its last task has ended, so slots spread over many jobs at once finish none of
-them; and first come first served lets a single request wait for all of a large
-job. Ordered by fewest tasks alone, a large job would starve under lasting load.
+Load pattern: jobs of 140 tasks among single requests, tasks of several seconds
+among lookups of 50 ms. A job is answered only when its last task has ended, so
+slots spread over many jobs at once finish none of them; and first come first served
+lets a lookup wait for all of a large job, many times its own length. Ordered by size
+alone, large jobs would starve under lasting load.
 
 An order is a function from a job to a number that does not change while the job
 waits; the least goes first. ``docs/design/decisions/job-order.md`` compares them.
@@ -11,35 +12,44 @@
 
 from collections.abc import Callable
 
-__all__ = ["JobOrder", "by_virtual_finish", "first_come_first_served", "fewest_tasks"]
+__all__ = ["JobOrder", "by_patience", "first_come_first_served", "fewest_tasks"]
 
-# arrived (seconds), deadline (seconds), work (slot seconds), slots -> key
-JobOrder = Callable[[float, float, float, int], float]
+# (arrived and deadline in seconds, expected run times in seconds, slots) -> key
+JobOrder = Callable[[float, float, list[float], int], float]
 
-# How many times the run time that the job would need on all slots together it
-# stands behind its arrival. 0 is first come first served; the greater, the
-# nearer to fewest tasks first. See docs/design/decisions/job-order.md.
-WORK_FACTOR = 4.0
+# A job stands behind its arrival by this many times the time that it would need on
+# all slots together, and by this many times its longest task: what it can bear to
+# wait before its slowdown shows. See docs/design/decisions/job-order.md.
+WORK_PATIENCE = 4.0
+LENGTH_PATIENCE = 5.0
 
+# But never by more than this part of the time to its deadline, so that a job which
+# was admitted is not passed until it is hopeless.
+DEADLINE_PART = 0.3
 
-def by_virtual_finish(
-    arrived: float, deadline: float, work: float, slots: int
+
+def by_patience(
+    arrived: float, deadline: float, expected: list[float], slots: int
 ) -> float:
-    """Order by when the job would be through, had it come to an empty cell.
+    """Order by when a job's slowdown would begin to show.
 
-    A single request passes a large job that came shortly before it. A large job
-    is passed only for as long as it would itself need, so it can't starve.
+    A lookup passes a large or long job that came shortly before it. That job is
+    passed only for as long as a few times its own length, so it can't starve.
     """
-    return arrived + WORK_FACTOR * work / max(1, slots)
+    work = sum(expected) / max(1, slots)
+    patience = WORK_PATIENCE * work + LENGTH_PATIENCE * max(expected)
+    return arrived + min(patience, DEADLINE_PART * (deadline - arrived))
 
 
 def first_come_first_served(
-    arrived: float, deadline: float, work: float, slots: int
+    arrived: float, deadline: float, expected: list[float], slots: int
 ) -> float:
     """Order by arrival."""
     return arrived
 
 
-def fewest_tasks(arrived: float, deadline: float, work: float, slots: int) -> float:
+def fewest_tasks(
+    arrived: float, deadline: float, expected: list[float], slots: int
+) -> float:
     """Order by work alone; a large job can starve."""
-    return work
+    return sum(expected)
--- a/src/cactuswalk/decisions/queueing.py
+++ b/src/cactuswalk/decisions/queueing.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+import math
 
 import msgspec
 
@@ -22,6 +23,10 @@
 __all__ = ["Lane", "LaneKey", "QueuedJob", "lane_key"]
 
 
+# Before every order and every level.
+URGENT = -math.inf
+
+
 class LaneKey(msgspec.Struct, frozen=True):
     """What decides which workers can take a task.
 
@@ -51,6 +56,7 @@
     :param expected: run time of each task, in seconds.
     :param lanes: of its tasks, by index.
     :param dispatched: a task of it has been given to a worker.
+    :param urgent: it goes before all claims, see ``Lane.hurry``.
     """
 
     job: Job
@@ -65,6 +71,7 @@
     queued: int = 0
     running: int = 0
     dispatched: bool = False
+    urgent: bool = False
 
     def task(self, index: int) -> QueuedTask:
         """Return one of the job's tasks as the owner knows it."""
@@ -136,7 +143,17 @@
 
     def job_key(self, queued: QueuedJob) -> tuple | None:
         """Return the place of a job, None if it has no task left here."""
-        return queued.order if queued.pending.get(self) else None
+        if not queued.pending.get(self):
+            return None
+        return (URGENT, queued.order[1]) if queued.urgent else queued.order
+
+    def hurry(self, queued: QueuedJob) -> None:
+        """Move the tasks of a job that is marked urgent before all others."""
+        team = self.by_name[queued.team.name]
+        caller = team.by_name[queued.caller.name]
+        caller.jobs.push(queued)
+        team.callers.push(caller)
+        self.teams.push(team)
 
     def first(self) -> tuple[tuple, TeamQueue] | None:
         """Return the place of the lane's first task, and its team.
@@ -200,10 +217,18 @@
 def caller_key(caller: CallerQueue) -> tuple | None:
     """Return the place of a caller in its team: its level, then its first job."""
     found = caller.jobs.top()
-    return None if found is None else (caller.share.level, found[0])
+    if found is None:
+        return None
+    place = found[0]
+    level = URGENT if place[0] == URGENT else caller.share.level
+    return level, place
 
 
 def team_key(team: TeamQueue) -> tuple | None:
     """Return the place of a team: its level, then its first caller's first job."""
     found = team.callers.top()
-    return None if found is None else (team.share.level, found[0][1])
+    if found is None:
+        return None
+    place = found[0][1]
+    level = URGENT if place[0] == URGENT else team.share.level
+    return level, place
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -18,7 +18,7 @@
 from cactuswalk.decisions.fairness import Quota
 from cactuswalk.decisions.fitting import judge_fit
 from cactuswalk.decisions.guard import GuardAction, Usage, judge_usage
-from cactuswalk.decisions.joborder import JobOrder, by_virtual_finish
+from cactuswalk.decisions.joborder import JobOrder, by_patience
 from cactuswalk.decisions.queueing import Lane
 from cactuswalk.decisions.secondattempts import hedges
 from cactuswalk.decisions.tasks import Assignment, Explanation, QueuedTask, Shed
@@ -44,7 +44,7 @@
     def __init__(
         self,
         generator: random.Random | None = None,
-        order: JobOrder = by_virtual_finish,
+        order: JobOrder = by_patience,
     ) -> None:
         self.generator = generator or random.Random(DEFAULT_SEED)
         self.cell = CellState(order)
@@ -127,7 +127,7 @@
         state = self.cell.service(job.service)
         group = self.cell.pool.group(job.service, job.selector)
         free = sum(worker.free for worker in group.open.values())
-        backlog = state.backlog(queued, group.slots, free)
+        backlog = state.backlog(queued, group.slots, free, now)
         refusal = judge(backlog, deadline - now, self.generator.random())
         if refusal is not None:
             return refusal
@@ -136,7 +136,7 @@
         for index, lane in enumerate(queued.lanes):
             by_lane.setdefault(lane, []).append(index)
         for lane, indexes in by_lane.items():
-            state.enqueue(queued, lane, indexes)
+            state.enqueue(queued, lane, indexes, now)
         state.deadlines.add(queued, state.jobs_queued)
         return None
 
@@ -156,7 +156,7 @@
         lane = queued.lanes[task.index] = state.lanes.setdefault(lane.key, lane)
         if task.index in queued.pending.get(lane, ()):
             return
-        state.enqueue(queued, lane, [task.index], front=True)
+        state.enqueue(queued, lane, [task.index], now, front=True)
         state.deadlines.add(queued, state.jobs_queued)
         known = self.cell.pool.workers.get(worker)
         if known is not None and (submission, task.index) in known.running:
--- a/src/cactuswalk/decisions/secondattempts.py
+++ b/src/cactuswalk/decisions/secondattempts.py
@@ -51,7 +51,7 @@
     cell: CellState, state: Service, worker: Worker, task: RunningTask, now: float
 ) -> Assignment:
     """Start the second attempt at a task."""
-    state.begin(task.owner, task.lane, task.charged)
+    state.begin(task.owner, task.lane, task.charged, now)
     second = RunningTask(
         task.index,
         now,
--- a/src/cactuswalk/decisions/service.py
+++ b/src/cactuswalk/decisions/service.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cactuswalk.decisions.admission import Backlog
+from cactuswalk.decisions.admission import Backlog, WaitMargin
 from cactuswalk.decisions.budget import Budget, hedge_budget, retry_budget
 from cactuswalk.decisions.estimation import DurationEstimate, SizeEstimate
 from cactuswalk.decisions.fairness import (
@@ -20,6 +20,14 @@
 __all__ = ["Service"]
 
 
+def caller_shares() -> ShareTree:
+    """Return the shares of one team's callers.
+
+    A caller that wakes passes its team's heavy callers at once, by a step.
+    """
+    return ShareTree(CALLER_STEP_SECONDS, head_start=1)
+
+
 class Service(msgspec.Struct, eq=False):
     """The queue of one service.
 
@@ -37,6 +45,7 @@
     retries: Budget
     hedges: Budget
     lanes: dict[LaneKey, Lane]
+    margin: WaitMargin
     queued: int = 0
     queued_seconds: float = 0.0
     jobs_queued: int = 0
@@ -56,13 +65,14 @@
             retry_budget(),
             hedge_budget(),
             {},
+            WaitMargin(),
         )
 
     def shares(self, team: str, caller: str) -> tuple[Share, Share]:
         """Return the shares of a team and of one of its callers."""
         callers = self.callers.get(team)
         if callers is None:
-            callers = self.callers[team] = ShareTree(CALLER_STEP_SECONDS)
+            callers = self.callers[team] = caller_shares()
         return self.teams.share(team), callers.share(caller)
 
     def lane(self, queued: QueuedJob, spec: TaskSpec, expected: float) -> Lane:
@@ -76,15 +86,18 @@
         return known
 
     def enqueue(
-        self, queued: QueuedJob, lane: Lane, indexes: list[int], front: bool = False
+        self,
+        queued: QueuedJob,
+        lane: Lane,
+        indexes: list[int],
+        now: float,
+        front: bool = False,
     ) -> None:
         """Queue some tasks of a job in one lane."""
         seconds = sum(queued.expected[index] for index in indexes)
-        callers = self.callers.setdefault(
-            queued.team.name, ShareTree(CALLER_STEP_SECONDS)
-        )
-        self.teams.enqueue(queued.team, len(indexes), seconds)
-        callers.enqueue(queued.caller, len(indexes), seconds)
+        callers = self.callers[queued.team.name]
+        self.teams.enqueue(queued.team, len(indexes), seconds, now)
+        callers.enqueue(queued.caller, len(indexes), seconds, now)
         self.jobs_queued += queued.queued == 0
         queued.queued += len(indexes)
         self.queued += len(indexes)
@@ -103,12 +116,14 @@
         self.teams.dequeue(queued.team, len(indexes), seconds)
         lane.forget(queued.team, queued.caller)
 
-    def begin(self, queued: QueuedJob, lane: Lane, charged: float) -> None:
+    def begin(self, queued: QueuedJob, lane: Lane, charged: float, now: float) -> None:
         """Count a task that starts."""
-        self.teams.start(queued.team, charged)
-        self.callers[queued.team.name].start(queued.caller, charged)
+        self.teams.start(queued.team, charged, now)
+        self.callers[queued.team.name].start(queued.caller, charged, now)
         queued.running += 1
         queued.dispatched = True
+        if queued.queued == 1:
+            self.margin.started()
         lane.running += 1
         self.long_running += lane.key.long
 
@@ -123,14 +138,12 @@
             for other in self.lanes.values():
                 other.unpark(queued.team.name)
 
-    def backlog(self, queued: QueuedJob, slots: int, free: int) -> Backlog:
+    def backlog(self, queued: QueuedJob, slots: int, free: int, now: float) -> Backlog:
         """Return what a new job finds, see ``Backlog``.
 
         :param slots: that can take its tasks.
         :param free: of these, the ones that are idle.
         """
-        own = sum(queued.expected)
-        longest = max(queued.expected)
         team, caller = queued.team, queued.caller
         idle = free - self.queued >= len(queued.expected)
         return Backlog(
@@ -138,9 +151,11 @@
             everyone=self.queued_seconds,
             team=team.queued_seconds,
             caller=caller.queued_seconds,
+            team_rate=team.drain_rate(now),
             guaranteed_team=self.teams.guaranteed(team),
             guaranteed_caller=self.callers[team.name].guaranteed(caller),
             maximum_running=team.quota.maximum_running,
-            own=own,
-            longest=longest,
+            own=sum(queued.expected),
+            longest=max(queued.expected),
+            margin=self.margin.factor,
         )
--- a/src/cactuswalk/decisions/shedding.py
+++ b/src/cactuswalk/decisions/shedding.py
@@ -4,6 +4,9 @@
 times longer, workers went). Without this, tasks are started for callers who are
 already gone, and those behind them become late in their turn.
 
+A job of which a part has run already is hurried before it gets that far: giving it
+up would waste what ran. That may pass the fair share by the rest of one job.
+
 Jobs are kept by the latest time at which their remaining tasks can start. A look
 at the first costs nothing, so the refusal comes when it becomes true and not when
 the task would have had its turn.
@@ -21,6 +24,12 @@
 FEWEST_ENTRIES_TO_REBUILD = 64
 
 
+# A started job is hurried when this part of its time is left beyond the latest start.
+# Of the brief's largest job on today's cells all 140 tasks need about half a second
+# of all slots, so a fifth of a deadline of some seconds is enough.
+HURRY_PART = 0.2
+
+
 def latest_start(queued: QueuedJob) -> float:
     """Return when a job's remaining tasks have to start at the latest."""
     return queued.deadline - HOPEFUL_PART * max(queued.expected)
@@ -29,10 +38,11 @@
 class DeadlineQueue:
     """Queued jobs by their latest start."""
 
-    __slots__ = ("entries", "serial")
+    __slots__ = ("early", "late", "serial")
 
     def __init__(self) -> None:
-        self.entries: list[tuple[float, int, QueuedJob]] = []
+        self.early: list[tuple[float, int, QueuedJob]] = []
+        self.late: list[tuple[float, int, QueuedJob]] = []
         self.serial = 0
 
     def add(self, queued: QueuedJob, live: int) -> None:
@@ -40,17 +50,39 @@
 
         :param live: jobs that have tasks queued.
         """
-        if len(self.entries) > max(FEWEST_ENTRIES_TO_REBUILD, 2 * live):
-            self.entries = [entry for entry in self.entries if entry[2].queued]
-            heapq.heapify(self.entries)
+        if len(self.late) > max(FEWEST_ENTRIES_TO_REBUILD, 2 * live):
+            self.early = drop_gone(self.early)
+            self.late = drop_gone(self.late)
         self.serial += 1
-        heapq.heappush(self.entries, (latest_start(queued), self.serial, queued))
+        latest = latest_start(queued)
+        hurry = latest - HURRY_PART * (queued.deadline - queued.queued_at)
+        heapq.heappush(self.late, (latest, self.serial, queued))
+        if len(queued.expected) > 1:
+            heapq.heappush(self.early, (hurry, self.serial, queued))
+
+    def take_hurried(self, now: float) -> list[QueuedJob]:
+        """Return the started jobs that have to be hurried from now on."""
+        return [queued for queued in take(self.early, now) if queued.dispatched]
 
     def take_hopeless(self, now: float) -> list[QueuedJob]:
         """Return the jobs whose queued tasks can't be answered in time."""
-        hopeless = []
-        while self.entries and self.entries[0][0] <= now:
-            queued = heapq.heappop(self.entries)[2]
-            if queued.queued:
-                hopeless.append(queued)
-        return hopeless
+        return take(self.late, now)
+
+
+def take(entries: list[tuple[float, int, QueuedJob]], now: float) -> list[QueuedJob]:
+    """Take out the jobs whose time has come and that have tasks queued."""
+    due = []
+    while entries and entries[0][0] <= now:
+        queued = heapq.heappop(entries)[2]
+        if queued.queued:
+            due.append(queued)
+    return due
+
+
+def drop_gone(
+    entries: list[tuple[float, int, QueuedJob]],
+) -> list[tuple[float, int, QueuedJob]]:
+    """Return the entries of jobs that have tasks queued, as a heap."""
+    kept = [entry for entry in entries if entry[2].queued]
+    heapq.heapify(kept)
+    return kept
--- a/tools/measures.py
+++ b/tools/measures.py
@@ -95,15 +95,19 @@
         response_seconds: float,
         own_seconds: list[float],
         task_seconds: list[float] | None = None,
+        useful_seconds: float | None = None,
     ) -> None:
         """Record a delivered answer.
 
         :param task_seconds: response times of the single tasks, in the order
             of ``own_seconds``; None where only the job's is known.
+        :param useful_seconds: slot time of it that fell into the measured time;
+            None for all.
         """
         self.offered += 1
         self.answered += 1
-        self.useful_seconds += sum(own_seconds)
+        spent = sum(own_seconds) if useful_seconds is None else useful_seconds
+        self.useful_seconds += spent
         trip = self.empty_round_trip
         record_slowdown(self.jobs, slowdown(response_seconds, own_seconds, trip))
         for own, response in zip(own_seconds, task_seconds or (), strict=False):
