--- a/src/cactuswalk/decisions/binding.py
+++ b/src/cactuswalk/decisions/binding.py
@@ -51,7 +51,9 @@
     group = cell.pool.group(lane.key.service, lane.key.selector)
     if not group.open or not lane.queued:
         return False
-    return not lane.key.long or state.long_running < slots_for_long(group.slots)
+    if not lane.key.long:
+        return True
+    return state.long_running < slots_for_long(group.slots, state.short_average)
 
 
 def start_first(
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -212,6 +212,7 @@
         for worker in self.cell.pool.workers.values():
             self.cell.refresh(worker, now)
         for state in self.cell.services.values():
+            state.look()
             drop_empty_lanes(self.cell, state)
 
     # Second attempts.
--- a/src/cactuswalk/decisions/service.py
+++ b/src/cactuswalk/decisions/service.py
@@ -12,7 +12,7 @@
     ShareTree,
 )
 from cactuswalk.decisions.hedging import HighPercentile
-from cactuswalk.decisions.longtasks import is_long
+from cactuswalk.decisions.longtasks import is_long, observe_short
 from cactuswalk.decisions.queueing import Lane, LaneKey, QueuedJob, lane_key
 from cactuswalk.decisions.shedding import DeadlineQueue
 from cactuswalk.model import TaskSpec
@@ -33,6 +33,7 @@
 
     :param jobs_queued: jobs that have tasks queued.
     :param long_running: long tasks that hold a slot.
+    :param short_average: slots that short tasks have lately held.
     """
 
     name: str
@@ -49,7 +50,9 @@
     queued: int = 0
     queued_seconds: float = 0.0
     jobs_queued: int = 0
+    running: int = 0
     long_running: int = 0
+    short_average: float = 0.0
 
     @classmethod
     def empty(cls, name: str) -> "Service":
@@ -116,6 +119,11 @@
         self.teams.dequeue(queued.team, len(indexes), seconds)
         lane.forget(queued.team, queued.caller)
 
+    def look(self) -> None:
+        """Take note of how many short tasks are running."""
+        short = self.running - self.long_running
+        self.short_average = observe_short(self.short_average, short)
+
     def begin(self, queued: QueuedJob, lane: Lane, charged: float, now: float) -> None:
         """Count a task that starts."""
         self.teams.start(queued.team, charged, now)
@@ -125,12 +133,14 @@
         if queued.queued == 1:
             self.margin.started()
         lane.running += 1
+        self.running += 1
         self.long_running += lane.key.long
 
     def end(self, queued: QueuedJob, lane: Lane, charged: float, used: float) -> None:
         """Count a task that has ended."""
         queued.running -= 1
         lane.running -= 1
+        self.running -= 1
         self.long_running -= lane.key.long
         self.callers[queued.team.name].end(queued.caller, charged, used)
         self.teams.end(queued.team, charged, used)
--- a/tools/policies_late.py
+++ b/tools/policies_late.py
@@ -39,7 +39,10 @@
         fingerprint=b"",
         service=SERVICE,
         team=request.team,
-        tasks=[TaskSpec(b"", declared) for declared in request.declared_ms],
+        tasks=[
+            TaskSpec(b"", declared, request.memory_mb)
+            for declared in request.declared_ms
+        ],
         caller=request.caller,
         selector=request.selector,
         key=request.key,
--- a/tools/policies_workload.py
+++ b/tools/policies_workload.py
@@ -94,6 +94,7 @@
     key: str = ""
     selector: str = ""
     idempotent: bool = False
+    memory_mb: int = 0
 
 
 def arrivals(
