--- /dev/null
+++ b/features/steps/decision_second_attempts_steps.py
@@ -0,0 +1,146 @@
+"""Steps for hedges, retries, ejection and the guard."""
+
+from behave import given, then, when
+
+from cactuswalk.decisions import Scheduler, Usage, judge_usage
+from cactuswalk.model import Announcement, Capacity, Job, TaskSpec
+
+
+def submit(context, tasks=1, idempotent=False, request=True):
+    context.jobs = getattr(context, "jobs", 0) + 1
+    specs = [TaskSpec(b"", 100) for _ in range(tasks)]
+    job = Job(f"t/{context.jobs}", b"", "booking", "t", specs)
+    job.idempotent, job.request = idempotent, request
+    refusal = context.scheduler.admit(job, context.now + 1000, context.now)
+    assert refusal is None, refusal
+    return context.scheduler.assign(context.now)
+
+
+def finish(context, started, succeeded=True):
+    for entry in started:
+        name = (entry.task.job.submission, entry.task.index)
+        context.scheduler.finished(*name, entry.worker, succeeded, 100, context.now)
+
+
+def ejected(context):
+    pool = context.scheduler.cell.pool
+    return [
+        name
+        for name, worker in pool.workers.items()
+        if worker.health.ejected_until > context.now
+    ]
+
+
+@given(
+    "a hedging scheduler with {workers:d} workers that has finished {count:d} tasks "
+    "of {took:d} ms"
+)
+def step_warm(context, workers, count, took):
+    context.scheduler = Scheduler()
+    context.now = 0.0
+    for number in range(workers):
+        capacity = Capacity(8)
+        announcement = Announcement(
+            f"w{number}", "booking", "cluj", f"r{number}", {}, capacity
+        )
+        context.scheduler.set_worker(announcement, True, 0.0)
+    for _ in range(count):
+        started = submit(context)
+        context.now += took / 1000
+        finish(context, started)
+
+
+@when("an idempotent request, another request and a job hang for {seconds:g} seconds")
+def step_hang(context, seconds):
+    context.first = submit(context, idempotent=True)[0]
+    submit(context, idempotent=False)
+    submit(context, tasks=2, request=False)
+    context.now += seconds
+    context.hedged = context.scheduler.hedges(context.now)
+
+
+@then("only the idempotent request is hedged, on another worker")
+def step_hedged(context):
+    assert len(context.hedged) == 1, context.hedged
+    hedge = context.hedged[0]
+    assert hedge.task.job.submission == context.first.task.job.submission
+    assert hedge.worker != context.first.worker
+
+
+@then("it is not hedged again")
+def step_not_again(context):
+    assert context.scheduler.hedges(context.now + 10) == []
+
+
+@when("{count:d} idempotent requests fail and ask to be tried again")
+def step_retry(context, count):
+    context.allowed = 0
+    for _ in range(count):
+        started = submit(context, idempotent=True)
+        finish(context, started, succeeded=False)
+        context.now += 1.0
+        context.allowed += context.scheduler.may_retry(started[0].task, context.now)
+
+
+@then("at most {count:d} of those retries are allowed")
+def step_few_retries(context, count):
+    earned = 100 // 10
+    saved = 8
+    assert 0 < context.allowed <= count + saved <= earned + saved, context.allowed
+
+
+@then("a request that is not idempotent is never allowed a retry")
+def step_no_retry(context):
+    context.now += 1000
+    started = submit(context, idempotent=False)
+    assert not context.scheduler.may_retry(started[0].task, context.now)
+
+
+@when("one job of {tasks:d} tasks fails everywhere")
+def step_poison(context, tasks):
+    started = submit(context, tasks=tasks, request=False)
+    finish(context, started, succeeded=False)
+
+
+@then("no worker of the hedging scheduler is ejected")
+def step_none_ejected(context):
+    assert ejected(context) == []
+
+
+@when("{count:d} requests in turn fail on all workers")
+def step_all_fail(context, count):
+    for _ in range(count // 10):
+        started = [entry for _ in range(10) for entry in submit(context)]
+        context.now += 0.1
+        finish(context, started, succeeded=False)
+
+
+@then("at most {count:d} worker of the hedging scheduler is ejected")
+def step_few_ejected(context, count):
+    assert len(ejected(context)) <= count, ejected(context)
+
+
+@when("usage of a worker with {memory:d} MB and {slots:d} slots is reported as")
+def step_usage(context, memory, slots):
+    usages = [
+        Usage(
+            row["task"],
+            int(row["declared"]),
+            int(row["used"]),
+            row["repeatable"] == "yes",
+            row["checkpoints"] == "yes",
+        )
+        for row in context.table
+    ]
+    context.actions = judge_usage(usages, memory, slots)
+
+
+@then('the guard\'s actions are "{text}"')
+def step_actions(context, text):
+    found = ", ".join(f"{name}: {action}" for name, action in context.actions.items())
+    assert found == text, found
+
+
+@then('the guard\'s actions are ""')
+def step_no_actions(context):
+    assert context.actions == {}, context.actions
--- a/src/cactuswalk/decisions/admission.py
+++ b/src/cactuswalk/decisions/admission.py
@@ -35,9 +35,6 @@
 # time is left: with heavy-tailed run times most tasks are shorter than the mean.
 HOPEFUL_PART = 0.5
 
-# Sooner than this nothing has changed: a fifth of a mean run time.
-LEAST_RETRY_MS = 50
-
 
 class WaitMargin(msgspec.Struct):
     """Learns by how much the reckoned time in the queue falls short.
@@ -72,7 +69,10 @@
         waits, None if it has not waited long.
     :param guaranteed_team: part of the slots that the team has when all queue.
     :param maximum_running: the team's quota, None for no limit.
+    :param special: reckoned wait for the few workers that can take the job, if
+        it needs memory or accelerators; 0 otherwise.
     :param own: work of the job itself.
+    :param mean: run time of the service's tasks.
     :param longest: expected run time of its longest task, in seconds.
     :param margin: by which the reckoned time has lately fallen short.
     """
@@ -87,13 +87,15 @@
     maximum_running: int | None
     own: float
     longest: float
+    mean: float
+    special: float = 0.0
     margin: float = FIRST_MARGIN
 
     @property
     def wait(self) -> float:
         """Return the time until the last task has a slot, in seconds."""
         if self.slots == 0:
-            return 0.0
+            return self.margin * self.special
         rate = self.slots * self.guaranteed_team
         behind_all = (self.everyone + self.own) / self.slots
         if self.team_rate is not None:
@@ -102,7 +104,8 @@
             behind_all = math.inf
         behind_team = (self.team + self.own) / rate
         behind_caller = (self.caller + self.own) / (rate * self.guaranteed_caller)
-        return self.margin * min(behind_all, behind_team, behind_caller)
+        behind = min(behind_all, behind_team, behind_caller)
+        return self.margin * max(behind, self.special)
 
     @property
     def quota_wait(self) -> float:
@@ -127,13 +130,15 @@
             f"its longest task is expected to take {backlog.longest:.3f} s, and "
             f"{max(0.0, remaining):.3f} s are left",
         )
+    if backlog.maximum_running == 0:
+        return Refusal(RefusalCode.QUOTA_EXCEEDED, "the team's quota is no task at all")
     late_by_quota = late(backlog.quota_wait, hopeful, remaining)
     if late_by_quota > 0 and backlog.maximum_running is not None:
         return Refusal(
             RefusalCode.QUOTA_EXCEEDED,
             f"the team may run {backlog.maximum_running} tasks at a time, and its "
             f"queue needs {backlog.quota_wait:.1f} s; {remaining:.1f} s are left",
-            retry_after_ms(late_by_quota, jitter),
+            retry_after_ms(late_by_quota, backlog.mean, jitter),
         )
     late_by = late(backlog.wait, hopeful, remaining)
     if late_by <= 0:
@@ -142,7 +147,7 @@
         RefusalCode.OVERLOADED,
         f"the queue before it needs {backlog.wait:.1f} s, and {remaining:.1f} s "
         "are left",
-        retry_after_ms(late_by, jitter),
+        retry_after_ms(late_by, backlog.mean, jitter),
     )
 
 
@@ -151,6 +156,9 @@
     return wait + run - remaining
 
 
-def retry_after_ms(late_by: float, jitter: float) -> int:
-    """Return when to come back: the queue drains a second of work a second."""
-    return LEAST_RETRY_MS + int(late_by * (1 + jitter) * 1000)
+def retry_after_ms(late_by: float, mean: float, jitter: float) -> int:
+    """Return when to come back: the queue drains a second of work a second.
+
+    And a run time later, since nothing drains before some task has ended.
+    """
+    return int((late_by * (1 + jitter) + mean) * 1000)
--- a/src/cactuswalk/decisions/binding.py
+++ b/src/cactuswalk/decisions/binding.py
@@ -99,7 +99,8 @@
     """Return why a queued job will not be answered in time."""
     job = queued.job
     group = cell.pool.group(job.service, job.selector)
-    if group.slots == 0:
+    waiting = [lane.peek_of(queued) for lane in queued.pending]
+    if any(cell.slots_for(job, job.tasks[index]) == 0 for index in waiting):
         message = f"no worker of {job.service} that fits it was able to take it"
         return Refusal(RefusalCode.NO_WORKER_NOW, message, RETRY_MS)
     state = cell.service(job.service)
--- a/src/cactuswalk/decisions/cellstate.py
+++ b/src/cactuswalk/decisions/cellstate.py
@@ -1,12 +1,12 @@
 """The state that the decisions of one cell share, and its bookkeeping."""
 
 from cactuswalk.decisions.ejection import HealthEvent
-from cactuswalk.decisions.fitting import Departed
+from cactuswalk.decisions.fitting import Departed, misfit
 from cactuswalk.decisions.joborder import JobOrder
 from cactuswalk.decisions.placement import Pool, RunningTask, Worker
-from cactuswalk.decisions.queueing import QueuedJob
+from cactuswalk.decisions.queueing import Lane, QueuedJob
 from cactuswalk.decisions.service import Service
-from cactuswalk.model import Job
+from cactuswalk.model import Job, TaskSpec
 
 __all__ = ["CellState"]
 
@@ -44,6 +44,38 @@
         ]
         return queued
 
+    def slots_for(self, job: Job, spec: TaskSpec) -> int:
+        """Return the slots that could hold tasks like this one at a time."""
+        group = self.pool.group(job.service, job.selector)
+        if not spec.memory_mb and not spec.accelerators:
+            return group.slots
+        return sum(
+            slots_on(worker, spec)
+            for worker in group.members.values()
+            if worker.able and not misfit(worker.announcement, job, spec)
+        )
+
+    def special_wait(self, queued: QueuedJob) -> float:
+        """Return the wait for workers that have what a job's tasks need.
+
+        Most tasks need nothing special, and then it is none.
+        """
+        special: dict[Lane, TaskSpec] = {}
+        own: dict[Lane, float] = {}
+        for spec, lane, seconds in zip(
+            queued.job.tasks, queued.lanes, queued.expected, strict=True
+        ):
+            if spec.memory_mb or spec.accelerators:
+                special[lane] = spec
+                own[lane] = own.get(lane, 0.0) + seconds
+        waits = [0.0]
+        for lane, spec in special.items():
+            slots = self.slots_for(queued.job, spec)
+            work = lane.queued_seconds + own[lane]
+            if lane.queued + len(own) > slots:
+                waits.append(work / max(1, slots))
+        return max(waits)
+
     def withdraw(self, queued: QueuedJob) -> list[int]:
         """Take all queued tasks of a job out of their lanes."""
         state = self.service(queued.job.service)
@@ -117,3 +149,14 @@
         if known is None:
             known = self.services[name] = Service.empty(name)
         return known
+
+
+def slots_on(worker: Worker, spec: TaskSpec) -> int:
+    """Return how many tasks like this one a worker holds when it has no others."""
+    capacity = worker.announcement.capacity
+    slots = worker.able
+    if spec.memory_mb and capacity.memory_mb:
+        slots = min(slots, capacity.memory_mb // spec.memory_mb)
+    if spec.accelerators:
+        slots = min(slots, capacity.accelerators // spec.accelerators)
+    return slots
--- a/src/cactuswalk/decisions/fairness.py
+++ b/src/cactuswalk/decisions/fairness.py
@@ -17,7 +17,7 @@
 
 import msgspec
 
-__all__ = ["Quota", "Share", "ShareTree"]
+__all__ = ["LEAST_WEIGHT", "Quota", "Share", "ShareTree"]
 
 # Virtual times are compared in steps of this many slot seconds; within a step the
 # jobs' own order decides. Measured in docs/design/decisions/fair-share.md: smaller
@@ -30,6 +30,9 @@
 # so that it does not jump with each slot, and short against callers' deadlines.
 DRAIN_SECONDS = 1.0
 
+# A weight of zero would mean "never", which a limit of no running task says better.
+LEAST_WEIGHT = 0.01
+
 # Callers come and go by the million; above this many shares, or twice what was
 # left last time, those that are idle are dropped.
 SHARES_TO_SWEEP = 4096
--- a/src/cactuswalk/decisions/fitting.py
+++ b/src/cactuswalk/decisions/fitting.py
@@ -17,6 +17,7 @@
     Job,
     Refusal,
     RefusalCode,
+    SelectorError,
     TaskSpec,
     matches,
     parse,
@@ -84,6 +85,12 @@
     :param present: announcements of the workers that are there, of any service.
     :param departed: of those that left not long ago.
     """
+    try:
+        parse(job.selector)
+    except SelectorError as error:
+        # Entries check selectors; one of another release may know other ones, and
+        # the owner must not stop over a job that it can't read.
+        return Refusal(RefusalCode.NEVER_FITS, error.message)
     here = [entry for entry in present if entry.service == job.service]
     gone = [entry for entry in departed if entry.service == job.service]
     if not here:
--- a/src/cactuswalk/decisions/guard.py
+++ b/src/cactuswalk/decisions/guard.py
@@ -24,6 +24,9 @@
 # A task within this factor of its declaration has not outgrown it.
 TOLERANCE = 1.25
 
+# Beyond this part of the largest excess, a task is worth stopping in its place.
+FAR_PART = 0.5
+
 
 class GuardAction(enum.StrEnum):
     """Means of a worker against a task, the mildest first."""
@@ -74,7 +77,7 @@
     actions = {usage.name: GuardAction.THROTTLE for usage in outgrown}
     if pressure < CHECKPOINT_ABOVE:
         return actions
-    worst = max(outgrown, key=lambda usage: stopping_order(usage, fair_mb))
+    worst = worst_of(outgrown, fair_mb)
     if worst.checkpoints:
         actions[worst.name] = GuardAction.CHECKPOINT
     elif pressure >= STOP_ABOVE:
@@ -82,6 +85,20 @@
     return actions
 
 
-def stopping_order(usage: Usage, fair_mb: float) -> tuple[bool, bool, float]:
-    """Prefer what can be saved, then what can be repeated, then the largest."""
-    return usage.checkpoints, usage.repeatable, usage.excess_mb(fair_mb)
+def worst_of(outgrown: list[Usage], fair_mb: float) -> Usage:
+    """Return the task to stop or save.
+
+    Of those that are far beyond their declaration, one that can be saved goes
+    before one that can be repeated, and that before others: stopping a small one
+    because it can be repeated would not help the worker.
+    """
+    most = max(usage.excess_mb(fair_mb) for usage in outgrown)
+    far = [usage for usage in outgrown if usage.excess_mb(fair_mb) >= FAR_PART * most]
+    return max(
+        far,
+        key=lambda usage: (
+            usage.checkpoints,
+            usage.repeatable,
+            usage.excess_mb(fair_mb),
+        ),
+    )
--- a/src/cactuswalk/decisions/queueing.py
+++ b/src/cactuswalk/decisions/queueing.py
@@ -180,7 +180,11 @@
         """Return the first task of the lane's first team."""
         _, caller = team.callers.top()
         _, queued = caller.jobs.top()
-        return queued, queued.pending[self][0]
+        return queued, self.peek_of(queued)
+
+    def peek_of(self, queued: QueuedJob) -> int:
+        """Return the first task that a job has here."""
+        return queued.pending[self][0]
 
     def take(self, queued: QueuedJob, index: int) -> None:
         """Take the task that ``peek`` has returned out."""
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -15,7 +15,7 @@
 from cactuswalk.decisions.budget import may_be_repeated
 from cactuswalk.decisions.cellstate import CellState
 from cactuswalk.decisions.explaining import explain_worker
-from cactuswalk.decisions.fairness import Quota
+from cactuswalk.decisions.fairness import LEAST_WEIGHT, Quota
 from cactuswalk.decisions.fitting import judge_fit
 from cactuswalk.decisions.guard import GuardAction, Usage, judge_usage
 from cactuswalk.decisions.joborder import JobOrder, by_patience
@@ -95,7 +95,8 @@
     ) -> None:
         """Put a team's weight and limit in a service in force."""
         state = self.cell.service(service)
-        state.teams.set_quota(team, Quota(weight, maximum_running))
+        quota = Quota(max(weight, LEAST_WEIGHT), maximum_running)
+        state.teams.set_quota(team, quota)
         for lane in state.lanes.values():
             lane.unpark(team)
 
@@ -127,7 +128,8 @@
         state = self.cell.service(job.service)
         group = self.cell.pool.group(job.service, job.selector)
         free = sum(worker.free for worker in group.open.values())
-        backlog = state.backlog(queued, group.slots, free, now)
+        special = self.cell.special_wait(queued)
+        backlog = state.backlog(queued, group.slots, free, special, now)
         refusal = judge(backlog, deadline - now, self.generator.random())
         if refusal is not None:
             return refusal
--- a/src/cactuswalk/decisions/service.py
+++ b/src/cactuswalk/decisions/service.py
@@ -148,11 +148,14 @@
             for other in self.lanes.values():
                 other.unpark(queued.team.name)
 
-    def backlog(self, queued: QueuedJob, slots: int, free: int, now: float) -> Backlog:
+    def backlog(
+        self, queued: QueuedJob, slots: int, free: int, special: float, now: float
+    ) -> Backlog:
         """Return what a new job finds, see ``Backlog``.
 
         :param slots: that can take its tasks.
         :param free: of these, the ones that are idle.
+        :param special: reckoned wait for workers with what it needs, in seconds.
         """
         team, caller = queued.team, queued.caller
         idle = free - self.queued >= len(queued.expected)
@@ -167,5 +170,7 @@
             maximum_running=team.quota.maximum_running,
             own=sum(queued.expected),
             longest=max(queued.expected),
+            mean=self.durations.mean,
+            special=special,
             margin=self.margin.factor,
         )
--- a/src/cactuswalk/decisions/shedding.py
+++ b/src/cactuswalk/decisions/shedding.py
@@ -70,13 +70,17 @@
 
 
 def take(entries: list[tuple[float, int, QueuedJob]], now: float) -> list[QueuedJob]:
-    """Take out the jobs whose time has come and that have tasks queued."""
-    due = []
+    """Take out the jobs whose time has come and that have tasks queued.
+
+    A job that came back from a worker is in the heap once for each return, and is
+    returned once.
+    """
+    due: dict[QueuedJob, None] = {}
     while entries and entries[0][0] <= now:
         queued = heapq.heappop(entries)[2]
         if queued.queued:
-            due.append(queued)
-    return due
+            due[queued] = None
+    return list(due)
 
 
 def drop_gone(
