--- a/tools/policies_situations.py
+++ b/tools/policies_situations.py
@@ -103,7 +103,7 @@
     """A third of the requests ask for one key; a worker new to a key is slow."""
     requests = stream(0.5, 20, SEED)
     for request in requests:
-        hot = request.number % 100 == 0
+        hot = request.number % 3 == 0
         request.key = "hot" if hot else f"key{request.number % 40}"
 
     def behaviour(
