--- a/src/cactuswalk/decisions/placement.py
+++ b/src/cactuswalk/decisions/placement.py
@@ -64,6 +64,8 @@
     :param usable: the owner may start tasks there now.
     :param able: slots that count as capacity: 0 while it is away.
     :param free: slots that can take a task now.
+    :param inherited: tasks that an earlier owner started there; of them nothing
+        is known but that each holds a slot.
     """
 
     announcement: Announcement
@@ -73,6 +75,7 @@
     drained: bool = False
     health: Health = msgspec.field(default_factory=Health)
     running: dict[tuple[str, int], RunningTask] = msgspec.field(default_factory=dict)
+    inherited: set[tuple[str, int]] = msgspec.field(default_factory=set)
     groups: list["Group"] = msgspec.field(default_factory=list)
     memory_mb: float = 0.0
     accelerators: int = 0
@@ -93,7 +96,12 @@
     @property
     def load(self) -> float:
         """Return the part of its slots in use."""
-        return len(self.running) / self.slots if self.slots else 1.0
+        return self.held / self.slots if self.slots else 1.0
+
+    @property
+    def held(self) -> int:
+        """Return the slots that are taken."""
+        return len(self.running) + len(self.inherited)
 
     def why_not(self, mean: float, now: float) -> str:
         """Return why it takes nothing at all now, an empty text if it does."""
@@ -231,7 +239,7 @@
         able = 0
         if not worker.why_not(mean, now):
             able = worker.health.slots(worker.slots)
-        free = max(0, able - len(worker.running))
+        free = max(0, able - worker.held)
         change = able - worker.able
         worker.able, worker.free = able, free
         for group in worker.groups:
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -161,10 +161,20 @@
         state.enqueue(queued, lane, [task.index], now, front=True)
         state.deadlines.add(queued, state.jobs_queued)
         known = self.cell.pool.workers.get(worker)
+        if known is not None and (submission, task.index) in known.inherited:
+            known.inherited.discard((submission, task.index))
+            self.cell.refresh(known, now)
         if known is not None and (submission, task.index) in known.running:
             known.health.decline(now)
             self.cell.release(known, submission, task.index, now)
 
+    def inherit(self, submission: str, index: int, worker: str, now: float) -> None:
+        """Let a task that an earlier owner started hold its slot."""
+        known = self.cell.pool.workers.get(worker)
+        if known is not None:
+            known.inherited.add((submission, index))
+            self.cell.refresh(known, now)
+
     def finished(
         self,
         submission: str,
@@ -176,7 +186,13 @@
     ) -> None:
         """Free what a task held on a worker, and learn from how it ended."""
         known = self.cell.pool.workers.get(worker)
-        if known is None or (submission, index) not in known.running:
+        if known is None:
+            return
+        if (submission, index) in known.inherited:
+            known.inherited.discard((submission, index))
+            self.cell.refresh(known, now)
+            return
+        if (submission, index) not in known.running:
             return
         task = known.running[submission, index]
         service = task.owner.job.service
