--- a/src/cactuswalk/decisions/binding.py
+++ b/src/cactuswalk/decisions/binding.py
@@ -51,7 +51,9 @@
     group = cell.pool.group(lane.key.service, lane.key.selector)
     if not group.open or not lane.queued:
         return False
-    return not lane.key.long or state.long_running < slots_for_long(group.slots)
+    if not lane.key.long:
+        return True
+    return state.long_running < slots_for_long(group.slots, state.short_average)
 
 
 def start_first(
@@ -67,7 +69,7 @@
         return None
     lane.take(queued, index)
     charged = queued.expected[index]
-    state.begin(queued, lane, charged)
+    state.begin(queued, lane, charged, now)
     state.count_out(queued, lane, [index])
     state.retries.earn()
     state.hedges.earn()
@@ -81,9 +83,14 @@
 def shed_hopeless(
     cell: CellState, state: Service, now: float, decided: list[Assignment | Shed]
 ) -> None:
-    """Refuse the jobs that can't be answered in time any more."""
+    """Refuse the jobs that can't be answered in time any more; hurry others."""
+    for queued in state.deadlines.take_hurried(now):
+        queued.urgent = True
+        for lane in queued.pending:
+            lane.hurry(queued)
     for queued in state.deadlines.take_hopeless(now):
         refusal = refuse_late(cell, queued, now)
+        state.margin.shed()
         for index in cell.withdraw(queued):
             decided.append(Shed(queued.task(index), refusal))
 
@@ -92,7 +99,8 @@
     """Return why a queued job will not be answered in time."""
     job = queued.job
     group = cell.pool.group(job.service, job.selector)
-    if group.slots == 0:
+    waiting = [lane.peek_of(queued) for lane in queued.pending]
+    if any(cell.slots_for(job, job.tasks[index]) == 0 for index in waiting):
         message = f"no worker of {job.service} that fits it was able to take it"
         return Refusal(RefusalCode.NO_WORKER_NOW, message, RETRY_MS)
     state = cell.service(job.service)
