Configuration: objects, replicas that never go back, writes with one outcome

Ruled out: trusting a single revision number; a service that goes away just after a write leaves nobody who can say that nothing came between. Result: a replica is a set of changes that only grows by union; races chosen by Hypothesis hold on it, and two mutated replicas fail them.

--- /dev/null
+++ b/features/configuration_fakes.py
@@ -0,0 +1,227 @@
+"""A key-value service in memory, and nodes joined by a bag of messages."""
+
+import types
+
+from cactuswalk.http.operators_changes import Changes
+from cactuswalk.http.operators_errors import ServiceAwayError
+from cactuswalk.http.operators_store import ConfigurationKeys, Follower
+from cactuswalk.messages import (
+    ConfigurationOffer,
+    ConfigurationRequest,
+    Envelope,
+    decode,
+    encode,
+)
+from cactuswalk.state.configuration import Replica, Spread
+from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
+
+
+@types.coroutine
+def pause():
+    """Let whoever steps the coroutine choose what happens next."""
+    yield
+
+
+class FakeService:
+    """Compare-and-swap with one revision for all keys, and its faults."""
+
+    def __init__(self):
+        self.revision = 0
+        self.keys = {}
+        self.log = []
+        self.away = False
+        self.lose_reply = False
+        self.lose_request = False
+
+    async def read(self, key):
+        await pause()
+        if self.away:
+            return KeyRead(key, False, None, 0)
+        value, revision = self.keys.get(key, (None, 0))
+        return KeyRead(key, True, value, revision)
+
+    async def swap(self, key, expected, value, write_id):
+        await pause()
+        if self.away or self.lose_request:
+            self.lose_request = False
+            return KeySwapped(key, write_id, SwapOutcome.UNKNOWN, 0)
+        if self.keys.get(key, (None, 0))[1] != expected:
+            return KeySwapped(key, write_id, SwapOutcome.LOST, 0)
+        self.put(key, value)
+        if self.lose_reply:
+            self.lose_reply = False
+            return KeySwapped(key, write_id, SwapOutcome.UNKNOWN, 0)
+        return KeySwapped(key, write_id, SwapOutcome.APPLIED, self.revision)
+
+    async def list(self, prefix):
+        await pause()
+        if self.away:
+            raise ServiceAwayError("no answer", "Wait.")
+        return self.revision, self.entries(prefix)
+
+    def put(self, key, value):
+        self.revision += 1
+        self.keys[key] = (value, self.revision)
+        self.log.append((key, value, self.revision))
+
+    def entries(self, prefix):
+        return [
+            (key, value, revision)
+            for key, (value, revision) in sorted(self.keys.items())
+            if key.startswith(prefix)
+        ]
+
+    def lose_data(self):
+        """Come back empty, counting revisions from the start."""
+        self.revision, self.keys, self.log = 0, {}, []
+
+
+def drive(coroutine):
+    """Run a coroutine that only waits for the fakes to its end."""
+    try:
+        while True:
+            coroutine.send(None)
+    except StopIteration as done:
+        return done.value
+
+
+class Node:
+    """One process: its replica, what it has shown, and whom it talks to."""
+
+    def __init__(self, cluster, name, make_replica):
+        self.cluster = cluster
+        self.name = name
+        self.make_replica = make_replica
+        self.peers = []
+        self.agents = []
+        self.start()
+
+    def start(self):
+        """Start anew, with nothing."""
+        self.replica = self.make_replica()
+        self.spread = Spread(self.replica)
+        self.shown = {}
+
+    def take(self, sender, message, now):
+        if isinstance(message, ConfigurationOffer):
+            return self.spread.offered(sender, message, now)
+        if isinstance(message, ConfigurationRequest):
+            return self.spread.requested(sender, message)
+        return self.publish(message, sender, now)
+
+    def publish(self, update, sender="", now=0.0):
+        before = self.replica.revision
+        applied, sends = self.spread.updated(sender, update, now)
+        self.check_never_back()
+        if self.replica.revision > before or applied.objects:
+            sends = sends + self.spread.offers(self.peers)
+            sends = sends + self.spread.updates(before, self.agents)
+        return sends
+
+    def tell(self):
+        """Return what rides on pings and reports in every round."""
+        return self.spread.offers(self.peers + self.agents)
+
+    def check_never_back(self):
+        """Judge from outside: nothing that was seen here may go back."""
+        for key, seen in self.shown.items():
+            held = self.replica.objects[key].revision
+            assert held >= seen, f"{self.name}: {key} from {seen} to {held}"
+        self.shown = {key: one.revision for key, one in self.replica.objects.items()}
+
+
+class Cluster:
+    """Two entries that watch the service, owners beneath them, agents beneath."""
+
+    def __init__(self, make_replica=Replica, owners=2, agents=2):
+        self.service = FakeService()
+        self.bag = []
+        self.now = 0.0
+        self.nodes = {}
+        self.entries = [self.add(f"entry{i}", make_replica) for i in range(2)]
+        self.followers = {}
+        for number in range(owners):
+            owner = self.add(f"owner{number}", make_replica)
+            owner.peers = [entry.name for entry in self.entries]
+            for entry in self.entries:
+                entry.peers.append(owner.name)
+            for one in range(agents):
+                agent = self.add(f"agent{number}.{one}", make_replica)
+                agent.peers = [owner.name]
+                owner.agents.append(agent.name)
+        self.keys = ConfigurationKeys(self.service, "test")
+        self.changes = [
+            Changes(self.keys, entry.replica, self.publisher(entry))
+            for entry in self.entries
+        ]
+
+    def add(self, name, make_replica):
+        self.nodes[name] = Node(self, name, make_replica)
+        return self.nodes[name]
+
+    def publisher(self, entry):
+        def publish(update):
+            self.send(entry, entry.publish(update, now=self.now))
+
+        return publish
+
+    def send(self, node, sends):
+        """Put messages into the bag, as the bytes that the wire would carry."""
+        for one in sends:
+            self.bag.append((one.address, encode(Envelope(node.name, [one.message]))))
+
+    def deliver(self, index, keep=False):
+        """Deliver one message of the bag; with ``keep`` it will come again."""
+        if not self.bag:
+            return
+        index %= len(self.bag)
+        address, frame = self.bag[index] if keep else self.bag.pop(index)
+        envelope = decode(frame)
+        node = self.nodes[address]
+        for message in envelope.messages:
+            self.send(node, node.take(envelope.sender, message, self.now))
+
+    def list(self, entry, snapshot=None):
+        """Let an entry read all, as it does when its watch is new."""
+        follower = Follower(self.keys)
+        revision, entries = snapshot or self.snapshot()
+        self.followers[entry.name] = follower
+        self.publisher(entry)(follower.listed(revision, entries))
+
+    def snapshot(self):
+        return self.service.revision, self.service.entries(self.keys.prefix)
+
+    def watch(self, entry, events=1):
+        """Bring the next events of an entry's watch; a new watch lists first."""
+        if self.service.away:
+            return
+        follower = self.followers.get(entry.name)
+        if follower is None:
+            self.list(entry)
+            return
+        new = [
+            one
+            for one in self.service.log
+            if one[2] > follower.position and one[0].startswith(self.keys.prefix)
+        ]
+        if new:
+            self.publisher(entry)(follower.watched(new[:events]))
+
+    def restart(self, node):
+        """Replace a process by a new one with an empty memory."""
+        node.start()
+        self.followers.pop(node.name, None)
+        if node in self.entries:
+            index = self.entries.index(node)
+            self.changes[index] = Changes(self.keys, node.replica, self.publisher(node))
+
+    def settle(self, rounds=8):
+        """Let pings and reports flow without loss until nothing is new."""
+        for _ in range(rounds):
+            self.now += 1.0
+            for entry in self.entries:
+                self.watch(entry, events=1000)
+            for node in self.nodes.values():
+                self.send(node, node.tell())
+            while self.bag:
+                self.deliver(0)
--- /dev/null
+++ b/features/steps/configuration_spread_steps.py
@@ -0,0 +1,398 @@
+"""Steps for the spread of the configuration."""
+
+import functools
+import itertools
+
+import hypothesis.strategies as st
+from behave import given, then, when
+from hypothesis import HealthCheck, Phase, given as generate, settings
+
+from cactuswalk.errors import CactuswalkError, InvariantError
+from cactuswalk.http.operators_changes import ChangeRequest
+from cactuswalk.http.operators_errors import (
+    ConflictError,
+    OutcomeUnknownError,
+    ServiceAwayError,
+)
+from cactuswalk.model.configuration import WorkerEntry
+from cactuswalk.state.configuration import Replica, add_up, fold
+from features.configuration_fakes import Cluster, drive
+
+ACTIONS = (
+    *("change", "change", "step", "step", "step", "watch", "watch", "deliver"),
+    *("deliver", "deliver", "repeat", "drop", "remember", "stale_list", "away"),
+    *("back", "back", "lose_reply", "lose_request", "restart", "round", "tick"),
+)
+
+
+class TakesLower(Replica):
+    """The check for older objects is gone."""
+
+    __slots__ = ()
+
+    def is_newer(self, stored):
+        return stored != self.objects.get(stored.key)
+
+
+class PassesOverGaps(Replica):
+    """The check for missing changes is gone."""
+
+    __slots__ = ()
+
+    def update(self, update):
+        update.since = 0
+        return super().update(update)
+
+
+class Race:
+    """Operators, faults and messages, in an order that Hypothesis chooses."""
+
+    def __init__(self, make_replica):
+        self.cluster = Cluster(make_replica)
+        self.numbers = itertools.count(1)
+        self.pending = []
+        self.accepted = []
+        self.refused = []
+        self.old = None
+        self.replaced = False
+
+    def change(self, first, second):
+        """An operator at some entry changes some worker; nothing is sent yet."""
+        index = first % 2
+        entry = self.cluster.entries[index]
+        name = f"w{second % 3}"
+        number = next(self.numbers)
+        held = entry.replica.objects.get(f"worker/{name}")
+        expected = held.revision if held and held.value else 0
+
+        def make(before):
+            if before is not None and first % 5 == 0:
+                return None
+            return WorkerEntry(name=name, labels={"n": str(number)})
+
+        request = ChangeRequest(
+            *(f"worker/{name}", expected, f"id{number}", f"operator{index}"),
+            *(number, "replace", make),
+        )
+        coroutine = self.cluster.changes[index].make(request)
+        self.pending.append((entry, request, coroutine))
+
+    def step(self, first, second):
+        """Let one operator's request go on by some calls of the service."""
+        if not self.pending:
+            return
+        chosen = self.pending[first % len(self.pending)]
+        _, request, coroutine = chosen
+        try:
+            for _ in range(1 + second):
+                coroutine.send(None)
+            return
+        except StopIteration as done:
+            if done.value.written:
+                self.accepted.append(done.value)
+        except (ConflictError, ServiceAwayError):
+            self.refused.append(request.write_id)
+        except OutcomeUnknownError:
+            pass
+        except InvariantError:
+            raise
+        except CactuswalkError:
+            self.refused.append(request.write_id)
+        self.pending.remove(chosen)
+
+    def deliver(self, first, second):
+        self.cluster.deliver(first)
+
+    def repeat(self, first, second):
+        self.cluster.deliver(first, keep=True)
+
+    def drop(self, first, second):
+        if self.cluster.bag:
+            self.cluster.bag.pop(first % len(self.cluster.bag))
+
+    def watch(self, first, second):
+        self.cluster.watch(self.cluster.entries[first % 2], 1 + second % 2)
+
+    def remember(self, first, second):
+        self.old = self.cluster.snapshot()
+
+    def stale_list(self, first, second):
+        """A watch starts anew on an answer that was on its way for long."""
+        if self.old is not None and not self.cluster.service.away:
+            self.cluster.list(self.cluster.entries[first % 2], self.old)
+
+    def away(self, first, second):
+        self.cluster.service.away = True
+
+    def back(self, first, second):
+        self.cluster.service.away = False
+
+    def lose_reply(self, first, second):
+        self.cluster.service.lose_reply = True
+
+    def lose_request(self, first, second):
+        self.cluster.service.lose_request = True
+
+    def restart(self, first, second):
+        nodes = list(self.cluster.nodes.values())
+        node = nodes[first % len(nodes)]
+        self.cluster.restart(node)
+        for one in [one for one in self.pending if one[0] is node]:
+            one[2].close()
+            self.pending.remove(one)
+        self.replaced = True
+
+    def round(self, first, second):
+        """A node's pings or reports go out."""
+        nodes = list(self.cluster.nodes.values())
+        node = nodes[first % len(nodes)]
+        self.cluster.send(node, node.tell())
+
+    def tick(self, first, second):
+        self.cluster.now += 0.3
+
+    def finish(self):
+        """Let every request end, then every message, first without the service."""
+        while self.pending:
+            self.step(0, 0)
+        self.cluster.service.away = True
+        self.cluster.settle()
+        # What only a replaced process knew has gone with it; the service has it.
+        if not self.replaced:
+            self.check_accepted()
+        self.cluster.service.away = False
+        self.cluster.settle()
+        self.check_accepted()
+        self.check_written()
+
+    def check_accepted(self):
+        for one in self.accepted:
+            for node in self.cluster.nodes.values():
+                assert node.replica.holds(one.revision), (node.name, one.revision)
+
+    def check_written(self):
+        """What nodes hold is what the service holds; refused is not in it."""
+        service = self.cluster.service
+        values = [value.decode() for _, value, _ in service.log]
+        for write_id in self.refused:
+            assert not any(f'"{write_id}"' in value for value in values), write_id
+        update = self.cluster.keys.update(0, service.entries(""))
+        expected = {one.key: one for one in update.objects}
+        for node in self.cluster.nodes.values():
+            assert node.replica.objects == expected, node.name
+
+
+def run_races(make_replica, examples):
+    """Run races; return the error of the first that fails, and the counts."""
+    counts = {"accepted": 0, "refused": 0}
+    action = st.tuples(st.sampled_from(ACTIONS), st.integers(0, 40), st.integers(0, 5))
+
+    @settings(
+        *(),
+        max_examples=examples,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        phases=[Phase.generate],
+        suppress_health_check=list(HealthCheck),
+    )
+    @generate(st.lists(action, min_size=60, max_size=150))
+    def race(actions):
+        run = Race(make_replica)
+        for name, first, second in actions:
+            getattr(run, name)(first, second)
+        run.finish()
+        counts["accepted"] += len(run.accepted)
+        counts["refused"] += len(run.refused)
+
+    try:
+        race()
+    except (AssertionError, InvariantError) as error:
+        return error, counts
+    return None, counts
+
+
+@when("Hypothesis runs configuration races on sound replicas")
+def step_sound(context):
+    context.race_error, context.race_counts = run_races(Replica, 300)
+
+
+@when("Hypothesis runs configuration races on replicas that take lower revisions")
+def step_lower(context):
+    context.race_error, _ = run_races(TakesLower, 300)
+
+
+@when("Hypothesis runs configuration races on replicas that pass over gaps")
+def step_gaps(context):
+    context.race_error, _ = run_races(PassesOverGaps, 300)
+
+
+@then("each accepted change is in force on every node and no node went back")
+def step_in_force(context):
+    assert context.race_error is None, context.race_error
+    assert context.race_counts["accepted"] > 100, context.race_counts
+
+
+@then("no refused change was written")
+def step_not_written(context):
+    assert context.race_counts["refused"] > 50, context.race_counts
+
+
+@then("the configuration races fail")
+def step_races_fail(context):
+    assert context.race_error is not None
+
+
+def request_of(number, expected, who="ana", name="w1"):
+    """Return a change that gives a worker a label with a number."""
+    after = WorkerEntry(name=name, labels={"n": str(number)})
+    return ChangeRequest(
+        *(f"worker/{name}", expected, f"id{number}", who, number, "replace"),
+        lambda before: after,
+    )
+
+
+def outcome(coroutine):
+    """Return what a change came to: the acceptance, or the error."""
+    try:
+        return drive(coroutine)
+    except CactuswalkError as error:
+        return error
+
+
+@given("a configuration cluster with one accepted change")
+def step_cluster(context):
+    context.cluster = Cluster()
+    context.make = functools.partial(
+        lambda cluster, entry, request: outcome(cluster.changes[entry].make(request)),
+        context.cluster,
+    )
+    context.first = context.make(0, request_of(1, 0))
+    context.cluster.settle()
+
+
+def check_everywhere(cluster, *revisions):
+    for node in cluster.nodes.values():
+        for revision in revisions:
+            assert node.replica.holds(revision), (node.name, revision)
+
+
+@when("the service goes away just after another change is accepted")
+def step_away_after(context):
+    context.second = context.make(1, request_of(2, 0, name="w2"))
+    context.cluster.service.away = True
+    context.cluster.settle()
+
+
+@then("both changes are in force on every node though the service is away")
+def step_both(context):
+    revisions = (context.first.revision, context.second.revision)
+    check_everywhere(context.cluster, *revisions)
+    for node in context.cluster.nodes.values():
+        assert node.replica.get("worker", "w2").labels == {"n": "2"}
+
+
+@when("the service goes away and an entry and an agent are replaced")
+def step_replaced(context):
+    context.cluster.service.away = True
+    for name in ("entry0", "agent1.0"):
+        context.cluster.restart(context.cluster.nodes[name])
+    context.cluster.settle()
+
+
+@then("the replaced nodes hold the change")
+@then("every node still holds the change")
+def step_still(context):
+    check_everywhere(context.cluster, context.first.revision)
+    for node in context.cluster.nodes.values():
+        number = str(context.first.revision)
+        assert node.replica.get("worker", "w1").labels == {"n": number}
+
+
+@when("the service comes back empty")
+def step_empty(context):
+    context.first = context.make(0, request_of(2, 1))
+    context.cluster.settle()
+    context.cluster.service.lose_data()
+    for entry in context.cluster.entries:
+        context.cluster.list(entry)
+    context.cluster.settle()
+
+
+@then('a further change is refused with "{code}" and not written')
+def step_refused(context, code):
+    refused = context.make(0, request_of(3, context.first.revision))
+    assert refused.code == code, refused
+    assert context.cluster.service.log == []
+
+
+@when("the service takes a change, loses its reply and goes away")
+def step_lost_reply(context):
+    service = context.cluster.service
+    service.lose_reply = True
+    coroutine = context.cluster.changes[0].make(request_of(2, 1))
+    for _ in range(4):
+        coroutine.send(None)
+    service.away = True
+    context.second = outcome(coroutine)
+
+
+@then("the configuration change's outcome is unknown")
+def step_unknown(context):
+    assert isinstance(context.second, OutcomeUnknownError), context.second
+
+
+@then("repeated with the same write id it is accepted once, at its first revision")
+def step_repeated(context):
+    context.cluster.service.away = False
+    again = context.make(1, request_of(2, 1))
+    assert (again.revision, again.written) == (2, True), again
+    assert len(context.cluster.service.log) == 2
+
+
+@when("two operators change it on the same revision")
+def step_two(context):
+    changes = context.cluster.changes
+    first = changes[0].make(request_of(2, 1, "ana"))
+    second = changes[1].make(request_of(3, 1, "ion"))
+    for _ in range(3):
+        first.send(None)
+        second.send(None)
+    context.second = [outcome(second), outcome(first)]
+
+
+@then("one is accepted and the other is told who won and at which revision")
+def step_told(context):
+    won, lost = context.second
+    assert won.written, won
+    assert isinstance(lost, ConflictError), lost
+    assert (lost.who, lost.revision) == ("ion", won.revision)
+    assert "ion" in lost.message and lost.remedy
+
+
+@when("one agent of a cell has not heard of a second change")
+def step_one_behind(context):
+    cluster = context.cluster
+    context.second = context.make(0, request_of(2, 0, name="w2"))
+    late = cluster.nodes["agent0.1"]
+    state = (late.replica.revision, set(late.replica.ahead))
+    cluster.settle()
+    cells = []
+    for owner in ("owner0", "owner1"):
+        nodes = [
+            node
+            for name, node in cluster.nodes.items()
+            if owner[-1] == name[5] and name not in ("entry0", "entry1")
+        ]
+        states = [(one.replica.revision, one.replica.ahead) for one in nodes]
+        if owner == "owner0":
+            states[nodes.index(late)] = state
+        cells.append(fold(states))
+    context.in_force = add_up(context.second.revision, cells)
+
+
+@then("the cells add up to one node fewer than all for the second change")
+def step_add_up(context):
+    one = context.in_force
+    assert (one.nodes, one.nodes_in_force) == (6, 5), one
+    assert one.lowest == context.first.revision, one
--- a/src/cactuswalk/messages/configuration.py
+++ b/src/cactuswalk/messages/configuration.py
@@ -6,6 +6,7 @@
     "ConfigurationOffer",
     "ConfigurationRequest",
     "ConfigurationUpdate",
+    "NodesHolding",
     "StoredObject",
 ]
 
@@ -23,10 +24,27 @@
     value: bytes
 
 
+class NodesHolding(msgspec.Struct, array_like=True):
+    """How many nodes of a cell hold the same state of the configuration."""
+
+    revision: int
+    ahead: list[int]
+    nodes: int
+
+
 class ConfigurationOffer(msgspec.Struct, array_like=True, tag=40):
-    """The sender has this revision in force."""
+    """The sender has all changes up to ``revision`` in force.
+
+    :param ahead: later changes that it has in force too, though it can't tell
+        whether there are others between.
+    :param cell: whose nodes ``held`` counts, empty where it counts none.
+    :param held: what the nodes of the cell hold, its owner included.
+    """
 
     revision: int
+    ahead: list[int] = []
+    cell: str = ""
+    held: list[NodesHolding] = []
 
 
 class ConfigurationRequest(msgspec.Struct, array_like=True, tag=41):
@@ -36,12 +54,15 @@
 
 
 class ConfigurationUpdate(msgspec.Struct, array_like=True, tag=42):
-    """All changes after ``since`` up to ``revision``.
+    """All changes after ``since`` that the sender has in force.
 
     :param since: the receiver must hold at least this revision; 0 for a whole
         copy.
+    :param revision: up to which the sender holds every change.
+    :param ahead: later changes that ``objects`` contain as well.
     """
 
     since: int
     revision: int
     objects: list[StoredObject]
+    ahead: list[int] = []
