--- a/features/configuration_fakes.py
+++ b/features/configuration_fakes.py
@@ -1,6 +1,7 @@
 """A key-value service in memory, and nodes joined by a bag of messages."""
 
 import types
+import typing
 
 from cactuswalk.http.operators_changes import Changes
 from cactuswalk.http.operators_errors import ServiceAwayError
@@ -16,6 +17,17 @@
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
 
 
+class FakeChange(typing.NamedTuple):
+    key: str
+    value: bytes
+    mod_revision: int
+
+
+class FakeChanges(typing.NamedTuple):
+    whole: bool
+    changes: list
+
+
 @types.coroutine
 def pause():
     """Let whoever steps the coroutine choose what happens next."""
@@ -62,11 +74,11 @@
     def put(self, key, value):
         self.revision += 1
         self.keys[key] = (value, self.revision)
-        self.log.append((key, value, self.revision))
+        self.log.append(FakeChange(key, value, self.revision))
 
     def entries(self, prefix):
         return [
-            (key, value, revision)
+            FakeChange(key, value, revision)
             for key, (value, revision) in sorted(self.keys.items())
             if key.startswith(prefix)
         ]
@@ -149,7 +161,7 @@
                 agent = self.add(f"agent{number}.{one}", make_replica)
                 agent.peers = [owner.name]
                 owner.agents.append(agent.name)
-        self.keys = ConfigurationKeys(self.service, "test")
+        self.keys = ConfigurationKeys(self.service)
         self.changes = [
             Changes(self.keys, entry.replica, self.publisher(entry))
             for entry in self.entries
@@ -184,9 +196,9 @@
     def list(self, entry, snapshot=None):
         """Let an entry read all, as it does when its watch is new."""
         follower = Follower(self.keys)
-        revision, entries = snapshot or self.snapshot()
-        self.followers[entry.name] = follower
-        self.publisher(entry)(follower.listed(revision, entries))
+        revision, listed = snapshot or self.snapshot()
+        self.followers[entry.name] = [follower, revision]
+        self.publisher(entry)(follower.take(FakeChanges(True, listed)))
 
     def snapshot(self):
         return self.service.revision, self.service.entries(self.keys.prefix)
@@ -195,17 +207,18 @@
         """Bring the next events of an entry's watch; a new watch lists first."""
         if self.service.away:
             return
-        follower = self.followers.get(entry.name)
-        if follower is None:
+        if entry.name not in self.followers:
             self.list(entry)
             return
-        new = [
+        follower, position = self.followers[entry.name]
+        news = [
             one
             for one in self.service.log
-            if one[2] > follower.position and one[0].startswith(self.keys.prefix)
-        ]
-        if new:
-            self.publisher(entry)(follower.watched(new[:events]))
+            if one.mod_revision > position and one.key.startswith(self.keys.prefix)
+        ][:events]
+        if news:
+            self.followers[entry.name][1] = news[-1].mod_revision
+            self.publisher(entry)(follower.take(FakeChanges(False, news)))
 
     def restart(self, node):
         """Replace a process by a new one with an empty memory."""
--- /dev/null
+++ b/src/cactuswalk/commands/operator_settings.py
@@ -0,0 +1,39 @@
+"""The command that checks the settings of daemons before they start."""
+
+import importlib
+
+import click
+
+from cactuswalk.commands.operator_context import (
+    example,
+    json_option,
+    reports_errors,
+    show_json,
+)
+
+__all__ = ["check_settings"]
+
+LOADERS = {"entry": "load_entry", "agent": "load_agent"}
+
+
+@click.command(
+    name="check-settings",
+    epilog=example("cactuswalk check-settings entry /etc/cactuswalk/entry.ini"),
+)
+@click.argument("role", type=click.Choice(list(LOADERS)))
+@click.argument("path", type=click.Path())
+@json_option
+@reports_errors
+def check_settings(role, path, as_json):
+    """Check a settings file as the daemon does at its start; exit 2 if wrong.
+
+    All mistakes are shown, each with its field, value and remedy. No entry is
+    asked.
+    """
+    # The daemons' settings are not needed by any other command.
+    settings = importlib.import_module("cactuswalk.settings")
+    getattr(settings, LOADERS[role])(path)
+    if as_json:
+        show_json({"role": role, "path": path, "correct": True})
+        return
+    click.echo(f"{path}: correct settings of cactuswalk-{role}")
--- /dev/null
+++ b/src/cactuswalk/http/operators_problems.py
@@ -0,0 +1,88 @@
+"""Errors of the operators' interface as application/problem+json (RFC 9457)."""
+
+import http
+import logging
+
+import msgspec
+from aiohttp import web
+
+from cactuswalk.errors import CactuswalkError, UsageError
+from cactuswalk.http.operators_errors import ConflictError, OutcomeUnknownError
+from cactuswalk.model.configuration import ConfigurationError
+
+__all__ = ["operators_problem_middleware", "problem_fields"]
+
+logger = logging.getLogger(__name__)
+
+# Errors of other packages, whose status is not theirs to say.
+STATUS_BY_CODE = {"platform_value_too_large": 413, "invalid_object": 422}
+
+
+def status_of(error: CactuswalkError) -> int:
+    """Return the HTTP status that an error is told by."""
+    if error.code in STATUS_BY_CODE:
+        return STATUS_BY_CODE[error.code]
+    fallback = 400 if isinstance(error, UsageError) else 500
+    return getattr(error, "status", fallback)
+
+
+def problem_fields(error: CactuswalkError) -> dict[str, object]:
+    """Return what a client reads of an error."""
+    status = status_of(error)
+    fields = {
+        "type": f"urn:cactuswalk:problem:{error.code}",
+        "title": http.HTTPStatus(status).phrase,
+        "status": status,
+        "code": error.code,
+        "detail": error.message,
+        "remedy": error.remedy,
+    }
+    if isinstance(error, ConfigurationError):
+        fields["mistakes"] = msgspec.to_builtins(error.mistakes)
+    if isinstance(error, ConflictError):
+        fields["revision"] = error.revision
+        fields["who"] = error.who
+        fields["at_ms"] = error.at_ms
+    if isinstance(error, OutcomeUnknownError):
+        fields["write_id"] = error.write_id
+    return fields
+
+
+def problem_response(error: CactuswalkError) -> web.Response:
+    """Return the response for an error."""
+    fields = problem_fields(error)
+    headers = {"WWW-Authenticate": "Bearer"} if fields["status"] == 401 else {}
+    return web.Response(
+        status=fields["status"],
+        body=msgspec.json.encode(fields),
+        content_type="application/problem+json",
+        headers=headers,
+    )
+
+
+@web.middleware
+async def operators_problem_middleware(
+    request: web.Request, handler
+) -> web.StreamResponse:
+    """Answer with a problem where a handler raises."""
+    try:
+        return await handler(request)
+    except CactuswalkError as error:
+        return problem_response(error)
+    except web.HTTPException as error:
+        found = CactuswalkError(
+            f"{request.method} {request.path}: {error.reason}",
+            "See docs/operations/commands/ for what can be asked.",
+        )
+        found.code = error.reason.lower().replace(" ", "_")
+        found.status = error.status
+        return problem_response(found)
+    except Exception:
+        # A fault of the program: whether it came before or after a write is
+        # not known here, so the operator must not be told "not written".
+        logger.exception("operators: %s %s failed", request.method, request.path)
+        found = CactuswalkError(
+            "the entry failed; a change may or may not have been made",
+            "Read the object again; report the fault with the entry's log.",
+        )
+        return problem_response(found)
--- a/src/cactuswalk/http/operators_store.py
+++ b/src/cactuswalk/http/operators_store.py
@@ -5,7 +5,7 @@
 object, so that no node can bring the object back.
 """
 
-from collections.abc import Iterable
+from collections.abc import AsyncGenerator, Callable, Iterable
 from typing import Protocol
 
 import msgspec
@@ -24,12 +24,36 @@
     "KeyValueStore",
     "StoredValue",
     "encode_stored",
+    "follow",
 ]
 
 # A write is recognised for this many further changes of its object; at some
 # 200 bytes each, history stays far below the service's bound of a megabyte.
 HISTORY_LENGTH = 20
 
+# Of all objects' keys; the store puts the installation's own prefix before it.
+PREFIX = "config/"
+
+# Ends the write ids of earlier changes. The key-value client looks for a write
+# id in a value to tell whether that write made the value: found in the history
+# of a later change, it would take this later value for the write's own.
+PAST = "~"
+
+
+class KeyChange(Protocol):
+    """One key's change, as a list or a watch brings it."""
+
+    key: str
+    value: bytes | None
+    mod_revision: int
+
+
+class KeyChanges(Protocol):
+    """What a watch has brought; ``whole`` for a complete list."""
+
+    whole: bool
+    changes: list[KeyChange]
+
 
 class KeyValueStore(Protocol):
     """What is used of the key-value client."""
@@ -42,9 +66,14 @@
     ) -> KeySwapped:
         """Write a key if its revision is the expected one."""
 
-    async def list(self, prefix: str) -> tuple[int, list[tuple[str, bytes, int]]]:
+    async def list(self, prefix: str) -> tuple[int, list[KeyChange]]:
         """Return the service's revision and all keys under a prefix."""
 
+    def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncGenerator[KeyChanges, None]:
+        """Yield a list and then all changes after it, through outages."""
+
 
 class Change(msgspec.Struct):
     """One change of an object.
@@ -83,7 +112,8 @@
 
     def find(self, write_id: str) -> Change | None:
         """Return the change that a write made, None if it is not there."""
-        found = (one for one in self.history if one.write_id == write_id)
+        names = (write_id, write_id + PAST)
+        found = (one for one in self.history if one.write_id in names)
         return next(found, None)
 
     def covers(self, revision: int) -> bool:
@@ -94,6 +124,8 @@
 
     def next_value(self, after: OperatorObject | None, change: Change) -> StoredValue:
         """Return the value that a change of this object would write."""
+        for one in self.history[:1]:
+            one.write_id = one.write_id.removesuffix(PAST) + PAST
         return StoredValue(after, [change, *self.history][:HISTORY_LENGTH])
 
 
@@ -106,16 +138,13 @@
 
 
 class ConfigurationKeys:
-    """The configuration's part of the key-value service.
-
-    :param prefix: of all keys of this installation, without a slash at its end.
-    """
+    """The configuration's part of the key-value service."""
 
     __slots__ = ("store", "prefix", "unreadable")
 
-    def __init__(self, store: KeyValueStore, prefix: str) -> None:
+    def __init__(self, store: KeyValueStore, prefix: str = PREFIX) -> None:
         self.store = store
-        self.prefix = f"{prefix}/config/"
+        self.prefix = prefix
         # Keys whose values this release can't read, and why.
         self.unreadable: dict[str, str] = {}
 
@@ -140,58 +169,50 @@
 
         :raises ServiceAwayError: if the service gives no answer.
         """
-        revision, _ = await self._list(f"{self.prefix}none/")
+        try:
+            revision, _ = await self.store.list(f"{self.prefix}none/")
+        except CactuswalkError as error:
+            raise ServiceAwayError(
+                f"the key-value service gave no answer: {error.message}",
+                "Nothing was written. The configuration in force stays in force; "
+                "try again when the service answers.",
+            ) from error
         return revision
 
-    async def whole(self) -> tuple[int, list[tuple[str, bytes, int]]]:
-        """Return the service's revision and all objects' keys.
-
-        :raises ServiceAwayError: if the service gives no answer.
-        """
-        return await self._list(self.prefix)
-
-    def update(
-        self, since: int, entries: Iterable[tuple[str, bytes, int]]
-    ) -> ConfigurationUpdate:
+    def update(self, since: int, changes: Iterable[KeyChange]) -> ConfigurationUpdate:
         """Return what a list or a watch has brought as an update.
 
+        A key that is gone is passed over: no release deletes one, and a node
+        keeps what it has in force.
+
         The update's revision is that of its newest object: the service counts
         writes to other keys too, and copies of the same configuration would
         otherwise look different.
 
         :param since: of the newest object that was brought before.
         """
-        found = (self._stored(key, value, rev) for key, value, rev in entries)
+        found = (self._stored(one) for one in changes if one.value is not None)
         objects = [one for one in found if one is not None]
         objects.sort(key=lambda one: one.revision)
         newest = objects[-1].revision if objects else since
         return ConfigurationUpdate(since, newest, objects)
 
-    async def _list(self, prefix: str) -> tuple[int, list[tuple[str, bytes, int]]]:
-        try:
-            return await self.store.list(prefix)
-        except CactuswalkError as error:
-            raise ServiceAwayError(
-                f"the key-value service gave no answer: {error.message}",
-                "Nothing was written. The configuration in force stays in force; "
-                "try again when the service answers.",
-            ) from error
-
-    def _stored(self, key: str, value: bytes, revision: int) -> StoredObject | None:
+    def _stored(self, change: KeyChange) -> StoredObject | None:
         """Return an object without its history, which nodes have no use for.
 
         One value that is no object of this release (written by hand, or of a
         kind that a later release has added) must not keep all other changes
         from being read.
         """
-        name = key.removeprefix(self.prefix)
+        name = change.key.removeprefix(self.prefix)
         try:
-            held = _decoder.decode(value).object
+            held = _decoder.decode(change.value).object
         except msgspec.MsgspecError as error:
             self.unreadable[name] = str(error)
             return None
         self.unreadable.pop(name, None)
-        return StoredObject(name, revision, encode_object(held) if held else b"")
+        value = encode_object(held) if held else b""
+        return StoredObject(name, change.mod_revision, value)
 
     def _current(self, key: str, value: bytes, revision: int) -> Current:
         try:
@@ -208,30 +229,30 @@
 
 
 class Follower:
-    """Turns a list and the watch that continues it into updates.
+    """Turns a list and the watch that continues it into updates."""
 
-    :ivar position: the service's revision that the next watch starts after.
-    """
-
-    __slots__ = ("keys", "position", "newest")
+    __slots__ = ("keys", "newest")
 
     def __init__(self, keys: ConfigurationKeys) -> None:
         self.keys = keys
-        self.position = 0
+        # Revision of the newest object so far: the next update builds on it.
         self.newest = 0
 
-    def listed(
-        self, revision: int, entries: Iterable[tuple[str, bytes, int]]
-    ) -> ConfigurationUpdate:
-        """Return the update for a list; each new watch begins with one."""
-        update = self.keys.update(0, entries)
-        self.position = revision
+    def take(self, news: KeyChanges) -> ConfigurationUpdate:
+        """Return the update for the next news of the watch."""
+        since = 0 if news.whole else self.newest
+        update = self.keys.update(since, news.changes)
         self.newest = update.revision
         return update
 
-    def watched(self, entries: Iterable[tuple[str, bytes, int]]) -> ConfigurationUpdate:
-        """Return the update for the next changes of the watch."""
-        update = self.keys.update(self.newest, entries)
-        self.position = max(self.position, update.revision)
-        self.newest = update.revision
-        return update
+
+async def follow(
+    keys: ConfigurationKeys, publish: Callable[[ConfigurationUpdate], None]
+) -> None:
+    """Hand all changes in the service to a replica until cancelled.
+
+    :param publish: called with each update, for the entry's own ``Spread``.
+    """
+    follower = Follower(keys)
+    async for news in keys.store.watch(keys.prefix, 0):
+        publish(follower.take(news))
