--- /dev/null
+++ b/features/operators_command.feature
@@ -0,0 +1,109 @@
+Feature: Operators steer by the cactuswalk command
+
+  Background:
+    Given an operators' interface over a fake service
+
+  Scenario: Apply, get, label, describe, history and delete
+    When an operator applies '[{"kind":"team","name":"rebuild","weight":3},{"kind":"worker","name":"w1"}]'
+    Then the operators' command ends with 0 and prints "team/rebuild: created at revision 1"
+    When an operator runs "label worker w1 tier=gold"
+    Then the operators' command ends with 0 and prints "+ labels.tier: "gold""
+    When an operator runs "get -l tier=gold"
+    Then the operators' command ends with 0 and prints "worker  w1    3         tier=gold  drained=False"
+    When an operator runs "describe worker w1"
+    Then the operators' command ends with 0 and prints "last change: 3  2027-01-15 08:00:00 UTC  ana  patch"
+    When an operator runs "history worker w1 --json"
+    Then the operators' command ends with 0 and prints ""write_id""
+    When an operator runs "delete team rebuild"
+    Then the operators' command ends with 0 and prints "team/rebuild: deleted at revision 4"
+    When an operator runs "get team rebuild"
+    Then the operators' command ends with 3 and prints "there is no team/rebuild"
+
+  Scenario: A dry run writes nothing and an equal object is left alone
+    When an operator applies '{"kind":"service","name":"routes","selector":"tier=gold"}' with "--dry-run"
+    Then the operators' command ends with 0 and prints "service/routes: would be created"
+    And the fake service holds 0 operators' writes
+    When an operator applies '{"kind":"service","name":"routes"}'
+    And an operator applies '{"kind":"service","name":"routes"}'
+    Then the operators' command ends with 0 and prints "service/routes: unchanged"
+    And the fake service holds 1 operators' writes
+
+  Scenario: Draining a worker of which nothing was said before
+    When an operator runs "drain w7 --wait 5"
+    Then the operators' command ends with 0 and prints "revision 1: in force on 3 of 3 nodes"
+    When an operator runs "undrain w7"
+    Then the operators' command ends with 0 and prints "- drained: true"
+
+  Scenario: Every mistake is shown and nothing is written
+    An operator's file has several mistakes. Writing the good half of it would
+    leave the system between two states that nobody wanted.
+    When an operator applies '[{"kind":"team","name":"a"},{"kind":"team","name":"b","weight":0},{"kind":"service","name":"c","selector":"tier=="}]'
+    Then the operators' command ends with 2 and prints "[1].weight = 0: give a whole number from 1 to 1000"
+    And the operators' command prints "[2].selector"
+    And the fake service holds 0 operators' writes
+
+  Scenario: The service is away
+    The key-value service is down. Reads go on; a change is refused, and the
+    operator can rely on it that nothing was written.
+    When an operator applies '{"kind":"team","name":"a"}'
+    And the fake service goes away under the operators
+    And an operator runs "get team a"
+    Then the operators' command ends with 0 and prints "weight=1"
+    When an operator runs "delete team a"
+    Then the operators' command ends with 5 and prints "Nothing was written"
+    And the fake service holds 1 operators' writes
+
+  Scenario: The outcome of a write is not known
+    The request or its reply is lost between entry and service. To say "not
+    written" would be a guess; so the operator is told how to find out.
+    When the fake service loses the next request of an operator
+    And an operator applies '{"kind":"team","name":"a"}' with "--write-id 8c0c1e05-7d0d-4a3c-9c0f-0d2f4b6c2a11"
+    Then the operators' command ends with 6 and prints "may or may not have taken effect"
+    When an operator applies '{"kind":"team","name":"a"}' with "--write-id 8c0c1e05-7d0d-4a3c-9c0f-0d2f4b6c2a11"
+    Then the operators' command ends with 0 and prints "created at revision 1"
+
+  Scenario: A change whose reply is lost on the way to the operator is made once
+    The entry's host is replaced just after the write. The command sends the
+    change again under the same write id; made twice it would undo what another
+    operator did between.
+    When the operators' interface loses the next reply to a change
+    And an operator applies '{"kind":"team","name":"a"}'
+    Then the operators' command ends with 0 and prints "created at revision 1"
+    And the fake service holds 1 operators' writes
+
+  Scenario: A change that is not in force everywhere in time
+    One node has lost its network. The change is accepted and stays so, and the
+    operator must not take it for in force there.
+    When the operators' interface knows of a node that hears nothing
+    And an operator applies '{"kind":"team","name":"a"}' with "--wait 0.2"
+    Then the operators' command ends with 8 and prints "is in force on 0 of 1 nodes"
+    And the fake service holds 1 operators' writes
+
+  Scenario: Without a valid token nothing is shown or changed
+    Somebody on the network tries to drain workers.
+    When an operator without a valid token runs "drain w1"
+    Then the operators' command ends with 7 and prints "no token that this entry knows"
+    When an operator without a valid token runs "get"
+    Then the operators' command ends with 7 and prints "no token that this entry knows"
+    And the fake service holds 0 operators' writes
+
+  Scenario: No entry answers
+    When an operator runs "get" against a port where nobody listens
+    Then the operators' command ends with 9 and prints "no entry answered"
+
+  Scenario: Explain, status, version and help
+    When an operator runs "explain routes --selector tier=gold --memory 5"
+    Then the operators' command ends with 0 and prints "w2      no    tier is silver"
+    When an operator runs "explain routes --selector tier="
+    Then the operators' command ends with 2 and prints "expected a value"
+    When an operator runs "status"
+    Then the operators' command ends with 0 and prints "configuration: 0"
+    When an operator runs "--version"
+    Then the operators' command ends with 0 and prints "0.1.0"
+    And each operators' command has a page and an example in its help
+
+  Scenario: Endpoint and token from an INI file
+    When an operator runs "status" with an INI file that names endpoint and token
+    Then the operators' command ends with 0 and prints "entry: e1"
+    When an operator runs "status" with an INI file that has an unknown field
+    Then the operators' command ends with 2 and prints "[operator] colour = red is unknown"
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -194,6 +194,7 @@
         database=None,
         deadline=None,
         phases=[Phase.generate],
+        report_multiple_bugs=False,
         suppress_health_check=list(HealthCheck),
     )
     @generate(st.lists(action, min_size=60, max_size=150))
@@ -214,7 +215,7 @@
 
 @when("Hypothesis runs configuration races on sound replicas")
 def step_sound(context):
-    context.race_error, context.race_counts = run_races(Replica, 300)
+    context.race_error, context.race_counts = run_races(Replica, 250)
 
 
 @when("Hypothesis runs configuration races on replicas that take lower revisions")
--- /dev/null
+++ b/features/steps/operators_command_steps.py
@@ -0,0 +1,131 @@
+"""Steps for the operators' command, run as a person would."""
+
+import pathlib
+import shlex
+import socket
+import tempfile
+
+from behave import given, then, when
+from click.testing import CliRunner
+
+from cactuswalk.commands.operator import operator_group
+from features.operators_server import TOKEN, OperatorsServer
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+
+
+@given("an operators' interface over a fake service")
+def step_server(context):
+    context.server = OperatorsServer()
+    context.clean_ups = [context.server.stop]
+
+
+def run(context, arguments, stdin=None, **environment):
+    """Run the command; an environment variable of None is left out."""
+    defaults = {
+        "CACTUSWALK_ENDPOINT": context.server.endpoint,
+        "CACTUSWALK_TOKEN": TOKEN,
+        "CACTUSWALK_SETTINGS": None,
+    }
+    context.result = CliRunner().invoke(
+        operator_group, arguments, input=stdin, env=defaults | environment
+    )
+
+
+@when("an operator applies '{text}' with \"{options}\"")
+def step_apply_with(context, text, options):
+    run(context, ["apply", "-f", "-", *shlex.split(options)], text)
+
+
+@when("an operator applies '{text}'")
+def step_apply(context, text):
+    run(context, ["apply", "-f", "-"], text)
+
+
+@when('an operator runs "{line}"')
+def step_run(context, line):
+    run(context, shlex.split(line))
+
+
+@when('an operator without a valid token runs "{line}"')
+def step_run_without(context, line):
+    run(context, shlex.split(line), CACTUSWALK_TOKEN="guessed")
+
+
+@when('an operator runs "{line}" against a port where nobody listens')
+def step_run_nobody(context, line):
+    with socket.socket() as bound:
+        # Bound and not listening: nobody else can take the port meanwhile.
+        bound.bind(("127.0.0.1", 0))
+        port = bound.getsockname()[1]
+        endpoint = f"http://127.0.0.1:{port}"
+        run(context, shlex.split(line), CACTUSWALK_ENDPOINT=endpoint)
+
+
+def run_with_settings(context, line, fields):
+    with tempfile.TemporaryDirectory() as directory:
+        path = pathlib.Path(directory) / "operator.ini"
+        path.write_text("[operator]\n" + fields, encoding="utf-8")
+        run(
+            context,
+            ["--settings", str(path), *shlex.split(line)],
+            CACTUSWALK_ENDPOINT=None,
+            CACTUSWALK_TOKEN=None,
+        )
+
+
+@when('an operator runs "{line}" with an INI file that names endpoint and token')
+def step_run_ini(context, line):
+    fields = f"endpoint = {context.server.endpoint}\ntoken = {TOKEN}\n"
+    run_with_settings(context, line, fields)
+
+
+@when('an operator runs "{line}" with an INI file that has an unknown field')
+def step_run_bad_ini(context, line):
+    run_with_settings(context, line, "colour = red\n")
+
+
+@then('the operators\' command ends with {code:d} and prints "{text}"')
+def step_ends(context, code, text):
+    result = context.result
+    assert result.exit_code == code, (result.exit_code, result.output)
+    assert text in result.output, result.output
+
+
+@then('the operators\' command prints "{text}"')
+def step_prints(context, text):
+    assert text in context.result.output, context.result.output
+
+
+@then("the fake service holds {count:d} operators' writes")
+def step_writes(context, count):
+    assert len(context.server.service.log) == count, context.server.service.log
+
+
+@when("the fake service goes away under the operators")
+def step_service_away(context):
+    context.server.service.away = True
+
+
+@when("the fake service loses the next request of an operator")
+def step_lose_request(context):
+    context.server.service.lose_request = True
+
+
+@when("the operators' interface loses the next reply to a change")
+def step_lose_http(context):
+    context.server.lose_http_replies = 1
+
+
+@when("the operators' interface knows of a node that hears nothing")
+def step_deaf(context):
+    context.server.states = [(0, ())]
+
+
+@then("each operators' command has a page and an example in its help")
+def step_pages(context):
+    for name in operator_group.commands:
+        page = ROOT / "docs" / "operations" / "commands" / f"{name}.md"
+        assert page.exists(), page
+        run(context, [name, "--help"])
+        assert f"cactuswalk {name}" in context.result.output, context.result.output
--- a/src/cactuswalk/state/configuration.py
+++ b/src/cactuswalk/state/configuration.py
@@ -23,9 +23,12 @@
 
 __all__ = ["Applied", "InForce", "Replica", "Spread", "add_up", "fold", "holds"]
 
-# A whole copy for the target's 8,300 workers is some megabytes and may be on
-# its way for a while; asking again at each ping would send it many times.
-REQUEST_AGAIN_SECONDS = 0.5
+# A lost request has to be repeated soon: waiting 0.5 s put the 99th percentile
+# at 0.6 s with 1% of frames lost, and at 2.2 s with 10% (tools/in_force.py). A
+# whole copy for the target's 8,300 workers is some megabytes and may be on its
+# way for longer; so the pause doubles, and few copies of it are sent.
+FIRST_PAUSE_SECONDS = 0.08
+LONGEST_PAUSE_SECONDS = 1.0
 
 
 class Applied(msgspec.Struct):
@@ -153,12 +156,14 @@
     message may be lost: each is caused again by the next ping or report.
     """
 
-    __slots__ = ("replica", "asked")
+    __slots__ = ("replica", "asked", "asked_at", "pause")
 
     def __init__(self, replica: Replica) -> None:
         self.replica = replica
-        # Whom the last request went to, when, and for which revision.
-        self.asked: tuple[str, float, int] | None = None
+        # The revision that was last asked for, and when to ask for it again.
+        self.asked = 0
+        self.asked_at = 0.0
+        self.pause = 0.0
 
     def offers(self, addresses: Iterable[str]) -> list[Send]:
         """Tell nodes what is in force here, in a few bytes each."""
@@ -188,9 +193,8 @@
         if not self.replica.lacks(revision, ahead):
             return []
         wanted = max(revision, *ahead, 0) if ahead else revision
-        if self._is_asked(wanted, now):
+        if not self._may_ask(wanted, now):
             return []
-        self.asked = (sender, now, wanted)
         return [Send(sender, ConfigurationRequest(self.replica.revision))]
 
     def offered(self, sender: str, offer: ConfigurationOffer, now: float) -> list[Send]:
@@ -220,16 +224,21 @@
             return applied, []
         return applied, self.heard(sender, update.revision, now, update.ahead)
 
-    def _is_asked(self, wanted: int, now: float) -> bool:
-        """Return whether an answer with this revision may still be coming.
+    def _may_ask(self, wanted: int, now: float) -> bool:
+        """Note a request, unless the answer to an earlier one may be coming.
 
         A request for less does not count: its answer would leave this node
         behind until the next ping.
         """
-        if self.asked is None:
+        if wanted > self.asked:
+            self.pause = FIRST_PAUSE_SECONDS
+        elif now - self.asked_at < self.pause:
             return False
-        _, asked_at, expected = self.asked
-        return wanted <= expected and now - asked_at < REQUEST_AGAIN_SECONDS
+        else:
+            self.pause = min(2 * self.pause, LONGEST_PAUSE_SECONDS)
+        self.asked = wanted
+        self.asked_at = now
+        return True
 
 
 class InForce(msgspec.Struct):
