Configuration in force at owners and agents; operators' interface on entries

Entries follow the service's watch and offer it to owners, owners send it to their agents; labels, service selectors, drains and quotas reach the scheduler; explain asks the owner's own scheduler; status and in-force fold what the pongs say.

The roster goes with pings only until confirmed.

--- a/src/cactuswalk/commands/operator.py
+++ b/src/cactuswalk/commands/operator.py
@@ -78,3 +78,7 @@
 def main() -> None:
     """Run the command."""
     operator_group()
+
+
+if __name__ == "__main__":
+    main()
--- a/src/cactuswalk/messages/__init__.py
+++ b/src/cactuswalk/messages/__init__.py
@@ -32,11 +32,14 @@
     Answer,
     Cancel,
     CellReport,
+    Explain,
+    Explained,
     JobState,
     NotOwner,
     Query,
     Submit,
     Subscribe,
+    Verdict,
 )
 
 __all__ = [
@@ -50,6 +53,8 @@
     "ConfigurationUpdate",
     "Declined",
     "Envelope",
+    "Explain",
+    "Explained",
     "Fence",
     "Fenced",
     "HandOver",
@@ -71,6 +76,7 @@
     "StoredObject",
     "Submit",
     "Subscribe",
+    "Verdict",
     "Witness",
     "Witnessed",
     "decode",
--- a/src/cactuswalk/messages/cell.py
+++ b/src/cactuswalk/messages/cell.py
@@ -79,12 +79,14 @@
     :param configuration: the revision that the owner has in force.
     :param announcement: serial of the agent's announcement that the owner has;
         an agent with a later one sends it again.
-    :param roster: of the epoch.
+    :param owner: with ``roster``, until the agent has confirmed a ping that
+        carried them; None and empty after that. A roster in every ping would
+        cost the owner bytes as the square of its cell's size.
     """
 
     cell: str
     epoch: int
-    owner: Member
+    owner: Member | None
     serial: int
     configuration: int
     announcement: int
--- a/src/cactuswalk/messages/codec.py
+++ b/src/cactuswalk/messages/codec.py
@@ -21,6 +21,8 @@
     | submission.NotOwner
     | submission.Subscribe
     | submission.CellReport
+    | submission.Explain
+    | submission.Explained
     | cell.Join
     | cell.Leave
     | cell.Ping
--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cactuswalk.messages.configuration import ConfigurationOffer
 from cactuswalk.model.answer import Outcome, Refusal, TaskResult
 from cactuswalk.model.job import Job
 from cactuswalk.model.worker import Announcement
@@ -10,6 +11,9 @@
     "Answer",
     "Cancel",
     "CellReport",
+    "Explain",
+    "Explained",
+    "Verdict",
     "JobState",
     "NotOwner",
     "Query",
@@ -109,13 +113,36 @@
     entry: str
 
 
+class Explain(msgspec.Struct, array_like=True, tag=9):
+    """An operator asks where a job could be placed; nothing is placed."""
+
+    request: str
+    job: Job
+
+
+class Verdict(msgspec.Struct, array_like=True):
+    """Whether a worker could take a job now, and why or why not."""
+
+    worker: str
+    fits: bool
+    verdict: str
+
+
+class Explained(msgspec.Struct, array_like=True, tag=10):
+    """The owner's answer, by the code that places jobs."""
+
+    request: str
+    cell: str
+    verdicts: list[Verdict]
+
+
 class CellReport(msgspec.Struct, array_like=True, tag=8):
     """What an entry needs to choose and explain a cell, folded by its owner.
 
     :param free_slots: per service, after what is queued.
     :param workers: announcements of the cell's workers, sent when ``serial``
         has changed since the last report to that entry, else empty.
-    :param configuration: lowest revision in force among the cell's nodes.
+    :param configuration: what the owner and its agents have in force.
     :param stamp: the owner's monotonic clock in milliseconds, see ``Submit``.
     """
 
@@ -126,7 +153,5 @@
     free_slots: dict[str, int]
     queued: dict[str, int]
     workers: list[Announcement]
-    nodes: int
-    configuration: int
-    nodes_in_force: int
+    configuration: ConfigurationOffer
     stamp: int
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -8,19 +8,22 @@
 
 from cactuswalk.decisions.callbudget import ENTRY_BURST, ENTRY_RATE
 from cactuswalk.http.callers import EntryCallables, make_callers_application
+from cactuswalk.http.operators import make_operators_application
+from cactuswalk.http.operators_store import ConfigurationKeys, follow
 from cactuswalk.http.server import HttpServer
-from cactuswalk.messages import JobState
+from cactuswalk.messages import ConfigurationUpdate, JobState
 from cactuswalk.platform import open_store
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.keys import Keys, address_with_key
 from cactuswalk.runtime.keyvalue import KeyValuePort
 from cactuswalk.runtime.logs import open_logs
 from cactuswalk.runtime.metrics import make_metrics
+from cactuswalk.runtime.operators import OperatorsDesk
 from cactuswalk.runtime.transport import Transport
 from cactuswalk.settings import EntrySettings
 from cactuswalk.state.effects import Reply, ReplyState
 from cactuswalk.state.entry import EntryState, handle_entry, new_entry
-from cactuswalk.state.events import CallerAsked, CallerSubmitted
+from cactuswalk.state.events import CallerAsked, CallerSubmitted, ConfigurationChanged
 from cactuswalk.state.timing import Timing
 
 __all__ = ["EntryProcess"]
@@ -28,6 +31,8 @@
 # From the first 503 of /ready to the end of the listener: a balancer asks once in
 # one to two seconds, and sends new connections until it has been told.
 UNREADY_SECONDS = 3.0
+# A change that an operator has asked for is settled within the store's patience.
+OPERATORS_FINISH_SECONDS = 10.0
 
 
 class EntryProcess:
@@ -69,7 +74,8 @@
             address = address_with_key(address, self.settings.curve.public_key)
         timing = Timing(retention=float(self.settings.retention_seconds))
         wall_ms = time.time() * 1000 - time.monotonic() * 1000
-        return new_entry(address, [], timing, self.generator, wall_ms)
+        peers = self.settings.peers
+        return new_entry(address, [], timing, self.generator, wall_ms, peers)
 
     def _add_hooks(self) -> None:
         application, settings = self.application, self.settings
@@ -92,6 +98,8 @@
         application.add_hook(self._open_transport, self._close_transport)
         application.add_hook(self._open_store, self._close_store)
         application.add_hook(self.server.start, self.server.stop)
+        if settings.operators_http is not None:
+            application.add_hook(self._open_operators, self._close_operators)
 
     async def _open_transport(self) -> None:
         self.transport.open()
@@ -112,7 +120,27 @@
             count=lambda name: self.metrics.count(name, 1),
         )
         port = KeyValuePort(self.application, self.store)
+        self.configuration_keys = ConfigurationKeys(self.store)
         self.application.spawn(port.watch("cells/"))
+        self.application.spawn(follow(self.configuration_keys, self._publish))
+
+    def _publish(self, update: ConfigurationUpdate) -> None:
+        self.application.feed(ConfigurationChanged(update))
+
+    async def _open_operators(self) -> None:
+        desk = OperatorsDesk(
+            self.settings.name, self.settings.operators, self.application
+        )
+        interface = desk.interface(self.state, self.configuration_keys)
+        self.operators_server = HttpServer(
+            make_operators_application(interface),
+            self.settings.operators_http,
+            OPERATORS_FINISH_SECONDS,
+        )
+        await self.operators_server.start()
+
+    async def _close_operators(self) -> None:
+        await self.operators_server.stop()
 
     async def _close_store(self) -> None:
         await self.store.close()
--- /dev/null
+++ b/src/cactuswalk/runtime/operators.py
@@ -0,0 +1,146 @@
+"""What the operators' interface of an entry's process stands on."""
+
+import asyncio
+import itertools
+import time
+
+from cactuswalk.http.operators import OperatorsInterface
+from cactuswalk.http.operators_store import ConfigurationKeys
+from cactuswalk.messages import ConfigurationUpdate
+from cactuswalk.model import Job, TaskSpec
+from cactuswalk.model.configuration import JobTemplate
+from cactuswalk.runtime.application import Application
+from cactuswalk.state.configuration import InForce, add_up
+from cactuswalk.state.effects import Log, Part, ReplyExplanation
+from cactuswalk.state.entry import EntryState
+from cactuswalk.state.events import ConfigurationChanged, OperatorAsked
+
+__all__ = ["OperatorsDesk"]
+
+
+class OperatorsDesk:
+    """Answers the operators' interface from an entry's state.
+
+    :param operators: names of operators, by the SHA-256 of their tokens.
+    """
+
+    def __init__(
+        self, name: str, operators: dict[str, str], application: Application
+    ) -> None:
+        self.name = name
+        self.operators = operators
+        self.application = application
+        self.serial = itertools.count(1)
+        self.waiting: dict[str, asyncio.Future] = {}
+        application.performers[ReplyExplanation] = self._explained
+
+    def interface(
+        self, state: EntryState, keys: ConfigurationKeys
+    ) -> OperatorsInterface:
+        """Return what the interface needs of this entry."""
+        return OperatorsInterface(
+            keys=keys,
+            replica=state.spread.replica,
+            operators=self.operators,
+            publish=self.publish,
+            status=lambda: self.status(state),
+            explain=lambda query: self.explain(state, query),
+            in_force=lambda revision: in_force(state, revision),
+            wall_ms=lambda: int(time.time() * 1000),
+            log=self.log,
+        )
+
+    def publish(self, update: ConfigurationUpdate) -> None:
+        """Hand changes to the reducer."""
+        self.application.feed(ConfigurationChanged(update))
+
+    def log(self, sentence: str, fields: dict[str, object]) -> None:
+        """Write a log line of the configuration's part."""
+        self.application.write_log(Log(Part.CONFIGURATION, sentence, fields))
+
+    def status(self, state: EntryState) -> dict[str, object]:
+        """Return this entry's view of the system."""
+        now = time.monotonic()
+        replica = state.spread.replica
+        cells = [_cell_status(view, now) for view in state.cells.values()]
+        return {
+            "entry": self.name,
+            "stopping": state.stopping,
+            "waiting": len(state.pending),
+            "configuration": {
+                "revision": replica.revision,
+                "objects": sum(bool(one.value) for one in replica.objects.values()),
+                "nodes in force": _shown(in_force(state, replica.revision)),
+            },
+            "cells": cells,
+        }
+
+    async def explain(self, state: EntryState, query: dict[str, str]) -> object:
+        """Ask the owners where a job may land now."""
+        request = f"explain-{next(self.serial)}"
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[request] = future
+        try:
+            self.application.feed(OperatorAsked(request, _job_of(state, query)))
+            cells = await future
+        finally:
+            self.waiting.pop(request, None)
+        verdicts = [
+            {"worker": one.worker, "fits": one.fits, "verdict": one.verdict}
+            for cell in cells
+            for one in cell.verdicts
+        ]
+        fitting = sum(one["fits"] for one in verdicts)
+        summary = f"{fitting} of {len(verdicts)} workers could take it now."
+        if not cells:
+            summary = "No owner of a cell with this service has answered."
+        return {"workers": verdicts, "summary": summary}
+
+    def _explained(self, effect: ReplyExplanation) -> None:
+        future = self.waiting.get(effect.request)
+        if future is not None and not future.done():
+            future.set_result(effect.cells)
+
+
+def in_force(state: EntryState, revision: int) -> InForce:
+    """Say on how many nodes of all known cells a revision is in force."""
+    return add_up(revision, state.held.values())
+
+
+def _shown(found: InForce) -> str:
+    return f"{found.nodes_in_force} of {found.nodes}"
+
+
+def _cell_status(view, now: float) -> dict[str, object]:
+    report = view.report
+    return {
+        "cell": view.cell,
+        "owner": view.owner or "not known",
+        "epoch": view.epoch,
+        "last report": f"{now - view.stamp_at:.1f} s ago" if report else "none",
+        "workers": len(view.workers),
+        "free slots": sum(report.free_slots.values()) if report else 0,
+        "queued": sum(report.queued.values()) if report else 0,
+    }
+
+
+def _job_of(state: EntryState, query: dict[str, str]) -> Job:
+    """Return the job that a question describes, its template filled in."""
+    template = state.spread.replica.get("job", query.get("template", ""))
+    if not isinstance(template, JobTemplate):
+        template = JobTemplate(name="none")
+    selectors = [template.selector, query.get("selector", "")]
+    task = TaskSpec(
+        b"",
+        template.duration_ms,
+        int(query.get("memory_mb", 0)) or template.memory_mb,
+        int(query.get("accelerators", 0)) or template.accelerators,
+    )
+    return Job(
+        "explain",
+        b"",
+        query.get("service", "") or template.service,
+        query.get("team", ""),
+        [task],
+        selector=",".join(one for one in selectors if one),
+    )
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -36,6 +36,7 @@
     TaskState,
     digest,
 )
+from cactuswalk.state.configuration import Spread
 from cactuswalk.state.effects import (
     CallUpstream,
     Count,
@@ -77,6 +78,7 @@
         since a task may come here after it was declined elsewhere.
     :param confirmed_at: when an owner of an epoch before the last fence was last
         confirmed.
+    :param spread: this process's copy of the configuration.
     :param fenced_epoch: the epoch whose fence took ``handed_out``, the records
         as they stood then; parts that are asked for again must not shift.
     :param configuration: revision in force here.
@@ -86,6 +88,7 @@
     cell: str
     gate: Gate
     copies: RecordBook
+    spread: Spread
     roster: list[Member] = []
     heard_at: float = 0.0
     announcement: Announcement | None = None
@@ -97,11 +100,11 @@
     effects: list[Effect] = []
 
 
-def new_agent(cell: str, gate: Gate, now: float) -> AgentState:
+def new_agent(cell: str, gate: Gate, spread: Spread, now: float) -> AgentState:
     """Return the state of an agent that has just been started."""
     records = gate.records
     copies = RecordBook(records.retention, records.maximum_bytes)
-    return AgentState(cell, gate, copies, heard_at=now, confirmed_at=now)
+    return AgentState(cell, gate, copies, spread, heard_at=now, confirmed_at=now)
 
 
 def on_announced(state: AgentState, event: Announced, now: float) -> None:
@@ -122,12 +125,9 @@
 def on_ping(state: AgentState, sender: str, ping: Ping, now: float) -> None:
     """The owner asks for a confirmation of its epoch."""
     gate = state.gate
-    earlier = gate.epoch
-    if take_epoch(gate, ping.epoch, ping.owner):
-        if ping.epoch > earlier:
-            state.confirmed_at = state.heard_at
+    if _confirm(state, ping):
         state.heard_at = now
-        state.roster = ping.roster
+        state.effects += state.spread.heard(sender, ping.configuration, now)
         if ping.announcement != state.announcement_serial and state.announcement:
             join = Join(state.cell, gate.member, state.announcement)
             state.effects.append(Send(sender, join))
@@ -146,6 +146,20 @@
     state.effects.append(Send(sender, pong))
 
 
+def _confirm(state: AgentState, ping: Ping) -> bool:
+    """Take what a ping says of the cell; tell whether its epoch is in force."""
+    gate = state.gate
+    if ping.owner is None:
+        return ping.epoch == gate.epoch
+    earlier = gate.epoch
+    if not take_epoch(gate, ping.epoch, ping.owner):
+        return False
+    if ping.epoch > earlier:
+        state.confirmed_at = state.heard_at
+    state.roster = ping.roster
+    return True
+
+
 def on_start(state: AgentState, sender: str, start: Start, now: float) -> None:
     """The owner wants a task started here."""
     gate = state.gate
--- /dev/null
+++ b/src/cactuswalk/state/callers.py
@@ -0,0 +1,154 @@
+"""What callers want of an entry: submissions, cancels, questions."""
+
+from cactuswalk.messages import (
+    Cancel,
+)
+from cactuswalk.model import (
+    Job,
+    Outcome,
+    Refusal,
+    RefusalCode,
+    digest,
+)
+from cactuswalk.state.effects import (
+    Count,
+    Send,
+)
+from cactuswalk.state.entryview import (
+    CellView,
+    EntryState,
+    Pending,
+    age_ms,
+    give_up,
+    log,
+    outcome_unsent,
+    refuse_waiter,
+)
+from cactuswalk.state.events import (
+    CallerCancelled,
+    CallerGone,
+    CallerSubmitted,
+)
+from cactuswalk.state.waiting import send_submit
+
+__all__ = [
+    "on_caller_cancelled",
+    "on_caller_gone",
+    "on_caller_submitted",
+]
+
+# A caller that comes back after a takeover finds an owner.
+RETRY_WITHOUT_OWNER_MS = 3000
+
+
+def on_caller_submitted(state: EntryState, event: CallerSubmitted, now: float) -> None:
+    """A caller has handed in a checked job."""
+    job = event.job
+    refusal = _refusal_at_door(state, event, now)
+    if refusal is not None:
+        outcome = outcome_unsent(event.minted)
+        refuse_waiter(state, event.waiter, job.submission, outcome, refusal)
+        return
+    pending = state.pending.get(job.submission)
+    if pending is not None:
+        _join(state, pending, event)
+        return
+    cell = _choose_cell(state, job)
+    pending = Pending(
+        job,
+        cell.cell,
+        now + event.remaining_ms / 1000,
+        now,
+        [event.waiter],
+        minted=event.minted,
+    )
+    state.pending[job.submission] = pending
+    log(
+        state,
+        "chose a cell",
+        submission=job.submission,
+        cell=cell.cell,
+        owner=cell.owner,
+        epoch=cell.epoch,
+    )
+    send_submit(state, pending, cell, now)
+
+
+def _refusal_at_door(
+    state: EntryState, event: CallerSubmitted, now: float
+) -> Refusal | None:
+    """Return why a submission goes no further than this entry."""
+    job = event.job
+    age = age_ms(state, job, now)
+    margin_ms = state.timing.clock_margin * 1000
+    if age > state.timing.retention * 1000 - margin_ms:
+        return Refusal(
+            RefusalCode.TOO_OLD,
+            f"its key was born {age / 1000:.0f} s ago, records are kept for "
+            f"{state.timing.retention:.0f} s",
+        )
+    if age < -margin_ms:
+        return Refusal(
+            RefusalCode.TOO_OLD,
+            f"its key will be born in {-age / 1000:.0f} s; set the clock right",
+        )
+    if event.remaining_ms <= 0:
+        return Refusal(RefusalCode.DEADLINE_PASSED, "the deadline has passed")
+    if state.stopping:
+        return Refusal(RefusalCode.STOPPING, "this entry is stopping", 0)
+    if _choose_cell(state, job) is None:
+        known = any(view.report is not None for view in state.cells.values())
+        if known:
+            return Refusal(
+                RefusalCode.UNKNOWN_SERVICE, f"no worker has announced {job.service}"
+            )
+        return Refusal(
+            RefusalCode.NO_OWNER, "no cell is known here yet", RETRY_WITHOUT_OWNER_MS
+        )
+    return None
+
+
+def _join(state: EntryState, pending: Pending, event: CallerSubmitted) -> None:
+    """Let a resubmission wait for the same answer, if it is the same body."""
+    if pending.job.fingerprint != event.job.fingerprint:
+        refusal = Refusal(RefusalCode.KEY_REUSED, "this key is in use for another body")
+        refuse_waiter(
+            state, event.waiter, event.job.submission, Outcome.NOT_RUN, refusal
+        )
+        return
+    pending.waiters.append(event.waiter)
+    state.effects.append(Count("entry.joined"))
+
+
+def _choose_cell(state: EntryState, job: Job) -> CellView | None:
+    """Return the cell of a submission: the same at every entry.
+
+    Highest random weight over the cells that serve it: a resubmission through
+    another entry has to meet the first one.
+    """
+    fit = [view for view in state.cells.values() if job.service in view.services]
+    name = job.submission.encode()
+    return max(fit, key=lambda view: digest(name, view.cell.encode()), default=None)
+
+
+def on_caller_cancelled(state: EntryState, event: CallerCancelled, now: float) -> None:
+    """A caller wants a submission stopped."""
+    pending = state.pending.get(event.submission)
+    if pending is not None and not pending.sent:
+        refusal = Refusal(RefusalCode.CANCELLED, "its caller cancelled it")
+        give_up(state, pending, outcome_unsent(pending.minted), refusal)
+        return
+    owners = {view.owner for view in state.cells.values() if view.owner}
+    if pending is not None:
+        pending.cancelled = True
+        owners = {state.cells[pending.cell].owner} - {""}
+    for owner in sorted(owners):
+        state.effects.append(Send(owner, Cancel(event.submission)))
+
+
+def on_caller_gone(state: EntryState, event: CallerGone, now: float) -> None:
+    """Nobody waits at this waiter any more; what runs goes on."""
+    for pending in state.pending.values():
+        if event.waiter in pending.waiters:
+            pending.waiters.remove(event.waiter)
+            return
--- a/src/cactuswalk/state/effects.py
+++ b/src/cactuswalk/state/effects.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from cactuswalk.messages import JobState, Message
+from cactuswalk.messages import Explained, JobState, Message
 from cactuswalk.model import Outcome, Refusal, TaskResult, TaskSpec
 
 __all__ = [
@@ -16,6 +16,7 @@
     "Part",
     "ReadKey",
     "Reply",
+    "ReplyExplanation",
     "ReplyState",
     "Send",
     "StopUpstream",
@@ -77,6 +78,13 @@
     state: JobState | None
 
 
+class ReplyExplanation(msgspec.Struct):
+    """Tell an operator where a job could be placed, by cell."""
+
+    request: str
+    cells: list[Explained]
+
+
 class ReadKey(msgspec.Struct):
     """Read a key of the key-value service; ends in ``KeyRead``."""
 
@@ -126,6 +134,7 @@
     | StopUpstream
     | Reply
     | ReplyState
+    | ReplyExplanation
     | ReadKey
     | SwapKey
     | Log
--- /dev/null
+++ b/src/cactuswalk/state/entryview.py
@@ -0,0 +1,182 @@
+"""What an entry knows: of cells, of submissions, of questions."""
+
+import random
+
+import msgspec
+
+from cactuswalk.messages import CellReport, Explained
+from cactuswalk.messages.configuration import NodesHolding
+from cactuswalk.model import (
+    Announcement,
+    Job,
+    Outcome,
+    Refusal,
+)
+from cactuswalk.state.configuration import Spread
+from cactuswalk.state.effects import (
+    Count,
+    Effect,
+    Log,
+    Part,
+    Reply,
+)
+from cactuswalk.state.timing import Timing
+
+__all__ = [
+    "Asked",
+    "CellView",
+    "EntryState",
+    "Pending",
+    "Questioned",
+    "age_ms",
+    "give_up",
+    "last_attempt",
+    "log",
+    "outcome_unsent",
+    "refuse_waiter",
+]
+
+
+class CellView(msgspec.Struct):
+    """What an entry knows of one cell.
+
+    :param owner: address of its owner, empty while it is not known.
+    :param stamp_at: when the owner's latest stamp came here.
+    """
+
+    cell: str
+    services: set[str] = set()
+    owner: str = ""
+    epoch: int = 0
+    stamp: int = 0
+    stamp_at: float = float("-inf")
+    subscribed_at: float = float("-inf")
+    read_at: float = float("-inf")
+    serial: int = -1
+    workers: list[Announcement] = []
+    report: CellReport | None = None
+
+
+class Pending(msgspec.Struct):
+    """A submission that callers wait for at this entry.
+
+    :param attempts: every attempt sent, so that a late answer to one of them
+        is recognised; all of one submission have the same answer.
+    :param sent: whether it was ever sent to anybody.
+    """
+
+    job: Job
+    cell: str
+    deadline: float
+    submitted_at: float
+    waiters: list[str] = []
+    attempts: set[int] = set()
+    sent: bool = False
+    sent_epoch: int = 0
+    sign_at: float = 0.0
+    query_after: float = 0.0
+    minted: bool = False
+    cancelled: bool = False
+
+
+class Asked(msgspec.Struct):
+    """A caller's question where a submission stands.
+
+    :param owners: how many owners have yet to answer.
+    """
+
+    until: float
+    owners: int
+
+
+class Questioned(msgspec.Struct):
+    """An operator's question where a job could be placed.
+
+    :param owners: how many owners have yet to answer.
+    """
+
+    until: float
+    owners: int
+    cells: list[Explained] = []
+
+
+class EntryState(msgspec.Struct):
+    """All that an entry knows.
+
+    :param wall_ms: wall clock less monotonic clock; only ages of identifiers
+        rest on it.
+    :param attempt: number of the last submit sent; starts at random, so that a
+        restarted entry at the same address does not repeat one.
+    :param spread: this entry's copy of the configuration.
+    :param peers: addresses of processes to learn the configuration from.
+    :param held: by cell, what its nodes have in force, as its owner says.
+    :param asked: questions of callers that owners have not answered yet.
+    """
+
+    address: str
+    timing: Timing
+    generator: random.Random
+    wall_ms: float
+    spread: Spread
+    peers: list[str] = []
+    cells: dict[str, CellView] = {}
+    pending: dict[str, Pending] = {}
+    asked: dict[str, Asked] = {}
+    questioned: dict[str, Questioned] = {}
+    attempt: int = 0
+    stopping: bool = False
+    held: dict[str, list[NodesHolding]] = {}
+    offered_at: float = float("-inf")
+    effects: list[Effect] = []
+
+
+def last_attempt(pending: Pending) -> int:
+    """Return the attempt that was sent last."""
+    return max(pending.attempts, default=0)
+
+
+def outcome_unsent(minted: bool) -> Outcome:
+    """Return what is true of a submission that this entry has sent to nobody.
+
+    A caller's own key may have been submitted before, through another entry,
+    and have run: then only an owner can say "not run".
+    """
+    return Outcome.NOT_RUN if minted else Outcome.UNKNOWN
+
+
+def age_ms(state: EntryState, job: Job, now: float) -> float:
+    """Return how long ago a submission's key was born, by this wall clock."""
+    return now * 1000 + state.wall_ms - job.born_ms
+
+
+def give_up(
+    state: EntryState, pending: Pending, outcome: Outcome, refusal: Refusal
+) -> None:
+    """Answer all who wait, without the owner's word."""
+    del state.pending[pending.job.submission]
+    for waiter in pending.waiters:
+        refuse_waiter(state, waiter, pending.job.submission, outcome, refusal)
+
+
+def refuse_waiter(
+    state: EntryState,
+    waiter: str,
+    submission: str,
+    outcome: Outcome,
+    refusal: Refusal,
+) -> None:
+    """Answer one who waits without an answer to the submission."""
+    log(
+        state,
+        "refused a caller",
+        submission=submission,
+        outcome=str(outcome),
+        reason=refusal.message,
+    )
+    state.effects.append(Count(f"entry.outcome.{outcome}"))
+    state.effects.append(Reply(waiter, submission, outcome, [], refusal))
+
+
+def log(state: EntryState, sentence: str, **fields: object) -> None:
+    """Have a log line written."""
+    state.effects.append(Log(Part.ENTRY, sentence, fields))
--- a/src/cactuswalk/state/events.py
+++ b/src/cactuswalk/state/events.py
@@ -17,6 +17,7 @@
     "Event",
     "KeyRead",
     "KeySwapped",
+    "OperatorAsked",
     "Received",
     "StopRequested",
     "SwapOutcome",
@@ -73,6 +74,13 @@
     service: str = ""
 
 
+class OperatorAsked(msgspec.Struct):
+    """An operator wants to know where a job could be placed."""
+
+    request: str
+    job: Job
+
+
 class CallerGone(msgspec.Struct):
     """The caller's connection is closed; nobody waits at ``waiter`` now."""
 
@@ -159,6 +167,7 @@
     | CallerCancelled
     | CallerAsked
     | CallerGone
+    | OperatorAsked
     | UpstreamAnswered
     | Announced
     | KeyRead
--- a/src/cactuswalk/state/flights.py
+++ b/src/cactuswalk/state/flights.py
@@ -52,9 +52,9 @@
     stands = state.stands(now)
     for peer in state.peers.values():
         usable = stands and _is_usable(state, peer, now)
-        if usable != peer.usable and peer.announcement is not None:
+        if usable != peer.usable and peer.in_force is not None:
             peer.usable = usable
-            state.scheduler.set_worker(peer.announcement, usable, now)
+            state.scheduler.set_worker(peer.in_force, usable, now)
 
 
 def _is_usable(state: OwnerState, peer: Peer, now: float) -> bool:
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -11,7 +11,11 @@
     Adopt,
     Adopted,
     Cancel,
+    ConfigurationOffer,
+    ConfigurationRequest,
+    ConfigurationUpdate,
     Declined,
+    Explain,
     Fence,
     Fenced,
     HandOver,
@@ -40,9 +44,11 @@
     peers,
     recovery,
     roster,
+    spreading,
     submissions,
 )
 from cactuswalk.state.candidate import CandidateState, TakenOver
+from cactuswalk.state.configuration import Replica, Spread
 from cactuswalk.state.effects import Count, Effect, Log, Part, Send
 from cactuswalk.state.events import (
     Announced,
@@ -87,6 +93,7 @@
     Submit: submissions.on_submit,
     Cancel: submissions.on_cancel,
     Query: submissions.on_query,
+    Explain: submissions.on_explain,
     Result: flights.on_result,
     Declined: flights.on_declined,
     Running: flights.on_running,
@@ -141,7 +148,9 @@
 ) -> Node:
     """Return the state of a process that has just been started."""
     records = RecordBook(timing.retention, maximum_bytes)
-    agent = agents.new_agent(cell, Gate(member, records, timing.confirm), now)
+    agent = agents.new_agent(
+        cell, Gate(member, records, timing.confirm), Spread(Replica()), now
+    )
     candidate = candidates.new_candidate(cell, agent, timing, generator)
     return Node(cell, timing, generator, agent, candidate, make_scheduler)
 
@@ -209,6 +218,8 @@
         _TO_AGENT[kind](node.agent, event.sender, message, now)
     elif kind in _TO_CANDIDATE:
         _TO_CANDIDATE[kind](node.candidate, message, now)
+    elif kind in _ON_CONFIGURATION:
+        _ON_CONFIGURATION[kind](node, event.sender, message, now)
     elif kind in _TO_OWNER:
         if node.owner is not None:
             _TO_OWNER[kind](node.owner, event.sender, message, now)
@@ -216,6 +227,29 @@
             _say_not_owner(node, event)
 
 
+def _on_offer(node: Node, sender: str, offer: ConfigurationOffer, now: float) -> None:
+    spreading.on_offer(node.agent.spread, node.agent, sender, offer, now)
+
+
+def _on_request(
+    node: Node, sender: str, request: ConfigurationRequest, now: float
+) -> None:
+    spreading.on_request(node.agent.spread, node.agent, sender, request)
+
+
+def _on_update(
+    node: Node, sender: str, update: ConfigurationUpdate, now: float
+) -> None:
+    spreading.on_update(node.agent.spread, node.agent, node.owner, sender, update, now)
+
+
+_ON_CONFIGURATION: dict[type, Callable] = {
+    ConfigurationOffer: _on_offer,
+    ConfigurationRequest: _on_request,
+    ConfigurationUpdate: _on_update,
+}
+
+
 def _say_not_owner(node: Node, event: Received) -> None:
     """Tell who owns the cell, as far as this agent knows; nothing was done."""
     message = event.message
@@ -270,6 +304,7 @@
         node.generator,
         node.agent,
         node.make_scheduler(),
+        node.agent.spread,
         RecordBook(node.timing.retention, node.agent.gate.records.maximum_bytes),
     )
     recovery.begin_recovery(node.owner, taken.earlier, now)
@@ -302,6 +337,7 @@
 def _on_tick(node: Node, now: float) -> None:
     node.agent.gate.records.expire(now)
     node.agent.copies.expire(now)
+    node.agent.effects += node.agent.spread.tick(now)
     if node.owner is not None:
         _tick_owner(node.owner, now)
     else:
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -15,6 +15,7 @@
 from cactuswalk.messages import Message, Record, Submit
 from cactuswalk.model import Announcement, CellRecord, Member
 from cactuswalk.state.agent import AgentState
+from cactuswalk.state.configuration import Spread
 from cactuswalk.state.effects import Count, Effect, Log, Part, Send
 from cactuswalk.state.ledger import Place, Tracked
 from cactuswalk.state.retention import RecordBook
@@ -41,6 +42,10 @@
 
     :param confirmed_at: when the last ping that it confirmed was sent.
     :param stamp_at: when its latest stamp came here.
+    :param announcement: as its upstream gave it; ``in_force`` with the labels
+        that operators gave it.
+    :param roster_sent: write id of the record whose roster goes with the pings
+        since ``roster_since``; ``roster_known`` once one of them is confirmed.
     :param flights: attempts placed there, by (submission, index).
     """
 
@@ -54,7 +59,11 @@
     ready: bool = False
     leaving: bool = False
     fenced: bool = False
+    in_force: Announcement | None = None
     usable: bool = False
+    roster_sent: str = ""
+    roster_since: int = 0
+    roster_known: str = ""
     configuration: int = 0
     flights: dict[tuple[str, int], Place] = {}
 
@@ -85,6 +94,8 @@
     :param agent: the agent in the same process; its records are this host's.
     :param open: the submissions that are not answered yet, in order.
     :param kept: answered ones, in the order in which they are forgotten.
+    :param spread: this process's copy of the configuration.
+    :param quota_teams: teams that the scheduler was given a quota for.
     :param recovered: records collected at the takeover and ended since.
     :param backup: the member that keeps copies of what only this host knows,
         ready once it has confirmed all of them.
@@ -105,6 +116,7 @@
     generator: random.Random
     agent: AgentState
     scheduler: Scheduler
+    spread: Spread
     recovered: RecordBook
     phase: Phase = Phase.RECOVERING
     peers: dict[str, Peer] = {}
@@ -114,6 +126,7 @@
     held: list[Held] = []
     cancelled: dict[str, float] = {}
     entries: dict[str, EntryView] = {}
+    quota_teams: set[str] = set()
     attempts: int = 0
     ping_serial: int = 0
     pinged_at: float = float("-inf")
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -5,6 +5,7 @@
 from cactuswalk.state.agent import stamp_of
 from cactuswalk.state.flights import dispatch, give_up_flights, probe
 from cactuswalk.state.owner import EntryView, OwnerState, Peer, Phase
+from cactuswalk.state.spreading import offer_of
 
 __all__ = [
     "is_lost",
@@ -42,6 +43,8 @@
         }
         peer.pings[state.ping_serial] = now
         send_ping(state, peer)
+    addresses = [peer.member.address for peer in state.peers.values()]
+    state.effects += state.spread.alongside(addresses)
 
 
 def send_fence(state: OwnerState, member: Member) -> None:
@@ -51,16 +54,18 @@
 
 
 def send_ping(state: OwnerState, peer: Peer) -> None:
-    """Send a member a ping with what is in force."""
-    serial = peer.announcement.serial if peer.announcement else 0
+    """Send a member a ping with what is in force, the roster if it is news."""
+    known = peer.roster_known == state.record.write_id
+    if not known and peer.roster_sent != state.record.write_id:
+        peer.roster_sent, peer.roster_since = state.record.write_id, state.ping_serial
     ping = Ping(
         state.cell,
         state.record.epoch,
-        state.member,
+        None if known else state.member,
         state.ping_serial,
         state.agent.configuration,
-        serial,
-        state.record.roster,
+        peer.announcement.serial if peer.announcement else 0,
+        [] if known else state.record.roster,
     )
     state.send(peer.member.address, ping)
 
@@ -79,10 +84,13 @@
         # A repeated or late pong must not make an old confirmation young.
         return
     peer.confirmed_at = sent_at
+    if pong.serial >= peer.roster_since:
+        peer.roster_known = peer.roster_sent
     peer.heard_at = now
     peer.stamp, peer.stamp_at = pong.stamp, now
     peer.ready = pong.ready
     peer.configuration = pong.configuration
+    state.effects += state.spread.heard(sender, pong.configuration, now)
     _probe_missing(state, peer, pong, now)
     dispatch(state, now)
 
@@ -147,9 +155,8 @@
     workers = []
     if view.serial != state.workers_serial:
         view.serial = state.workers_serial
-        workers = [peer.announcement for peer in state.peers.values()]
+        workers = [peer.in_force for peer in state.peers.values()]
         workers = [announcement for announcement in workers if announcement]
-    revisions = [peer.configuration for peer in state.peers.values()]
     state.send(
         address,
         CellReport(
@@ -160,9 +167,7 @@
             state.scheduler.free_slots(),
             state.scheduler.queued(),
             workers,
-            len(revisions),
-            min(revisions, default=0),
-            sum(one >= state.agent.configuration for one in revisions),
+            offer_of(state, state.spread),
             stamp_of(now),
         ),
     )
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -21,6 +21,7 @@
 from cactuswalk.state.flights import give_up_flights, record_of
 from cactuswalk.state.owner import OwnerState, Peer, Phase
 from cactuswalk.state.peers import is_lost, send_fence, send_ping
+from cactuswalk.state.spreading import apply_all, apply_worker
 
 __all__ = [
     "cell_key",
@@ -64,8 +65,9 @@
         return
     peer.announcement = announcement
     peer.usable = False
-    state.workers_serial += 1
-    state.scheduler.set_worker(announcement, False, now)
+    apply_worker(state, state.spread, peer, now)
+    if known is None or known.service != announcement.service:
+        apply_all(state, state.spread, now)
     state.log("took an announcement", worker=announcement.worker)
 
 
--- /dev/null
+++ b/src/cactuswalk/state/spreading.py
@@ -0,0 +1,152 @@
+"""How the configuration reaches an agent's node, and takes effect at its owner.
+
+Every agent holds the whole copy: any of them may own the cell next, and a node
+that starts while the key-value service is away learns all from a peer.
+"""
+
+import msgspec
+
+from cactuswalk.messages import (
+    ConfigurationOffer,
+    ConfigurationRequest,
+    ConfigurationUpdate,
+)
+from cactuswalk.model import Announcement, matches, parse, worker_labels
+from cactuswalk.model.configuration import Service, Team, WorkerEntry, merge_labels
+from cactuswalk.state.agent import AgentState
+from cactuswalk.state.configuration import Spread, fold
+from cactuswalk.state.effects import Count, Log, Part, Send
+from cactuswalk.state.owner import OwnerState, Peer
+
+__all__ = [
+    "apply_all",
+    "apply_worker",
+    "offer_of",
+    "on_offer",
+    "on_request",
+    "on_update",
+    "worker_in_force",
+]
+
+
+def on_offer(
+    spread: Spread,
+    agent: AgentState,
+    sender: str,
+    offer: ConfigurationOffer,
+    now: float,
+) -> None:
+    """Another node says what it holds."""
+    agent.effects += spread.offered(sender, offer, now)
+
+
+def on_request(
+    spread: Spread, agent: AgentState, sender: str, request: ConfigurationRequest
+) -> None:
+    """Another node asks for what it lacks."""
+    agent.effects += spread.requested(sender, request)
+
+
+def on_update(
+    spread: Spread,
+    agent: AgentState,
+    owner: OwnerState | None,
+    sender: str,
+    update: ConfigurationUpdate,
+    now: float,
+) -> None:
+    """Changes have come: put them in force, and pass them on as the owner."""
+    before = spread.replica.revision
+    applied, requests = spread.updated(sender, update, now)
+    agent.effects += requests
+    agent.configuration = spread.replica.revision
+    if applied.refused:
+        agent.effects.append(Count("configuration.refused", applied.refused))
+    if not applied.objects:
+        return
+    keys = [stored.key for stored in applied.objects]
+    fields = {"revision": spread.replica.revision, "keys": keys[:20]}
+    agent.effects.append(
+        Log(Part.CONFIGURATION, "put changes in force", fields | {"count": len(keys)})
+    )
+    if owner is None:
+        return
+    others = [
+        peer.member.address
+        for peer in owner.peers.values()
+        if peer.member != owner.member
+    ]
+    agent.effects += spread.updates(before, others)
+    apply_all(owner, spread, now)
+    offer_to_entries(owner, spread)
+
+
+def apply_all(owner: OwnerState, spread: Spread, now: float) -> None:
+    """Bring the scheduler to the configuration in force.
+
+    The whole of it each time: it is some hundred objects, changes are rare, and
+    nothing is left over from an object that was deleted.
+    """
+    for peer in owner.peers.values():
+        apply_worker(owner, spread, peer, now)
+    services = {
+        peer.announcement.service
+        for peer in owner.peers.values()
+        if peer.announcement is not None
+    }
+    teams = {one.name: one for one in spread.replica.select("team")}
+    for name in owner.quota_teams - teams.keys():
+        teams[name] = Team(name=name)
+    for service in services:
+        for team in teams.values():
+            owner.scheduler.set_quota(
+                service, team.name, float(team.weight), team.maximum_running
+            )
+    owner.quota_teams = set(teams)
+
+
+def apply_worker(owner: OwnerState, spread: Spread, peer: Peer, now: float) -> None:
+    """Bring what the scheduler knows of one worker to what is in force."""
+    if peer.announcement is None:
+        return
+    announcement, allowed = worker_in_force(spread, peer.announcement)
+    if announcement != peer.in_force:
+        peer.in_force = announcement
+        owner.workers_serial += 1
+        owner.scheduler.set_worker(announcement, peer.usable, now)
+    entry = spread.replica.get("worker", announcement.worker)
+    drained = isinstance(entry, WorkerEntry) and entry.drained
+    owner.scheduler.set_drained(announcement.worker, drained or not allowed, now)
+
+
+def worker_in_force(
+    spread: Spread, announcement: Announcement
+) -> tuple[Announcement, bool]:
+    """Return a worker with its operators' labels, and whether it may serve."""
+    entry = spread.replica.get("worker", announcement.worker)
+    labels = merge_labels(announcement.labels, entry)
+    merged = msgspec.structs.replace(announcement, labels=labels)
+    service = spread.replica.get("service", announcement.service)
+    if not isinstance(service, Service) or not service.selector:
+        return merged, True
+    return merged, matches(parse(service.selector), worker_labels(merged))
+
+
+def offer_of(owner: OwnerState, spread: Spread) -> ConfigurationOffer:
+    """Return what the nodes of this cell hold, for its entries."""
+    replica = spread.replica
+    states = [(replica.revision, replica.ahead)]
+    states += [
+        (peer.configuration, ())
+        for peer in owner.peers.values()
+        if peer.member != owner.member
+    ]
+    return ConfigurationOffer(
+        replica.revision, sorted(replica.ahead), owner.cell, fold(states)
+    )
+
+
+def offer_to_entries(owner: OwnerState, spread: Spread) -> None:
+    """Tell the entries at once; the next report would do it too."""
+    offer = offer_of(owner, spread)
+    owner.effects += [Send(address, offer) for address in owner.entries]
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -3,7 +3,17 @@
 import msgspec
 
 from cactuswalk.decisions.scheduler import QueuedTask
-from cactuswalk.messages import Cancel, JobState, NotOwner, Query, Record, Submit
+from cactuswalk.messages import (
+    Cancel,
+    Explain,
+    Explained,
+    JobState,
+    NotOwner,
+    Query,
+    Record,
+    Submit,
+    Verdict,
+)
 from cactuswalk.model import (
     Job,
     Outcome,
@@ -26,7 +36,14 @@
 )
 from cactuswalk.state.owner import Held, OwnerState, Phase
 
-__all__ = ["expire_ledger", "on_cancel", "on_query", "on_submit", "release_held"]
+__all__ = [
+    "expire_ledger",
+    "on_cancel",
+    "on_explain",
+    "on_query",
+    "on_submit",
+    "release_held",
+]
 
 # A caller whose key was taken by another body has to choose another key.
 KEY_REUSED = Refusal(
@@ -249,6 +266,13 @@
     state.send(sender, job_state(state, query))
 
 
+def on_explain(state: OwnerState, sender: str, explain: Explain, now: float) -> None:
+    """Say where a job could be placed now."""
+    found = state.scheduler.explain(explain.job, now)
+    verdicts = [Verdict(one.worker, one.fits, one.verdict) for one in found]
+    state.send(sender, Explained(explain.request, state.cell, verdicts))
+
+
 def job_state(state: OwnerState, query: Query) -> JobState:
     """Return where a submission stands, from the ledger or from records."""
     tracked = state.ledger.get(query.submission)
--- /dev/null
+++ b/src/cactuswalk/state/waiting.py
@@ -0,0 +1,187 @@
+"""Submissions that wait for an answer: sent, asked after, answered, given up."""
+
+from cactuswalk.messages import (
+    Answer,
+    Cancel,
+    JobState,
+    Query,
+    Submit,
+)
+from cactuswalk.model import (
+    Outcome,
+    Refusal,
+    RefusalCode,
+    digest,
+)
+from cactuswalk.state.effects import (
+    Count,
+    Reply,
+    Send,
+)
+from cactuswalk.state.entryview import (
+    CellView,
+    EntryState,
+    Pending,
+    age_ms,
+    give_up,
+    last_attempt,
+    log,
+    outcome_unsent,
+)
+
+__all__ = ["keep_pending", "on_answer", "on_job_state", "send_submit"]
+
+# How long past the deadline the owner's own word is awaited. It answers at the
+# deadline after ``settle`` at most; the rest is for a busy loop.
+DEADLINE_GRACE = 0.25
+# A takeover ends within this; until then a submission waits for its owner.
+OWNER_AWAITED = 6.0
+# A caller that comes back after a takeover finds an owner.
+RETRY_WITHOUT_OWNER_MS = 3000
+
+
+def send_submit(
+    state: EntryState, pending: Pending, cell: CellView, now: float
+) -> None:
+    """Send a submission to the owner of its cell, if one is known and young."""
+    if not cell.owner or now - cell.stamp_at > state.timing.confirm:
+        return
+    state.attempt += 1
+    fresh = pending.minted and not pending.sent
+    submit = Submit(
+        pending.job,
+        state.attempt,
+        fresh,
+        max(0, int((pending.deadline - now) * 1000)),
+        int(age_ms(state, pending.job, now)),
+        cell.epoch,
+        cell.stamp,
+    )
+    pending.attempts.add(state.attempt)
+    pending.sent = True
+    pending.sent_epoch = cell.epoch
+    pending.sign_at = now
+    pending.query_after = state.timing.query
+    state.effects += (Send(cell.owner, submit), Count("entry.submit.sent"))
+
+
+def on_answer(state: EntryState, sender: str, answer: Answer, now: float) -> None:
+    """The owner has answered a submission."""
+    pending = state.pending.get(answer.submission)
+    if pending is None or answer.attempt not in pending.attempts:
+        state.effects.append(Count("entry.answer.stale"))
+        return
+    view = state.cells[pending.cell]
+    if answer.outcome is Outcome.NOT_RUN and answer.epoch < view.epoch:
+        # A deposed owner's word that came late: the new one may have started it.
+        state.effects.append(Count("entry.answer.deposed"))
+        return
+    if answer.fingerprint != pending.job.fingerprint or not _is_whole(pending, answer):
+        # Cut short or mixed up: nothing of it may reach the caller. The query
+        # timer asks the owner for it again.
+        state.effects.append(Count("entry.answer.damaged"))
+        return
+    _finish(state, pending, answer)
+
+
+def _is_whole(pending: Pending, answer: Answer) -> bool:
+    if answer.outcome is not Outcome.ANSWERED:
+        return True
+    bodies_match = all(
+        digest(result.body) == result.digest for result in answer.results
+    )
+    indexes = [result.index for result in answer.results]
+    parts = [result.digest for result in answer.results]
+    return (
+        bodies_match
+        and indexes == list(range(len(pending.job.tasks)))
+        and answer.digest == digest(answer.fingerprint, *parts)
+    )
+
+
+def _finish(state: EntryState, pending: Pending, answer: Answer) -> None:
+    del state.pending[pending.job.submission]
+    log(
+        state,
+        "answered a caller",
+        submission=answer.submission,
+        outcome=str(answer.outcome),
+        reason=answer.refusal.message if answer.refusal else "",
+    )
+    for waiter in pending.waiters:
+        state.effects.append(
+            Reply(
+                waiter,
+                answer.submission,
+                answer.outcome,
+                answer.results,
+                answer.refusal,
+            )
+        )
+    state.effects.append(Count(f"entry.outcome.{answer.outcome}"))
+
+
+def on_job_state(state: EntryState, message: JobState, now: float) -> None:
+    """The owner says where a submission stands."""
+    pending = state.pending.get(message.submission)
+    if pending is None:
+        return
+    if message.answer is not None:
+        answer = message.answer
+        answer.attempt = last_attempt(pending)
+        on_answer(state, "", answer, now)
+        return
+    pending.sign_at = now
+    pending.query_after *= 2
+    if not message.known and pending.cancelled:
+        refusal = Refusal(
+            RefusalCode.CANCELLED, "it was cancelled; nothing more of it will start"
+        )
+        give_up(state, pending, Outcome.UNKNOWN, refusal)
+        return
+    if not message.known and state.cells[pending.cell].epoch == pending.sent_epoch:
+        # The submit was lost on the way; the owner joins a repeated one.
+        send_submit(state, pending, state.cells[pending.cell], now)
+
+
+def keep_pending(state: EntryState, pending: Pending, now: float) -> None:
+    """Give up in time, ask after what is silent, send what waits for an owner."""
+    view = state.cells[pending.cell]
+    if now >= pending.deadline + (DEADLINE_GRACE if pending.sent else 0.0):
+        _give_up_late(state, pending, view)
+        return
+    if pending.sent_epoch < view.epoch:
+        send_submit(state, pending, view, now)
+        return
+    if not pending.sent and now - pending.submitted_at > OWNER_AWAITED:
+        refusal = Refusal(
+            RefusalCode.NO_OWNER,
+            f"cell {view.cell} has had no owner for {OWNER_AWAITED:.0f} s",
+            RETRY_WITHOUT_OWNER_MS,
+        )
+        give_up(state, pending, outcome_unsent(pending.minted), refusal)
+        return
+    if pending.sent and view.owner and now - pending.sign_at >= pending.query_after:
+        pending.sign_at = now
+        state.effects.append(Send(view.owner, Query(pending.job.submission, "")))
+        state.effects.append(Count("entry.query.sent"))
+
+
+def _give_up_late(state: EntryState, pending: Pending, view: CellView) -> None:
+    """Answer a submission whose deadline has passed without the owner's word."""
+    if not pending.sent:
+        refusal = Refusal(
+            RefusalCode.NO_OWNER,
+            "its deadline passed before an owner of its cell was found",
+            RETRY_WITHOUT_OWNER_MS,
+        )
+        give_up(state, pending, outcome_unsent(pending.minted), refusal)
+        return
+    if view.owner:
+        state.effects.append(Send(view.owner, Cancel(pending.job.submission)))
+    refusal = Refusal(
+        RefusalCode.TIMED_OUT,
+        "its deadline passed without word from the owner of its cell; it may have run",
+        RETRY_WITHOUT_OWNER_MS,
+    )
+    give_up(state, pending, Outcome.UNKNOWN, refusal)
--- a/tools/slopes_entry.py
+++ b/tools/slopes_entry.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from cactuswalk.messages import CellReport, Envelope, encode
+from cactuswalk.messages import CellReport, ConfigurationOffer, Envelope, encode
+from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import (
     Announcement,
     Capacity,
@@ -84,6 +85,7 @@
 def report_of(number: int, now: float, workers: list[Announcement]) -> Received:
     """Return a report of a cell's owner."""
     address = owner_of(number).address
+    held = [NodesHolding(7, [], WORKERS_A_CELL)]
     message = CellReport(
         f"cell-{number}",
         1,
@@ -92,9 +94,7 @@
         {SERVICE: 100},
         {},
         workers,
-        WORKERS_A_CELL,
-        7,
-        WORKERS_A_CELL,
+        ConfigurationOffer(7, [], f"cell-{number}", held),
         int(now * 1000),
     )
     return Received(address, message)
