--- a/features/steps/platform_outage_steps.py
+++ b/features/steps/platform_outage_steps.py
@@ -133,7 +133,7 @@
                 budget.spend(cost, now)
                 spent += cost
             if failed:
-                budget.empty(now)
+                budget.shrink(now)
             assert spent <= 15 + 5 * now + 1e-6
 
     property_holds()
--- a/src/cactuswalk/decisions/backoff.py
+++ b/src/cactuswalk/decisions/backoff.py
@@ -85,9 +85,10 @@
     :param current: the time-out of the call that has just ended.
     :param elapsed: seconds that its answer took, None if it timed out.
     """
+    longest = max(shortest, LONGEST_TIMEOUT_SECONDS)
     if elapsed is None:
-        return min(current * TIMEOUT_MARGIN, LONGEST_TIMEOUT_SECONDS)
-    wanted = min(elapsed * TIMEOUT_MARGIN, LONGEST_TIMEOUT_SECONDS)
+        return min(current * TIMEOUT_MARGIN, longest)
+    wanted = min(elapsed * TIMEOUT_MARGIN, longest)
     # Halved at most, so that one quick answer among slow ones doesn't bring
     # back a time-out that the next slow one will miss.
     return max(shortest, wanted, current / 2)
--- a/src/cactuswalk/decisions/callbudget.py
+++ b/src/cactuswalk/decisions/callbudget.py
@@ -63,14 +63,15 @@
         self._fill(now)
         self.tokens -= cost
 
-    def empty(self, now: float) -> None:
-        """Give up what was saved, since the service has failed.
+    def shrink(self, now: float) -> None:
+        """Give up most of what was saved, since the service has failed.
 
         After a long outage every bucket is full. Without this the service's
-        first second back would bring each process's whole burst.
+        first second back would bring each process's whole burst. A read and a
+        write stay: a takeover that waits must not wait for tokens as well.
         """
         self._fill(now)
-        self.tokens = min(self.tokens, 0.0)
+        self.tokens = min(self.tokens, READ_COST + WRITE_COST)
 
     def _fill(self, now: float) -> None:
         if self.filled_at is None:
--- a/src/cactuswalk/platform/gate.py
+++ b/src/cactuswalk/platform/gate.py
@@ -89,7 +89,7 @@
         if timed_out:
             self.timeout = adapted_timeout(self.shortest_timeout, passage.timeout, None)
         self.backoff.failed(passage.started, now, self.generator)
-        self.budget.empty(now)
+        self.budget.shrink(now)
         self._end_probe(passage)
 
     def abandoned(self, passage: Passage) -> None:
