Don't hold callers' doings against workers

Cause: the owner reports a task that it stopped for a cancelled job as finished without success; five of three jobs in a row ejected its worker, so a cancellation wave would have ejected a third of them. Found by reading the owner's calls. Also: five failures in a row come by chance every few hundred tasks if a third of all requests fail everywhere; the run now has to be longer the more the others fail.

--- a/features/decision_second_attempts.feature
+++ b/features/decision_second_attempts.feature
@@ -38,6 +38,23 @@
     When 200 requests in turn fail on all workers
     Then at most 1 worker of the hedging scheduler is ejected
 
+  Scenario: Callers that cancel or leave too little time eject no worker
+    A planning run is called off while its tasks run, and a client asks with
+    deadlines that no worker can meet. Their tasks are stopped and count as failed.
+    Were workers ejected for it, a cancellation wave would take the service down.
+    Given a hedging scheduler with 3 workers that has finished 200 tasks of 100 ms
+    When 30 running jobs are cancelled and end as failed
+    And 30 requests in turn fail at a deadline after 60 ms
+    Then no worker of the hedging scheduler is ejected
+
+  Scenario: A worker that fails more than others is ejected, though others fail too
+    A third of all requests are malformed and fail everywhere; one worker fails
+    everything. Ejected by five failures in a row, sound workers would go as well,
+    since that happens by chance every few hundred tasks.
+    Given a hedging scheduler with 6 workers that has finished 200 tasks of 100 ms
+    When every third of 3000 requests fails, and all of worker "w2"
+    Then only worker "w2" of the hedging scheduler was ever ejected
+
   Scenario: A guarded worker deals with the task that outgrew its declaration
     A task takes ten times its declared memory. Left alone, the operating system
     ends one of its neighbours, and a member is told that a booking is unknown.
--- a/features/steps/decision_second_attempts_steps.py
+++ b/features/steps/decision_second_attempts_steps.py
@@ -1,5 +1,7 @@
 """Steps for hedges, retries, ejection and the guard."""
 
+import random
+
 from behave import given, then, when
 
 from cactuswalk.decisions import Scheduler, Usage, judge_usage
@@ -8,12 +10,12 @@
 from tools.policies_situations import SITUATIONS
 
 
-def submit(context, tasks=1, idempotent=False, request=True):
+def submit(context, tasks=1, idempotent=False, request=True, patience=1000):
     context.jobs = getattr(context, "jobs", 0) + 1
     specs = [TaskSpec(b"", 100) for _ in range(tasks)]
     job = Job(f"t/{context.jobs}", b"", "booking", "t", specs)
     job.idempotent, job.request = idempotent, request
-    refusal = context.scheduler.admit(job, context.now + 1000, context.now)
+    refusal = context.scheduler.admit(job, context.now + patience, context.now)
     assert refusal is None, refusal
     return context.scheduler.assign(context.now)
 
@@ -141,6 +143,41 @@
     assert len(ejected(context)) <= count, ejected(context)
 
 
+@when("{count:d} running jobs are cancelled and end as failed")
+def step_cancelled(context, count):
+    for _ in range(count):
+        started = submit(context)
+        context.now += 0.01
+        context.scheduler.cancel(started[0].task.job.submission, context.now)
+        finish(context, started, succeeded=False)
+
+
+@when("{count:d} requests in turn fail at a deadline after {took:d} ms")
+def step_tight(context, count, took):
+    for _ in range(count):
+        started = submit(context, patience=took / 1000)
+        context.now += took / 1000
+        finish(context, started, succeeded=False)
+
+
+@when('every third of {count:d} requests fails, and all of worker "{name}"')
+def step_some_fail(context, count, name):
+    generator = random.Random(1)
+    context.ejected = set()
+    for _ in range(count // 20):
+        started = [entry for _ in range(20) for entry in submit(context)]
+        context.now += 0.1
+        for entry in started:
+            fails = entry.worker == name or generator.random() < 1 / 3
+            finish(context, [entry], succeeded=not fails)
+        context.ejected |= set(ejected(context))
+
+
+@then('only worker "{name}" of the hedging scheduler was ever ejected')
+def step_only(context, name):
+    assert context.ejected == {name}, context.ejected
+
+
 @when("usage of a worker with {memory:d} MB and {slots:d} slots is reported as")
 def step_usage(context, memory, slots):
     usages = [
--- a/src/cactuswalk/decisions/cellstate.py
+++ b/src/cactuswalk/decisions/cellstate.py
@@ -1,6 +1,6 @@
 """The state that the decisions of one cell share, and its bookkeeping."""
 
-from cactuswalk.decisions.ejection import HealthEvent
+from cactuswalk.decisions.ejection import HealthEvent, blames_worker
 from cactuswalk.decisions.fitting import Departed, misfit
 from cactuswalk.decisions.joborder import JobOrder
 from cactuswalk.decisions.placement import Pool, RunningTask, Worker
@@ -107,6 +107,14 @@
         state.durations.observe(spec.duration_ms, seconds)
         state.high.observe(seconds)
 
+    def blame(self, worker: Worker, task: RunningTask, now: float) -> None:
+        """Hold a failed task against its worker, unless its caller brought it about."""
+        queued: QueuedJob = task.owner
+        held = now - task.started_at
+        if blames_worker(queued.cancelled, held, task.charged, queued.deadline, now):
+            name = queued.job.submission
+            worker.health.fail(name, self.others(worker, now), now)
+
     def others(self, worker: Worker, now: float) -> HealthEvent:
         """Return how the other workers of a service are doing."""
         service = worker.announcement.service
--- a/src/cactuswalk/decisions/ejection.py
+++ b/src/cactuswalk/decisions/ejection.py
@@ -6,21 +6,28 @@
 one task there that holds up its answer. Without this, one bad worker of eleven
 decides what most callers receive.
 
-A worker is ejected after a run of failures from several jobs, unless the others
-fail as well (then it is the requests or something behind all of them, and ejecting
-would only take capacity away). It comes back on trial, with one slot, and earns a
-slot with each success (slow start: a cold worker is not flooded). A failure on
-trial sends it away for twice as long. One that hangs gets nothing new until
-something ends there; one that drags keeps a single slot, as a probe.
+A worker is ejected after a run of failures from several jobs, a longer one the more
+often the others fail as well; where they mostly fail it is the requests or something
+behind all of them, and ejecting would only take capacity away. What a caller brings
+about, by cancelling or by a deadline that was too tight, does not count.
+
+An ejected worker comes back on trial, with one slot, and earns a slot with each
+success (slow start: a cold worker is not flooded). A failure on trial sends it away
+for twice as long. One that hangs gets nothing new until something ends there; one
+that drags keeps a single slot, as a probe.
 """
 
+import math
+
 import msgspec
 
-__all__ = ["Health", "HealthEvent"]
+__all__ = ["Health", "HealthEvent", "blames_worker"]
 
-# Failures in a row that eject. With a failure rate of one in ten, which a poor but
-# useful worker may have, five in a row come once in 100,000 tasks.
-FAILURES_TO_EJECT = 5
+# A run of failures ejects if it would come by chance less than once in so many tasks,
+# were the worker no worse than the others. And at least the second figure, since the
+# others' rate is known only roughly.
+CHANCE_OF_RUN = 1e-5
+FEWEST_FAILURES_TO_EJECT = 5
 
 # They must come from this many jobs: one job whose tasks all fail says something
 # about the job.
@@ -29,6 +36,9 @@
 # Others failing more often than this means that the worker is not the cause.
 OTHERS_FAILING = 0.5
 
+# Below this rate of failures elsewhere, one failure on trial is enough.
+RARE_FAILURES = 0.1
+
 # At most this part of a service's workers may be ejected at a time. A rack of
 # today is 3 of 11 workers.
 GREATEST_EJECTED_PART = 0.34
@@ -54,12 +64,33 @@
 HANG_RUN_TIMES = 10.0
 LEAST_HANG_SECONDS = 3.0
 
+# A failure this close to the deadline was brought about by it: an agent gives up a
+# call at the deadline, and its word takes a message to come.
+DEADLINE_TOLERANCE_SECONDS = 0.1
+
 # Pause after repeated declines: doubles from the second in a row. A worker whose
 # agent declines at once would otherwise be offered the same task at full speed.
 FIRST_PAUSE_SECONDS = 0.05
 LONGEST_PAUSE_SECONDS = 5.0
 
 
+def blames_worker(
+    cancelled: bool, held: float, expected: float, deadline: float, now: float
+) -> bool:
+    """Return whether a failed task speaks against its worker.
+
+    A caller that cancels, or leaves too little time, makes tasks fail on every
+    worker; in a cancellation wave all of them would be ejected for it.
+
+    :param held: how long the task held its slot, in seconds.
+    :param expected: how long it was expected to, in seconds.
+    """
+    if cancelled:
+        return False
+    ended_by_deadline = now >= deadline - DEADLINE_TOLERANCE_SECONDS
+    return not ended_by_deadline or held >= DRAG_RATIO * expected
+
+
 class HealthEvent(msgspec.Struct):
     """What the others of the service look like when a worker is judged.
 
@@ -150,15 +181,20 @@
             return False
         if others.ejected_part > GREATEST_EJECTED_PART:
             return False
-        if not self.on_trial and not self.failed_often():
+        if not self.has_failed_trial(others) and not self.has_failed_often(others):
             return False
         self.eject(now)
         return True
 
-    def failed_often(self) -> bool:
+    def has_failed_often(self, others: HealthEvent) -> bool:
         """Return whether failures in a row, of enough jobs, speak against it."""
-        enough_jobs = len(self.failed_jobs) >= JOBS_TO_EJECT
-        return enough_jobs and self.failures >= FAILURES_TO_EJECT
+        if len(self.failed_jobs) < JOBS_TO_EJECT:
+            return False
+        return self.failures >= failures_to_eject(others.others_failing)
+
+    def has_failed_trial(self, others: HealthEvent) -> bool:
+        """Return whether a worker on trial has failed more than others do."""
+        return self.on_trial and others.others_failing < RARE_FAILURES
 
     def eject(self, now: float) -> None:
         """Send the worker away, longer each time, to return on trial."""
@@ -176,3 +212,10 @@
             return
         pause = FIRST_PAUSE_SECONDS * 2 ** min(self.declines - 2, 10)
         self.paused_until = now + min(LONGEST_PAUSE_SECONDS, pause)
+
+
+def failures_to_eject(others_failing: float) -> int:
+    """Return how many failures in a row are no chance, given the others' rate."""
+    rate = min(OTHERS_FAILING, max(1e-3, others_failing))
+    by_chance = math.ceil(math.log(CHANCE_OF_RUN) / math.log(rate))
+    return max(FEWEST_FAILURES_TO_EJECT, by_chance)
--- a/src/cactuswalk/decisions/queueing.py
+++ b/src/cactuswalk/decisions/queueing.py
@@ -56,6 +56,7 @@
     :param expected: run time of each task, in seconds.
     :param lanes: of its tasks, by index.
     :param dispatched: a task of it has been given to a worker.
+    :param cancelled: what becomes of its tasks says nothing about workers.
     :param urgent: it goes before all claims, see ``Lane.hurry``.
     """
 
@@ -72,6 +73,7 @@
     running: int = 0
     dispatched: bool = False
     urgent: bool = False
+    cancelled: bool = False
 
     def task(self, index: int) -> QueuedTask:
         """Return one of the job's tasks as the owner knows it."""
