Reserve a worker for large tasks; sharpen tests that mutants survived

Switching off the key ranking, the trial, the hang check and the hurry each left the features green.

--- a/features/decision_scheduler.feature
+++ b/features/decision_scheduler.feature
@@ -26,3 +26,12 @@
     And 3 single scheduler jobs are admitted and assigned
     Then scheduler worker "w0" has 0 tasks and 1 task is queued
     And the scheduler explains that "w0" takes nothing because "it is drained"
+
+  Scenario: A worker that hangs gets nothing new until something ends there
+    An upstream stops answering while it has free slots. Each request that is still
+    sent there waits for its deadline.
+    Given a scheduler with 2 workers of 8 slots
+    When two scheduler tasks hang on "w0" for 4 seconds while "w1" goes on
+    Then 4 more scheduler tasks all go to "w1"
+    When one of the hanging scheduler tasks ends
+    Then the next scheduler task goes to "w0"
--- a/features/load_fairness.feature
+++ b/features/load_fairness.feature
@@ -22,13 +22,16 @@
     And with the decisions the useful throughput of callers "flood" is at least 0.80
 
   Scenario: A hot key
-    A third of all requests are about one kennel. A worker that is new to a kennel
-    takes three times as long. Without decisions every worker has to get to know
-    every kennel; if the key were bound to one worker, its owners would queue there.
+    A third of all lookups are about one kennel. A worker that does not have a
+    kennel's data at hand takes three times as long, and holds eight of them. Without
+    decisions every worker has to load every kennel again and again; if the key were
+    bound to one worker, its owners would queue there.
     When the situation "hot key" is run with and without the decisions
-    Then with the decisions at least 99% of callers "hot" are answered
-    And with the decisions the p99 slowdown of callers "hot" is better than without
-    And with the decisions the p99 slowdown of callers "others" is better than without
+    Then with the decisions at least 99.5% of callers "hot" are answered
+    And with the decisions the p99 slowdown of callers "hot" is at most 1.5
+    And with the decisions the p50 slowdown of callers "others" is at most 1.2
+    And without the decisions the p50 slowdown of callers "hot" is at least 2.0
+    And without the decisions the p50 slowdown of callers "others" is at least 2.0
 
   Scenario: Long tasks among short ones
     A batch of 200 tasks of five seconds comes while members look up stop times.
--- a/features/load_faults.feature
+++ b/features/load_faults.feature
@@ -26,7 +26,8 @@
     idle workers draw a full load at once, and callers of that moment wait longest.
     When the situation "rack returns" is run with and without the decisions
     Then with the decisions at least 99% of callers "return" are answered
-    And with the decisions the p99 slowdown of callers "return" is better than without
+    And with the decisions the p99 slowdown of callers "return" is at most 5.2
+    And without the decisions the p99 slowdown of callers "return" is at least 8.0
 
   Scenario: Run times declared ten times too long
     All callers declare ten times the true run time. Believed, half of them would be
--- a/features/load_overload.feature
+++ b/features/load_overload.feature
@@ -22,7 +22,7 @@
     Then with the decisions the useful throughput of callers "all" is at least 0.95
     And with the decisions at least 70% of callers "all" are answered
     And with the decisions at least 90% of refusals of callers "all" come at once
-    And with the decisions at most 1% of callers "all" fail
+    And with the decisions at most 0.3% of callers "all" fail
     And with the decisions the p50 slowdown of callers "all" is at most 1.5
     And without the decisions the p50 slowdown of callers "all" is at least 5.0
 
--- a/features/steps/decision_scheduler_steps.py
+++ b/features/steps/decision_scheduler_steps.py
@@ -204,3 +204,51 @@
     explained = context.scheduler.explain(make_job("x"), 0.0)
     verdicts = {entry.worker: entry.verdict for entry in explained}
     assert reason in verdicts[name], verdicts
+
+
+def admit_one(context):
+    context.number = getattr(context, "number", 0) + 1
+    job = make_job(f"x{context.number}")
+    assert context.scheduler.admit(job, context.now + 30, context.now) is None
+    started = context.scheduler.assign(context.now)
+    assert len(started) == 1, started
+    return started[0]
+
+
+def end_one(context, started):
+    name = (started.task.job.submission, started.task.index)
+    context.scheduler.finished(*name, started.worker, True, 100, context.now)
+
+
+@when(
+    'two scheduler tasks hang on "{hung}" for {seconds:g} seconds while "{other}" '
+    "goes on"
+)
+def step_hang_on(context, hung, seconds, other):
+    context.now = 0.0
+    context.hanging = []
+    while len(context.hanging) < 2:
+        started = admit_one(context)
+        if started.worker == hung:
+            context.hanging.append(started)
+    while context.now < seconds:
+        context.now += 0.1
+        started = admit_one(context)
+        if started.worker == other:
+            end_one(context, started)
+
+
+@then('{count:d} more scheduler tasks all go to "{worker}"')
+def step_all_go(context, count, worker):
+    chosen = {admit_one(context).worker for _ in range(count)}
+    assert chosen == {worker}, chosen
+
+
+@when("one of the hanging scheduler tasks ends")
+def step_one_ends(context):
+    end_one(context, context.hanging[0])
+
+
+@then('the next scheduler task goes to "{worker}"')
+def step_goes(context, worker):
+    assert admit_one(context).worker == worker
--- a/features/steps/load_situations_steps.py
+++ b/features/steps/load_situations_steps.py
@@ -74,17 +74,6 @@
     assert getattr(found.report, f"job_{percentile}") >= bound, found
 
 
-@then(
-    'with the decisions the {percentile} slowdown of callers "{group}" '
-    "is better than without"
-)
-def step_better(context, percentile, group):
-    field = f"job_{percentile}"
-    ours = outcome(context, "with", group)
-    plain = outcome(context, "without", group)
-    assert getattr(ours.report, field) < getattr(plain.report, field), (ours, plain)
-
-
 @then(
     '{which} the decisions the useful throughput of callers "{group}" '
     "is at least {bound:g}"
--- a/src/cactuswalk/decisions/binding.py
+++ b/src/cactuswalk/decisions/binding.py
@@ -5,8 +5,9 @@
 from cactuswalk.decisions.cellstate import CellState
 from cactuswalk.decisions.fitting import RETRY_MS
 from cactuswalk.decisions.longtasks import slots_for_long
-from cactuswalk.decisions.placement import RunningTask
+from cactuswalk.decisions.placement import RunningTask, Worker
 from cactuswalk.decisions.queueing import Lane, QueuedJob, TeamQueue
+from cactuswalk.decisions.reservation import Reservation, best_worker, is_due
 from cactuswalk.decisions.service import Service
 from cactuswalk.decisions.tasks import Assignment, Shed
 from cactuswalk.model import Refusal, RefusalCode
@@ -64,8 +65,14 @@
     spec = queued.job.tasks[index]
     memory_mb = state.sizes.predict(spec.memory_mb)
     group = cell.pool.group(lane.key.service, lane.key.selector)
-    choice = placement.choose(group, queued.job, memory_mb, spec.accelerators)
+    needs = (memory_mb, spec.accelerators)
+    kept = kept_for_others(state, queued)
+    choice = placement.choose(group, queued.job, *needs, kept)
     if choice is None:
+        if state.reservation is None and is_due(queued, state.durations.mean, now):
+            worker = best_worker(group, *needs)
+            if worker is not None:
+                state.reservation = Reservation(worker, lane, queued, index)
         return None
     lane.take(queued, index)
     charged = queued.expected[index]
@@ -80,6 +87,17 @@
     return Assignment(queued.task(index), choice.worker.name, choice.reason)
 
 
+def kept_for_others(state: Service, queued: QueuedJob) -> Worker | None:
+    """Return the worker that is kept for another job than this one."""
+    reservation = state.reservation
+    if reservation is None:
+        return None
+    if not reservation.holds:
+        state.reservation = None
+        return None
+    return None if reservation.queued is queued else reservation.worker
+
+
 def shed_hopeless(
     cell: CellState, state: Service, now: float, decided: list[Assignment | Shed]
 ) -> None:
--- a/src/cactuswalk/decisions/placement.py
+++ b/src/cactuswalk/decisions/placement.py
@@ -270,13 +270,20 @@
 
 
 def choose(
-    group: Group, job: Job, memory_mb: float, accelerators: int
+    group: Group,
+    job: Job,
+    memory_mb: float,
+    accelerators: int,
+    kept: Worker | None = None,
 ) -> Choice | None:
-    """Return the best worker of a group with room for a task, None if none has."""
+    """Return the best worker of a group with room for a task, None if none has.
+
+    :param kept: a worker that is kept free for another task.
+    """
     candidates = [
         worker
         for worker in group.open.values()
-        if not fits(worker, memory_mb, accelerators)
+        if worker is not kept and not fits(worker, memory_mb, accelerators)
     ]
     if not candidates:
         return None
--- a/src/cactuswalk/decisions/service.py
+++ b/src/cactuswalk/decisions/service.py
@@ -14,6 +14,7 @@
 from cactuswalk.decisions.hedging import HighPercentile
 from cactuswalk.decisions.longtasks import is_long, observe_short
 from cactuswalk.decisions.queueing import Lane, LaneKey, QueuedJob, lane_key
+from cactuswalk.decisions.reservation import Reservation
 from cactuswalk.decisions.shedding import DeadlineQueue
 from cactuswalk.model import TaskSpec
 
@@ -53,6 +54,7 @@
     running: int = 0
     long_running: int = 0
     short_average: float = 0.0
+    reservation: Reservation | None = None
 
     @classmethod
     def empty(cls, name: str) -> "Service":
--- a/tools/policies_situations.py
+++ b/tools/policies_situations.py
@@ -24,7 +24,9 @@
 
 DEPLOYMENT = DEPLOYMENTS["glenmorrow"]
 SEED = 1
-SLOTS = DEPLOYMENT.total_slots
+
+# Of 41 keys, a worker of 11 has to serve about four if they are spread evenly.
+KEYS_KEPT = 8
 
 
 def merged(*streams: list[Request]) -> list[Request]:
@@ -100,17 +102,24 @@
 
 
 def hot_key() -> Situation:
-    """A third of the requests ask for one key; a worker new to a key is slow."""
-    requests = stream(0.5, 20, SEED)
-    for request in requests:
-        hot = request.number % 3 == 0
-        request.key = "hot" if hot else f"key{request.number % 40}"
+    """A third of the requests ask for one key; a worker new to a key is slow.
+
+    A worker keeps the data of the last eight keys that it served. Single lookups
+    alone, which are 11% of the stream's work.
+    """
+    requests = [request for request in stream(4.0, 20, SEED) if len(request.own) == 1]
+    for number, request in enumerate(requests):
+        request.key = "hot" if number % 3 == 0 else f"key{number % 40}"
 
     def behaviour(
         bench: FaultBench, worker: str, request: Request, index: int
     ) -> tuple[float, Ending]:
-        warm = bench.notes[worker, request.key]
-        bench.notes[worker, request.key] = 1
+        kept = bench.notes.setdefault(("kept", worker), [])
+        warm = request.key in kept
+        if warm:
+            kept.remove(request.key)
+        kept.append(request.key)
+        del kept[:-KEYS_KEPT]
         return request.own[index] * (1 if warm else 3), Ending.DONE
 
     return Situation(
