--- a/src/cactuswalk/state/configuration.py
+++ b/src/cactuswalk/state/configuration.py
@@ -18,10 +18,27 @@
     StoredObject,
 )
 from cactuswalk.messages.configuration import NodesHolding
-from cactuswalk.model.configuration import OperatorObject, decode_object
+from cactuswalk.model import Announcement, matches, parse, worker_labels
+from cactuswalk.model.configuration import (
+    OperatorObject,
+    Service,
+    WorkerEntry,
+    decode_object,
+    merge_labels,
+)
 from cactuswalk.state.effects import Send
 
-__all__ = ["Applied", "InForce", "Replica", "Spread", "add_up", "fold", "holds"]
+__all__ = [
+    "Applied",
+    "InForce",
+    "Replica",
+    "Spread",
+    "WorkerView",
+    "add_up",
+    "fold",
+    "holds",
+    "view_worker",
+]
 
 # A lost request has to be repeated soon: waiting 0.5 s put the 99th percentile
 # at 0.6 s with 1% of frames lost, and at 2.2 s with 10% (tools/in_force.py). A
@@ -300,3 +317,37 @@
                 in_force += one.nodes
             lowest = one.revision if lowest is None else min(lowest, one.revision)
     return InForce(revision, nodes, in_force, lowest or 0)
+
+
+class WorkerView(msgspec.Struct):
+    """A worker as operators have configured it.
+
+    :param announcement: with the operators' labels over the announced ones.
+    :param may_serve: the service's selector lets this worker serve it.
+    :param reason: why it gets no work, empty where it does.
+    """
+
+    announcement: Announcement
+    drained: bool
+    may_serve: bool
+    reason: str
+
+
+def view_worker(replica: Replica, announcement: Announcement) -> WorkerView:
+    """Return what the configuration in force makes of an announcement.
+
+    A service or a worker without an object is not limited by operators.
+    """
+    entry = replica.get("worker", announcement.worker)
+    service = replica.get("service", announcement.service)
+    drained = isinstance(entry, WorkerEntry) and entry.drained
+    labels = merge_labels(announcement.labels, entry)
+    merged = msgspec.structs.replace(announcement, labels=labels)
+    selector = service.selector if isinstance(service, Service) else ""
+    may_serve = matches(parse(selector), worker_labels(merged))
+    reason = ""
+    if drained:
+        reason = f"{announcement.worker} is drained"
+    elif not may_serve:
+        reason = f"its labels do not match {selector!r} of {announcement.service}"
+    return WorkerView(merged, drained, may_serve, reason)
--- a/tools/in_force.py
+++ b/tools/in_force.py
@@ -11,6 +11,7 @@
 import json
 import random
 import time
+import tracemalloc
 
 import numpy
 import uvloop
@@ -26,7 +27,7 @@
     encode,
 )
 from cactuswalk.model import Member
-from cactuswalk.model.configuration import WorkerEntry, encode_object
+from cactuswalk.model.configuration import WorkerEntry, encode_object, object_key
 from cactuswalk.state.configuration import Replica, Spread
 from cactuswalk.state.effects import Send
 
@@ -220,6 +221,32 @@
     }
 
 
+def measure_whole(workers: int) -> dict[str, object]:
+    """Return what a whole copy of the configuration costs a node."""
+    tracemalloc.start()
+    source = Replica()
+    labels = {"tier": "gold", "owner": "route-planning", "trial": "no"}
+    for number in range(workers):
+        value = WorkerEntry(name=f"inverness-rack{number % 99}-{number}", labels=labels)
+        stored = StoredObject(object_key(value), number + 1, encode_object(value))
+        source.update(ConfigurationUpdate(number, number + 1, [stored]))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started = time.process_time()
+    frame = encode(Envelope("owner", [source.since(0)]))
+    sent = time.process_time()
+    copy = Replica()
+    copy.update(decode(frame).messages[0])
+    taken = time.process_time()
+    return {
+        "workers": workers,
+        "memory_mb": round(held / 1e6, 2),
+        "frame_bytes": len(frame),
+        "sender_ms": round((sent - started) * 1000, 1),
+        "receiver_ms": round((taken - sent) * 1000, 1),
+    }
+
+
 def main() -> None:
     """Measure once and print the result as a line of JSON."""
     parser = argparse.ArgumentParser(description=__doc__.splitlines()[0])
@@ -228,7 +255,12 @@
     parser.add_argument("--loss", type=float, default=0.0, help="of frames, 0 to 1")
     parser.add_argument("--period", type=float, default=0.25, help="of pings, seconds")
     parser.add_argument("--service-goes-away", action="store_true")
-    print(json.dumps(uvloop.run(measure(parser.parse_args()))))
+    parser.add_argument("--whole", type=int, help="cost of a copy with N workers")
+    arguments = parser.parse_args()
+    if arguments.whole:
+        print(json.dumps(measure_whole(arguments.whole)))
+        return
+    print(json.dumps(uvloop.run(measure(arguments))))
 
 
 if __name__ == "__main__":
