A planned stop of the owner lost a task that it had not started

Cause: the owner asks its witness to keep the record of a task beside itself, then hands the cell over before the start is sent. The new owner reads the witness's record as a running task. The stopping member leaves the roster at once, so nobody asks it; a resubmission was told unknown of a task that never ran, and a caller's request was cut off by a planned stop. Mended: a stopping member stays on the roster while attempts are noted there, so the probe asks it; its word 'declined' also corrects the recovered record. The same covers a result that was lost just before its agent left. Ruled out: that the new owner place a task again because a member's own records lack it (its records may be older than the copy).

--- a/src/cactuswalk/state/flights.py
+++ b/src/cactuswalk/state/flights.py
@@ -1,5 +1,7 @@
 """Starts under way: sent, witnessed, ended, declined, probed."""
 
+import msgspec
+
 from cactuswalk.decisions.scheduler import Assignment, QueuedTask, Shed
 from cactuswalk.errors import InvariantError
 from cactuswalk.messages import (
@@ -251,6 +253,7 @@
         return
     del peer.flights[place]
     state.count("start.declined")
+    _note_declined(state, message, now)
     tracked = state.ledger.get(message.submission)
     open_task = tracked is not None and tracked.answer is None
     if not open_task or not _is_of(
@@ -375,6 +378,18 @@
     state.recovered.put(newer(record, ended), now)
 
 
+def _note_declined(state: OwnerState, message: Declined, now: float) -> None:
+    """Take back a recovered record of an attempt that never started.
+
+    A witness keeps a record of a start that its owner may not have sent any
+    more. A resubmission would be told unknown of a task that did not run.
+    """
+    record = state.recovered.get(message.submission, message.index)
+    if record is not None and record.attempt == message.attempt:
+        declined = msgspec.structs.replace(record, state=TaskState.DECLINED)
+        state.recovered.put(declined, now)
+
+
 def _is_of(place: Place | None, incarnation: str, attempt: int) -> bool:
     return (
         place is not None
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -93,12 +93,17 @@
 
 
 def _wanted(state: OwnerState, now: float) -> CellRecord | None:
-    """Return the record that should stand in the service, None if it does."""
+    """Return the record that should stand in the service, None if it does.
+
+    A stopping member stays while attempts are noted there: one whose start or
+    result was lost would be called unknown, and the planned stop would have cut
+    it off. The member's word on it comes with the next probe.
+    """
     record = state.record
     gone = [
         peer.member
         for peer in state.peers.values()
-        if peer.leaving or is_lost(state, peer, now)
+        if is_lost(state, peer, now) or (peer.leaving and not peer.flights)
     ]
     replaced = [
         member
