--- /dev/null
+++ b/features/steps/once_directed_takeover_steps.py
@@ -0,0 +1,383 @@
+"""Steps for failures around a takeover, brought about on purpose."""
+
+import msgspec
+from behave import given, then, when
+
+from cactuswalk.messages import Adopt, HandOver, Pong
+from cactuswalk.model import CellRecord, Outcome
+from cactuswalk.state.effects import SwapKey
+from cactuswalk.state.events import KeySwapped, SwapOutcome
+from cactuswalk.state.owner import Phase
+from cactuswalk.state.roster import cell_key
+from features.support.bag import CELL
+from features.support.directed import (
+    SETTLE_S,
+    cell,
+    drop,
+    isolate,
+    others,
+    outcome,
+    owner_name,
+    run_full,
+    starts_of,
+)
+from features.support.judge import violations
+
+AGENTS = 5
+
+
+def begin(context) -> None:
+    context.bag = cell(AGENTS)
+    context.bag.run(1.0)
+    context.owner = owner_name(context.bag)
+    context.epoch = context.bag.owner().state.owner.record.epoch
+    context.job = None
+
+
+def serving(bag) -> list:
+    return [
+        process.state.owner
+        for process in bag.processes.values()
+        if process.alive
+        and getattr(process.state, "owner", None) is not None
+        and process.state.owner.phase is Phase.SERVING
+    ]
+
+
+def await_owner(bag, seconds: float = 15.0) -> None:
+    """Wait until a live owner serves that has not served before."""
+    assert bag.run_until(lambda: bool(serving(bag)), seconds), "no owner serves"
+
+
+def stored(bag) -> CellRecord:
+    value, _ = bag.key_value.values[cell_key(CELL)]
+    return msgspec.json.decode(value, type=CellRecord)
+
+
+def kill_owner(context, resubmit: bool = True) -> None:
+    context.bag.kill(owner_name(context.bag))
+    if resubmit:
+        context.again = context.bag.submit("entry-1", context.job, 8000)
+
+
+@given("a directed cell without work")
+def step_idle(context):
+    begin(context)
+
+
+@given("a directed cell whose every slot runs a task")
+def step_full(context):
+    begin(context)
+    context.job = run_full(context.bag, AGENTS, 4000)
+
+
+@given("a directed cell that has answered a job on every worker")
+def step_answered(context):
+    begin(context)
+    context.job = run_full(context.bag, AGENTS, 100)
+    context.bag.run(1.0)
+    assert len({one.worker for one in context.bag.starts()}) == AGENTS
+
+
+@given("a directed cell whose confirmations take 600 ms")
+def step_slow_pongs(context):
+    begin(context)
+    context.bag.fate = lambda sender, receiver, message: (
+        [0.6] if isinstance(message, Pong) else [0.0005]
+    )
+    context.bag.run(3.0)
+
+
+@when("its owner is killed and the job is resubmitted at the other entry")
+def step_kill(context):
+    kill_owner(context)
+    context.bag.run(SETTLE_S)
+
+
+@when("the owner is killed, and its successor before its records have a backup")
+def step_two_owners(context):
+    bag = context.bag
+    drop(bag, Adopt)
+    kill_owner(context, resubmit=False)
+    await_owner(bag)
+    bag.run(2.0)
+    assert not bag.owner().state.owner.backup_ready
+    kill_owner(context)
+    bag.run(SETTLE_S)
+
+
+@when("the owner and a worker without copies are killed at once")
+def step_two_hosts(context):
+    bag = context.bag
+    backup = bag.owner().state.owner.backup.worker
+    bag.kill(next(name for name in others(bag) if name != backup))
+    kill_owner(context)
+    bag.run(SETTLE_S)
+
+
+def remove_worker(context) -> None:
+    bag = context.bag
+    backup = bag.owner().state.owner.backup.worker
+    name = next(name for name in others(bag) if name != backup)
+    bag.kill(name)
+    bag.run(6.0)
+    assert name not in [one.worker for one in stored(bag).roster]
+
+
+@when("a worker is removed, the copies of its records are lost, and the owner dies")
+def step_departed(context):
+    drop(context.bag, Adopt)
+    remove_worker(context)
+    kill_owner(context)
+    context.bag.run(SETTLE_S)
+
+
+@when("a worker is removed and the owner dies a while later")
+def step_departed_copied(context):
+    remove_worker(context)
+    kill_owner(context)
+    context.bag.run(SETTLE_S)
+
+
+def cut_at_hand_over(context) -> None:
+    """Cut the owner and entry-0 off just after the hand-over has left."""
+
+    def watch(kind, process, what, delays):
+        if kind == "sent" and isinstance(what, HandOver):
+            context.bag.watch = None
+            isolate(context.bag, [process.name, "entry-0"])
+        return delays
+
+    context.bag.watch = watch
+
+
+@when("the owner hands over, is cut off with an entry, and a job waits at both")
+def step_hand_over(context):
+    bag = context.bag
+    cut_at_hand_over(context)
+    bag.stop(context.owner)
+    assert bag.run_until(lambda: bag.watch is None, 2.0)
+    bag.add_entry("entry-2")
+    isolate(bag, [context.owner, "entry-0"])
+    context.waiting = bag.job(tasks=1, duration_ms=50, request=False)
+    context.cut_off = bag.submit("entry-0", context.waiting, 600)
+    # An entry that has just been started reads who the owner is, at once.
+    bag.run(0.2)
+    bag.submit("entry-2", context.waiting, 8000)
+    bag.run(SETTLE_S)
+
+
+@when("the owner is cut off with an entry while a job waits there and elsewhere")
+def step_cut_off(context):
+    bag = context.bag
+    isolate(bag, [context.owner, "entry-0"])
+    context.waiting = bag.job(tasks=1, duration_ms=50, request=False)
+    context.cut_off = bag.submit("entry-0", context.waiting, 6000)
+    bag.submit("entry-1", context.waiting, 9000)
+    bag.run(10.0)
+    bag.cut.clear()
+    bag.run(12.0)
+
+
+@when("what the directed owner sends is lost from now on")
+def step_lose_sent(context):
+    context.bag.cut_off(context.owner, both=False)
+
+
+@when("the service is down, the owner has a minority, and a job is submitted")
+def step_minority(context):
+    bag = context.bag
+    bag.key_value.down = True
+    isolate(bag, [context.owner, "entry-0", others(bag)[0]])
+    bag.run(1.1)
+    context.job = bag.job(tasks=3, duration_ms=50)
+    bag.submit("entry-0", context.job, 3000)
+    bag.run(SETTLE_S)
+
+
+@when("one worker stops hearing the owner for ten seconds")
+def step_one_way(context):
+    bag = context.bag
+    bag.cut.add((f"tcp://{context.owner}", f"tcp://{others(bag)[-1]}"))
+    bag.run(10.0)
+
+
+@when("the owner is killed and the reply to the takeover's swap is lost")
+def step_lost_reply(context):
+    context.bag.key_value.lose_replies = 1
+    kill_owner(context)
+    context.bag.run(SETTLE_S)
+
+
+@when("the owner is killed and the takeover's swap is written three seconds late")
+def step_late_swap(context):
+    bag, service = context.bag, context.bag.key_value
+    swap, held = service.swap, []
+
+    def hold(effect: SwapKey) -> KeySwapped:
+        held.append(effect)
+        service.swap = swap
+        return KeySwapped(effect.key, effect.write_id, SwapOutcome.UNKNOWN, 0)
+
+    service.swap = hold
+    kill_owner(context)
+    assert bag.run_until(lambda: bool(held), 5.0)
+    bag.run(3.0)
+    swap(held[0])
+    bag.run(SETTLE_S)
+
+
+@when("the owner is killed and its successor right after the swap")
+def step_dead_candidate(context):
+    bag = context.bag
+    kill_owner(context)
+    assert bag.run_until(lambda: stored(bag).epoch > context.epoch, 5.0)
+    bag.kill(stored(bag).owner.worker)
+    bag.run(2 * SETTLE_S)
+
+
+@when("each of three owners in a row is killed once it serves")
+def step_owners(context):
+    bag = context.bag
+    for _ in range(2):
+        kill_owner(context, resubmit=False)
+        await_owner(bag)
+        bag.run(5.0)
+    kill_owner(context)
+    bag.run(SETTLE_S)
+
+
+@when("all its agents are restarted at once and the cell has an owner again")
+def step_restart_all(context):
+    bag = context.bag
+    for number in range(AGENTS):
+        bag.kill(f"worker-{number}")
+        bag.add_agent(f"worker-{number}")
+    await_owner(bag)
+    bag.run(3.0)
+    context.again = bag.submit("entry-1", context.job, 8000)
+    bag.run(SETTLE_S)
+
+
+@when("the service is down for an hour and a job is submitted each minute")
+def step_hour(context):
+    context.bag.key_value.down = True
+    for _ in range(60):
+        job = context.bag.job(tasks=2, duration_ms=50)
+        context.bag.submit("entry-1", job)
+        context.bag.run(60.0)
+
+
+@when("the service loses its data and a worker dies and comes back later")
+def step_data_lost(context):
+    bag = context.bag
+    bag.key_value.values.clear()
+    name = others(bag)[0]
+    bag.kill(name)
+    bag.run(SETTLE_S)
+    bag.add_agent(name)
+    bag.run(SETTLE_S)
+
+
+@when("each node is stopped and replaced in turn while jobs keep coming")
+def step_stop_all(context):
+    bag = context.bag
+    for number in range(AGENTS):
+        name = f"worker-{number}"
+        bag.stop(name)
+        process = bag.processes[f"tcp://{name}"]
+        for _ in range(60):
+            if not process.alive:
+                break
+            job = bag.job(tasks=4, duration_ms=150)
+            bag.submit(f"entry-{number % 2}", job, 8000)
+            bag.run(0.2)
+        assert not process.alive, f"{name} has not stopped"
+        bag.add_agent(name)
+        bag.run(1.0)
+    bag.run(SETTLE_S)
+
+
+@then("no promise was broken in the directed run")
+def step_no_violation(context):
+    assert violations(context.bag) == [], violations(context.bag)
+
+
+@then("the directed job is told unknown and nothing of it starts again")
+def step_unknown(context):
+    assert context.again.reply is not None, "no reply"
+    told = {str(result.outcome) for result in context.again.reply.results}
+    assert "unknown" in told, (outcome(context.again), told)
+    assert starts_of(context.bag, context.job) == len(context.job.tasks)
+
+
+@then("the directed job is answered again and nothing of it starts again")
+def step_answered_again(context):
+    assert outcome(context.again) is Outcome.ANSWERED, context.again.reply
+    assert starts_of(context.bag, context.job) == len(context.job.tasks)
+
+
+@then('the job at the cut-off entry is not told a "not run" that is untrue')
+def step_not_untrue(context):
+    told = outcome(context.cut_off)
+    assert told in (Outcome.NOT_RUN, Outcome.UNKNOWN), context.cut_off.reply
+    assert told is Outcome.UNKNOWN or starts_of(context.bag, context.waiting) == 0
+
+
+@then("the job at the cut-off entry is told unknown and runs elsewhere once")
+def step_cut_off_unknown(context):
+    assert outcome(context.cut_off) is Outcome.UNKNOWN, context.cut_off.reply
+    assert starts_of(context.bag, context.waiting) == 1
+
+
+@then("{after:d} ms later it has no standing")
+def step_no_standing(context, after):
+    state = context.bag.processes[f"tcp://{context.owner}"].state.owner
+    assert state.is_confirmed(context.bag.now)
+    context.bag.run(after / 1000)
+    assert not state.is_confirmed(context.bag.now)
+
+
+@then("nothing of the directed job has started")
+def step_nothing(context):
+    assert starts_of(context.bag, context.job) == 0
+
+
+@then("the directed cell has the epoch and the owner that it had")
+def step_same(context):
+    record = stored(context.bag)
+    assert (record.epoch, record.owner.worker) == (context.epoch, context.owner)
+
+
+@then("the directed cell has served again under the next epoch")
+def step_next_epoch(context):
+    assert [one.record.epoch for one in serving(context.bag)] == [context.epoch + 1]
+    assert stored(context.bag).epoch == context.epoch + 1
+
+
+@then("the directed cell has one serving owner that the service names")
+def step_one_owner(context):
+    owners = serving(context.bag)
+    assert len(owners) == 1, [one.member.worker for one in owners]
+    assert stored(context.bag).owner == owners[0].member
+
+
+@then("a new directed job is answered")
+def step_new_job(context):
+    handed = context.bag.submit("entry-0", context.bag.job(tasks=3, duration_ms=50))
+    context.bag.run(5.0)
+    assert outcome(handed) is Outcome.ANSWERED, handed.reply
+
+
+@then("every directed job was answered and the epoch is the same")
+def step_all_same(context):
+    step_all(context)
+    assert context.bag.owner().state.owner.record.epoch == context.epoch
+
+
+@then("every directed job was answered")
+def step_all(context):
+    told = [one.reply for one in context.bag.handed.values()]
+    assert all(one and one.outcome is Outcome.ANSWERED for one in told), [
+        one and (one.outcome, one.refusal) for one in told
+    ]
--- /dev/null
+++ b/features/support/directed.py
@@ -0,0 +1,78 @@
+"""What the directed failures share: a cell, its roles, and what a caller got."""
+
+from cactuswalk.messages import Submit
+from cactuswalk.model import Job, Outcome
+from cactuswalk.state.events import Received
+from features.support.bag import Bag, Handed, Process, small_cell
+
+# Above the retention-free part of every scenario: takeover, deadline, settling.
+SETTLE_S = 8.0
+SLOTS = 8
+
+
+def owner_name(bag: Bag) -> str:
+    return bag.owner().name
+
+
+def others(bag: Bag) -> list[str]:
+    """Return the live members besides the owner, by name."""
+    owner = owner_name(bag)
+    roster = bag.owner().state.owner.record.roster
+    return [one.worker for one in roster if one.worker != owner]
+
+
+def run_full(bag: Bag, agents: int, duration_ms: int, entry: str = "entry-0") -> Job:
+    """Submit one job that takes every slot, and wait until all of it runs."""
+    job = bag.job(tasks=agents * SLOTS, duration_ms=duration_ms)
+    bag.submit(entry, job, 20_000)
+    started = bag.run_until(lambda: len(bag.starts()) == agents * SLOTS, 5.0)
+    assert started, f"{len(bag.starts())} of {agents * SLOTS} tasks started"
+    return job
+
+
+def isolate(bag: Bag, names: list[str]) -> None:
+    """Cut the links between these processes and all others, both ways."""
+    inside = {f"tcp://{name}" for name in names}
+    for one in bag.processes:
+        for other in bag.processes:
+            if (one in inside) != (other in inside):
+                bag.cut.add((one, other))
+
+
+def drop(bag: Bag, *kinds: type) -> None:
+    """Lose every message of these kinds from now on."""
+    bag.fate = lambda sender, receiver, message: (
+        [] if isinstance(message, kinds) else [0.0005]
+    )
+
+
+def copy_submits(bag: Bag, after: float) -> None:
+    """Have each submission delivered a second time, this much later."""
+    bag.fate = lambda sender, receiver, message: (
+        [0.0005, after] if isinstance(message, Submit) else [0.0005]
+    )
+
+
+def receive(bag: Bag, process: Process, sender: str, message: object) -> list:
+    """Hand a message to a process now; return and perform its effects."""
+    effects = process.handle(Received(sender, message), bag.now)
+    for effect in effects:
+        bag._perform(process, effect)
+    return effects
+
+
+def outcome(handed: Handed) -> Outcome | None:
+    return handed.reply.outcome if handed.reply else None
+
+
+def code(handed: Handed) -> str:
+    refusal = handed.reply.refusal if handed.reply else None
+    return str(refusal.code) if refusal else ""
+
+
+def starts_of(bag: Bag, job: Job) -> int:
+    return sum(one.submission == job.submission for one in bag.starts())
+
+
+def cell(agents: int = 5, **fields) -> Bag:
+    return small_cell(agents, **fields)
