Records are forgotten after one window, not two

Cause: a record changes when its task ends, after its first expiry was noted; the later expiry was put at the end of a queue in order of time, behind entries that are due up to a whole window later, and waited for them. Ruled out: that any promise was broken; records were only kept too long. Before (once_directed_answers.feature, 20 starts a second, window 6 s): 240 records after the third window; after: 120, which is one window's starts. A heap in place of the queue costs a push of log n for each submission.

--- a/src/cactuswalk/state/retention.py
+++ b/src/cactuswalk/state/retention.py
@@ -1,6 +1,7 @@
 """The records an agent keeps: bounded in time, and their bodies in bytes."""
 
 import collections
+import heapq
 
 from cactuswalk.messages import Record
 from cactuswalk.model import TaskOutcome, TaskResult, TaskState
@@ -51,7 +52,7 @@
         self.by_submission: dict[str, Kept] = {}
         self.bytes = 0
         self.count = 0
-        self.expiries: collections.deque[tuple[float, str]] = collections.deque()
+        self.expiries: list[tuple[float, str]] = []
         self.bodies: collections.deque[Record] = collections.deque()
 
     def get(self, submission: str, index: int) -> Record | None:
@@ -69,7 +70,8 @@
         kept = self.by_submission.get(record.submission)
         if kept is None:
             kept = self.by_submission[record.submission] = Kept()
-            self.expiries.append((now + self.retention, record.submission))
+            due = now + self.retention
+            heapq.heappush(self.expiries, (due, record.submission))
         earlier = kept.tasks.get(record.index)
         if earlier is not None:
             self._subtract(earlier)
@@ -88,11 +90,12 @@
     def expire(self, now: float) -> None:
         """Forget the submissions whose time has passed."""
         while self.expiries and self.expiries[0][0] <= now:
-            _, submission = self.expiries.popleft()
+            _, submission = heapq.heappop(self.expiries)
             kept = self.by_submission[submission]
             due = kept.changed_at + self.retention
             if due > now:
-                self.expiries.append((due, submission))
+                # Behind later ones it would be kept for up to two windows.
+                heapq.heappush(self.expiries, (due, submission))
                 continue
             for record in kept.tasks.values():
                 self._subtract(record)
