--- /dev/null
+++ b/features/steps/once_directed_answers_steps.py
@@ -0,0 +1,487 @@
+"""Steps for directed failures of submissions and answers."""
+
+import msgspec
+from behave import given, then, when
+
+from cactuswalk.messages import Answer, Probe, Result, Start, Submit
+from cactuswalk.model import Outcome, TaskOutcome, TaskResult, digest
+from cactuswalk.state.effects import CallUpstream
+from cactuswalk.state.events import UpstreamOutcome
+from cactuswalk.state.timing import Timing
+from features.support.bag import TICK, WALL_MS, small_cell
+from features.support.directed import (
+    SETTLE_S,
+    SLOTS,
+    cell,
+    code,
+    copy_submits,
+    isolate,
+    others,
+    outcome,
+    owner_name,
+    receive,
+    run_full,
+    starts_of,
+)
+from features.support.judge import violations
+
+AGENTS = 5
+
+
+@given("a directed pair of entries")
+def step_entries(context):
+    context.bag = cell(AGENTS)
+    context.bag.run(1.0)
+
+
+@given("a directed submission whose true answer is under way")
+def step_under_way(context):
+    step_entries(context)
+    bag = context.bag
+    context.job = bag.job(tasks=3, duration_ms=500)
+    context.handed = bag.submit("entry-0", context.job)
+    bag.run(0.2)
+    assert starts_of(bag, context.job) == 3
+
+
+def true_answer(context) -> Answer:
+    """Return the answer that the owner will give, as its agents will tell it."""
+    bag, job = context.bag, context.job
+    entry = bag.processes["tcp://entry-0"].state
+    bodies = [b"answer to " + task.body for task in job.tasks]
+    results = [
+        TaskResult(index, TaskOutcome.DONE, 200, body, digest(body))
+        for index, body in enumerate(bodies)
+    ]
+    return whole(
+        Answer(
+            job.submission,
+            max(entry.pending[job.submission].attempts),
+            job.fingerprint,
+            Outcome.ANSWERED,
+            results,
+            None,
+            b"",
+            bag.owner().state.owner.record.epoch,
+        )
+    )
+
+
+def whole(answer: Answer) -> Answer:
+    """Return an answer whose digest matches its parts, be they right or wrong."""
+    parts = [result.digest for result in answer.results]
+    return msgspec.structs.replace(answer, digest=digest(answer.fingerprint, *parts))
+
+
+def cut_short(answer: Answer) -> Answer:
+    first = answer.results[0]
+    answer.results[0] = msgspec.structs.replace(first, body=first.body[:-1])
+    return answer
+
+
+def without_last(answer: Answer) -> Answer:
+    return whole(msgspec.structs.replace(answer, results=answer.results[:-1]))
+
+
+def of_another_job(answer: Answer) -> Answer:
+    other = [
+        msgspec.structs.replace(one, body=b"other", digest=digest(b"other"))
+        for one in answer.results
+    ]
+    # Its parts fit each other; they don't fit this answer's digest.
+    return msgspec.structs.replace(answer, results=other)
+
+
+DAMAGES = {
+    "with a body cut short": cut_short,
+    "with the digest of another": lambda answer: msgspec.structs.replace(
+        answer, digest=digest(b"another")
+    ),
+    "without its last task": without_last,
+    "with another job's results": of_another_job,
+    "with another body's print": lambda answer: whole(
+        msgspec.structs.replace(answer, fingerprint=digest(b"another"))
+    ),
+    "for an attempt that never was": lambda answer: msgspec.structs.replace(
+        answer, attempt=answer.attempt + 1
+    ),
+}
+
+
+@when("an answer to it arrives at its entry {damage}")
+def step_damage(context, damage):
+    answer = DAMAGES[damage](true_answer(context))
+    deliver(context, answer)
+
+
+@when('a "not run" of an earlier epoch arrives at its entry')
+def step_deposed(context):
+    answer = true_answer(context)
+    deliver(
+        context,
+        msgspec.structs.replace(
+            answer, outcome=Outcome.NOT_RUN, results=[], epoch=answer.epoch - 1
+        ),
+    )
+
+
+def deliver(context, answer: Answer) -> None:
+    bag = context.bag
+    receive(bag, bag.processes["tcp://entry-0"], bag.owner().address, answer)
+
+
+@then("the directed caller gets nothing of it, but the whole answer later")
+def step_whole_later(context):
+    assert context.handed.reply is None, context.handed.reply
+    context.bag.run(3.0)
+    assert outcome(context.handed) is Outcome.ANSWERED, context.handed.reply
+    assert violations(context.bag) == []
+
+
+@when("a job is submitted whose key was born {age:d} s ago")
+def step_old(context, age):
+    bag = context.bag
+    born_ms = int(WALL_MS + (bag.now - age) * 1000)
+    context.job = bag.job(born_ms=born_ms)
+    context.handed = bag.submit("entry-0", context.job)
+    bag.run(SETTLE_S)
+
+
+@then('the directed caller is refused with "{expected}" and nothing starts')
+def step_refused(context, expected):
+    assert code(context.handed) == expected, context.handed.reply
+    assert outcome(context.handed) is Outcome.UNKNOWN
+    assert starts_of(context.bag, context.job) == 0
+
+
+@when("a key is reused for another body, before and after a takeover")
+def step_reused(context):
+    bag = context.bag
+    job = bag.job(tasks=2, duration_ms=400)
+    bag.submit("entry-0", job)
+    bag.run(0.1)
+    reused = msgspec.structs.replace(job, fingerprint=digest(b"another"))
+    context.reuses = [bag.submit("entry-0", reused), bag.submit("entry-1", reused)]
+    bag.run(2.0)
+    context.reuses.append(bag.submit("entry-1", reused))
+    bag.run(1.0)
+    bag.kill(owner_name(bag))
+    bag.run(4.0)
+    context.reuses.append(bag.submit("entry-1", reused))
+    bag.run(SETTLE_S)
+
+
+@then('each directed reuse is refused with "{expected}" and starts nothing')
+def step_each_refused(context, expected):
+    assert [code(one) for one in context.reuses] == [expected] * 4
+    assert len(context.bag.starts()) == 2
+    assert violations(context.bag) == []
+
+
+@when("a job that has run is submitted at an entry without a view of any cell")
+def step_blind(context):
+    bag = context.bag
+    context.job = bag.job(tasks=1, duration_ms=50)
+    bag.submit("entry-0", context.job)
+    bag.run(1.0)
+    assert starts_of(bag, context.job) == 1
+    bag.key_value.down = True
+    bag.add_entry("entry-2")
+    bag.run(0.2)
+    context.handed = bag.submit("entry-2", context.job, 2000)
+    bag.run(SETTLE_S)
+
+
+@then('the directed caller is told unknown with "{expected}"')
+def step_unknown_with(context, expected):
+    assert (outcome(context.handed), code(context.handed)) == (
+        Outcome.UNKNOWN,
+        expected,
+    )
+
+
+def keep_submit(context, remaining_ms: int) -> Submit:
+    """Submit a job whose message is lost; return the message."""
+    bag, kept = context.bag, []
+
+    def lose(sender, receiver, message):
+        if isinstance(message, Submit):
+            kept.append(message)
+            return []
+        return [0.0005]
+
+    bag.fate = lose
+    context.job = bag.job(tasks=1, duration_ms=50)
+    context.handed = bag.submit("entry-0", context.job, remaining_ms)
+    bag.run(TICK)
+    bag.fate = lambda *_: [0.0005]
+    return kept[0]
+
+
+@when("a submission reaches its owner {late:d} ms late, after its deadline")
+def step_late(context, late):
+    submit = keep_submit(context, 400)
+    context.bag.run(late / 1000 - TICK)
+    assert outcome(context.handed) is Outcome.UNKNOWN
+    receive(context.bag, context.bag.owner(), "tcp://entry-0", submit)
+
+
+@when("a young submission that names another epoch reaches the owner")
+def step_other_epoch(context):
+    submit = keep_submit(context, 400)
+    other = msgspec.structs.replace(submit, epoch=submit.epoch - 1)
+    receive(context.bag, context.bag.owner(), "tcp://entry-0", other)
+    # The entry is told, and must not send it again here.
+    context.bag.cut_off("entry-0")
+
+
+@then("nothing of the late directed job starts")
+def step_nothing_late(context):
+    context.bag.run(SETTLE_S)
+    assert starts_of(context.bag, context.job) == 0
+    assert violations(context.bag) == []
+
+
+@when("a job is refused for want of a slot and its submission is repeated")
+def step_copy(context):
+    bag = context.bag
+    run_full(bag, AGENTS, 600)
+    copy_submits(bag, 0.8)
+    context.job = bag.job(tasks=1, duration_ms=50)
+    context.handed = bag.submit("entry-1", context.job, 200)
+    bag.run(SETTLE_S)
+
+
+@then('the directed caller is told "{expected}" and nothing of it starts later')
+def step_told(context, expected):
+    assert outcome(context.handed) == expected, context.handed.reply
+    assert starts_of(context.bag, context.job) == 0
+    assert violations(context.bag) == []
+
+
+@when("every upstream's calls break off without an answer")
+def step_break_off(context):
+    bag = context.bag
+    for upstream in bag.upstreams.values():
+        upstream.outcome = UpstreamOutcome.UNCERTAIN
+    context.job = bag.job(tasks=3, duration_ms=50)
+    context.handed = bag.submit("entry-0", context.job)
+    bag.run(SETTLE_S)
+
+
+@then("the directed caller is told unknown and each task was called once")
+def step_called_once(context):
+    assert outcome(context.handed) is Outcome.UNKNOWN, context.handed.reply
+    assert starts_of(context.bag, context.job) == 3
+    assert violations(context.bag) == []
+
+
+@when("one upstream refuses every connection")
+def step_refuses(context):
+    bag = context.bag
+    context.refusing = others(bag)[0]
+    bag.upstreams[context.refusing].outcome = UpstreamOutcome.NOT_SENT
+    context.job = bag.job(tasks=10, duration_ms=50)
+    context.handed = bag.submit("entry-0", context.job)
+    bag.run(SETTLE_S)
+
+
+@then("the directed caller is answered and nothing ran at that upstream")
+def step_elsewhere(context):
+    assert outcome(context.handed) is Outcome.ANSWERED, context.handed.reply
+    assert context.bag.upstreams[context.refusing].starts == []
+    assert violations(context.bag) == []
+
+
+@when("a worker is cut off with a task and the deadline passes")
+def step_silent(context):
+    bag = context.bag
+    context.job = bag.job(tasks=2, duration_ms=4000)
+    context.handed = bag.submit("entry-0", context.job, 2000)
+    bag.run(0.2)
+    names = [one.worker for one in bag.starts() if one.worker != owner_name(bag)]
+    isolate(bag, names[:1])
+    bag.run(SETTLE_S)
+
+
+@then("the directed caller is told unknown")
+def step_unknown(context):
+    assert outcome(context.handed) is Outcome.UNKNOWN, context.handed.reply
+    assert violations(context.bag) == []
+
+
+@when("a result under another attempt arrives at the owner while the task runs")
+def step_other_attempt(context):
+    bag = context.bag
+    context.job = bag.job(tasks=1, duration_ms=500)
+    context.handed = bag.submit("entry-0", context.job)
+    bag.run(0.2)
+    state = bag.owner().state.owner
+    place = state.ledger[context.job.submission].tasks[0].place
+    for attempt in (place.attempt - 1, place.attempt + 1):
+        body = b"an answer to something else"
+        wrong = TaskResult(0, TaskOutcome.DONE, 200, body, digest(body))
+        result = Result(
+            *(state.cell, place.incarnation, context.job.submission),
+            *(0, attempt, wrong, 5),
+        )
+        receive(bag, bag.owner(), f"tcp://{place.worker}", result)
+    bag.run(3.0)
+
+
+@then("the directed caller gets the upstream's true answer")
+def step_true(context):
+    assert outcome(context.handed) is Outcome.ANSWERED, context.handed.reply
+    assert violations(context.bag) == []
+
+
+@given("a directed agent with one slot that is {state}")
+def step_agent(context, state):
+    step_entries(context)
+    bag = context.bag
+    context.agent = bag.processes[f"tcp://{others(bag)[0]}"]
+    context.agent.state.agent.gate.slots = 1
+    context.calls = 0
+    if state == "taken":
+        offer(context, "team/first", 1000)
+
+
+def offer(context, submission: str, attempt: int) -> None:
+    """Hand the agent a start as its owner in force would send it."""
+    agent = context.agent.state.agent
+    gate = agent.gate
+    start = Start(
+        *(agent.cell, gate.epoch, gate.member.incarnation),
+        *(int(context.bag.now * 1000), submission, b"print", 0, 1, attempt),
+        *("routes", context.bag.job().tasks[0], 5000, False),
+    )
+    context.start = start
+    deliver_start(context, start)
+
+
+def deliver_start(context, start: Start) -> None:
+    bag = context.bag
+    effects = receive(bag, context.agent, bag.owner().address, start)
+    context.calls += sum(isinstance(one, CallUpstream) for one in effects)
+
+
+@when("a start is declined there, the slot becomes free, and a copy comes")
+def step_declined(context):
+    offer(context, "team/second", 1001)
+    assert context.calls == 1
+    context.bag.run(0.3)
+    assert not context.agent.state.agent.gate.running
+    deliver_start(context, context.start)
+
+
+@when("a probe for a start comes, and then the start")
+def step_probe(context):
+    agent = context.agent.state.agent
+    gate = agent.gate
+    probe = Probe(
+        *(agent.cell, gate.epoch, gate.member.incarnation),
+        *("team/late", 0, 1002, False),
+    )
+    receive(context.bag, context.agent, context.bag.owner().address, probe)
+    offer(context, "team/late", 1002)
+
+
+@then("the directed agent calls its upstream {times}")
+def step_calls(context, times):
+    assert context.calls == {"never": 0, "once in all": 1}[times]
+
+
+@given("a directed cell that has answered two jobs on every worker")
+def step_two_jobs(context):
+    step_entries(context)
+    context.jobs = []
+    for _ in range(2):
+        context.jobs.append(run_full(context.bag, AGENTS, 100))
+        context.bag.run(1.0)
+
+
+@when("a worker is frozen, the owner dies, and each job is repeated in turn")
+def step_rejoin(context):
+    bag = context.bag
+    backup = bag.owner().state.owner.backup.worker
+    context.frozen = next(name for name in others(bag) if name != backup)
+    bag.freeze(context.frozen, 4.0)
+    bag.kill(owner_name(bag))
+    first = bag.submit("entry-1", context.jobs[0], 8000)
+    bag.run(3.6)
+    assert first.reply is not None
+    bag.run(2.0)
+    context.again = [first, bag.submit("entry-1", context.jobs[1], 8000)]
+    bag.run(SETTLE_S)
+
+
+@then("the first directed job is unknown there and the second is known")
+def step_known(context):
+    told = []
+    for handed, job in zip(context.again, context.jobs, strict=True):
+        assert starts_of(context.bag, job) == AGENTS * SLOTS
+        indexes = [
+            one.index
+            for one in context.bag.upstreams[context.frozen].starts
+            if one.submission == job.submission
+        ]
+        told.append({str(handed.reply.results[index].outcome) for index in indexes})
+    assert told == [{"unknown"}, {"done"}], told
+    assert violations(context.bag) == []
+
+
+@given("a directed cell that keeps records for six seconds")
+def step_short(context):
+    context.window = 6.0
+    context.bag = small_cell(3, timing=Timing(retention=context.window))
+    context.bag.run(1.0)
+
+
+def kept(bag) -> dict[str, int]:
+    """Return how much each part of the live processes keeps."""
+    sizes = dict.fromkeys(("pending", "records", "copies"), 0)
+    for process in bag.processes.values():
+        if process.name.startswith("entry"):
+            sizes["pending"] += len(process.state.pending)
+        elif process.alive:
+            sizes["records"] += process.state.agent.gate.records.count
+            sizes["copies"] += process.state.agent.copies.count
+    owner = bag.owner().state.owner
+    for name in ("ledger", "open", "kept", "cancelled", "held"):
+        sizes[name] = len(getattr(owner, name))
+    sizes["recovered"] = owner.recovered.count
+    sizes["flights"] = sum(len(peer.flights) for peer in owner.peers.values())
+    return sizes
+
+
+@when("jobs and cancels come for three windows")
+def step_windows(context):
+    bag = context.bag
+    context.sizes = []
+    for window in range(3):
+        for number in range(int(context.window / 0.1)):
+            job = bag.job(tasks=2, duration_ms=50)
+            bag.submit(f"entry-{number % 2}", job, 2000)
+            if number % 5 == 0:
+                bag.cancel("entry-0", bag.job())
+            bag.run(0.1)
+        if window == 0:
+            name = owner_name(bag)
+            bag.kill(name)
+            bag.run(4.0)
+            bag.add_agent(name)
+        else:
+            context.sizes.append(kept(bag))
+
+
+@then("the directed cell keeps no more after the third than after the second")
+def step_bounded(context):
+    second, third = context.sizes
+    grown = {
+        name: (second[name], third[name])
+        for name in third
+        if third[name] > 1.1 * second[name] + 5
+    }
+    assert not grown, grown
+    assert third["ledger"] > 0 and third["records"] > 0, third
+    assert violations(context.bag) == []
