Second attempts of idempotent requests; names of places in selectors

Retries after an open or failed outcome, hedges beside stragglers, within the scheduler's budgets; after a takeover such a request runs again rather than being unknown.

--- a/features/decision_selector.feature
+++ b/features/decision_selector.feature
@@ -44,3 +44,12 @@
 
   Scenario: Any text is either read or refused with its place
     Then 500 drawn selector texts are each read or refused inside the text
+
+  Scenario: Names of places are read as they are written
+    The data centres of Lăbuța Unită are Brașov and Mureș. A selector that can't
+    name them would leave an operator without a way to choose between them.
+    Given a worker in rack "r1" of data centre "Brașov" with labels "echipă=zi"
+    When the selector "data-centre in (Brașov, Mureș), echipă!=nopți" is matched against that worker
+    Then the selector's verdict is yes
+    When the selector "data-centre=Mureș" is matched against that worker
+    Then the selector's verdict is no
--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -127,6 +127,8 @@
         self.starts: list[Began] = []
         self.outcome = UpstreamOutcome.ANSWERED
         self.status = 200
+        # Seconds that each call takes longer than its task.
+        self.hangs = 0.0
 
 
 class Bag:
@@ -349,18 +351,18 @@
 
     def _call(self, process: Process, effect: CallUpstream) -> None:
         upstream = self.upstreams[process.name]
-        outcome = upstream.outcome
+        outcome, status = upstream.outcome, upstream.status
         if outcome is not UpstreamOutcome.NOT_SENT:
             began = Began(effect.submission, effect.index, self.now, process.name)
             upstream.starts.append(began)
-        seconds = max(effect.task.duration_ms, 1) / 1000
+        seconds = max(effect.task.duration_ms, 1) / 1000 + upstream.hangs
         body = b"answer to " + effect.task.body
         event = UpstreamAnswered(
             effect.submission,
             effect.index,
             effect.attempt,
             outcome,
-            upstream.status if outcome is UpstreamOutcome.ANSWERED else 0,
+            status if outcome is UpstreamOutcome.ANSWERED else 0,
             body if outcome is UpstreamOutcome.ANSWERED else b"",
             int(seconds * 1000),
         )
--- a/src/cactuswalk/model/configuration.py
+++ b/src/cactuswalk/model/configuration.py
@@ -33,8 +33,8 @@
 
 # The words of the selector grammar: a label that no selector can name is of no
 # use, and a name that needs escapes in an address or a key invites mistakes.
-WORD = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]*\Z")
-NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]*\Z")
+WORD = re.compile(r"[^\W_][\w./-]*\Z")
+NAME = re.compile(r"[^\W_][\w.-]*\Z")
 MAXIMUM_NAME = 63
 # See ``worker_labels``.
 RESERVED_LABELS = frozenset(("worker", "service", "data-centre", "rack"))
@@ -140,7 +140,7 @@
 def check_name(value: object) -> str | None:
     """Check the name of an object."""
     if not isinstance(value, str) or not NAME.match(value):
-        return "give letters a-z, digits, '.', '_' or '-', a letter or digit first"
+        return "give letters, digits, '.', '_' or '-', a letter or digit first"
     if len(value) > MAXIMUM_NAME:
         return f"give at most {MAXIMUM_NAME} characters"
     return None
@@ -155,7 +155,7 @@
     for label, text in value.items():
         if not WORD.match(label) or len(label) > MAXIMUM_NAME:
             return (
-                f"rename the label {label!r}: letters a-z, digits, '.', '_', '/' or "
+                f"rename the label {label!r}: letters, digits, '.', '_', '/' or "
                 f"'-', a letter or digit first, at most {MAXIMUM_NAME}"
             )
         if not isinstance(text, str) or not WORD.match(text or "x"):
--- a/src/cactuswalk/model/selector.py
+++ b/src/cactuswalk/model/selector.py
@@ -30,8 +30,8 @@
 # each time must not make the cache grow without end.
 CACHED_SELECTORS = 1024
 
-TOKEN = re.compile(r"\s*(==|!=|=|!|\(|\)|,|[A-Za-z0-9](?:[A-Za-z0-9._/-]*))")
-WORD = re.compile(r"[A-Za-z0-9]")
+TOKEN = re.compile(r"\s*(==|!=|=|!|\(|\)|,|[^\W_][\w./-]*)")
+WORD = re.compile(r"[^\W_]")
 
 
 class SelectorError(UsageError):
--- /dev/null
+++ b/src/cactuswalk/state/attempts.py
@@ -0,0 +1,104 @@
+"""Second attempts at a request that its caller declared idempotent.
+
+Retries after a failure that leaves the outcome open, and hedges beside a
+straggler. The scheduler's budgets bound both: without them, an upstream that
+fails would be asked ever more often, just when it has the least to give.
+"""
+
+from collections.abc import Callable
+
+from cactuswalk.decisions.scheduler import QueuedTask
+from cactuswalk.model import TaskResult
+from cactuswalk.state.ledger import Place, Stage, Task, Tracked
+from cactuswalk.state.owner import OwnerState
+
+__all__ = ["fall_back", "hedge", "is_current", "other_of", "try_again"]
+
+
+def is_current(task: Task, incarnation: str, attempt: int) -> bool:
+    """Tell whether an attempt is one that the task waits for."""
+    return any(
+        place is not None
+        and place.incarnation == incarnation
+        and place.attempt == attempt
+        for place in (task.place, task.hedge)
+    )
+
+
+def other_of(task: Task, attempt: int) -> Place | None:
+    """Return the attempt that runs beside this one, None if there is none."""
+    if task.hedge is None:
+        return None
+    return task.place if task.hedge.attempt == attempt else task.hedge
+
+
+def fall_back(task: Task, incarnation: str, attempt: int) -> bool:
+    """Wait on for the other attempt when one has come to nothing.
+
+    :return: False if there is no other one.
+    """
+    other = other_of(task, attempt)
+    if other is None:
+        return False
+    task.place, task.hedge = other, None
+    return True
+
+
+def try_again(
+    state: OwnerState, tracked: Tracked, result: TaskResult, now: float
+) -> bool:
+    """Queue a request again that failed or whose outcome is open.
+
+    :return: False if it may not run twice, or its budget is spent.
+    """
+    job = tracked.job
+    if not (job.request and job.idempotent) or tracked.ending is not None:
+        return False
+    queued = QueuedTask(job, result.index, now, tracked.deadline)
+    if not state.scheduler.may_retry(queued, now):
+        return False
+    task = tracked.tasks[result.index]
+    worker = task.place.worker
+    task.stage, task.place = Stage.QUEUED, None
+    state.count("start.retried")
+    state.log(
+        "tries a request again",
+        submission=job.submission,
+        worker=worker,
+        reason=result.reason,
+    )
+    state.scheduler.requeue(queued, "", now)
+    return True
+
+
+def hedge(
+    state: OwnerState,
+    now: float,
+    send_start: Callable[[OwnerState, Tracked, int, Place, float], None],
+) -> None:
+    """Start second attempts at requests that take unusually long."""
+    for assignment in state.scheduler.hedges(now):
+        queued = assignment.task
+        tracked = state.ledger.get(queued.job.submission)
+        peer = state.peer_of(assignment.worker)
+        name = (queued.job.submission, queued.index)
+        if tracked is None or tracked.answer is not None or tracked.ending is not None:
+            state.scheduler.finished(*name, assignment.worker, False, 0, now)
+            continue
+        place = Place(
+            assignment.worker,
+            peer.member.incarnation,
+            state.next_attempt(),
+            state.ping_serial,
+            now,
+        )
+        tracked.tasks[queued.index].hedge = place
+        peer.flights[name] = place
+        state.count("start.hedged")
+        state.log(
+            "hedges a request",
+            submission=queued.job.submission,
+            worker=assignment.worker,
+            reason=assignment.reason,
+        )
+        send_start(state, tracked, queued.index, place, now)
--- a/src/cactuswalk/state/flights.py
+++ b/src/cactuswalk/state/flights.py
@@ -1,193 +1,34 @@
-"""Starts under way: sent, witnessed, ended, declined, probed."""
+"""Results, declines and losses of attempts that were sent."""
 
 import msgspec
 
-from cactuswalk.decisions.scheduler import Assignment, QueuedTask, Shed
-from cactuswalk.errors import InvariantError
+from cactuswalk.decisions.scheduler import QueuedTask
 from cactuswalk.messages import (
     Declined,
-    Probe,
     Record,
     Result,
     Running,
-    Start,
-    Witness,
-    Witnessed,
 )
 from cactuswalk.model import (
-    Refusal,
-    RefusalCode,
     TaskOutcome,
     TaskResult,
     TaskState,
 )
+from cactuswalk.state import attempts
 from cactuswalk.state.answers import give_answer
-from cactuswalk.state.ledger import Place, Stage, Tracked, end_task, is_settled
+from cactuswalk.state.ending import after_end
+from cactuswalk.state.landing import is_of, land, stop_attempt, withdraw
+from cactuswalk.state.ledger import Stage, Tracked, end_task, is_settled
 from cactuswalk.state.owner import OwnerState, Peer
 from cactuswalk.state.retention import newer
 
-__all__ = ["begin_ending", "dispatch", "give_up_flights", "probe", "record_of"]
-
-# Milliseconds after which a caller may well try again when a worker was lost.
-RETRY_AFTER_LOSS_MS = 1000
-
-
-def dispatch(state: OwnerState, now: float) -> None:
-    """Start all that can start, and refuse what can't be answered in time."""
-    refresh_workers(state, now)
-    for decision in state.scheduler.assign(now):
-        if isinstance(decision, Shed):
-            tracked = state.ledger.get(decision.task.job.submission)
-            if tracked is not None and tracked.answer is None:
-                state.log(
-                    "shed a task",
-                    submission=decision.task.job.submission,
-                    reason=decision.refusal.message,
-                )
-                begin_ending(state, tracked, decision.refusal, now)
-            continue
-        _place(state, decision, now)
-
-
-def refresh_workers(state: OwnerState, now: float) -> None:
-    """Tell the scheduler which workers can be given work at this moment."""
-    stands = state.stands(now)
-    for peer in state.peers.values():
-        usable = stands and _is_usable(state, peer, now)
-        if usable != peer.usable and peer.in_force is not None:
-            peer.usable = usable
-            state.scheduler.set_worker(peer.in_force, usable, now)
-
-
-def _is_usable(state: OwnerState, peer: Peer, now: float) -> bool:
-    # A ping period less than P: the stamp must still be young on arrival.
-    young = now - peer.confirmed_at <= state.timing.confirm - state.timing.ping
-    on_rosters = all(peer.member in roster for roster in state.rosters())
-    if peer.member == state.member and not _can_start_beside(state):
-        return False
-    return young and on_rosters and peer.ready and not peer.leaving
-
-
-def _can_start_beside(state: OwnerState) -> bool:
-    """Tell whether a start beside the owner would have a witness.
-
-    A cell of one has nobody to tell, and nobody who could take it over.
-    """
-    return state.backup_ready or len(state.record.roster) == 1
-
-
-def _place(state: OwnerState, assignment: Assignment, now: float) -> None:
-    queued = assignment.task
-    tracked = state.ledger.get(queued.job.submission)
-    peer = state.peer_of(assignment.worker)
-    if tracked is None or tracked.answer is not None:
-        raise InvariantError(
-            f"{queued.job.submission} is queued but has no open entry",
-            "Report this with the owner's log; the task was not started.",
-        )
-    task = tracked.tasks[queued.index]
-    if peer is None or not peer.usable or task.stage is not Stage.QUEUED:
-        raise InvariantError(
-            f"task {queued.index} of {queued.job.submission} can't be placed on "
-            f"{assignment.worker}",
-            "Report this with the owner's log; the task was not started.",
-        )
-    place = Place(
-        assignment.worker,
-        peer.member.incarnation,
-        state.next_attempt(),
-        state.ping_serial,
-        now,
-    )
-    task.place = place
-    peer.flights[(queued.job.submission, queued.index)] = place
-    state.log(
-        "placed a task",
-        submission=queued.job.submission,
-        task=queued.index,
-        worker=assignment.worker,
-        reason=assignment.reason,
-        waited_ms=int((now - queued.queued_at) * 1000),
-    )
-    if peer.member == state.member and state.backup_ready:
-        _ask_witness(state, tracked, queued.index, now)
-        return
-    _send_start(state, tracked, queued.index, peer, now)
-
-
-def _ask_witness(state: OwnerState, tracked: Tracked, index: int, now: float) -> None:
-    """Have another member keep the record of a start beside this owner."""
-    task = tracked.tasks[index]
-    witness = state.peers[state.backup.incarnation]
-    task.stage = Stage.WITNESSING
-    task.place.witness = witness.member.incarnation
-    record = record_of(tracked, index, TaskState.RUNNING)
-    message = Witness(
-        state.cell,
-        state.record.epoch,
-        witness.member.incarnation,
-        witness.stamp,
-        record,
-    )
-    state.send(witness.member.address, message)
-
-
-def _send_start(
-    state: OwnerState, tracked: Tracked, index: int, peer: Peer, now: float
-) -> None:
-    task, job = tracked.tasks[index], tracked.job
-    task.stage = Stage.SENT
-    task.place.sent_at = now
-    task.place.sent_ping = state.ping_serial
-    start = Start(
-        state.cell,
-        state.record.epoch,
-        peer.member.incarnation,
-        peer.stamp,
-        job.submission,
-        job.fingerprint,
-        index,
-        len(tracked.tasks),
-        task.place.attempt,
-        job.service,
-        job.tasks[index],
-        int((tracked.deadline - peer.stamp_at) * 1000),
-        job.request and job.idempotent,
-    )
-    state.count("start.sent")
-    state.send(peer.member.address, start)
-
-
-def on_witnessed(state: OwnerState, sender: str, seen: Witnessed, now: float) -> None:
-    """The witness has the record: start the task, if it is still wanted."""
-    tracked = state.ledger.get(seen.submission)
-    if tracked is None or tracked.answer is not None:
-        return
-    task = tracked.tasks[seen.index]
-    if task.stage is not Stage.WITNESSING or task.place.attempt != seen.attempt:
-        state.count("witness.stale")
-        return
-    peer = state.peers.get(state.member.incarnation)
-    if peer is None or not peer.usable or not state.stands(now):
-        withdraw(state, tracked, seen.index, now)
-        return
-    _send_start(state, tracked, seen.index, peer, now)
-
-
-def withdraw(state: OwnerState, tracked: Tracked, index: int, now: float) -> None:
-    """Take back a placement of which no start was sent, and queue it again."""
-    task = tracked.tasks[index]
-    _land(state, task.place.incarnation, tracked.job.submission, index)
-    worker = task.place.worker
-    task.stage, task.place = Stage.QUEUED, None
-    queued = QueuedTask(tracked.job, index, now, tracked.deadline)
-    state.scheduler.requeue(queued, worker, now)
+__all__ = ["give_up_flights", "on_declined", "on_result", "on_running"]
 
 
 def on_result(state: OwnerState, sender: str, message: Result, now: float) -> None:
     """A task has ended at an agent."""
     place = (message.submission, message.index)
-    flight = _land(state, message.incarnation, *place, message.attempt)
+    flight = land(state, message.incarnation, *place, message.attempt)
     if flight is not None:
         state.scheduler.finished(
             *place,
@@ -201,41 +42,33 @@
     if tracked is None or tracked.answer is not None:
         state.count("result.late")
         return
-    task = tracked.tasks[message.index]
-    if not _is_of(task.place, message.incarnation, message.attempt):
-        # An earlier attempt's answer must not pass for this one's.
-        state.count("result.stale")
-        return
-    if end_task(tracked, message.result):
-        _after_end(state, tracked, message.result, now)
+    _settle(state, tracked, message.incarnation, message.attempt, message.result, now)
 
 
-def _after_end(
-    state: OwnerState, tracked: Tracked, result: TaskResult, now: float
+def _settle(
+    state: OwnerState,
+    tracked: Tracked,
+    incarnation: str,
+    attempt: int,
+    result: TaskResult,
+    now: float,
 ) -> None:
-    if is_settled(tracked):
-        refusal = tracked.ending or refusal_for(result)
-        give_answer(state, tracked, refusal, now)
+    """Take the end of an attempt: the task's end, unless another may answer it."""
+    task = tracked.tasks[result.index]
+    if not attempts.is_current(task, incarnation, attempt):
+        # An earlier attempt's answer must not pass for this one's.
+        state.count("result.stale")
         return
-    if result.outcome is not TaskOutcome.DONE and tracked.ending is None:
-        begin_ending(state, tracked, refusal_for(result), now)
-
-
-def refusal_for(result: TaskResult) -> Refusal | None:
-    """Return the reason that a task's result gives its job for failing."""
-    if result.outcome is TaskOutcome.DONE:
-        return None
-    if result.outcome is TaskOutcome.UNKNOWN:
-        return Refusal(
-            RefusalCode.WORKER_LOST,
-            f"task {result.index}: {result.reason}",
-            RETRY_AFTER_LOSS_MS,
-        )
-    return Refusal(
-        RefusalCode.UPSTREAM_FAILED,
-        f"task {result.index}: {result.reason}",
-        RETRY_AFTER_LOSS_MS,
-    )
+    if result.outcome is not TaskOutcome.DONE:
+        if attempts.fall_back(task, incarnation, attempt):
+            return
+        if attempts.try_again(state, tracked, result, now):
+            return
+    other = attempts.other_of(task, attempt)
+    if end_task(tracked, result):
+        if other is not None:
+            stop_attempt(state, tracked.job.submission, result.index, other, now)
+        after_end(state, tracked, result, now)
 
 
 def on_declined(state: OwnerState, sender: str, message: Declined, now: float) -> None:
@@ -256,8 +89,11 @@
     _note_declined(state, message, now)
     tracked = state.ledger.get(message.submission)
     open_task = tracked is not None and tracked.answer is None
-    if not open_task or not _is_of(
-        tracked.tasks[message.index].place, message.incarnation, message.attempt
+    lives = (message.incarnation, message.attempt)
+    if (
+        not open_task
+        or not attempts.is_current(tracked.tasks[message.index], *lives)
+        or attempts.fall_back(tracked.tasks[message.index], *lives)
     ):
         state.scheduler.finished(*place, flight.worker, False, 0, now)
         return
@@ -280,49 +116,6 @@
     state.count("probe.running")
 
 
-def probe(
-    state: OwnerState, peer: Peer, place: tuple[str, int], now: float, stop: bool
-) -> None:
-    """Ask an agent what became of an attempt."""
-    flight = peer.flights[place]
-    flight.probed_at = now
-    message = Probe(
-        state.cell,
-        state.record.epoch,
-        peer.member.incarnation,
-        *place,
-        flight.attempt,
-        stop,
-    )
-    state.count("probe.sent")
-    state.send(peer.member.address, message)
-
-
-def begin_ending(
-    state: OwnerState, tracked: Tracked, refusal: Refusal | None, now: float
-) -> None:
-    """End a job that can't be answered: start nothing more, stop what runs."""
-    if tracked.ending is not None:
-        return
-    tracked.ending = refusal or Refusal(RefusalCode.CANCELLED, "it was cancelled")
-    tracked.settle_by = now + state.timing.settle
-    name = tracked.job.submission
-    state.scheduler.cancel(name, now)
-    for index, task in enumerate(tracked.tasks):
-        if task.stage in (Stage.QUEUED, Stage.WITNESSING):
-            if task.place is not None:
-                _land(state, task.place.incarnation, name, index)
-                state.scheduler.finished(name, index, task.place.worker, False, 0, now)
-            reason = "it was not started"
-            end_task(tracked, TaskResult(index, TaskOutcome.NOT_RUN, reason=reason))
-        elif task.stage is Stage.SENT:
-            peer = state.peers.get(task.place.incarnation)
-            if peer is not None and (name, index) in peer.flights:
-                probe(state, peer, (name, index), now, stop=True)
-    if is_settled(tracked):
-        give_answer(state, tracked, tracked.ending, now)
-
-
 def give_up_flights(state: OwnerState, peer: Peer, reason: str, now: float) -> None:
     """Settle what was placed at a member that is gone: nobody can tell of it."""
     for submission, index in list(peer.flights):
@@ -332,30 +125,13 @@
         if tracked is None or tracked.answer is not None:
             continue
         task = tracked.tasks[index]
-        if not _is_of(task.place, peer.member.incarnation, flight.attempt):
-            continue
-        if task.stage is Stage.WITNESSING:
+        waits = task.stage is Stage.WITNESSING
+        if waits and is_of(task.place, peer.member.incarnation, flight.attempt):
             withdraw(state, tracked, index, now)
             continue
         result = TaskResult(index, TaskOutcome.UNKNOWN, reason=reason)
-        if end_task(tracked, result):
-            _after_end(state, tracked, result, now)
-
-
-def record_of(tracked: Tracked, index: int, state: TaskState) -> Record:
-    """Return the record that stands for a task of the ledger."""
-    task = tracked.tasks[index]
-    return Record(
-        tracked.job.submission,
-        index,
-        len(tracked.tasks),
-        tracked.job.fingerprint,
-        task.place.attempt,
-        state,
-        task.place.worker,
-        task.place.incarnation,
-        task.result,
-    )
+        lives = (peer.member.incarnation, flight.attempt)
+        _settle(state, tracked, *lives, result, now)
 
 
 def _note_recovered(state: OwnerState, message: Result, now: float) -> None:
@@ -388,29 +164,3 @@
     if record is not None and record.attempt == message.attempt:
         declined = msgspec.structs.replace(record, state=TaskState.DECLINED)
         state.recovered.put(declined, now)
-
-
-def _is_of(place: Place | None, incarnation: str, attempt: int) -> bool:
-    return (
-        place is not None
-        and place.incarnation == incarnation
-        and place.attempt == attempt
-    )
-
-
-def _land(
-    state: OwnerState,
-    incarnation: str,
-    submission: str,
-    index: int,
-    attempt: int | None = None,
-) -> Place | None:
-    """Take a flight off its peer; None if it is not there (any more)."""
-    peer = state.peers.get(incarnation)
-    if peer is None:
-        return None
-    flight = peer.flights.get((submission, index))
-    if flight is None or (attempt is not None and flight.attempt != attempt):
-        return None
-    del peer.flights[(submission, index)]
-    return flight
--- a/src/cactuswalk/state/ledger.py
+++ b/src/cactuswalk/state/ledger.py
@@ -54,10 +54,15 @@
 
 
 class Task(msgspec.Struct):
-    """One task of a tracked submission."""
+    """One task of a tracked submission.
+
+    :param hedge: a second attempt that runs beside ``place``, of an idempotent
+        request only; the first answer stands.
+    """
 
     stage: Stage = Stage.QUEUED
     place: Place | None = None
+    hedge: Place | None = None
     result: TaskResult | None = None
 
 
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -42,6 +42,7 @@
     candidate as candidates,
     flights,
     peers,
+    placing,
     recovery,
     roster,
     spreading,
@@ -97,7 +98,7 @@
     Result: flights.on_result,
     Declined: flights.on_declined,
     Running: flights.on_running,
-    Witnessed: flights.on_witnessed,
+    Witnessed: placing.on_witnessed,
     Fenced: recovery.on_fenced,
     Adopted: roster.on_adopted,
     Join: roster.on_join,
@@ -354,7 +355,7 @@
     peers.watch_peers(owner, now)
     roster.keep_roster(owner, now)
     submissions.expire_ledger(owner, now)
-    flights.dispatch(owner, now)
+    placing.dispatch(owner, now)
     peers.report(owner, now)
     owner.recovered.expire(now)
 
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -3,8 +3,10 @@
 from cactuswalk.messages import CellReport, Fence, Ping, Pong, Subscribe
 from cactuswalk.model import Member
 from cactuswalk.state.agent import stamp_of
-from cactuswalk.state.flights import dispatch, give_up_flights, probe
+from cactuswalk.state.flights import give_up_flights
+from cactuswalk.state.landing import probe
 from cactuswalk.state.owner import EntryView, OwnerState, Peer, Phase
+from cactuswalk.state.placing import dispatch
 from cactuswalk.state.spreading import offer_of
 
 __all__ = [
--- /dev/null
+++ b/src/cactuswalk/state/placing.py
@@ -0,0 +1,164 @@
+"""Starts: queued tasks bound to workers, witnessed, and sent."""
+
+from cactuswalk.decisions.scheduler import Assignment, Shed
+from cactuswalk.errors import InvariantError
+from cactuswalk.messages import (
+    Start,
+    Witness,
+    Witnessed,
+)
+from cactuswalk.model import (
+    TaskState,
+)
+from cactuswalk.state import attempts
+from cactuswalk.state.ending import begin_ending
+from cactuswalk.state.landing import record_of, withdraw
+from cactuswalk.state.ledger import Place, Stage, Tracked
+from cactuswalk.state.owner import OwnerState, Peer
+
+__all__ = ["dispatch", "on_witnessed", "refresh_workers", "send_start"]
+
+
+def dispatch(state: OwnerState, now: float) -> None:
+    """Start all that can start, and refuse what can't be answered in time."""
+    refresh_workers(state, now)
+    for decision in state.scheduler.assign(now):
+        if isinstance(decision, Shed):
+            tracked = state.ledger.get(decision.task.job.submission)
+            if tracked is not None and tracked.answer is None:
+                state.log(
+                    "shed a task",
+                    submission=decision.task.job.submission,
+                    reason=decision.refusal.message,
+                )
+                begin_ending(state, tracked, decision.refusal, now)
+            continue
+        _place(state, decision, now)
+    attempts.hedge(state, now, send_start)
+
+
+def refresh_workers(state: OwnerState, now: float) -> None:
+    """Tell the scheduler which workers can be given work at this moment."""
+    stands = state.stands(now)
+    for peer in state.peers.values():
+        usable = stands and _is_usable(state, peer, now)
+        if usable != peer.usable and peer.in_force is not None:
+            peer.usable = usable
+            state.scheduler.set_worker(peer.in_force, usable, now)
+
+
+def _is_usable(state: OwnerState, peer: Peer, now: float) -> bool:
+    # A ping period less than P: the stamp must still be young on arrival.
+    young = now - peer.confirmed_at <= state.timing.confirm - state.timing.ping
+    on_rosters = all(peer.member in roster for roster in state.rosters())
+    if peer.member == state.member and not _can_start_beside(state):
+        return False
+    return young and on_rosters and peer.ready and not peer.leaving
+
+
+def _can_start_beside(state: OwnerState) -> bool:
+    """Tell whether a start beside the owner would have a witness.
+
+    A cell of one has nobody to tell, and nobody who could take it over.
+    """
+    return state.backup_ready or len(state.record.roster) == 1
+
+
+def _place(state: OwnerState, assignment: Assignment, now: float) -> None:
+    queued = assignment.task
+    tracked = state.ledger.get(queued.job.submission)
+    peer = state.peer_of(assignment.worker)
+    if tracked is None or tracked.answer is not None:
+        raise InvariantError(
+            f"{queued.job.submission} is queued but has no open entry",
+            "Report this with the owner's log; the task was not started.",
+        )
+    task = tracked.tasks[queued.index]
+    if peer is None or not peer.usable or task.stage is not Stage.QUEUED:
+        raise InvariantError(
+            f"task {queued.index} of {queued.job.submission} can't be placed on "
+            f"{assignment.worker}",
+            "Report this with the owner's log; the task was not started.",
+        )
+    place = Place(
+        assignment.worker,
+        peer.member.incarnation,
+        state.next_attempt(),
+        state.ping_serial,
+        now,
+    )
+    task.place = place
+    peer.flights[(queued.job.submission, queued.index)] = place
+    state.log(
+        "placed a task",
+        submission=queued.job.submission,
+        task=queued.index,
+        worker=assignment.worker,
+        reason=assignment.reason,
+        waited_ms=int((now - queued.queued_at) * 1000),
+    )
+    if peer.member == state.member and state.backup_ready:
+        _ask_witness(state, tracked, queued.index, now)
+        return
+    task.stage = Stage.SENT
+    send_start(state, tracked, queued.index, place, now)
+
+
+def _ask_witness(state: OwnerState, tracked: Tracked, index: int, now: float) -> None:
+    """Have another member keep the record of a start beside this owner."""
+    task = tracked.tasks[index]
+    witness = state.peers[state.backup.incarnation]
+    task.stage = Stage.WITNESSING
+    task.place.witness = witness.member.incarnation
+    record = record_of(tracked, index, TaskState.RUNNING)
+    message = Witness(
+        state.cell,
+        state.record.epoch,
+        witness.member.incarnation,
+        witness.stamp,
+        record,
+    )
+    state.send(witness.member.address, message)
+
+
+def send_start(
+    state: OwnerState, tracked: Tracked, index: int, place: Place, now: float
+) -> None:
+    """Send the start of an attempt to the member where it is placed."""
+    job, peer = tracked.job, state.peers[place.incarnation]
+    place.sent_at = now
+    place.sent_ping = state.ping_serial
+    start = Start(
+        state.cell,
+        state.record.epoch,
+        peer.member.incarnation,
+        peer.stamp,
+        job.submission,
+        job.fingerprint,
+        index,
+        len(tracked.tasks),
+        place.attempt,
+        job.service,
+        job.tasks[index],
+        int((tracked.deadline - peer.stamp_at) * 1000),
+        job.request and job.idempotent,
+    )
+    state.count("start.sent")
+    state.send(peer.member.address, start)
+
+
+def on_witnessed(state: OwnerState, sender: str, seen: Witnessed, now: float) -> None:
+    """The witness has the record: start the task, if it is still wanted."""
+    tracked = state.ledger.get(seen.submission)
+    if tracked is None or tracked.answer is not None:
+        return
+    task = tracked.tasks[seen.index]
+    if task.stage is not Stage.WITNESSING or task.place.attempt != seen.attempt:
+        state.count("witness.stale")
+        return
+    peer = state.peers.get(state.member.incarnation)
+    if peer is None or not peer.usable or not state.stands(now):
+        withdraw(state, tracked, seen.index, now)
+        return
+    task.stage = Stage.SENT
+    send_start(state, tracked, seen.index, task.place, now)
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -18,7 +18,8 @@
 from cactuswalk.state.agent import RECORDS_A_PART
 from cactuswalk.state.effects import ReadKey, SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
-from cactuswalk.state.flights import give_up_flights, record_of
+from cactuswalk.state.flights import give_up_flights
+from cactuswalk.state.landing import record_of
 from cactuswalk.state.owner import OwnerState, Peer, Phase
 from cactuswalk.state.peers import is_lost, send_fence, send_ping
 from cactuswalk.state.spreading import apply_all, apply_worker
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -24,7 +24,7 @@
     TaskState,
 )
 from cactuswalk.state.answers import give_answer, refuse, send_answer
-from cactuswalk.state.flights import begin_ending, dispatch
+from cactuswalk.state.ending import begin_ending
 from cactuswalk.state.ledger import (
     Place,
     Stage,
@@ -35,6 +35,7 @@
     is_settled,
 )
 from cactuswalk.state.owner import Held, OwnerState, Phase
+from cactuswalk.state.placing import dispatch
 
 __all__ = [
     "expire_ledger",
@@ -192,6 +193,9 @@
 ) -> None:
     """Go on with a submission of an earlier owner, starting nothing again."""
     state.count("submit.restored")
+    if tracked.job.request and tracked.job.idempotent:
+        _restore_repeatable(state, tracked, records.get(0), now)
+        return
     for index in range(len(tracked.tasks)):
         record = records.get(index)
         if record is None or record.state is TaskState.DECLINED:
@@ -212,6 +216,22 @@
             state.scheduler.requeue(queued, "", now)
 
 
+def _restore_repeatable(
+    state: OwnerState, tracked: Tracked, record: Record | None, now: float
+) -> None:
+    """Go on with a request that may run again: for its answer, or from anew."""
+    if record is not None and record.state is TaskState.DONE:
+        end_task(tracked, record.result)
+        give_answer(state, tracked, None, now)
+        return
+    if record is not None and record.state is TaskState.RUNNING:
+        _restore_task(state, tracked, record)
+        if tracked.tasks[0].stage is Stage.SENT:
+            return
+        tracked.tasks[0] = Task()
+    state.scheduler.requeue(QueuedTask(tracked.job, 0, now, tracked.deadline), "", now)
+
+
 def _restore_task(state: OwnerState, tracked: Tracked, record: Record) -> None:
     task = tracked.tasks[record.index]
     if record.result is not None:
