Two nodes that each lack a change no longer answer one another without end

Cause: while its question was on the way, a node answered each offer with one of its own; two that each lacked something did so for as long as the pause, at the network's speed. Result: a node that lacks something asks or waits, and never answers with an offer. The new scenario failed before and passes; the races bound their deliveries.

--- a/features/configuration_fakes.py
+++ b/features/configuration_fakes.py
@@ -16,6 +16,10 @@
 from cactuswalk.state.configuration import Replica, Spread
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
 
+# A round is over after some hundred deliveries; nodes that answer one another
+# without end would keep the network busy with nothing.
+MOST_DELIVERIES = 3000
+
 
 class FakeChange(typing.NamedTuple):
     key: str
@@ -239,5 +243,6 @@
                 self.watch(entry, events=1000)
             for node in self.nodes.values():
                 self.send(node, node.tell())
-            while self.bag:
+            for _ in range(MOST_DELIVERIES):
                 self.deliver(0)
+            assert not self.bag, "nodes go on answering one another"
--- a/features/configuration_spread.feature
+++ b/features/configuration_spread.feature
@@ -62,6 +62,15 @@
     When two operators change it on the same revision
     Then one is accepted and the other is told who won and at which revision
 
+  Scenario: Two nodes that each lack a change of the other's
+    The service went away while both entries had a change that nobody else
+    knew of. Each is told of more than it holds while its question is on the
+    way; answering each such word with one's own fills the network, and the
+    tasks' messages wait behind it.
+    Given a configuration cluster with one accepted change
+    When an entry and an owner each hold a change that the other lacks
+    Then they exchange fewer than 20 messages before an answer comes
+
   Scenario: An entry counts on how many nodes a revision is in force
     Given a configuration cluster with one accepted change
     When one agent of a cell has not heard of a second change
--- a/features/steps/configuration_spread_steps.py
+++ b/features/steps/configuration_spread_steps.py
@@ -14,6 +14,11 @@
     OutcomeUnknownError,
     ServiceAwayError,
 )
+from cactuswalk.messages import (
+    ConfigurationOffer,
+    ConfigurationUpdate,
+    StoredObject,
+)
 from cactuswalk.model.configuration import WorkerEntry
 from cactuswalk.state.configuration import Replica, add_up, fold
 from features.configuration_fakes import Cluster, drive
@@ -373,6 +378,37 @@
     assert "ion" in lost.message and lost.remedy
 
 
+@when("an entry and an owner each hold a change that the other lacks")
+def step_each_lacks(context):
+    cluster = context.cluster
+    names = ("entry0", "owner0")
+    nodes = [cluster.nodes[name] for name in names]
+    for number, node in enumerate(nodes):
+        stored = StoredObject(f"team/t{number}", 10 + number, b"")
+        node.replica.update(ConfigurationUpdate(0, 0, [stored], [10 + number]))
+    # Each has already asked somebody, whose answer is not there yet.
+    for number, node in enumerate(nodes):
+        other = 11 - number
+        assert node.spread.heard("agent0.0", 0, cluster.now, [other])
+    offers = [(names[1 - i], nodes[i].replica.offer()) for i in range(2)]
+    context.exchanged = 0
+    while offers and context.exchanged < 100:
+        to, offer = offers.pop()
+        context.exchanged += 1
+        sender = names[1 - names.index(to)]
+        sends = cluster.nodes[to].spread.offered(sender, offer, cluster.now)
+        offers += [
+            (one.address, one.message)
+            for one in sends
+            if isinstance(one.message, ConfigurationOffer)
+        ]
+
+
+@then("they exchange fewer than 20 messages before an answer comes")
+def step_few(context):
+    assert context.exchanged < 20, context.exchanged
+
+
 @when("one agent of a cell has not heard of a second change")
 def step_one_behind(context):
     cluster = context.cluster
--- a/src/cactuswalk/state/configuration.py
+++ b/src/cactuswalk/state/configuration.py
@@ -228,11 +228,16 @@
         return self.heard(self.asked_of, self.asked, now)
 
     def offered(self, sender: str, offer: ConfigurationOffer, now: float) -> list[Send]:
-        """Ask for what the sender holds, or offer what it lacks."""
-        request = self.heard(sender, offer.revision, now, offer.ahead)
-        if request:
-            return request
+        """Ask for what the sender holds, or offer what it lacks.
+
+        A node that lacks something itself never answers with an offer: two that
+        each lack a change of the other's would answer one another's offers
+        without end while both wait for an answer. The one that gets what it
+        asked for offers then.
+        """
         mine = self.replica
+        if mine.lacks(offer.revision, offer.ahead):
+            return self.heard(sender, offer.revision, now, offer.ahead)
         behind = offer.revision < mine.revision or any(
             not holds(offer.revision, offer.ahead, one) for one in mine.ahead
         )
