--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -119,6 +119,7 @@
 JOBS = "request path by job size"
 FRAMES = "frames between two sockets"
 IDLE = "idle processes by agents"
+IDLE_AGENTS = (3, 6, 9, 12)
 
 
 def rows_of(slopes: Slopes) -> list[Row]:
@@ -140,15 +141,15 @@
         return slopes.at(PEERS, "owner bytes/s", size.cell) + reports
 
     def owner_core(size: Size) -> float:
-        messages = slopes.at(PEERS, "owner messages/s", size.cell)
-        messages += slopes.slope(BY_ENTRIES, "owner messages/s") * (size.entries - 2)
-        reducer = slopes.at(PEERS, "owner processor ms/s", size.cell)
-        return (reducer + messages * frame_ms) / 10
+        reports = slopes.slope(BY_ENTRIES, "owner messages/s") * (size.entries - 1)
+        process = slopes.at(IDLE, "owner's agent processor ms/s", size.cell)
+        return (process + reports * frame_ms) / 10
 
     def entry_core(size: Size) -> float:
-        messages = slopes.at(CELLS, "messages/s", size.cells_an_entry)
-        reducer = slopes.at(CELLS, "processor ms/s", size.cells_an_entry)
-        return (reducer + messages * frame_ms) / 10
+        messages = slopes.slope(CELLS, "messages/s") * (size.cells_an_entry - 1)
+        reducer = slopes.slope(CELLS, "processor ms/s") * (size.cells_an_entry - 1)
+        process = slopes.at(IDLE, "entry processor ms/s", max(IDLE_AGENTS))
+        return (process + reducer + messages * frame_ms) / 10
 
     return [
         Row(
@@ -165,7 +166,7 @@
             "owner",
             "control processor time",
             "% of a core",
-            "reducer(n) + messages(n, e) × half a frame",
+            "idle process of an owner(n) + reports(e) × half a frame",
             owner_core,
             CORE_SHARE_BOUND,
             "as above",
@@ -181,6 +182,18 @@
             "an agent talks to its owner only",
             "built",
         ),
+        Row(
+            "agent",
+            "control processor time",
+            "% of a core",
+            "idle process; the same at each size of cell",
+            lambda size: (
+                slopes.at(IDLE, "other agents processor ms/s", max(IDLE_AGENTS)) / 10
+            ),
+            CORE_SHARE_BOUND,
+            "as above",
+            "built",
+        ),
         Row(
             "entry",
             "control bytes",
@@ -196,7 +209,7 @@
             "entry",
             "control processor time",
             "% of a core",
-            "reducer(c) + messages(c) × half a frame",
+            "idle process + (reducer + messages × half a frame)(c)",
             entry_core,
             CORE_SHARE_BOUND,
             "as above",
@@ -211,8 +224,8 @@
     kept_task = slopes.slope("an owner by tasks of jobs kept", "ledger bytes")
     kept_request = slopes.slope("an owner by answers kept", "ledger bytes")
     cell_view = slopes.slope(CELLS, "state bytes")
-    rest = slopes.at(IDLE, "other agents resident MB", 12)
-    entry_rest = slopes.at(IDLE, "entry resident MB", 12)
+    rest = slopes.at(IDLE, "other agents resident MB", max(IDLE_AGENTS))
+    entry_rest = slopes.at(IDLE, "entry resident MB", max(IDLE_AGENTS))
 
     def agent_mb(size: Size) -> float:
         return rest + size.starts_a_worker * RETENTION_S * record / MEGABYTE
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -103,7 +103,7 @@
     click.echo(kind_table(sent, empty_s, calls_by_key(sent, starts)))
     faults = faults_of(sent, starts)
     faults += [
-        f"{name} ended its planned stop with status {status}"
+        f"{name} ended its planned stop with status {status}\n{cluster[name].tail(5)}"
         for name, status in statuses.items()
         if status != 0 and name != "keyvalue"
     ]
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -124,10 +124,11 @@
 
 def processor_times(cluster: Cluster) -> dict[str, float]:
     """Return the processor seconds that each process has used."""
-    return {
+    used = {
         name: sum(psutil.Process(process.pid).cpu_times()[:2])
         for name, process in cluster.processes.items()
     }
+    return used | {"generator": sum(psutil.Process().cpu_times()[:2])}
 
 
 async def measure_level(target: Target, cluster: Cluster, level: int) -> list[object]:
@@ -145,7 +146,7 @@
     after = processor_times(cluster)
     shares = [
         100 * (after[name] - before[name]) / seconds
-        for name in ("entry-1", "agent-w1", "upstream-w1")
+        for name in ("entry-1", "agent-w1", "upstream-w1", "generator")
     ]
     rate = histogram.count / seconds
     per_request = [share * 10 / rate for share in shares[:2]]
@@ -157,7 +158,7 @@
     """Return the table of requests a second by requests in flight."""
     rows = [await measure_level(target, cluster, level) for level in LEVELS]
     headers = ["in flight", "requests/s", "p50 ms", "p99 ms"]
-    shares = ["entry %", "agent %", "upstream %"]
+    shares = ["entry %", "agent %", "upstream %", "generator %"]
     return table(
         [*headers, *shares, "entry ms/request", "agent ms/request"],
         rows,
--- a/tools/slopes_process.py
+++ b/tools/slopes_process.py
@@ -7,6 +7,7 @@
 
 from cactuswalk.messages import Cancel
 from cactuswalk.runtime.transport import Transport
+from tools.capacity import IDLE_AGENTS
 from tools.cluster import Cluster, Worker
 from tools.processes import free_ports
 from tools.series import Point, Series
@@ -14,13 +15,12 @@
 __all__ = ["process_series"]
 
 FRAMES = (1000, 2000, 4000, 8000)
-AGENTS = (3, 6, 9, 12)
 
 # Frames under way at one time, well below the socket's bound.
 WINDOW = 50
 
 # An idle deployment is watched for this long.
-IDLE_S = 5.0
+IDLE_S = 10.0
 
 MEGABYTE = 1_000_000
 
@@ -29,7 +29,7 @@
     """Return all series of real processes, not measured yet."""
     return [
         Series("frames between two sockets", "frames", FRAMES, frames),
-        Series("idle processes by agents", "agents", AGENTS, idle_processes),
+        Series("idle processes by agents", "agents", IDLE_AGENTS, idle_processes),
     ]
 
 
