--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -10,13 +10,15 @@
 
 import click
 
-from tools.capacity import capacity_blocks
 from tools.capacity_failures import failure_block
+from tools.capacity_tables import capacity_blocks
 from tools.fits import FEWEST_SIZES
 from tools.series import Series, counts_of, describe
 from tools.slopes_cell import cell_series
+from tools.slopes_configuration import configuration_series
 from tools.slopes_entry import entry_series
 from tools.slopes_process import process_series
+from tools.slopes_scheduler import scheduler_series
 from tools.tables import ROOT, replace_block
 
 __all__ = ["COUNTS", "main", "small_counts"]
@@ -35,12 +37,20 @@
     "a cell started whole",
     "an outage of the service",
     "an entry by cells",
+    "configuration by objects",
+    "an update by changes",
 )
 
 
 def all_series() -> list[Series]:
     """Return every series, not measured yet."""
-    return cell_series() + entry_series() + process_series()
+    return [
+        *cell_series(),
+        *entry_series(),
+        *scheduler_series(),
+        *configuration_series(),
+        *process_series(),
+    ]
 
 
 def small_counts() -> dict:
