--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -21,6 +21,7 @@
 from cactuswalk.state.flights import give_up_flights, record_of
 from cactuswalk.state.owner import OwnerState, Peer, Phase
 from cactuswalk.state.peers import is_lost, send_fence, send_ping
+from cactuswalk.state.spreading import apply_all, apply_worker
 
 __all__ = [
     "cell_key",
@@ -64,8 +65,9 @@
         return
     peer.announcement = announcement
     peer.usable = False
-    state.workers_serial += 1
-    state.scheduler.set_worker(announcement, False, now)
+    apply_worker(state, state.spread, peer, now)
+    if known is None or known.service != announcement.service:
+        apply_all(state, state.spread, now)
     state.log("took an announcement", worker=announcement.worker)
 
 
@@ -93,12 +95,17 @@
 
 
 def _wanted(state: OwnerState, now: float) -> CellRecord | None:
-    """Return the record that should stand in the service, None if it does."""
+    """Return the record that should stand in the service, None if it does.
+
+    A stopping member stays while attempts are noted there: one whose start or
+    result was lost would be called unknown, and the planned stop would have cut
+    it off. The member's word on it comes with the next probe.
+    """
     record = state.record
     gone = [
         peer.member
         for peer in state.peers.values()
-        if peer.leaving or is_lost(state, peer, now)
+        if is_lost(state, peer, now) or (peer.leaving and not peer.flights)
     ]
     replaced = [
         member
