--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,15 @@
 	$(VENV)/bin/ruff format .
 	$(VENV)/bin/ruff check --fix .
 
+# Hours of random runs: make soak SOAK_SECONDS=7200; a seed repeats one.
+SOAK_SECONDS ?= 3600
+
+soak: $(VENV)/.ready
+	$(PYTHON) -m tools.soak --seconds $(SOAK_SECONDS) $(if $(SEED),--seed $(SEED))
+
+mutants: $(VENV)/.ready
+	$(PYTHON) -m tools.mutants
+
 clean:
 	rm -rf build .ruff_cache .hypothesis
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -1,9 +1,11 @@
 """Break one safeguard at a time and see which feature notices: ``make mutants``.
 
 Each mutant is a small change of the source in a copy of the tree. A mutant that
-survives is a missing test. The exit status is the number of survivors.
+survives is a missing test, one whose text is not found an error of its own. The
+exit status is the number of mutants that were not caught.
 """
 
+import collections
 import os
 import shutil
 import subprocess
@@ -15,8 +17,13 @@
 import click
 import msgspec
 
+from cactuswalk.errors import CactuswalkError
+
 ROOT = Path(__file__).resolve().parent.parent
 STATE = "src/cactuswalk/state"
+GATE = "once_gate.feature"
+TAKEOVER = "once_directed_takeover.feature"
+ANSWERS = "once_directed_answers.feature"
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
@@ -32,121 +39,204 @@
     path: str
     old: str
     new: str
-    feature: str = "once_random.feature"
+    feature: str
+
+
+class Tried(msgspec.Struct):
+    """What became of a mutant.
+
+    :param verdict: ``caught``, ``SURVIVED`` or ``STALE``.
+    :param noticed: the scenario that failed, or why the mutant wasn't tried.
+    """
+
+    mutant: Mutant
+    verdict: str
+    noticed: str
 
 
 MUTANTS = [
     Mutant(
-        "a new owner does not wait once a majority is fenced",
+        "a new owner does not wait out the old one's standing",
         f"{STATE}/recovery.py",
-        "FENCE_WAIT_SPANS = 2",
-        "FENCE_WAIT_SPANS = 0",
-        "once_matrix.feature",
+        "if not _majority(state) or now < state.old_owner_until:",
+        "if not _majority(state):",
+        TAKEOVER,
     ),
     Mutant(
-        "a new owner waits P instead of 2P",
+        "a new owner serves without a fenced majority",
         f"{STATE}/recovery.py",
-        "FENCE_WAIT_SPANS = 2",
-        "FENCE_WAIT_SPANS = 1",
-        "once_matrix.feature",
+        "if not _majority(state) or now < state.old_owner_until:",
+        "if now < state.old_owner_until:",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an entry takes a deposed owner's word for not run",
+        f"{STATE}/entry.py",
+        "if answer.outcome is Outcome.NOT_RUN and answer.epoch < view.epoch:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a stopping member leaves with attempts that nobody has settled",
+        f"{STATE}/roster.py",
+        "(peer.leaving and not peer.flights)",
+        "peer.leaving",
+        TAKEOVER,
+    ),
+    Mutant(
+        "records that changed wait behind later ones",
+        f"{STATE}/retention.py",
+        "                heapq.heappush(self.expiries, (due, submission))\n",
+        "                self.expiries.append((due + self.retention, submission))\n",
+        ANSWERS,
+    ),
+    Mutant(
+        "an agent of a lost epoch's owner says how long it is silent of any epoch",
+        f"{STATE}/agent.py",
+        "silent = now - state.heard_at if known else 0.0",
+        "silent = 1e6",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a candidate forgets a swap that may apply late",
+        f"{STATE}/candidate.py",
+        "if record.write_id in state.attempted:",
+        "if False:",
+        TAKEOVER,
+    ),
+    Mutant(
+        "the epoch in question is the agent's, not the record's",
+        f"{STATE}/candidate.py",
+        "    if record is not None and record.epoch > state.agent.gate.epoch:\n"
+        "        return record.epoch",
+        "    if False:\n        return record.epoch",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a key from the future is taken",
+        f"{STATE}/entry.py",
+        "if age_ms < -margin_ms:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key's other body joins the first",
+        f"{STATE}/submissions.py",
+        "    if tracked.job.fingerprint != submit.job.fingerprint:\n        refuse",
+        "    if False:\n        refuse",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key's other body joins the first at the entry",
+        f"{STATE}/entry.py",
+        "if pending.job.fingerprint != event.job.fingerprint:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key's other body is not told from records",
+        f"{STATE}/submissions.py",
+        "    if known - {job.fingerprint}:\n        return KEY_REUSED\n",
+        "",
+        ANSWERS,
     ),
     Mutant(
         "a start's stamp is not looked at",
         f"{STATE}/gate.py",
         "if age_ms > gate.confirm * 1000:",
         "if False:",
-        "once_matrix.feature",
+        GATE,
     ),
     Mutant(
         "a start's epoch is not looked at",
         f"{STATE}/gate.py",
         "if start.epoch != gate.epoch:",
         "if False:",
-        "once_matrix.feature",
+        GATE,
     ),
     Mutant(
         "the gate forgets the records",
         f"{STATE}/gate.py",
         "if record is not None and not _may_follow(record, start):",
         "if False:",
-        "once_matrix.feature",
+        GATE,
     ),
     Mutant(
         "a declined attempt leaves no tombstone",
         f"{STATE}/agent.py",
         "        tombstone(gate, start, now)\n",
         "",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "a probed attempt that never came is not declined for good",
         f"{STATE}/agent.py",
         "    state.gate.records.put(record, now)\n    return record",
         "    return record",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "standing counts from the pong, not from the ping",
         f"{STATE}/peers.py",
         "peer.confirmed_at = sent_at",
         "peer.confirmed_at = now",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "an owner without standing starts tasks",
         f"{STATE}/owner.py",
         "return has_standing(self.rosters(), confirmed, self.timing.confirm, now)",
         "return True",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "a start beside the owner has no witness",
         f"{STATE}/flights.py",
         "if peer.member == state.member and state.backup_ready:",
         "if False:",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "a new owner serves before its own records are backed up, and says so",
         f"{STATE}/roster.py",
         "backed_up = state.backup_ready and state.backup not in removed",
         "backed_up = True",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "missing records count as no start",
         f"{STATE}/recovery.py",
         "    return earlier.departed + lost\n",
         "    return []\n",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "members that departed are forgotten at once",
         f"{STATE}/roster.py",
         "return kept + [member for member in removed if member not in kept]",
         "return []",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "a restarted agent speaks for its earlier life",
         f"{STATE}/gate.py",
         "if start.incarnation != gate.member.incarnation:\n        return Verdict",
         "if False:\n        return Verdict",
-        "once_matrix.feature",
+        GATE,
     ),
     Mutant(
         "a time-out counts as not run",
         f"{STATE}/ledger.py",
         'index, TaskOutcome.UNKNOWN, reason="it was sent to a worker and not settled"',
         'index, TaskOutcome.NOT_RUN, reason="it was sent to a worker and not settled"',
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "an uncertain call to the upstream counts as not sent",
         f"{STATE}/agent.py",
         "if event.outcome is UpstreamOutcome.NOT_SENT:",
         "if event.outcome is not UpstreamOutcome.ANSWERED:",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "an answer of another attempt passes",
@@ -154,79 +244,102 @@
         "    if not _is_of(task.place, message.incarnation, message.attempt):\n"
         "        # An earlier",
         "    if False:\n        # An earlier",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "an owner that lost its cell still says not run",
         f"{STATE}/ledger.py",
         "    if not confirmed:\n",
         "    if False:\n",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "an entry says not run of a key that it sent to nobody",
         f"{STATE}/entry.py",
         "return Outcome.NOT_RUN if minted else Outcome.UNKNOWN",
         "return Outcome.NOT_RUN",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "a submission that the network held back is taken",
         f"{STATE}/submissions.py",
         "return submit.epoch != state.record.epoch or age > state.timing.confirm",
         "return False",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "a copy of a refused submission runs",
         f"{STATE}/submissions.py",
         "return tracked.waiters.get(held.sender) != held.submit.attempt",
         "return True",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "a damaged answer reaches the caller",
         f"{STATE}/entry.py",
         "answer.fingerprint != pending.job.fingerprint or not _is_whole",
         "False and not _is_whole",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "too old a key is taken for a new one",
         f"{STATE}/entry.py",
         "if age_ms > state.timing.retention * 1000 - margin_ms:",
         "if False:",
-        "once_matrix.feature",
+        ANSWERS,
     ),
     Mutant(
         "a takeover needs no silence of the others",
         f"{STATE}/candidate.py",
         "    if 2 * agreeing <= len(roster):\n        return\n",
         "",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
     Mutant(
         "a swap whose reply was lost is taken for refused",
         f"{STATE}/candidate.py",
         "    if event.outcome is SwapOutcome.LOST:",
         "    if event.outcome is not SwapOutcome.APPLIED:",
-        "once_matrix.feature",
+        TAKEOVER,
     ),
 ]
 
 
-def try_mutant(mutant: Mutant) -> tuple[Mutant, str]:
-    """Run the mutant's feature in a copy; return what noticed it, or nothing."""
+class StaleMutantError(CactuswalkError):
+    """A mutant's text no longer stands in the source exactly once."""
+
+    code = "stale_mutant"
+
+
+def broken_text(mutant: Mutant, root: Path = ROOT) -> str:
+    """Return the text of the mutant's file with its safeguard taken away.
+
+    :raises StaleMutantError: if the safeguard isn't found. Passed over, the
+        mutant would be tried on unchanged source and would prove nothing.
+    """
+    text = (root / mutant.path).read_text(encoding="utf-8")
+    found = text.count(mutant.old)
+    if found != 1:
+        raise StaleMutantError(
+            f"{mutant.name}: its text stands {found} times in {mutant.path}",
+            "Bring the mutant's text up to date in tools/mutants.py.",
+        )
+    return text.replace(mutant.old, mutant.new)
+
+
+def try_mutant(mutant: Mutant) -> Tried:
+    """Run the mutant's feature in a copy, and say what noticed it."""
+    try:
+        text = broken_text(mutant)
+    except StaleMutantError as error:
+        return Tried(mutant, "STALE", error.message)
     with tempfile.TemporaryDirectory(prefix="mutant-") as directory:
         copy = Path(directory)
         for part in ("src", "features", "standins", "tools"):
             shutil.copytree(ROOT / part, copy / part)
-        target = copy / mutant.path
-        text = target.read_text(encoding="utf-8")
-        if mutant.old not in text:
-            return mutant, ""
-        target.write_text(text.replace(mutant.old, mutant.new), encoding="utf-8")
-        return mutant, _noticed(copy, mutant.feature)
+        (copy / mutant.path).write_text(text, encoding="utf-8")
+        noticed = _noticed(copy, mutant.feature)
+    return Tried(mutant, "caught" if noticed else "SURVIVED", noticed)
 
 
 def _noticed(copy: Path, feature: str) -> str:
@@ -246,23 +359,31 @@
         return f"{feature}: no end"
     if done.returncode == 0:
         return ""
-    lines = done.stdout.splitlines()
-    failing = [line.strip() for line in lines if line.strip().startswith("features/")]
-    return failing[-1] if failing else feature
+    lines = [line.strip() for line in done.stdout.splitlines()]
+    failing = [line for line in lines if line.startswith("features/")]
+    # behave gives file, line and name; a reader finds the scenario by its name.
+    return failing[-1].split(maxsplit=1)[1] if failing else f"{feature} does not run"
 
 
 @click.command()
+@click.option("--table", is_flag=True, help="Print a table for docs/proofs.md.")
 @click.argument("words", nargs=-1)
-def main(words: tuple[str, ...]) -> None:
+def main(words: tuple[str, ...], table: bool) -> None:
     """Try all mutants, or those whose names contain every one of WORDS."""
     chosen = [one for one in MUTANTS if all(word in one.name for word in words)]
-    survivors = 0
+    verdicts: collections.Counter[str] = collections.Counter()
+    if table:
+        click.echo("| safeguard taken away | verdict | noticed by |\n|---|---|---|")
     with ThreadPoolExecutor(PARALLEL) as pool:
-        for mutant, noticed in pool.map(try_mutant, chosen):
-            survivors += not noticed
-            click.echo(f"{mutant.name}: {noticed or 'SURVIVED'}")
-    click.echo(f"{len(chosen) - survivors} caught, {survivors} survived")
-    sys.exit(min(survivors, 100))
+        for tried in pool.map(try_mutant, chosen):
+            verdicts[tried.verdict] += 1
+            cells = (tried.mutant.name, tried.verdict, tried.noticed)
+            click.echo(f"| {' | '.join(cells)} |" if table else ": ".join(cells))
+    caught = verdicts["caught"]
+    click.echo(
+        f"\n{caught} caught, {verdicts['SURVIVED']} survived, {verdicts['STALE']} stale"
+    )
+    sys.exit(min(len(chosen) - caught, 100))
 
 
 if __name__ == "__main__":
