A candidate that was overtaken goes on; a late swap is recognised

Cause 1: a candidate whose service answers late learns of its takeover after another has fenced it under a later epoch. It took that for a service that has gone back and stopped with invariant_violated, and its records were lost. Cause 2: a swap that was given up and applied while the next was under way was not looked for among the attempted ones; the cell had no owner until a further takeover. Ruled out: dropping the check. An epoch that is no news is now refused before it is written, and one that another owner has shown still stops the process.

--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -9,6 +9,7 @@
 
 import msgspec
 
+from cactuswalk.errors import InvariantError
 from cactuswalk.messages import HandOver, Heard, HeardReply, Join
 from cactuswalk.model import CellRecord, Member
 from cactuswalk.state.agent import AgentState
@@ -209,10 +210,12 @@
     if state.record is None or record.epoch > state.record.epoch:
         state.record_at = now
     state.record = record
-    if state.written is not None:
-        return _settle_written(state, record, event.revision, now)
+    # A swap that was given up may apply while the next one is under way.
     if record.write_id in state.attempted:
         return _taken(state, record.write_id, event.revision)
+    if state.written is not None:
+        _settle_written(state, record, now)
+        return None
     if record.epoch == state.wanted_epoch:
         _write(state, record, event.revision, now)
     elif state.member != record.owner:
@@ -222,25 +225,23 @@
     return None
 
 
-def _settle_written(
-    state: CandidateState, record: CellRecord, revision: int, now: float
-) -> TakenOver | None:
-    """Find out what became of a swap whose outcome was unknown."""
-    written = state.written
-    if record.write_id == written.write_id:
-        return _taken(state, written.write_id, revision)
-    if record.epoch >= written.epoch:
+def _settle_written(state: CandidateState, record: CellRecord, now: float) -> None:
+    """Give up a swap of unknown outcome that the record does not show."""
+    if record.epoch >= state.written.epoch:
         state.written = None
         state.attempted.clear()
     elif now - state.written_at > 2 * state.timing.confirm:
         state.written = None
-    return None
 
 
 def _write(
     state: CandidateState, earlier: CellRecord | None, revision: int, now: float
 ) -> None:
-    """Swap the cell's record to an epoch of this agent's."""
+    """Swap the cell's record to an epoch of this agent's.
+
+    :raises InvariantError: if the epoch is no news here. Written all the same,
+        it would name an owner that every agent refuses.
+    """
     write_id = f"{state.generator.getrandbits(64):016x}"
     if earlier is None:
         record = CellRecord(
@@ -262,6 +263,12 @@
             write_id,
             False,
         )
+    if record.epoch <= state.agent.gate.epoch:
+        raise InvariantError(
+            f"{state.cell}: epoch {record.epoch} is to be taken, but "
+            f"{state.agent.gate.epoch} has been seen",
+            "The service has gone back. Stop the cell and restore its record.",
+        )
     state.written, state.written_at = record, now
     state.attempted[write_id] = TakenOver(record, 0, earlier)
     state.wanted_epoch = 0
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -253,12 +253,17 @@
 def _become_owner(node: Node, taken: TakenOver, now: float) -> None:
     """Act as the owner of an epoch that the service has confirmed.
 
-    :raises InvariantError: if this agent knows of a later epoch already.
+    The confirmation may come so late that another has taken the cell since.
+
+    :raises InvariantError: if another owner has shown this very epoch.
     """
-    if taken.record.epoch <= node.agent.gate.epoch:
+    seen = node.agent.gate.epoch
+    if taken.record.epoch < seen:
+        node.agent.effects.append(Count("cell.overtaken"))
+        return
+    if taken.record.epoch == seen:
         raise InvariantError(
-            f"{node.cell}: epoch {taken.record.epoch} is taken, but "
-            f"{node.agent.gate.epoch} has been seen",
+            f"{node.cell}: epoch {seen} is taken, but another owner has shown it",
             "The service has gone back. Stop the cell and restore its record.",
         )
     node.owner = OwnerState(
