--- a/features/once_directed_takeover.feature
+++ b/features/once_directed_takeover.feature
@@ -12,10 +12,11 @@
     And no promise was broken in the directed run
 
   Scenario: A new owner dies before its own records are backed up
-    A host takes the cell over and dies soon after. What had run beside it was
-    known to nobody else yet. A caller who comes back would find it run again.
+    An owner sleeps and is replaced; its successor's host dies soon after. What had
+    run there was known to nobody else yet. A caller who comes back would find it
+    run again.
     Given a directed cell whose every slot runs a task
-    When the owner is killed, and its successor before its records have a backup
+    When the owner sleeps, and its successor dies before its records have a backup
     Then the directed job is told unknown and nothing of it starts again
     And no promise was broken in the directed run
 
@@ -53,11 +54,20 @@
     Then the job at the cut-off entry is not told a "not run" that is untrue
     And no promise was broken in the directed run
 
+  Scenario: A successor that has long served nobody meets the old owner's agents
+    An owner hands its cell over, but the successor is cut off until the old owner
+    is, with one entry. The agents that confirmed the old owner a moment ago now
+    hear the new one. A caller would be told "not run" of a seat it has.
+    Given a directed cell without work
+    When a successor is alone for a while, then the old owner is, and a job waits
+    Then the job at the cut-off entry is not told a "not run" that is untrue
+    And no promise was broken in the directed run
+
   Scenario: An owner that lost its cell meets a deadline
     An owner is cut off with one entry and a minority. The others take the cell
     over and start the job for the caller, who came again. The old owner can't
     know. "Not run" would be untrue.
-    Given a directed cell whose every slot runs a task
+    Given a directed cell without work
     When the owner is cut off with an entry while a job waits there and elsewhere
     Then the job at the cut-off entry is told unknown and runs elsewhere once
     And no promise was broken in the directed run
@@ -101,9 +111,25 @@
     notice two owners, or none.
     Given a directed cell whose every slot runs a task
     When the owner is killed and the takeover's swap is written three seconds late
-    Then the directed cell has one serving owner that the service names
+    Then the directed cell has served again under the next epoch
     And no promise was broken in the directed run
 
+  Scenario: A takeover's confirmation comes after the next takeover
+    The service answers one candidate so late that another has taken the cell by
+    then. The late one must not act on it, and must not stop for it either: a
+    caller would notice the loss of its worker and its records.
+    Given a directed cell whose every slot runs a task
+    When the owner is killed and the first swap's reply comes five seconds late
+    Then the directed cell has one serving owner that the service names
+    And every directed agent but the dead owner is a member
+
+  Scenario: The service goes back to an earlier record
+    Somebody restores the service from an old copy, and the owner dies. Its members
+    have seen later epochs. They must not go on under an epoch that has been.
+    Given a directed cell that has been taken over twice
+    When the service goes back to its first record and the owner is killed
+    Then a directed member stops with "invariant_violated" before it writes
+
   Scenario: A candidate dies between its swap and its fence
     The service names a new owner which died before anybody heard of it. Without
     care the cell has no owner for ever and every caller is refused.
@@ -146,6 +172,15 @@
     And the directed cell has one serving owner that the service names
     And no promise was broken in the directed run
 
+  Scenario: The last result of a worker that stops is lost
+    A worker is stopped as planned. It finishes its task, and the result is lost on
+    the way. Taken off at once, it could not be asked again; its caller would be
+    told unknown because of a planned stop.
+    Given a directed cell without work
+    When a worker is stopped and the last result that it sends is lost
+    Then the directed caller of the stopped worker is answered
+    And no promise was broken in the directed run
+
   Scenario: Every node is stopped in turn under load
     Operators replace the hosts one by one while callers go on. Nobody should
     notice: nothing is cut off, nothing is refused.
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -165,6 +165,7 @@
     bag.run(2.0)
     context.reuses.append(bag.submit("entry-1", reused))
     bag.run(1.0)
+    assert all(one.reply for one in context.reuses), "a reuse was taken for a repeat"
     bag.kill(owner_name(bag))
     bag.run(4.0)
     context.reuses.append(bag.submit("entry-1", reused))
--- a/features/steps/once_directed_takeover_steps.py
+++ b/features/steps/once_directed_takeover_steps.py
@@ -3,10 +3,11 @@
 import msgspec
 from behave import given, then, when
 
-from cactuswalk.messages import Adopt, HandOver, Pong
+from cactuswalk.errors import CactuswalkError
+from cactuswalk.messages import Adopt, HandOver, Pong, Result
 from cactuswalk.model import CellRecord, Outcome
 from cactuswalk.state.effects import SwapKey
-from cactuswalk.state.events import KeySwapped, SwapOutcome
+from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
 from cactuswalk.state.owner import Phase
 from cactuswalk.state.roster import cell_key
 from features.support.bag import CELL
@@ -94,14 +95,15 @@
     context.bag.run(SETTLE_S)
 
 
-@when("the owner is killed, and its successor before its records have a backup")
+@when("the owner sleeps, and its successor dies before its records have a backup")
 def step_two_owners(context):
     bag = context.bag
     drop(bag, Adopt)
-    kill_owner(context, resubmit=False)
-    await_owner(bag)
-    bag.run(2.0)
+    # It wakes before it is taken off the roster, so that nobody else is missing.
+    bag.freeze(context.owner, 2.5)
+    bag.run(4.0)
     assert not bag.owner().state.owner.backup_ready
+    assert bag.owner().name != context.owner
     kill_owner(context)
     bag.run(SETTLE_S)
 
@@ -167,16 +169,62 @@
     bag.run(SETTLE_S)
 
 
+@when("a successor is alone for a while, then the old owner is, and a job waits")
+def step_alone(context):
+    bag = context.bag
+    context.successor = ""
+
+    def watch(kind, process, what, delays):
+        if kind == "taken" and isinstance(what, HandOver):
+            bag.watch = None
+            context.successor = process.name
+            isolate(bag, [process.name])
+        return delays
+
+    bag.watch = watch
+    bag.stop(context.owner)
+    assert bag.run_until(lambda: bool(context.successor), 2.0)
+    bag.add_entry("entry-2")
+    bag.run(2.2)
+    bag.cut.clear()
+    isolate(bag, [context.owner, "entry-0"])
+    context.waiting = bag.job(tasks=1, duration_ms=50, request=False)
+    context.cut_off = bag.submit("entry-0", context.waiting, 700)
+    bag.submit("entry-2", context.waiting, 8000)
+    bag.run(SETTLE_S)
+
+
+@when("a worker is stopped and the last result that it sends is lost")
+def step_last_result(context):
+    bag = context.bag
+    name, lost = others(bag)[0], []
+
+    def fate(sender, receiver, message):
+        if isinstance(message, Result) and sender == f"tcp://{name}" and not lost:
+            lost.append(message)
+            return []
+        return [0.0005]
+
+    bag.fate = fate
+    context.again = bag.submit("entry-0", bag.job(tasks=5, duration_ms=150))
+    bag.run(0.02)
+    bag.stop(name)
+    bag.run(SETTLE_S)
+    assert lost, "no result was lost"
+
+
 @when("the owner is cut off with an entry while a job waits there and elsewhere")
 def step_cut_off(context):
     bag = context.bag
     isolate(bag, [context.owner, "entry-0"])
+    # Its standing has ended; that it was taken off it learns later.
+    bag.run(1.1)
     context.waiting = bag.job(tasks=1, duration_ms=50, request=False)
-    context.cut_off = bag.submit("entry-0", context.waiting, 6000)
+    context.cut_off = bag.submit("entry-0", context.waiting, 1500)
     bag.submit("entry-1", context.waiting, 9000)
-    bag.run(10.0)
-    bag.cut.clear()
-    bag.run(12.0)
+    bag.run(1.7)
+    assert bag.processes[f"tcp://{context.owner}"].state.owner is not None
+    bag.run(SETTLE_S)
 
 
 @when("what the directed owner sends is lost from now on")
@@ -216,17 +264,76 @@
 
     def hold(effect: SwapKey) -> KeySwapped:
         held.append(effect)
-        service.swap = swap
         return KeySwapped(effect.key, effect.write_id, SwapOutcome.UNKNOWN, 0)
 
     service.swap = hold
     kill_owner(context)
     assert bag.run_until(lambda: bool(held), 5.0)
     bag.run(3.0)
-    swap(held[0])
+    service.swap = swap
+    assert swap(held[0]).outcome is SwapOutcome.APPLIED
     bag.run(SETTLE_S)
 
 
+@when("the owner is killed and the first swap's reply comes five seconds late")
+def step_late_reply(context):
+    bag, perform, slow = context.bag, context.bag._perform, []
+
+    def delayed(process, effect) -> None:
+        """Let the service be slow for the one that swaps first."""
+        if isinstance(effect, SwapKey) and not slow:
+            slow.append(process)
+        bag.key_value.delay = 5.0 if process in slow else 0.003
+        perform(process, effect)
+
+    bag._perform = delayed
+    kill_owner(context)
+    bag.run(2 * SETTLE_S)
+    assert stored(bag).owner.worker != slow[0].name, "it was not overtaken"
+
+
+@given("a directed cell that has been taken over twice")
+def step_taken_twice(context):
+    begin(context)
+    context.first = dict(context.bag.key_value.values)
+    for _ in range(2):
+        kill_owner(context, resubmit=False)
+        await_owner(context.bag)
+        context.bag.run(5.0)
+
+
+@when("the service goes back to its first record and the owner is killed")
+def step_gone_back(context):
+    bag = context.bag
+    record = msgspec.json.decode(context.first[cell_key(CELL)][0], type=CellRecord)
+    # As the candidates will look for it: the epoch whose owner they miss.
+    old = msgspec.structs.replace(
+        record, epoch=bag.owner().state.owner.record.epoch - 1
+    )
+    candidate = bag.processes[f"tcp://{others(bag)[0]}"]
+    bag.kill(owner_name(bag))
+    context.swaps = []
+    bag.key_value.swap = lambda effect: context.swaps.append(effect)
+    candidate.state.candidate.wanted_epoch = old.epoch
+    event = KeyRead(cell_key(CELL), True, msgspec.json.encode(old), 1)
+    try:
+        candidate.handle(event, bag.now)
+    except CactuswalkError as error:
+        context.error = error
+
+
+@then('a directed member stops with "{expected}" before it writes')
+def step_stops(context, expected):
+    assert (context.error.code, context.swaps) == (expected, [])
+
+
+@then("every directed agent but the dead owner is a member")
+def step_members(context):
+    roster = {one.worker for one in stored(context.bag).roster}
+    live = {f"worker-{number}" for number in range(AGENTS)} - {context.owner}
+    assert roster == live, roster
+
+
 @when("the owner is killed and its successor right after the swap")
 def step_dead_candidate(context):
     bag = context.bag
@@ -381,3 +488,8 @@
     assert all(one and one.outcome is Outcome.ANSWERED for one in told), [
         one and (one.outcome, one.refusal) for one in told
     ]
+
+
+@then("the directed caller of the stopped worker is answered")
+def step_stopped_answered(context):
+    assert outcome(context.again) is Outcome.ANSWERED, context.again.reply
