--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -71,7 +71,7 @@
     ),
     Mutant(
         "an entry takes a deposed owner's word for not run",
-        f"{STATE}/entry.py",
+        f"{STATE}/waiting.py",
         "if answer.outcome is Outcome.NOT_RUN and answer.epoch < view.epoch:",
         "if False:",
         ANSWERS,
@@ -114,8 +114,8 @@
     ),
     Mutant(
         "a key from the future is taken",
-        f"{STATE}/entry.py",
-        "if age_ms < -margin_ms:",
+        f"{STATE}/callers.py",
+        "if age < -margin_ms:",
         "if False:",
         ANSWERS,
     ),
@@ -128,7 +128,7 @@
     ),
     Mutant(
         "a key's other body joins the first at the entry",
-        f"{STATE}/entry.py",
+        f"{STATE}/callers.py",
         "if pending.job.fingerprint != event.job.fingerprint:",
         "if False:",
         ANSWERS,
@@ -191,7 +191,7 @@
     ),
     Mutant(
         "a start beside the owner has no witness",
-        f"{STATE}/flights.py",
+        f"{STATE}/placing.py",
         "if peer.member == state.member and state.backup_ready:",
         "if False:",
         TAKEOVER,
@@ -241,9 +241,8 @@
     Mutant(
         "an answer of another attempt passes",
         f"{STATE}/flights.py",
-        "    if not _is_of(task.place, message.incarnation, message.attempt):\n"
-        "        # An earlier",
-        "    if False:\n        # An earlier",
+        "    if not attempts.is_current(task, incarnation, attempt):\n        # An",
+        "    if False:\n        # An",
         ANSWERS,
     ),
     Mutant(
@@ -255,7 +254,7 @@
     ),
     Mutant(
         "an entry says not run of a key that it sent to nobody",
-        f"{STATE}/entry.py",
+        f"{STATE}/entryview.py",
         "return Outcome.NOT_RUN if minted else Outcome.UNKNOWN",
         "return Outcome.NOT_RUN",
         ANSWERS,
@@ -276,15 +275,15 @@
     ),
     Mutant(
         "a damaged answer reaches the caller",
-        f"{STATE}/entry.py",
+        f"{STATE}/waiting.py",
         "answer.fingerprint != pending.job.fingerprint or not _is_whole",
         "False and not _is_whole",
         ANSWERS,
     ),
     Mutant(
         "too old a key is taken for a new one",
-        f"{STATE}/entry.py",
-        "if age_ms > state.timing.retention * 1000 - margin_ms:",
+        f"{STATE}/callers.py",
+        "if age > state.timing.retention * 1000 - margin_ms:",
         "if False:",
         ANSWERS,
     ),
