--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -92,7 +92,7 @@
             "agent",
             "control bytes",
             "B/s",
-            "pings received, pongs sent; grows with the roster in the ping",
+            "pings received, pongs sent; the same at each size of cell",
             lambda size: slopes.at(PEERS, "agent bytes/s", size.cell),
             BYTES_BOUND,
             "an agent talks to its owner only",
