Records, ledger and kept answers are bounded; what is forgotten is too old

Cause: slopes gave an owner 220 to 485 MB in a full cell of today, since its ledger had a bound in time only; an agent whose records were full declined every start until the window ended (10,000 records, 6 minutes of full load). Found on the way: an answer larger than the room for records was told as failed though it ran; the queue of bodies kept forgotten records in memory. Weighed: asking the agents for what the ledger has forgotten (one message an agent for each old key; drawn), a shorter window (forgets also when there is room). After: each book says since when it is complete; an older key that isn't found is 'too old to know', never run; bodies go first; submissions younger than 10 s stay. A new owner collects 20 s of records. Sizes measured: 2,080 bytes for a submission of one task, 14,150 for 20.

--- /dev/null
+++ b/features/steps/once_bounds_steps.py
@@ -0,0 +1,162 @@
+"""Steps for the bounds of what is kept, on the reducers."""
+
+from behave import given, then, when
+
+from cactuswalk.model import Outcome, RefusalCode
+from cactuswalk.state.ledger import SUBMISSION_BYTES, TASK_BYTES
+from cactuswalk.state.retention import RECORD_BYTES
+from features.support.bag import small_cell
+from features.support.judge import violations
+
+ROOM = 20
+
+
+@given("a settled cell with room for {room:d} kept answers")
+def step_small_ledger(context, room):
+    context.bag = small_cell(3, seed=5)
+    owner = context.bag.owner().state.owner
+    owner.maximum_bytes = room * (SUBMISSION_BYTES + TASK_BYTES)
+
+
+@given("a settled cell with room for 20 records on each agent")
+def step_small_books(context):
+    context.bag = small_cell(3, seed=5)
+    for process in context.bag.processes.values():
+        if hasattr(process.state, "agent"):
+            process.state.agent.gate.records.maximum_bytes = ROOM * RECORD_BYTES
+
+
+@when("{count:d} requests of 120 ms are answered")
+def step_many(context, count):
+    context.handed = []
+    for _ in range(count):
+        job = context.bag.job(duration_ms=120)
+        context.handed.append(context.bag.submit("entry-0", job))
+        context.bag.run(0.05)
+    context.bag.run(1.0)
+    outcomes = {handed.reply.outcome for handed in context.handed}
+    assert outcomes == {Outcome.ANSWERED}, outcomes
+
+
+@then("the owner keeps no more than it has room for, but for the last ten seconds")
+def step_bounded(context):
+    owner = context.bag.owner().state.owner
+    # Room is made when an answer is given, the last one a second ago.
+    young = [one for one in owner.kept if one.tracked_at > context.bag.now - 11.1]
+    assert len(owner.ledger) == len(owner.kept)
+    assert len(owner.kept) <= max(ROOM, len(young)), (len(owner.kept), len(young))
+    assert owner.kept_bytes == sum(one.kept_bytes for one in owner.kept)
+    bodies = [len(one.answer.results[0].body) for one in owner.kept]
+    assert owner.body_bytes == sum(bodies) <= owner.maximum_bytes
+
+
+@when("the first of those requests is submitted again through the other entry")
+def step_again_first(context):
+    submit_again(context, context.handed[0])
+
+
+@when("the last of those requests is submitted again through the other entry")
+def step_again_last(context):
+    submit_again(context, context.handed[-1])
+
+
+@when("one from the middle is submitted again through the other entry")
+def step_again_middle(context):
+    submit_again(context, context.handed[-60])
+
+
+@when("the first of those that ran elsewhere is submitted again")
+def step_again_elsewhere(context):
+    workers = {one.submission: one.worker for one in context.bag.starts()}
+    ran_elsewhere = [
+        handed
+        for handed in context.handed
+        if workers[handed.job.submission] != context.dead
+    ]
+    submit_again(context, ran_elsewhere[0])
+
+
+def submit_again(context, handed) -> None:
+    context.first = handed
+    context.again = context.bag.submit("entry-1", context.first.job)
+    context.bag.run(2.0)
+
+
+def own_starts(context) -> int:
+    name = context.first.job.submission
+    return sum(began.submission == name for began in context.bag.starts())
+
+
+@then("it is told that it is too old to know, and it has started once")
+def step_too_old(context):
+    reply = context.again.reply
+    assert reply.outcome is Outcome.UNKNOWN, reply
+    assert reply.refusal.code is RefusalCode.TOO_OLD, reply
+    assert own_starts(context) == 1
+    assert violations(context.bag) == []
+
+
+@then("it gets its kept answer, and it has started once")
+def step_kept(context):
+    assert context.again.reply.outcome is Outcome.ANSWERED, context.again.reply
+    assert context.again.reply.results == context.first.reply.results
+    assert own_starts(context) == 1
+
+
+@then("it is told that its answer is no longer kept, and it has started once")
+def step_not_kept(context):
+    reply = context.again.reply
+    assert reply.outcome is Outcome.FAILED, reply
+    assert "no longer kept" in reply.refusal.message
+    assert own_starts(context) == 1
+
+
+@then("a new request is answered")
+def step_new(context):
+    handed = context.bag.submit("entry-1", context.bag.job(duration_ms=1))
+    context.bag.run(2.0)
+    assert handed.reply.outcome is Outcome.ANSWERED, handed.reply
+
+
+@then("no agent keeps more records than it has room for")
+def step_books(context):
+    for process in context.bag.processes.values():
+        if hasattr(process.state, "agent"):
+            book = process.state.agent.gate.records
+            assert book.count <= ROOM, book.count
+            assert book.bytes <= book.maximum_bytes
+            assert len(book.bodies) <= ROOM
+
+
+@when("the owner of that cell dies and another takes over")
+def step_takeover(context):
+    bag = context.bag
+    epoch = bag.owner().state.owner.record.epoch
+    context.dead = bag.owner().name
+    bag.kill(context.dead)
+    assert bag.run_until(
+        lambda: (
+            bag.owner() is not None
+            and bag.owner().state.owner.record.epoch > epoch
+            and bag.owner().state.owner.phase.name == "SERVING"
+        )
+    )
+    # New keys are told from old ones by their birth, clocks allowed for.
+    bag.run(4.0)
+
+
+@when("a request is answered with more bytes than fit into the records")
+def step_large(context):
+    for process in context.bag.processes.values():
+        if hasattr(process.state, "agent"):
+            process.state.agent.gate.records.maximum_bytes = RECORD_BYTES + 10
+    context.large = context.bag.submit("entry-0", context.bag.job(duration_ms=1))
+    context.bag.run(1.0)
+
+
+@then("its caller gets all of them")
+def step_all(context):
+    reply = context.large.reply
+    assert reply.outcome is Outcome.ANSWERED, reply
+    assert len(reply.results[0].body) > 10
+    assert violations(context.bag) == []
--- a/src/cactuswalk/messages/cell.py
+++ b/src/cactuswalk/messages/cell.py
@@ -218,6 +218,7 @@
 
     :param silent_ms: since it last confirmed an earlier owner, when it was
         fenced; a process that has just started counts from its start.
+    :param known_ms: how far back the records are complete.
     """
 
     cell: str
@@ -228,6 +229,7 @@
     records: list[Record]
     announcement: Announcement | None
     silent_ms: int
+    known_ms: int
 
 
 class Witness(msgspec.Struct, array_like=True, tag=33):
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -96,15 +96,24 @@
     confirmed_at: float = 0.0
     fenced_epoch: int = 0
     handed_out: list[Record] = []
+    handed_out_since: float = 0.0
+    recent: float = 20.0
     configuration: int = 0
     effects: list[Effect] = []
 
 
-def new_agent(cell: str, gate: Gate, spread: Spread, now: float) -> AgentState:
+def new_agent(
+    cell: str,
+    gate: Gate,
+    copies: RecordBook,
+    spread: Spread,
+    recent: float,
+    now: float,
+) -> AgentState:
     """Return the state of an agent that has just been started."""
-    records = gate.records
-    copies = RecordBook(records.retention, records.maximum_bytes)
-    return AgentState(cell, gate, copies, spread, heard_at=now, confirmed_at=now)
+    return AgentState(
+        cell, gate, copies, spread, heard_at=now, confirmed_at=now, recent=recent
+    )
 
 
 def on_announced(state: AgentState, event: Announced, now: float) -> None:
@@ -216,8 +225,10 @@
         ended.result = _result_of(event)
         done = ended.result.outcome is TaskOutcome.DONE
         ended.state = TaskState.DONE if done else TaskState.FAILED
+    result = ended.result
+    # The book may drop the body at once for want of room; the owner gets it.
     gate.records.put(ended, now)
-    _tell_owner(state, ended, event.elapsed_ms)
+    _tell_owner(state, ended, result, event.elapsed_ms)
 
 
 def on_probe(state: AgentState, sender: str, probe: Probe, now: float) -> None:
@@ -238,7 +249,7 @@
         if probe.stop:
             state.effects.append(StopUpstream(*place, record.attempt))
         return
-    _tell_owner(state, record, 0)
+    _tell_owner(state, record, record.result, 0)
 
 
 def on_fence(state: AgentState, sender: str, fence: Fence, now: float) -> None:
@@ -253,7 +264,7 @@
     state.heard_at = now
     if state.fenced_epoch != fence.epoch:
         state.fenced_epoch = fence.epoch
-        state.handed_out = gate.records.all() + state.copies.all()
+        _hand_out(state, now)
     parts = max(1, math.ceil(len(state.handed_out) / RECORDS_A_PART))
     for part in range(parts):
         first = part * RECORDS_A_PART
@@ -266,10 +277,19 @@
             state.handed_out[first : first + RECORDS_A_PART],
             state.announcement,
             int((now - state.confirmed_at) * 1000),
+            int((now - state.handed_out_since) * 1000),
         )
         state.effects.append(Send(sender, fenced))
 
 
+def _hand_out(state: AgentState, now: float) -> None:
+    """Take the records for a new owner as they stand, and how far they reach."""
+    since = now - state.recent
+    records = state.gate.records
+    state.handed_out = records.changed_since(since) + state.copies.changed_since(since)
+    state.handed_out_since = max(since, records.known_since, state.copies.known_since)
+
+
 def on_witness(state: AgentState, sender: str, witness: Witness, now: float) -> None:
     """The owner starts a task beside itself: keep its record here too."""
     gate = state.gate
@@ -357,7 +377,9 @@
     )
 
 
-def _tell_owner(state: AgentState, record: Record, elapsed_ms: int) -> None:
+def _tell_owner(
+    state: AgentState, record: Record, result: TaskResult | None, elapsed_ms: int
+) -> None:
     """Tell the owner in force how an attempt ended; it may be a new one."""
     gate = state.gate
     if gate.owner is None:
@@ -378,7 +400,7 @@
             record.submission,
             record.index,
             record.attempt,
-            record.result,
+            result,
             elapsed_ms,
         )
     state.effects.append(Send(gate.owner.address, message))
--- a/src/cactuswalk/state/answers.py
+++ b/src/cactuswalk/state/answers.py
@@ -4,11 +4,22 @@
 
 from cactuswalk.errors import InvariantError
 from cactuswalk.messages import Answer, Submit
-from cactuswalk.model import Outcome, Refusal
-from cactuswalk.state.ledger import Tracked, answer_of
+from cactuswalk.model import (
+    Outcome,
+    Refusal,
+    RefusalCode,
+    TaskOutcome,
+    TaskResult,
+)
+from cactuswalk.state.ledger import Tracked, answer_of, body_bytes_of, size_of
 from cactuswalk.state.owner import OwnerState
 
-__all__ = ["give_answer", "refuse", "send_answer"]
+__all__ = ["forget_oldest", "give_answer", "refuse", "send_answer"]
+
+
+# Answered submissions younger than this are never forgotten: three times the
+# clocks' margins, so that new keys stay well clear of what is forgotten.
+KEPT_AT_LEAST = 10.0
 
 
 def give_answer(
@@ -28,6 +39,11 @@
     tracked.kept_until = now + state.timing.retention
     state.open.pop(job.submission, None)
     state.kept.append(tracked)
+    tracked.kept_bytes = size_of(tracked)
+    state.kept_bytes += tracked.kept_bytes
+    if tracked.answer.outcome is Outcome.ANSWERED:
+        state.with_bodies.append(tracked)
+        state.body_bytes += body_bytes_of(tracked.answer)
     # The bodies of the tasks have served their turn; the fingerprint is enough
     # to recognise a resubmission.
     tracked.job = msgspec.structs.replace(job, tasks=[])
@@ -40,6 +56,64 @@
     )
     for address, attempt in tracked.waiters.items():
         send_answer(state, tracked.answer, address, attempt)
+    _make_room(state, now)
+
+
+def _make_room(state: OwnerState, now: float) -> None:
+    """Keep within the bounds, of bodies and of submissions.
+
+    No submission is forgotten while it is young. A key is told from a forgotten one by
+    its birth, which clocks blur by some seconds; were the youngest forgotten,
+    new submissions would be taken for old ones and not be run.
+    """
+    while state.body_bytes > state.maximum_bytes and state.with_bodies:
+        _drop_bodies(state, state.with_bodies.popleft())
+    youngest = now - KEPT_AT_LEAST
+    while state.kept_bytes > state.maximum_bytes and state.kept:
+        if state.kept[0].tracked_at > youngest:
+            state.count("kept.over_bound")
+            return
+        forget_oldest(state, early=True)
+
+
+def _drop_bodies(state: OwnerState, tracked: Tracked) -> None:
+    """Keep of an answer that it was given; its caller may ask in vain now."""
+    state.body_bytes -= body_bytes_of(tracked.answer)
+    if state.ledger.get(tracked.job.submission) is not tracked:
+        return
+    reason = "it ran; its answer is no longer kept"
+    results = [
+        TaskResult(result.index, TaskOutcome.FAILED, result.status, reason=reason)
+        for result in tracked.answer.results
+    ]
+    for task, result in zip(tracked.tasks, results, strict=True):
+        task.result = result
+    tracked.answer = msgspec.structs.replace(
+        tracked.answer,
+        outcome=Outcome.FAILED,
+        results=results,
+        refusal=Refusal(RefusalCode.RECORDS_LOST, reason),
+    )
+
+
+def forget_oldest(state: OwnerState, early: bool) -> None:
+    """Forget the submission that was answered first.
+
+    :param early: before its time, for want of room; then what is as old may
+        not be taken for new.
+    """
+    tracked = state.kept.popleft()
+    state.kept_bytes -= tracked.kept_bytes
+    if early:
+        state.known_since = max(state.known_since, tracked.tracked_at)
+        state.count("kept.forgotten_early")
+    if state.with_bodies and state.with_bodies[0] is tracked:
+        state.with_bodies.popleft()
+        state.body_bytes -= body_bytes_of(tracked.answer)
+    name = tracked.job.submission
+    # A new try after a refusal has an entry of its own.
+    if state.ledger.get(name) is tracked:
+        del state.ledger[name]
 
 
 def send_answer(state: OwnerState, answer: Answer, address: str, attempt: int) -> None:
--- a/src/cactuswalk/state/ledger.py
+++ b/src/cactuswalk/state/ledger.py
@@ -21,12 +21,21 @@
     "Task",
     "Tracked",
     "answer_of",
+    "body_bytes_of",
     "compose",
     "end_task",
     "is_settled",
+    "size_of",
 ]
 
 
+# What an answered submission takes at its owner, and each task of it besides its
+# body: 2,080 bytes measured with tracemalloc for one task, 14,150 for 20 (1,000
+# and 200 submissions, Python 3.11).
+SUBMISSION_BYTES = 1450
+TASK_BYTES = 635
+
+
 class Stage(enum.Enum):
     """Where a task stands at the owner."""
 
@@ -78,11 +87,13 @@
     job: Job
     deadline: float
     tasks: list[Task]
+    tracked_at: float
     waiters: dict[str, int] = {}
     ending: Refusal | None = None
     settle_by: float = 0.0
     answer: Answer | None = None
     kept_until: float = 0.0
+    kept_bytes: int = 0
 
 
 def end_task(tracked: Tracked, result: TaskResult) -> bool:
@@ -98,6 +109,16 @@
     return True
 
 
+def size_of(tracked: Tracked) -> int:
+    """Return about how many bytes an answered submission takes, less its bodies."""
+    return SUBMISSION_BYTES + TASK_BYTES * len(tracked.tasks)
+
+
+def body_bytes_of(answer: Answer) -> int:
+    """Return how many bytes the bodies of an answer take."""
+    return sum(len(result.body) for result in answer.results)
+
+
 def is_settled(tracked: Tracked) -> bool:
     """Tell whether the outcome of every task is known."""
     return all(task.stage is Stage.ENDED for task in tracked.tasks)
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -1,6 +1,7 @@
 """The reducer of an agent's process: agent, candidate, and perhaps owner."""
 
 import random
+import sys
 from collections.abc import Callable
 
 import msgspec
@@ -66,6 +67,13 @@
 from cactuswalk.state.retention import RecordBook
 from cactuswalk.state.timing import Timing
 
+# How the bytes for records are shared out. Most go to the owner's ledger, which
+# sees the starts of the whole cell where an agent sees its worker's: a quarter
+# for what it keeps of submissions, and a quarter for the bodies of answers.
+RECORDS_SHARE = 1 / 3
+COPIES_SHARE = 1 / 6
+LEDGER_SHARE = 1 / 4
+
 __all__ = ["Node", "handle", "new_node"]
 
 # An owner that stops tries another successor after this long without a takeover.
@@ -113,6 +121,7 @@
 class Node(msgspec.Struct):
     """All that an agent's process knows.
 
+    :param ledger_bytes: for the answers that an owner keeps.
     :param make_scheduler: called for each epoch that this node owns.
     :param idle_since: when a stopping node had nothing left to finish.
     :param stopped: the process may exit.
@@ -124,6 +133,7 @@
     agent: agents.AgentState
     candidate: CandidateState
     make_scheduler: Callable[[], Scheduler]
+    ledger_bytes: int
     owner: OwnerState | None = None
     stopping: bool = False
     stopping_since: float = 0.0
@@ -148,12 +158,20 @@
     make_scheduler: Callable[[], Scheduler] = Scheduler,
 ) -> Node:
     """Return the state of a process that has just been started."""
-    records = RecordBook(timing.retention, maximum_bytes)
-    agent = agents.new_agent(
-        cell, Gate(member, records, timing.confirm), Spread(Replica()), now
-    )
+    records = RecordBook(timing.retention, int(maximum_bytes * RECORDS_SHARE))
+    copies = RecordBook(timing.retention, int(maximum_bytes * COPIES_SHARE))
+    gate = Gate(member, records, timing.confirm)
+    agent = agents.new_agent(cell, gate, copies, Spread(Replica()), timing.recent, now)
     candidate = candidates.new_candidate(cell, agent, timing, generator)
-    return Node(cell, timing, generator, agent, candidate, make_scheduler)
+    return Node(
+        cell,
+        timing,
+        generator,
+        agent,
+        candidate,
+        make_scheduler,
+        int(maximum_bytes * LEDGER_SHARE),
+    )
 
 
 def handle(node: Node, event: Event, now: float) -> list[Effect]:
@@ -311,7 +329,9 @@
         node.agent,
         node.make_scheduler(),
         node.agent.spread,
-        RecordBook(node.timing.retention, node.agent.gate.records.maximum_bytes),
+        # Bounded by what the agents hand out, which is some seconds' worth.
+        RecordBook(node.timing.retention, sys.maxsize),
+        maximum_bytes=node.ledger_bytes,
     )
     recovery.begin_recovery(node.owner, taken.earlier, now)
 
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -101,6 +101,11 @@
         ready once it has confirmed all of them.
     :param backup_covers: departed members whose records are in the copies that
         are under way; ``departed_covered`` once they are confirmed.
+    :param with_bodies: answered ones whose bodies are kept, oldest first.
+    :param maximum_bytes: for kept submissions, and again for their bodies;
+        ``kept_bytes`` and ``body_bytes`` are what they take.
+    :param known_since: everything that was submitted since then is in the ledger
+        or in the records; of what is older nobody here can say.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
     :param unsure_until: until then a task without a record may have run, at one
@@ -123,6 +128,9 @@
     ledger: dict[str, Tracked] = {}
     open: dict[str, None] = {}
     kept: collections.deque[Tracked] = msgspec.field(default_factory=collections.deque)
+    with_bodies: collections.deque[Tracked] = msgspec.field(
+        default_factory=collections.deque
+    )
     held: list[Held] = []
     cancelled: dict[str, float] = {}
     entries: dict[str, EntryView] = {}
@@ -132,6 +140,10 @@
     pinged_at: float = float("-inf")
     reported_at: float = float("-inf")
     expired_at: float = float("-inf")
+    maximum_bytes: int = 0
+    kept_bytes: int = 0
+    body_bytes: int = 0
+    known_since: float = float("-inf")
     taken_over_at: float = 0.0
     unsure_until: float = float("-inf")
     workers_serial: int = 0
--- a/src/cactuswalk/state/recovery.py
+++ b/src/cactuswalk/state/recovery.py
@@ -82,8 +82,14 @@
 
 
 def _note_confirmation(state: OwnerState, fenced: Fenced, now: float) -> None:
-    """Put off serving for P after a member's last word to an earlier owner."""
+    """Put off serving for P after a member's last word to an earlier owner.
+
+    What its records don't reach back to can't be known either.
+    """
     confirmed_at = now - fenced.silent_ms / 1000
+    if state.phase is Phase.RECOVERING and state.earlier is not None:
+        known_since = now - fenced.known_ms / 1000
+        state.known_since = max(state.known_since, known_since)
     until = confirmed_at + state.timing.confirm
     state.old_owner_until = max(state.old_owner_until, until)
 
--- a/src/cactuswalk/state/retention.py
+++ b/src/cactuswalk/state/retention.py
@@ -14,26 +14,34 @@
 
 
 class Kept:
-    """The records of one submission, and when the last of them changed."""
+    """The records of one submission, when they began and last changed."""
 
-    __slots__ = ("tasks", "changed_at")
+    __slots__ = ("tasks", "began_at", "changed_at")
 
-    def __init__(self) -> None:
+    def __init__(self, now: float) -> None:
         self.tasks: dict[int, Record] = {}
-        self.changed_at = 0.0
+        self.began_at = now
+        self.changed_at = now
+
+    def is_settled(self) -> bool:
+        """Tell whether nothing of the submission runs."""
+        return all(
+            record.state is not TaskState.RUNNING for record in self.tasks.values()
+        )
 
 
 class RecordBook:
     """Records by submission and task index.
 
-    A record that may stand between a task and its second start is never given
-    up before its time; when bytes run out, the oldest bodies go first, and a
-    caller who asks for such an answer is told that it is no longer kept. The
-    records of one submission are forgotten together, so that what is left of
-    one is never taken for the whole.
+    When bytes run out, the oldest bodies go first, and a caller who asks for
+    such an answer is told that it is no longer kept. Then the oldest settled
+    submissions go, and ``known_since`` says from when on none is missing: of an
+    older one nobody may conclude that it never started. The records of one
+    submission are forgotten together, so that what is left of one is never
+    taken for the whole.
 
     :param retention: seconds that a submission is kept after its last change.
-    :param maximum_bytes: above which bodies are dropped.
+    :param maximum_bytes: above which bodies and then records are dropped.
     """
 
     __slots__ = (
@@ -44,6 +52,7 @@
         "expiries",
         "bodies",
         "count",
+        "known_since",
     )
 
     def __init__(self, retention: float, maximum_bytes: int) -> None:
@@ -52,6 +61,7 @@
         self.by_submission: dict[str, Kept] = {}
         self.bytes = 0
         self.count = 0
+        self.known_since = float("-inf")
         self.expiries: list[tuple[float, str]] = []
         self.bodies: collections.deque[Record] = collections.deque()
 
@@ -69,7 +79,7 @@
         """Keep a record in place of an earlier one of the same task."""
         kept = self.by_submission.get(record.submission)
         if kept is None:
-            kept = self.by_submission[record.submission] = Kept()
+            kept = self.by_submission[record.submission] = Kept(now)
             due = now + self.retention
             heapq.heappush(self.expiries, (due, record.submission))
         earlier = kept.tasks.get(record.index)
@@ -81,25 +91,39 @@
         self.bytes += _size(record)
         if record.result is not None and record.result.body:
             self.bodies.append(record)
-            self._drop_bodies()
+        self._drop_bodies()
+        while self.count * RECORD_BYTES > self.maximum_bytes:
+            if not self._forget_oldest():
+                return
 
     def has_room(self) -> bool:
         """Tell whether another start can be recorded within the bound."""
-        return self.count * RECORD_BYTES < self.maximum_bytes
+        if self.count * RECORD_BYTES < self.maximum_bytes:
+            return True
+        return any(kept.is_settled() for kept in self.by_submission.values())
+
+    def changed_since(self, moment: float) -> list[Record]:
+        """Return the records of submissions that changed since, or run."""
+        return [
+            record
+            for kept in self.by_submission.values()
+            if kept.changed_at >= moment or not kept.is_settled()
+            for record in kept.tasks.values()
+        ]
 
     def expire(self, now: float) -> None:
         """Forget the submissions whose time has passed."""
         while self.expiries and self.expiries[0][0] <= now:
             _, submission = heapq.heappop(self.expiries)
-            kept = self.by_submission[submission]
+            kept = self.by_submission.get(submission)
+            if kept is None:
+                continue
             due = kept.changed_at + self.retention
             if due > now:
                 # Behind later ones it would be kept for up to two windows.
                 heapq.heappush(self.expiries, (due, submission))
                 continue
-            for record in kept.tasks.values():
-                self._subtract(record)
-            del self.by_submission[submission]
+            self._forget(submission, kept)
 
     def all(self) -> list[Record]:
         """Return every record, oldest submission first."""
@@ -109,6 +133,26 @@
             for record in kept.tasks.values()
         ]
 
+    def _forget_oldest(self) -> bool:
+        """Forget the oldest settled submission; False if there is none."""
+        for submission, kept in self.by_submission.items():
+            if kept.is_settled():
+                self.known_since = max(self.known_since, kept.began_at)
+                self._forget(submission, kept)
+                return True
+        return False
+
+    def _forget(self, submission: str, kept: Kept) -> None:
+        for record in kept.tasks.values():
+            self._subtract(record)
+        del self.by_submission[submission]
+        # Else the queue of bodies would hold what is forgotten in memory.
+        while self.bodies and not self._holds(self.bodies[0]):
+            self.bodies.popleft()
+
+    def _holds(self, record: Record) -> bool:
+        return self.get(record.submission, record.index) is record
+
     def _subtract(self, record: Record) -> None:
         self.count -= 1
         self.bytes -= _size(record)
@@ -116,7 +160,7 @@
     def _drop_bodies(self) -> None:
         while self.bytes > self.maximum_bytes and self.bodies:
             record = self.bodies.popleft()
-            if self.get(record.submission, record.index) is not record:
+            if not self._holds(record):
                 continue
             self.bytes -= _size(record)
             record.result = _without_body(record.result)
--- a/src/cactuswalk/state/spreading.py
+++ b/src/cactuswalk/state/spreading.py
@@ -4,17 +4,14 @@
 that starts while the key-value service is away learns all from a peer.
 """
 
-import msgspec
-
 from cactuswalk.messages import (
     ConfigurationOffer,
     ConfigurationRequest,
     ConfigurationUpdate,
 )
-from cactuswalk.model import Announcement, matches, parse, worker_labels
-from cactuswalk.model.configuration import Service, Team, WorkerEntry, merge_labels
+from cactuswalk.model.configuration import Team
 from cactuswalk.state.agent import AgentState
-from cactuswalk.state.configuration import Spread, fold
+from cactuswalk.state.configuration import Spread, fold, view_worker
 from cactuswalk.state.effects import Count, Log, Part, Send
 from cactuswalk.state.owner import OwnerState, Peer
 
@@ -25,7 +22,6 @@
     "on_offer",
     "on_request",
     "on_update",
-    "worker_in_force",
 ]
 
 
@@ -109,27 +105,13 @@
     """Bring what the scheduler knows of one worker to what is in force."""
     if peer.announcement is None:
         return
-    announcement, allowed = worker_in_force(spread, peer.announcement)
-    if announcement != peer.in_force:
-        peer.in_force = announcement
+    view = view_worker(spread.replica, peer.announcement)
+    if view.announcement != peer.in_force:
+        peer.in_force = view.announcement
         owner.workers_serial += 1
-        owner.scheduler.set_worker(announcement, peer.usable, now)
-    entry = spread.replica.get("worker", announcement.worker)
-    drained = isinstance(entry, WorkerEntry) and entry.drained
-    owner.scheduler.set_drained(announcement.worker, drained or not allowed, now)
-
-
-def worker_in_force(
-    spread: Spread, announcement: Announcement
-) -> tuple[Announcement, bool]:
-    """Return a worker with its operators' labels, and whether it may serve."""
-    entry = spread.replica.get("worker", announcement.worker)
-    labels = merge_labels(announcement.labels, entry)
-    merged = msgspec.structs.replace(announcement, labels=labels)
-    service = spread.replica.get("service", announcement.service)
-    if not isinstance(service, Service) or not service.selector:
-        return merged, True
-    return merged, matches(parse(service.selector), worker_labels(merged))
+        owner.scheduler.set_worker(view.announcement, peer.usable, now)
+    gets_nothing = view.drained or not view.may_serve
+    owner.scheduler.set_drained(peer.announcement.worker, gets_nothing, now)
 
 
 def offer_of(owner: OwnerState, spread: Spread) -> ConfigurationOffer:
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -23,7 +23,7 @@
     TaskResult,
     TaskState,
 )
-from cactuswalk.state.answers import give_answer, refuse, send_answer
+from cactuswalk.state.answers import forget_oldest, give_answer, refuse, send_answer
 from cactuswalk.state.ending import begin_ending
 from cactuswalk.state.ledger import (
     Place,
@@ -50,6 +50,9 @@
 KEY_REUSED = Refusal(
     RefusalCode.KEY_REUSED, "this key was used for another body; take a new key"
 )
+TOO_OLD = Refusal(
+    RefusalCode.TOO_OLD, "it is older than the records that are kept of its time"
+)
 # Longer than a takeover, so that the next try finds an owner that knows.
 RETRY_AFTER_RECOVERY_MS = 5000
 
@@ -91,6 +94,9 @@
             ),
         )
         return
+    if _is_too_old(state, submit, now):
+        refuse(state, held.sender, submit, TOO_OLD, Outcome.UNKNOWN)
+        return
     refusal = _refusal_before(state, held, now)
     if refusal is not None:
         certain = refusal is KEY_REUSED or state.is_confirmed(now)
@@ -133,6 +139,20 @@
     return submit.epoch != state.record.epoch or age > state.timing.confirm
 
 
+def _is_too_old(state: OwnerState, submit: Submit, now: float) -> bool:
+    """Tell whether a submission may have been forgotten here.
+
+    Its records were dropped for want of room, or did not reach a new owner.
+    Taken for new, it would run again.
+    """
+    job = submit.job
+    repeatable = job.request and job.idempotent
+    if submit.fresh or repeatable or state.recovered.of(job.submission):
+        return False
+    margin = state.timing.clock_margin + state.timing.entry_margin
+    return now - submit.age_ms / 1000 <= state.known_since + margin
+
+
 def _refusal_before(state: OwnerState, held: Held, now: float) -> Refusal | None:
     """Return why none of a submission is looked at, None if it is."""
     job = held.submit.job
@@ -151,7 +171,7 @@
 
 def _track(state: OwnerState, held: Held, now: float) -> None:
     job = held.submit.job
-    tracked = Tracked(job, held.deadline, [Task() for _ in job.tasks])
+    tracked = Tracked(job, held.deadline, [Task() for _ in job.tasks], now)
     tracked.waiters[held.sender] = held.submit.attempt
     records = state.recovered.of(job.submission)
     unsure = _may_have_started(state, held.submit, now)
@@ -322,7 +342,7 @@
     total = max(record.total for record in records.values())
     some = next(iter(records.values()))
     job = Job(submission, some.fingerprint, "", "", [])
-    tracked = Tracked(job, 0.0, [Task() for _ in range(total)])
+    tracked = Tracked(job, 0.0, [Task() for _ in range(total)], 0.0)
     for record in records.values():
         if record.result is not None:
             end_task(tracked, record.result)
@@ -350,10 +370,6 @@
             )
             begin_ending(state, tracked, refusal, now)
     while state.kept and state.kept[0].kept_until <= now:
-        tracked = state.kept.popleft()
-        name = tracked.job.submission
-        # A new try after a refusal has an entry of its own.
-        if state.ledger.get(name) is tracked:
-            del state.ledger[name]
+        forget_oldest(state, early=False)
     for name in [key for key, until in state.cancelled.items() if until <= now]:
         del state.cancelled[name]
