--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -367,10 +367,13 @@
 
 @click.command()
 @click.option("--table", is_flag=True, help="Print a table for docs/proofs.md.")
+@click.option("--feature", default="", help="Try this feature on all of them.")
 @click.argument("words", nargs=-1)
-def main(words: tuple[str, ...], table: bool) -> None:
+def main(words: tuple[str, ...], table: bool, feature: str) -> None:
     """Try all mutants, or those whose names contain every one of WORDS."""
     chosen = [one for one in MUTANTS if all(word in one.name for word in words)]
+    if feature:
+        chosen = [msgspec.structs.replace(one, feature=feature) for one in chosen]
     verdicts: collections.Counter[str] = collections.Counter()
     if table:
         click.echo("| safeguard taken away | verdict | noticed by |\n|---|---|---|")
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,12 +9,15 @@
 import secrets
 import sys
 import time
+from collections.abc import Callable
 
 import click
 from hypothesis import HealthCheck, Phase, given, seed as seeded, settings
+from hypothesis.strategies import SearchStrategy
 
 from features.support.judge import violations
 from features.support.script import SCRIPTS, play
+from features.support.targeted import TARGETED, play_targeted
 
 # Scripts between two looks at the clock.
 BATCH = 200
@@ -43,9 +46,13 @@
         return f"scripts {self.scripts}\nsteps: {steps}\ncallers were told: {told}"
 
 
-def run_batch(seed: int, count: int, tally: Tally) -> None:
+def run_batch(
+    seed: int, count: int, tally: Tally, scripts: SearchStrategy, player: Callable
+) -> None:
     """Run some scripts.
 
+    :param scripts: what to draw them from.
+    :param player: runs one of them.
     :raises AssertionError: with the smallest script that breaks a promise.
     """
 
@@ -57,9 +64,9 @@
         suppress_health_check=list(HealthCheck),
         phases=[Phase.generate, Phase.shrink],
     )
-    @given(SCRIPTS)
+    @given(scripts)
     def run(script):
-        played = play(script)
+        played = player(script)
         tally.add(played)
         assert violations(played.bag) == [], violations(played.bag)
 
@@ -76,7 +83,8 @@
     tally, end = Tally(), time.monotonic() + seconds
     try:
         while time.monotonic() < end:
-            run_batch(seed, BATCH, tally)
+            run_batch(seed, BATCH, tally, SCRIPTS, play)
+            run_batch(seed, BATCH, tally, TARGETED, play_targeted)
             seed += 1
     except Exception as error:
         click.echo(f"failed at seed {seed}: {error}\n{tally.show()}")
