A stopped owner names its successor to the entries that wait on it

Cause: on stepping down it sent its entries away without the address of the new owner, which it knows from the fence; they found it by the old one's silence.

--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -221,15 +221,24 @@
     message = event.message
     if not isinstance(message, Submit | Subscribe | Cancel | Query):
         return
+    submission, attempt = "", 0
+    if isinstance(message, Submit):
+        submission, attempt = message.job.submission, message.attempt
+    _redirect(node, event.sender, submission, attempt)
+
+
+def _redirect(node: Node, sender: str, submission: str, attempt: int) -> None:
+    """Tell an entry who owns the cell instead, as far as this agent knows.
+
+    Without the address, an entry finds the new owner of a planned stop only
+    after the silence that it takes for the old one's death.
+    """
     gate = node.agent.gate
     address = gate.owner.address if gate.owner is not None else ""
     if address == node.member.address:
         address = ""
-    submission = attempt = None
-    if isinstance(message, Submit):
-        submission, attempt = message.job.submission, message.attempt
-    reply = NotOwner(node.cell, gate.epoch, address, submission or "", attempt or 0)
-    node.agent.effects.append(Send(event.sender, reply))
+    message = NotOwner(node.cell, gate.epoch, address, submission, attempt)
+    node.agent.effects.append(Send(sender, message))
 
 
 def _on_read(node: Node, event: KeyRead, now: float) -> None:
@@ -299,11 +308,6 @@
             _redirect(node, sender, name, attempt)
 
 
-def _redirect(node: Node, sender: str, submission: str, attempt: int) -> None:
-    message = NotOwner(node.cell, node.agent.gate.epoch, "", submission, attempt)
-    node.agent.effects.append(Send(sender, message))
-
-
 def _on_tick(node: Node, now: float) -> None:
     node.agent.gate.records.expire(now)
     node.agent.copies.expire(now)
