--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -112,6 +112,34 @@
         "    if False:\n        return record.epoch",
         TAKEOVER,
     ),
+    Mutant(
+        "a candidate that was overtaken acts as the owner all the same",
+        f"{STATE}/node.py",
+        "    if taken.record.epoch < seen:\n",
+        "    if False:\n",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an epoch that is no news is written",
+        f"{STATE}/candidate.py",
+        "    if record.epoch <= state.agent.gate.epoch:\n",
+        "    if False:\n",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a stopped owner does not name its successor",
+        f"{STATE}/node.py",
+        'gate.owner.address if gate.owner is not None else ""',
+        '""',
+        TAKEOVER,
+    ),
+    Mutant(
+        "a word that an attempt did not start leaves the witness's record",
+        f"{STATE}/flights.py",
+        "    _note_declined(state, message, now)\n",
+        "",
+        TAKEOVER,
+    ),
     Mutant(
         "a key from the future is taken",
         f"{STATE}/callers.py",
@@ -366,10 +394,13 @@
 
 @click.command()
 @click.option("--table", is_flag=True, help="Print a table for docs/proofs.md.")
+@click.option("--feature", default="", help="Try this feature on all of them.")
 @click.argument("words", nargs=-1)
-def main(words: tuple[str, ...], table: bool) -> None:
+def main(words: tuple[str, ...], table: bool, feature: str) -> None:
     """Try all mutants, or those whose names contain every one of WORDS."""
     chosen = [one for one in MUTANTS if all(word in one.name for word in words)]
+    if feature:
+        chosen = [msgspec.structs.replace(one, feature=feature) for one in chosen]
     verdicts: collections.Counter[str] = collections.Counter()
     if table:
         click.echo("| safeguard taken away | verdict | noticed by |\n|---|---|---|")
