--- /dev/null
+++ b/features/process_faults_load.py
@@ -0,0 +1,207 @@
+"""A bounded load on a deployment of real processes, and its judge.
+
+Callers send requests and jobs in a thread of their own while a scenario kills,
+freezes and replaces processes. A caller whose connection breaks sends the same
+request with the same key through another entry, as the callers' page tells it
+to. The upstreams' own records are the judge, outside the code under test.
+"""
+
+import asyncio
+import random
+import threading
+import time
+
+import aiohttp
+
+from cactuswalk.model import mint
+from tools.cluster import Cluster, Worker
+from tools.demo import faults_of
+from tools.load import Sent, body_of, headers_of, judge, work_of
+from tools.processes import wait_until
+from tools.workloads import LABUTA, Arrival, Kind
+
+__all__ = ["Load", "ask", "owner_of", "small_cluster"]
+
+# Outer bounds only: a busy machine takes seconds where an idle one takes none.
+PATIENCE_S = 60.0
+DEADLINE_MS = 20_000
+# How long a balancer takes to try again when no entry takes connections.
+PAUSE_S = 0.1
+# The issue's balancer asks each entry this often whether it is ready.
+READY_EVERY_S = 0.5
+# Arrivals in this many milliseconds; some 60% of twenty slots at 100 ms a task.
+EVERY_MS = 40
+
+REQUEST = Kind("pen-confirmation", *LABUTA, 0.0, False, False, DEADLINE_MS)
+LOOKUP = Kind("free-run", *LABUTA, 0.0, True, False, DEADLINE_MS)
+JOB = Kind("vaccination-record", *LABUTA, 0.0, False, True, DEADLINE_MS)
+
+
+def small_cluster(workers=5, entries=2, **options) -> Cluster:
+    """Return a deployment of one cell, not started."""
+    names = [f"w{number}" for number in range(1, workers + 1)]
+    return Cluster(
+        entries, [Worker(name, LABUTA[0], slots=4) for name in names], **options
+    )
+
+
+def owner_of(cluster: Cluster) -> str:
+    """Return the worker whose agent serves the newest epoch, by its log."""
+    newest, owner = 0, ""
+    for name in cluster.workers:
+        path = cluster[f"agent-{name}"].log
+        for line in path.read_text(encoding="utf-8").splitlines():
+            if '"message":"owner: serves"' in line:
+                epoch = int(line.partition('"epoch":')[2].partition(",")[0])
+                if epoch > newest:
+                    newest, owner = epoch, name
+    return owner
+
+
+class Load:
+    """Arrivals at an even pace until it is stopped, in a thread of its own.
+
+    :param balanced: ask ``/ready`` and send to ready entries only.
+    """
+
+    def __init__(self, cluster: Cluster, seed: int = 5, balanced: bool = False) -> None:
+        self.entries = [cluster.urls[name] for name in cluster.entry_names]
+        self.ready = list(self.entries)
+        self.generator = random.Random(seed)
+        self.balanced = balanced
+        self.stopping = threading.Event()
+        self.sent: list[Sent] = []
+        self.broken = 0
+        self.turn = 0
+        self.failure: BaseException | None = None
+        self.thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self) -> None:
+        """Begin to send."""
+        self.thread.start()
+
+    def finish(self) -> list[Sent]:
+        """Send nothing new; return what came of everything."""
+        self.stopping.set()
+        self.thread.join(2 * PATIENCE_S)
+        assert not self.thread.is_alive(), "callers wait without end"
+        if self.failure is not None:
+            raise self.failure
+        return self.sent
+
+    def answered(self) -> int:
+        """Return how many have a whole answer so far."""
+        return sum(one.outcome == "answered" for one in list(self.sent))
+
+    def wait_answered(self, more: int) -> None:
+        """Return once so many more have been answered."""
+        goal = self.answered() + more
+        wait_until(lambda: self.answered() >= goal, PATIENCE_S, f"{more} more answers")
+
+    def _run(self) -> None:
+        try:
+            asyncio.run(self._send_all())
+        except BaseException as error:
+            self.failure = error
+
+    async def _send_all(self) -> None:
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(connector=connector) as session:
+            looking = asyncio.create_task(self._look(session))
+            tasks = []
+            while not self.stopping.is_set():
+                tasks.append(asyncio.create_task(self._submit(session, len(tasks))))
+                await asyncio.sleep(EVERY_MS / 1000)
+            await asyncio.gather(*tasks)
+            looking.cancel()
+
+    async def _look(self, session) -> None:
+        """Ask each entry whether it is ready, as the balancer does."""
+        while self.balanced:
+            found = []
+            for entry in self.entries:
+                try:
+                    async with session.get(f"{entry}/ready") as response:
+                        found += [entry] if response.status == 200 else []
+                except aiohttp.ClientError:
+                    pass
+            self.ready = found
+            await asyncio.sleep(READY_EVERY_S)
+
+    def _arrival(self, number: int) -> Arrival:
+        """Return every fifth arrival as a job, the others as requests."""
+        if number % 5 == 4:
+            tasks = self.generator.randint(2, 5)
+            durations = [self.generator.randint(20, 150) for _ in range(tasks)]
+            return Arrival(0.0, JOB, durations)
+        kind = LOOKUP if number % 5 == 0 else REQUEST
+        return Arrival(0.0, kind, [self.generator.randint(20, 150)])
+
+    async def _submit(self, session, number: int) -> None:
+        """Send one arrival; every seventh also through the next entry at once."""
+        arrival = self._arrival(number)
+        key = mint(int(time.time() * 1000), self.generator)
+        copies = 2 if number % 7 == 3 and not self.balanced else 1
+        await asyncio.gather(
+            *(self._until_answered(session, arrival, key) for _ in range(copies))
+        )
+
+    async def _until_answered(self, session, arrival: Arrival, key: str) -> None:
+        began = time.monotonic()
+        while True:
+            sent = Sent(arrival, key, "lost", "", 0.0)
+            await self._post(session, sent)
+            sent.response_s = time.monotonic() - began
+            if sent.outcome != "lost" or sent.response_s > PATIENCE_S:
+                break
+            self.broken += 1
+            await asyncio.sleep(PAUSE_S)
+        self.sent.append(sent)
+
+    async def _post(self, session, sent: Sent) -> None:
+        """Send one copy; ``lost`` stays if the connection breaks."""
+        ready = self.ready or self.entries
+        self.turn += 1
+        arrival = sent.arrival
+        works = [work_of(sent.key, index) for index in range(len(arrival.durations_ms))]
+        what = "jobs" if arrival.kind.job else "requests"
+        entry = ready[self.turn % len(ready)]
+        try:
+            async with session.post(
+                f"{entry}/v1/services/{arrival.kind.service}/{what}",
+                data=body_of(arrival, works),
+                headers=headers_of(arrival, sent.key),
+                timeout=aiohttp.ClientTimeout(total=DEADLINE_MS / 1000 + 5),
+            ) as response:
+                status, body = response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            sent.fault = f"no answer: {type(error).__name__}"
+            return
+        sent.fault = ""
+        judge(sent, status, body, works)
+
+
+def ask(cluster: Cluster, entry: int = 0) -> Sent:
+    """Send one request of its own and return what came of it."""
+    arrival = Arrival(0.0, REQUEST, [20])
+    key = mint(int(time.time() * 1000), random.Random())
+    sent = Sent(arrival, key, "lost", "", 0.0)
+    works = [work_of(key, 0)]
+    url = f"{cluster.entry_url(entry)}/v1/services/{arrival.kind.service}/requests"
+    headers = headers_of(arrival, key)
+    try:
+        status, body = cluster.request(
+            "POST", url, {"work": works[0], "duration_ms": 20}, headers, PATIENCE_S
+        )
+    except OSError as error:
+        sent.fault = f"no answer: {type(error).__name__}"
+        return sent
+    judge(sent, status, body, works)
+    return sent
+
+
+def faults_found(sent: list[Sent], cluster: Cluster) -> list[str]:
+    """Return what the records and the callers' answers prove wrong."""
+    found = faults_of(sent, cluster.starts())
+    found += [f"{one.key}: no answer" for one in sent if one.outcome == "lost"]
+    return found
--- /dev/null
+++ b/features/steps/process_faults_steps.py
@@ -0,0 +1,137 @@
+"""Steps for faults of real processes under load."""
+
+import time
+
+from behave import given, then, when
+
+from features.process_faults_load import (
+    PATIENCE_S,
+    Load,
+    ask,
+    faults_found,
+    owner_of,
+    small_cluster,
+)
+from tools.processes import wait_until
+
+# The owner's standing is 1 s and a takeover waits for twice that.
+PAST_ITS_STANDING_S = 4.0
+
+
+def add_clean_up(context, clean_up):
+    context.clean_ups = [*getattr(context, "clean_ups", []), clean_up]
+
+
+def begin(context, **options):
+    """Start a deployment and its load, and see that it is served."""
+    context.cluster = small_cluster(**options)
+    add_clean_up(context, context.cluster.close)
+    context.cluster.__enter__()
+    context.cluster.wait_ready()
+    wait_served(context.cluster)
+
+
+def wait_served(cluster):
+    for entry in range(len(cluster.entry_names)):
+        wait_until(
+            lambda entry=entry: ask(cluster, entry).outcome == "answered",
+            PATIENCE_S,
+            f"an answer through entry {entry + 1}",
+        )
+
+
+def names_of(context, who):
+    """Return the processes that a scenario speaks of."""
+    cluster = context.cluster
+    owner = owner_of(cluster)
+    other = next(name for name in cluster.workers if name != owner)
+    return {
+        "the owner's agent": [f"agent-{owner}"],
+        "the owner's host": [f"agent-{owner}", f"upstream-{owner}"],
+        "another agent": [f"agent-{other}"],
+        "another agent's host": [f"agent-{other}", f"upstream-{other}"],
+        "an upstream": [f"upstream-{other}"],
+        "an entry": ["entry-1"],
+        "the key-value service": ["keyvalue"],
+        "every agent": [f"agent-{name}" for name in cluster.workers],
+        "all hosts of the cell": [
+            f"{kind}-{name}"
+            for name in cluster.workers
+            for kind in ("agent", "upstream")
+        ],
+    }[who]
+
+
+@given("a cell of five workers under load from two entries")
+def step_cell(context):
+    begin(context)
+    context.load = Load(context.cluster)
+    context.load.start()
+    context.load.wait_answered(15)
+
+
+@when("the fault kills {who}")
+def step_kill(context, who):
+    context.victims = names_of(context, who)
+    for name in context.victims:
+        context.cluster[name].kill()
+
+
+@when("the fault freezes {who} for longer than a standing, and lets it go on")
+def step_freeze(context, who):
+    names = names_of(context, who)
+    for name in names:
+        context.cluster[name].freeze()
+    time.sleep(PAST_ITS_STANDING_S)
+    for name in names:
+        context.cluster[name].thaw()
+
+
+@when("the load gets {count:d} more answers")
+def step_more(context, count):
+    context.load.wait_answered(count)
+
+
+@when("the killed processes are started again")
+def step_restart(context):
+    for name in context.victims:
+        context.cluster.restart(name)
+
+
+@when("the key-value service is {fault} for the faults to come")
+def step_keyvalue(context, fault):
+    faults = {
+        "down": {"down": True},
+        "slow": {"slow_ms": 300},
+        "losing replies": {"lose_reply": 3},
+    }[fault]
+    context.cluster.set_keyvalue_faults(**faults)
+
+
+@when("the key-value service is right again")
+def step_keyvalue_right(context):
+    context.cluster.clear_keyvalue_faults()
+
+
+@then("each entry serves a new request after the faults")
+def step_resumes(context):
+    wait_served(context.cluster)
+
+
+@then("every caller of the load got one true and whole answer")
+def step_judge(context):
+    sent = context.load.finish()
+    found = faults_found(sent, context.cluster)
+    outcomes = {}
+    for one in sent:
+        what = one.code or one.outcome
+        outcomes[what] = outcomes.get(what, 0) + 1
+    print(f"{len(sent)} answers: {outcomes}, {context.load.broken} sent again")
+    assert not found, found[:10]
+    assert outcomes["answered"] >= 15, outcomes
+
+
+@then("no task of the load started twice by the upstreams' records")
+def step_once(context):
+    twice = {task: n for task, n in context.cluster.starts().items() if n > 1}
+    assert not twice, twice
