A signal in a process's last moments no longer kills it

Cause: uvloop gives the signals of add_signal_handler back to the system when the loop is closed, and a second SIGTERM between that and the exit ended a finished process with -15. Ruled out: blocking the signals in the main thread, since libuv's threads don't block them (tried, still -15). Plain handlers stay until they are replaced by SIG_IGN, which the interpreter's end keeps too.

--- a/src/cactuswalk/commands/process.py
+++ b/src/cactuswalk/commands/process.py
@@ -1,6 +1,7 @@
 """What the two daemons' commands share."""
 
 import asyncio
+import signal
 import sys
 from collections.abc import Callable
 
@@ -9,6 +10,7 @@
 
 import cactuswalk
 from cactuswalk.errors import CactuswalkError
+from cactuswalk.runtime.application import STOP_SIGNALS
 
 __all__ = ["daemon_command"]
 
@@ -33,6 +35,10 @@
             process = make(path)
             with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
                 runner.run(process.run())
+                # A supervisor that asks again would kill a process that has
+                # finished everything, and see a failed stop.
+                for number in STOP_SIGNALS:
+                    signal.signal(number, signal.SIG_IGN)
         except CactuswalkError as error:
             click.echo(error.show(), err=True)
             sys.exit(error.exit_code)
--- a/src/cactuswalk/runtime/application.py
+++ b/src/cactuswalk/runtime/application.py
@@ -13,7 +13,9 @@
 from cactuswalk.state.effects import Count, Effect, Gauge, Log, Part, Send
 from cactuswalk.state.events import Event, Received, StopRequested, Tick
 
-__all__ = ["Application", "Hook"]
+__all__ = ["STOP_SIGNALS", "Application", "Hook"]
+
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 # The reducers measure their spans in tenths of seconds.
 TICK_SECONDS = 0.05
@@ -63,6 +65,7 @@
         self.told_to_stop = False
         self.failure: BaseException | None = None
         self.ended: asyncio.Event | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None
 
     def add_hook(
         self,
@@ -107,10 +110,12 @@
         :raises BaseException: whatever ended a background task or a reducer.
         """
         self.ended = asyncio.Event()
-        loop = asyncio.get_running_loop()
         # A second signal changes nothing: what is in flight is never cut off.
-        for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self.request_stop)
+        # Handlers of the loop's own would be taken away when it is closed, and a
+        # signal in the process's last moments would then kill it.
+        self.loop = asyncio.get_running_loop()
+        for number in STOP_SIGNALS:
+            signal.signal(number, self._on_signal)
         started: list[Hook] = []
         try:
             for hook in self.hooks:
@@ -134,6 +139,11 @@
         self.stopping = True
         asyncio.get_running_loop().call_later(self.unready_seconds, self._stop)
 
+    def _on_signal(self, *_: object) -> None:
+        """Wake the loop; a signal that comes after its end changes nothing."""
+        if not self.loop.is_closed():
+            self.loop.call_soon_threadsafe(self.request_stop)
+
     def _stop(self) -> None:
         self.told_to_stop = True
         self.feed(StopRequested())
