--- a/features/process_faults_platform.feature
+++ b/features/process_faults_platform.feature
@@ -9,6 +9,7 @@
     When the key-value service is <fault> for the faults to come
     And the fault kills the owner's agent
     And the killed processes are started again
+    And the fault lasts 3 seconds more
     And the key-value service is right again
     Then each entry serves a new request after the faults
     And every caller of the load got one true and whole answer
--- /dev/null
+++ b/features/process_stops.feature
@@ -0,0 +1,24 @@
+Feature: Planned stops of real processes under load
+
+  A caller that plays the balancer asks each entry every half second whether it
+  is ready, and sends to ready ones. Nobody sends anything again: a connection
+  that breaks, or a refusal, counts against the stop.
+
+  Scenario Outline: <who> is replaced as planned
+    Operators replace hosts all day. If a stop cut off what was in flight, a
+    caller would see a broken connection or be refused for no fault of its own.
+    Further signals come from an impatient supervisor and must cut nothing off.
+    Given a cell of five workers under a balancer's load from two entries
+    When <who> is asked to stop as planned, and again until it has ended
+    And the stopped processes are started again
+    And the balancer's load gets 30 more answers
+    Then each planned stop ended with status 0
+    And the balancer's load was answered whole, nothing cut off or refused
+
+    Examples:
+      | who               |
+      | an entry          |
+      | another agent     |
+      | the owner's agent |
+      | an upstream       |
+      | the owner's host  |
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -108,6 +108,11 @@
     context.cluster.set_keyvalue_faults(**faults)
 
 
+@when("the fault lasts {seconds:d} seconds more")
+def step_lasts(context, seconds):
+    time.sleep(seconds)
+
+
 @when("the key-value service is right again")
 def step_keyvalue_right(context):
     context.cluster.clear_keyvalue_faults()
--- /dev/null
+++ b/features/steps/process_faults_stops_steps.py
@@ -0,0 +1,81 @@
+"""Steps for planned stops of real processes under load."""
+
+import time
+
+from behave import given, then, when
+
+from features.process_faults_load import PATIENCE_S, Load, faults_found
+from features.steps.process_faults_steps import begin, names_of
+from tools.rolling import refusals_of, roll
+
+# So often that some signal meets each moment of a stop, its last ones too.
+ASK_AGAIN_S = 0.001
+
+
+WORKERS = {"three": 3, "five": 5}
+
+
+@given("a cell of {workers} workers under a balancer's load from two entries")
+def step_balanced(context, workers):
+    begin(context, workers=WORKERS[workers])
+    context.load = Load(context.cluster, balanced=True)
+    context.load.start()
+    context.load.wait_answered(15)
+
+
+def stop_impatiently(process):
+    """Ask a process to stop, and again until it has ended."""
+    process.terminate()
+    if process.name.startswith("upstream-"):
+        # A stand-in, which is not what is tried here, can be asked only once.
+        return process.wait(PATIENCE_S)
+    end = time.monotonic() + PATIENCE_S
+    while process.alive and time.monotonic() < end:
+        process.terminate()
+        time.sleep(ASK_AGAIN_S)
+    return process.wait(1.0)
+
+
+@when("{who} is asked to stop as planned, and again until it has ended")
+def step_stop(context, who):
+    names = names_of(context, who)
+    # The upstream of a host goes first; its agent lets its tasks end.
+    context.stopped = sorted(names, reverse=True)
+    context.statuses = {}
+    for name in context.stopped:
+        context.statuses[name] = stop_impatiently(context.cluster[name])
+
+
+@when("the stopped processes are started again")
+def step_again(context):
+    for name in context.stopped:
+        context.cluster.restart(name)
+
+
+@when("every process is replaced one after another as planned")
+def step_roll(context):
+    done = roll(context.cluster)
+    context.statuses = {one.name: one.status for one in done}
+    assert len(done) == 8, context.statuses
+
+
+@when("the balancer's load gets {count:d} more answers")
+def step_more_balanced(context, count):
+    context.load.wait_answered(count)
+
+
+@then("each planned stop ended with status 0")
+def step_statuses(context):
+    wrong = {name: status for name, status in context.statuses.items() if status}
+    assert not wrong, wrong
+
+
+@then("the balancer's load was answered whole, nothing cut off or refused")
+def step_uncut(context):
+    sent = context.load.finish()
+    refused = refusals_of(sent)
+    found = faults_found(sent, context.cluster)
+    print(f"{len(sent)} sent, {context.load.broken} cut off, refused {refused}")
+    assert not found, found[:10]
+    assert not refused, refused
+    assert not context.load.broken, context.load.broken
