--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -187,6 +187,9 @@
         now = time.monotonic()
         confirm = self.state.timing.confirm
         views = self.state.cells.values()
-        if not any(now - view.stamp_at <= confirm for view in views):
+        heard = [view for view in views if now - view.stamp_at <= confirm]
+        if not heard:
             return ["no cell's owner reports to this entry"]
+        if not any(view.services for view in heard):
+            return ["no cell has a worker that has announced its service"]
         return []
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -97,6 +97,12 @@
     if state.stopping:
         return Refusal(RefusalCode.STOPPING, "this entry is stopping", 0)
     if _choose_cell(state, job) is None:
+        if state.spread.replica.get("service", job.service) is not None:
+            return Refusal(
+                RefusalCode.NO_WORKER_NOW,
+                f"no worker has announced {job.service} yet",
+                RETRY_WITHOUT_OWNER_MS,
+            )
         known = any(view.report is not None for view in state.cells.values())
         if known:
             return Refusal(
