--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -91,7 +91,7 @@
         ANSWERS,
     ),
     Mutant(
-        "an agent of a lost epoch's owner says how long it is silent of any epoch",
+        "every member says that it misses the owner",
         f"{STATE}/agent.py",
         "silent = now - state.heard_at if known else 0.0",
         "silent = 1e6",
