An owner's answer to a query is bound to the try that asked

Cause: an entry took the answer in a JobState for that of its latest submit. A reply that the network held back could belong to an earlier try of the same key: the caller was told 'not run' while the new try's task ran. Query and JobState carry the attempt; an answer to another try's question is dropped and counted as stale. Ruled out: that answers sent for a submit have the fault; they carry the attempt.

--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -65,16 +65,24 @@
 
 
 class Query(msgspec.Struct, array_like=True, tag=4):
-    """Ask where a submission stands; ``request`` is repeated in the reply."""
+    """Ask where a submission stands; the reply repeats all of it.
+
+    :param request: names a caller's question, empty for the entry's own.
+    :param attempt: of the entry's latest submit, for its own question.
+    """
 
     submission: str
     request: str
+    attempt: int = 0
 
 
 class JobState(msgspec.Struct, array_like=True, tag=5):
     """Where a submission stands; ``answer`` is set once there is one.
 
     ``known`` is False where the owner has no record of the submission.
+
+    :param attempt: of the query; an answer that was asked for by an earlier try
+        must not end a later one, which may be running.
     """
 
     submission: str
@@ -85,6 +93,7 @@
     running: int
     finished: int
     answer: Answer | None
+    attempt: int = 0
 
 
 class NotOwner(msgspec.Struct, array_like=True, tag=6):
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -458,9 +458,10 @@
     if pending is None:
         return
     if message.answer is not None:
-        answer = message.answer
-        answer.attempt = state_last(pending)
-        _on_answer(state, answer, now)
+        # Asked for by an earlier try, it may say "not run" of a task that this
+        # one has started; it is dropped as any answer of another attempt.
+        message.answer.attempt = message.attempt
+        _on_answer(state, message.answer, now)
         return
     pending.sign_at = now
     pending.query_after *= 2
@@ -576,7 +577,8 @@
         return
     if pending.sent and view.owner and now - pending.sign_at >= pending.query_after:
         pending.sign_at = now
-        state.effects.append(Send(view.owner, Query(pending.job.submission, "")))
+        query = Query(pending.job.submission, "", state_last(pending))
+        state.effects.append(Send(view.owner, query))
         state.effects.append(Count("entry.query.sent"))
 
 
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -255,7 +255,10 @@
     if tracked is None:
         tracked = _from_records(state, query.submission)
     if tracked is None:
-        return JobState(query.submission, query.request, False, 0, 0, 0, 0, None)
+        return JobState(
+            *(query.submission, query.request),
+            *(False, 0, 0, 0, 0, None, query.attempt),
+        )
     stages = [task.stage for task in tracked.tasks]
     return JobState(
         query.submission,
@@ -267,6 +270,7 @@
         stages.count(Stage.ENDED),
         tracked.answer
         and msgspec.structs.replace(tracked.answer, epoch=state.record.epoch),
+        query.attempt,
     )
 
 
