--- a/features/once_directed_answers.feature
+++ b/features/once_directed_answers.feature
@@ -25,6 +25,14 @@
     When a "not run" of an earlier epoch arrives at its entry
     Then the directed caller gets nothing of it, but the whole answer later
 
+  Scenario: An answer that an earlier try asked for
+    An entry asks after a job that is then refused. The caller tries again and it
+    runs. The reply to the question was held back by the network, and says "not
+    run". A caller would be told so of a seat that is being booked.
+    Given a directed pair of entries
+    When a refused job is tried again and the first try's question is answered late
+    Then the directed caller gets nothing of it, but the whole answer later
+
   Scenario Outline: A key whose birth lies outside the records' window
     A caller comes back with a key that is <age> s old. Nobody can know what became
     of it. Run now, it might be the second time.
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -3,9 +3,9 @@
 import msgspec
 from behave import given, then, when
 
-from cactuswalk.messages import Answer, Probe, Result, Start, Submit
+from cactuswalk.messages import Answer, Probe, Query, Result, Start, Submit
 from cactuswalk.model import Outcome, TaskOutcome, TaskResult, digest
-from cactuswalk.state.effects import CallUpstream
+from cactuswalk.state.effects import CallUpstream, Send
 from cactuswalk.state.events import UpstreamOutcome
 from cactuswalk.state.timing import Timing
 from features.support.bag import TICK, WALL_MS, small_cell
@@ -125,6 +125,26 @@
     )
 
 
+@when("a refused job is tried again and the first try's question is answered late")
+def step_earlier_question(context):
+    bag = context.bag
+    run_full(bag, AGENTS, 600, entry="entry-1")
+    context.job = bag.job(tasks=1, duration_ms=500)
+    first = bag.submit("entry-0", context.job, 200)
+    bag.run(TICK)
+    entry = bag.processes["tcp://entry-0"]
+    attempt = max(entry.state.pending[context.job.submission].attempts)
+    bag.run(1.0)
+    assert outcome(first) is Outcome.NOT_RUN, first.reply
+    query = Query(context.job.submission, "", attempt)
+    effects = receive(bag, bag.owner(), entry.address, query)
+    late = next(one.message for one in effects if isinstance(one, Send))
+    context.handed = bag.submit("entry-0", context.job)
+    bag.run(0.2)
+    assert starts_of(bag, context.job) == 1
+    receive(bag, entry, bag.owner().address, late)
+
+
 def deliver(context, answer: Answer) -> None:
     bag = context.bag
     receive(bag, bag.processes["tcp://entry-0"], bag.owner().address, answer)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -27,6 +27,8 @@
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
+# A feature that fails without a failing scenario was not run, and shows nothing.
+NOT_RUN = "does not run"
 
 
 class Mutant(msgspec.Struct):
@@ -45,7 +47,7 @@
 class Tried(msgspec.Struct):
     """What became of a mutant.
 
-    :param verdict: ``caught``, ``SURVIVED`` or ``STALE``.
+    :param verdict: ``caught``, ``SURVIVED``, ``STALE`` or ``BROKEN``.
     :param noticed: the scenario that failed, or why the mutant wasn't tried.
     """
 
@@ -133,6 +135,13 @@
         "",
         TAKEOVER,
     ),
+    Mutant(
+        "an answer that an earlier try asked for ends a later one",
+        f"{STATE}/entry.py",
+        "message.answer.attempt = message.attempt",
+        "message.answer.attempt = state_last(pending)",
+        ANSWERS,
+    ),
     Mutant(
         "a key from the future is taken",
         f"{STATE}/entry.py",
@@ -360,6 +369,8 @@
             shutil.copytree(ROOT / part, copy / part)
         (copy / mutant.path).write_text(text, encoding="utf-8")
         noticed = _noticed(copy, mutant.feature)
+    if noticed == NOT_RUN:
+        return Tried(mutant, "BROKEN", f"{mutant.feature} {NOT_RUN}")
     return Tried(mutant, "caught" if noticed else "SURVIVED", noticed)
 
 
@@ -383,7 +394,7 @@
     lines = [line.strip() for line in done.stdout.splitlines()]
     failing = [line for line in lines if line.startswith("features/")]
     # behave gives file, line and name; a reader finds the scenario by its name.
-    return failing[-1].split(maxsplit=1)[1] if failing else f"{feature} does not run"
+    return failing[-1].split(maxsplit=1)[1] if failing else NOT_RUN
 
 
 @click.command()
@@ -405,7 +416,8 @@
             click.echo(f"| {' | '.join(cells)} |" if table else ": ".join(cells))
     caught = verdicts["caught"]
     click.echo(
-        f"\n{caught} caught, {verdicts['SURVIVED']} survived, {verdicts['STALE']} stale"
+        f"\n{caught} caught, {verdicts['SURVIVED']} survived, "
+        f"{verdicts['STALE']} stale, {verdicts['BROKEN']} not run"
     )
     sys.exit(min(len(chosen) - caught, 100))
 
