Processes that speak without CURVE are counted as strangers

Cause: such a process fails before ZeroMQ asks about its key, so the gatekeeper never saw it and transport.stranger_refused stayed at 0 (seen: 60 s without a count). Now the listener's own handshake events are read each tick. Peers that expect an earlier key are counted apart, as transport.handshake_failed: together they made 797 'strangers' in a rotation that cut nothing off. The events' socket is closed before the listener.

--- a/src/cactuswalk/runtime/keys.py
+++ b/src/cactuswalk/runtime/keys.py
@@ -10,6 +10,7 @@
 import zmq
 import zmq.auth.asyncio
 from zmq.utils import z85
+from zmq.utils.monitor import recv_monitor_message
 
 from cactuswalk.settings import CurveSettings
 
@@ -17,6 +18,12 @@
 
 KEY_SEPARATOR = "?key="
 
+# ZMQ_PROTOCOL_ERROR_ZMTP_MECHANISM_MISMATCH of <zmq.h>: it speaks without CURVE.
+MECHANISM_MISMATCH = 0x11000002
+
+# Strangers counted in one look; a flood of them must not hold up the loop.
+STRANGERS_A_LOOK = 100
+
 
 class Keys:
     """A process's key pair, and the public keys that it accepts."""
@@ -26,6 +33,9 @@
         self.secret = settings.secret_key.encode()
         self.allowed = {key.encode() for key in settings.allowed_keys}
         self.authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
+        self.server: zmq.Socket | None = None
+        self.monitor: zmq.Socket | None = None
+        self.count: Callable[[str, int], None] = lambda name, by: None
 
     def protect_server(
         self,
@@ -43,6 +53,25 @@
         socket.curve_publickey = self.public
         socket.curve_secretkey = self.secret
         socket.curve_server = True
+        # A process that speaks without CURVE fails before its key is looked at;
+        # unless ZeroMQ's own events are read, nobody would see it try.
+        self.server, self.count = socket, count
+        self.monitor = socket.get_monitor_socket(zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL)
+
+    def poll(self) -> None:
+        """Count the processes that tried to connect without any key."""
+        if self.monitor is None:
+            return
+        for _ in range(STRANGERS_A_LOOK):
+            try:
+                failed = recv_monitor_message(self.monitor, zmq.DONTWAIT)
+            except zmq.Again:
+                return
+            if failed["value"] == MECHANISM_MISMATCH:
+                self.count("transport.stranger_refused", 1)
+            else:
+                # A peer that still expects the key that was here before.
+                self.count("transport.handshake_failed", 1)
 
     def protect_client(self, socket: zmq.Socket, address: str) -> bool:
         """Bind a connection to the key in the address; False if not allowed."""
@@ -56,7 +85,10 @@
         return True
 
     def stop(self) -> None:
-        """Stop answering whether a key is allowed."""
+        """Stop answering whether a key is allowed; comes before the socket's end."""
+        if self.monitor is not None:
+            self.server.disable_monitor()
+            self.monitor = None
         if self.authenticator is not None:
             self.authenticator.stop()
 
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -107,6 +107,8 @@
 
     def close(self) -> None:
         """Close all sockets; frames that still wait get a moment to leave."""
+        if self.keys is not None:
+            self.keys.stop()
         if self.inbound is not None:
             self.loop.remove_reader(self.inbound.fileno())
             self.inbound.close()
@@ -114,8 +116,6 @@
             peer.socket.close(linger=LINGER_MS)
         self.peers.clear()
         self.dirty.clear()
-        if self.keys is not None:
-            self.keys.stop()
         self.context.term()
 
     def send(self, address: str, message: Message, now: float) -> None:
@@ -178,6 +178,8 @@
 
     def poll(self) -> None:
         """Take in what waits; ZeroMQ's descriptor can miss an edge."""
+        if self.keys is not None:
+            self.keys.poll()
         self._on_readable()
 
     def _connect(self, address: str) -> zmq.Socket | None:
