--- a/tools/rolling.py
+++ b/tools/rolling.py
@@ -66,13 +66,18 @@
     time.sleep(SETTLED_S)
 
 
-def roll(cluster: Cluster) -> list[Replaced]:
-    """Replace each entry, and each upstream and then its agent, in turn."""
+def all_names(cluster: Cluster) -> list[str]:
+    """Return each entry, and each upstream and then its agent."""
     names = list(cluster.entry_names)
     for worker in cluster.workers:
         names += [f"upstream-{worker}", f"agent-{worker}"]
+    return names
+
+
+def roll(cluster: Cluster, names: list[str] | None = None) -> list[Replaced]:
+    """Replace these, or all, in turn."""
     done = []
-    for name in names:
+    for name in names or all_names(cluster):
         done.append(replace(cluster, name))
         wait_back(cluster, name)
     return done
