--- /dev/null
+++ b/features/steps/process_faults_operators_steps.py
@@ -0,0 +1,240 @@
+"""Steps for the operators' command against real processes."""
+
+import json
+import subprocess
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from behave import given, then, when
+
+from features.process_faults_load import PATIENCE_S, small_cluster
+from features.steps.process_faults_steps import add_clean_up, wait_served
+from tools.cluster import OPERATOR, token_of
+from tools.processes import ROOT, wait_until
+
+CONFLICT = 4
+
+
+def start_command(cluster, entry, *arguments):
+    command = [sys.executable, "-m", "cactuswalk.commands.operator"]
+    command += ["--endpoint", cluster.operator_url(entry - 1)]
+    command += ["--token", token_of(OPERATOR), *arguments, "--json"]
+    return subprocess.Popen(
+        command,
+        cwd=ROOT,
+        env={"PYTHONPATH": f"{ROOT / 'src'}"},
+        stdin=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+
+
+def run_command(cluster, entry, *arguments, given=""):
+    """Run the command and return its status and what it printed as JSON."""
+    process = start_command(cluster, entry, *arguments)
+    out, error = process.communicate(given, timeout=PATIENCE_S)
+    return process.returncode, json.loads(out) if out.strip() else {}, error
+
+
+def shown(cluster, entry, worker):
+    status, found, error = run_command(cluster, entry, "get", "worker", worker)
+    assert status in (0, 3), error
+    return found[0]["object"] if status == 0 else {}
+
+
+def submit(cluster, entry, selector=""):
+    """Send a request; return its status and decoded answer."""
+    headers = {"Authorization": f"Bearer {token_of('labuta')}"}
+    if selector:
+        headers["Cactuswalk-Selector"] = selector
+    url = f"{cluster.entry_url(entry - 1)}/v1/services/booking/requests"
+    body = {"work": "operators", "duration_ms": 100}
+    status, answer = cluster.request("POST", url, body, headers, PATIENCE_S)
+    return status, json.loads(answer)
+
+
+def land(cluster, entry, count, selector=""):
+    """Return the workers on which so many requests, sent at once, have landed."""
+    with ThreadPoolExecutor(count) as pool:
+        replies = list(
+            pool.map(lambda _: submit(cluster, entry, selector), range(count))
+        )
+    assert all(status == 200 for status, _ in replies), replies
+    return [answer["worker"] for _, answer in replies]
+
+
+@given("a cell of three workers and two entries for operators")
+def step_cell(context):
+    context.cluster = small_cluster(3)
+    add_clean_up(context, context.cluster.close)
+    context.cluster.__enter__()
+    context.cluster.wait_ready()
+    wait_served(context.cluster)
+    wait_until(
+        lambda: set(land(context.cluster, 1, 12)) == {"w1", "w2", "w3"},
+        PATIENCE_S,
+        "work on each worker",
+    )
+
+
+@when('an operator runs "{words}" through entry {entry:d}')
+def step_run(context, words, entry):
+    status, said, error = run_command(context.cluster, entry, *words.split())
+    assert status == 0, error
+    context.revision = said["results"][0]["revision"]
+
+
+@when("an operator applies worker {worker} with the label {label} through entry 1")
+def step_apply(context, worker, label):
+    key, value = label.split("=")
+    given = json.dumps({"kind": "worker", "name": worker, "labels": {key: value}})
+    status, _, error = run_command(
+        context.cluster, 1, "apply", "-f", "-", "--wait", "30", given=given
+    )
+    assert status == 0, error
+
+
+@then("entry {entry:d} shows worker {worker} with the label {label}")
+def step_label(context, entry, worker, label):
+    key, value = label.split("=")
+    # The wait was for entry 1 and the nodes; entry 2 hears by its own watch.
+    wait_until(
+        lambda: (
+            shown(context.cluster, entry, worker).get("labels", {}).get(key) == value
+        ),
+        PATIENCE_S,
+        f"the label at entry {entry}",
+    )
+
+
+@then("entry {entry:d} shows worker {worker} as drained")
+@then("entry {entry:d} comes to show worker {worker} as drained")
+def step_drained(context, entry, worker):
+    def drained():
+        try:
+            return shown(context.cluster, entry, worker).get("drained")
+        except AssertionError:
+            # An entry that has just been started takes no connections yet.
+            return False
+
+    wait_until(drained, PATIENCE_S, f"the drain at entry {entry}")
+
+
+@then("of {count:d} requests through entry {entry:d} none lands on {worker}")
+def step_none(context, count, entry, worker):
+    wait_until(
+        lambda: submit(context.cluster, entry)[0] == 200, PATIENCE_S, "an answer"
+    )
+    before = started(context.cluster, worker)
+    landed = land(context.cluster, entry, count)
+    assert worker not in landed, landed
+    assert started(context.cluster, worker) == before
+
+
+def started(cluster, worker):
+    records = cluster.records()
+    return sum(one["event"] == "start" and one["worker"] == worker for one in records)
+
+
+@then('of {count:d} requests for "{selector}" through entry {entry:d} all land on {on}')
+def step_all(context, count, selector, entry, on):
+    landed = land(context.cluster, entry, count, selector)
+    assert set(landed) == {on}, landed
+
+
+@then('a request for "{selector}" through entry {entry:d} is refused as not run')
+def step_refused(context, selector, entry):
+    status, answer = submit(context.cluster, entry, selector)
+    assert status >= 400, answer
+    assert answer["outcome"] == "not_run", answer
+
+
+@then("requests through entry {entry:d} come to land on {worker}")
+def step_lands(context, entry, worker):
+    wait_until(
+        lambda: worker in land(context.cluster, entry, 12),
+        PATIENCE_S,
+        f"work on {worker}",
+    )
+
+
+@when("the operators' key-value service goes down at once")
+def step_down(context):
+    context.cluster.set_keyvalue_faults(down=True)
+
+
+@when("the operators' key-value service comes back")
+def step_back(context):
+    context.cluster.clear_keyvalue_faults()
+
+
+@then("the accepted change comes into force on every node")
+def step_in_force(context):
+    status, said, error = run_command(
+        context.cluster, 1, "wait", str(context.revision), "--timeout", "50"
+    )
+    assert status == 0, error
+    assert said["nodes_in_force"] == said["nodes"] > 0, said
+
+
+@when("entry 2 and a drained worker's agent are killed and started again")
+def step_restart(context):
+    for name in ("entry-2", "agent-w2"):
+        context.cluster[name].kill()
+    for name in ("entry-2", "agent-w2"):
+        context.cluster.restart(name)
+
+
+@when("two operators label worker w1 at the same moment until one loses")
+def step_race(context):
+    context.races = []
+    end = time.monotonic() + PATIENCE_S
+    # Each call takes this long, so that both look before either writes.
+    context.cluster.set_keyvalue_faults(slow_ms=300)
+    while not any(CONFLICT in (one[0] for one in race) for race in context.races):
+        assert time.monotonic() < end, context.races
+        number = len(context.races)
+        processes = [
+            start_command(
+                context.cluster, entry, *f"label worker w1 by=o{entry}-{number}".split()
+            )
+            for entry in (1, 2)
+        ]
+        race = []
+        for process in processes:
+            out, error = process.communicate(timeout=PATIENCE_S)
+            race.append((process.returncode, json.loads(out), error))
+        context.races.append(race)
+    context.cluster.clear_keyvalue_faults()
+
+
+@then("each race had one winner, and the loser was told to look and repeat")
+def step_winner(context):
+    for race in context.races:
+        statuses = sorted(one[0] for one in race)
+        assert statuses in ([0, 0], [0, CONFLICT]), race
+        revisions = [one[1]["results"][0]["revision"] for one in race if one[0] == 0]
+        assert len(set(revisions)) == len(revisions), race
+    loser = next(one for one in context.races[-1] if one[0] == CONFLICT)
+    assert "Remedy" in loser[2], loser
+    assert OPERATOR in loser[2], loser
+
+
+@then("both entries show what the last winner wrote")
+def step_last(context):
+    wrote = {}
+    for number, race in enumerate(context.races):
+        for entry, (status, said, _) in enumerate(race, 1):
+            if status == 0:
+                wrote[said["results"][0]["revision"]] = f"o{entry}-{number}"
+    last = wrote[max(wrote)]
+    for entry in (1, 2):
+        wait_until(
+            lambda entry=entry: (
+                shown(context.cluster, entry, "w1")["labels"]["by"] == last
+            ),
+            PATIENCE_S,
+            f"the winner's label at entry {entry}",
+        )
