Copies reach back as far as a takeover looks, and no further

Cause: a rotation of keys refused 43 of 1,662 as too old: with each change of the roster all that an owner alone knew went to its backup; the backup's copies ran out of room, and it said that it knew nothing older than the last seconds. A takeover looks back 20 s, so that is what is copied now, kept for 40 s.

--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -67,12 +67,12 @@
 from cactuswalk.state.retention import RecordBook
 from cactuswalk.state.timing import Timing
 
-# How the bytes for records are shared out. Most go to the owner's ledger, which
-# sees the starts of the whole cell where an agent sees its worker's: a quarter
-# for what it keeps of submissions, and a quarter for the bodies of answers.
-RECORDS_SHARE = 1 / 3
-COPIES_SHARE = 1 / 6
+# How the bytes for records are shared out: half for the agent's, a quarter for
+# what an owner keeps of submissions, and a quarter for the bodies of answers.
+RECORDS_SHARE = 1 / 2
 LEDGER_SHARE = 1 / 4
+# Copies are kept for two spans of what a new owner looks back.
+COPIES_SPANS = 2
 
 __all__ = ["Node", "handle", "new_node"]
 
@@ -159,7 +159,9 @@
 ) -> Node:
     """Return the state of a process that has just been started."""
     records = RecordBook(timing.retention, int(maximum_bytes * RECORDS_SHARE))
-    copies = RecordBook(timing.retention, int(maximum_bytes * COPIES_SHARE))
+    # Copies serve a takeover only, which looks back this far; dropped earlier for
+    # want of room they would make a new owner take young keys for old ones.
+    copies = RecordBook(COPIES_SPANS * timing.recent, sys.maxsize)
     gate = Gate(member, records, timing.confirm)
     agent = agents.new_agent(cell, gate, copies, Spread(Replica()), timing.recent, now)
     candidate = candidates.new_candidate(cell, agent, timing, generator)
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -4,6 +4,8 @@
 confirmation of the old and the new roster until the service's word is in.
 """
 
+from collections.abc import Iterator
+
 import msgspec
 
 from cactuswalk.messages import Adopt, Adopted, Join, Leave, Record
@@ -20,6 +22,7 @@
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
 from cactuswalk.state.flights import give_up_flights
 from cactuswalk.state.landing import record_of
+from cactuswalk.state.ledger import Tracked
 from cactuswalk.state.owner import OwnerState, Peer, Phase
 from cactuswalk.state.peers import is_lost, send_fence, send_ping
 from cactuswalk.state.spreading import apply_all, apply_worker
@@ -260,7 +263,7 @@
 
 
 def _send_copies(state: OwnerState, backup: Member, now: float) -> None:
-    records = sole_records(state)
+    records = sole_records(state, now)
     state.backup_serial += 1
     state.backup_again_at = now + state.timing.confirm
     state.backup_covers = list(state.record.departed)
@@ -277,16 +280,28 @@
         state.send(backup.address, adopt)
 
 
-def sole_records(state: OwnerState) -> list[Record]:
-    """Return the records that no other member is known to hold.
+def _recently_tracked(state: OwnerState, since: float) -> Iterator[Tracked]:
+    """Yield the submissions that are open, or were answered since."""
+    for name in state.open:
+        yield state.ledger[name]
+    for tracked in reversed(state.kept):
+        if tracked.kept_until - state.timing.retention < since:
+            return
+        yield tracked
+
+
+def sole_records(state: OwnerState, now: float) -> list[Record]:
+    """Return the recent records that no other member is known to hold.
 
     Those of the agent on this host, and those of lives that are gone: the
     owner knows them from the takeover and from what it sent there itself.
     """
     elsewhere = set(state.peers) - {state.member.incarnation}
-    found = state.agent.gate.records.all() + state.agent.copies.all()
-    found += state.recovered.all()
-    for tracked in state.ledger.values():
+    since = now - state.timing.recent
+    found = state.agent.gate.records.changed_since(since)
+    found += state.agent.copies.changed_since(since)
+    found += state.recovered.changed_since(since)
+    for tracked in _recently_tracked(state, since):
         for index, task in enumerate(tracked.tasks):
             if task.place is not None:
                 kind = TaskState.RUNNING if task.result is None else _kind(task.result)
