--- a/features/platform_outage.feature
+++ b/features/platform_outage.feature
@@ -21,6 +21,14 @@
     When the service is down for 13 seconds
     Then some second of the outage saw more than 250 calls
 
+  Scenario: One process has many calls waiting when the service returns
+    Its budget has filled up during the outage. Spent at once, by every process
+    of the fleet, it would meet a service that has only just come back.
+    Given a platform service in virtual time
+    And one platform client with 40 reads waiting while the service is down
+    When the service is back and 10 seconds pass
+    Then no second since saw more than 12 calls
+
   Scenario: One process asks for far too much
     A fault in one process makes it read without end. The other processes' calls
     would starve, and every cell would seem to be cut off from the service.
@@ -47,3 +55,5 @@
     And a call to a frozen service is not known not to be sent
     And a call with a wrong token is refused with a remedy
     And the calls by the client are counted exactly
+    And a value of a megabyte comes back and through a watch, and no larger one
+    And with two endpoints the second serves while nobody listens at the first
--- a/features/platform_watch.feature
+++ b/features/platform_watch.feature
@@ -69,3 +69,15 @@
     And the service loses the replies of the next 1 writes
     And a platform lease of 5 seconds
     Then the service holds 1 lease
+
+  Scenario: A member that was left behind repeats old changes
+    The connection is opened again at a member of the service that sends what the
+    node has had long ago. A setting that was replaced would come back.
+    Given a platform service in virtual time
+    And a platform watch from the beginning
+    When keys "a b a" are written
+    And the service repeats its whole history to every watch
+    And every watch is cut
+    And keys "b" are written
+    Then the watch has brought each change once and in order
+    And changes that came again are counted
--- a/features/steps/platform_outage_steps.py
+++ b/features/steps/platform_outage_steps.py
@@ -53,6 +53,22 @@
     context.clean_ups.append(restore)
 
 
+@given("one platform client with {number:d} reads waiting while the service is down")
+def step_waiting_reads(context, number):
+    world = context.world
+    world.service.set_faults({"down": True})
+
+    async def read():
+        while not (await world.store.read("cell")).known:
+            pass
+
+    async def wait():
+        world.tasks += [asyncio.create_task(read()) for _ in range(number)]
+        await asyncio.sleep(60)
+
+    world.run(wait())
+
+
 @when("the service is down for {seconds:d} seconds")
 def step_outage(context, seconds):
     world = context.world
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -1,6 +1,8 @@
 """Steps for the platform's service: its switches, and the client over HTTP."""
 
 import asyncio
+import contextlib
+import socket
 
 import msgspec
 from behave import given, then, when
@@ -9,8 +11,11 @@
     CallFailedError,
     CallRefusedError,
     HttpConnection,
+    ValueTooLargeError,
     open_store,
 )
+from cactuswalk.platform.protocol import MAXIMUM_VALUE_BYTES
+from cactuswalk.state.events import SwapOutcome
 from features.platform_world import World
 from standins.keyvalue_virtual import VirtualLoop
 
@@ -106,20 +111,58 @@
     raise AssertionError("the call was answered")
 
 
+@contextlib.contextmanager
+def deserted_url():
+    """An address that is taken, so nobody else gets it, but not listened at."""
+    with socket.socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        yield f"http://127.0.0.1:{taken.getsockname()[1]}"
+
+
 @then("a call to a port where nobody listens is known not to be sent")
 def step_http_refused(context):
-    async def free_port():
-        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
-        port = server.sockets[0].getsockname()[1]
-        server.close()
-        await server.wait_closed()
-        return port
-
-    port = context.world.run(free_port())
-    error = http_failure(context.world, f"http://127.0.0.1:{port}")
+    with deserted_url() as url:
+        error = http_failure(context.world, url)
     assert not error.sent
 
 
+@then("with two endpoints the second serves while nobody listens at the first")
+def step_http_endpoints(context):
+    world = context.world
+
+    async def read(first):
+        urls = [first, world.service.url]
+        store = open_store(urls, "two", 1000, 1000, token="secret")
+        try:
+            return await store.read("cell")
+        finally:
+            await store.close()
+
+    with deserted_url() as url:
+        assert world.run(read(url)).known
+
+
+@then("a value of a megabyte comes back and through a watch, and no larger one")
+def step_http_megabyte(context):
+    world = context.world
+    value = b'"large-1"'.ljust(MAXIMUM_VALUE_BYTES)
+
+    async def follow():
+        told = await world.store.swap("large", 0, value, "large-1")
+        assert told.outcome is SwapOutcome.APPLIED
+        assert (await world.store.read("large")).value == value
+        return (await anext(world.store.watch("large", told.revision - 1))).changes
+
+    changes = world.run(asyncio.wait_for(follow(), 30))
+    assert [change.value for change in changes] == [value]
+    try:
+        world.run(world.store.swap("large", 0, value + b" ", "large-1"))
+    except ValueTooLargeError as error:
+        assert error.remedy
+    else:
+        raise AssertionError("it was sent")
+
+
 @then("a call to a frozen service is not known not to be sent")
 def step_http_frozen(context):
     context.world.service.set_faults({"frozen": True})
--- a/features/steps/platform_watch_steps.py
+++ b/features/steps/platform_watch_steps.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 
+import msgspec
 from behave import given, then, when
 from hypothesis import given as drawn, settings, strategies
 
@@ -174,3 +175,21 @@
 @then("the service holds {number:d} lease")
 def step_leases(context, number):
     assert len(context.world.service.store.leases) == number
+
+
+@when("the service repeats its whole history to every watch")
+def step_repeats(context):
+    connection = context.world.store.connection
+    stream = connection.stream
+
+    def repeating(path, body, within):
+        request = msgspec.json.decode(body)
+        request["create_request"]["start_revision"] = "1"
+        return stream(path, msgspec.json.encode(request), within)
+
+    connection.stream = repeating
+
+
+@then("changes that came again are counted")
+def step_repeated(context):
+    assert "platform.watch.repeated" in context.world.counted
--- a/src/cactuswalk/decisions/callbudget.py
+++ b/src/cactuswalk/decisions/callbudget.py
@@ -64,7 +64,7 @@
         self.tokens -= cost
 
     def shrink(self, now: float) -> None:
-        """Give up most of what was saved, since the service has failed.
+        """Give up most of what was saved, since the service has just returned.
 
         After a long outage every bucket is full. Without this the service's
         first second back would bring each process's whole burst. A read and a
--- a/src/cactuswalk/platform/gate.py
+++ b/src/cactuswalk/platform/gate.py
@@ -80,6 +80,8 @@
         self.timeout = adapted_timeout(
             self.shortest_timeout, passage.timeout, now - passage.started
         )
+        if self.backoff.failures:
+            self.budget.shrink(now)
         self.backoff.succeeded()
         self._end_probe(passage)
 
@@ -89,7 +91,6 @@
         if timed_out:
             self.timeout = adapted_timeout(self.shortest_timeout, passage.timeout, None)
         self.backoff.failed(passage.started, now, self.generator)
-        self.budget.shrink(now)
         self._end_probe(passage)
 
     def abandoned(self, passage: Passage) -> None:
--- a/src/cactuswalk/platform/watch.py
+++ b/src/cactuswalk/platform/watch.py
@@ -147,8 +147,9 @@
             for event in message.events
             if event.kv.mod_revision > self.revision
         ]
-        if not fresh:
+        if len(fresh) < len(message.events):
             self.store.count("platform.watch.repeated")
+        if not fresh:
             return None
         self.revision = max(change.mod_revision for change in fresh)
         return Changes(self.revision, False, fresh)
