--- a/features/steps/once_directed_takeover_steps.py
+++ b/features/steps/once_directed_takeover_steps.py
@@ -4,27 +4,24 @@
 from behave import given, then, when
 
 from cactuswalk.errors import CactuswalkError
-from cactuswalk.messages import Adopt, HandOver, Leave, Pong, Result
-from cactuswalk.model import CellRecord, Outcome
+from cactuswalk.messages import Adopt, HandOver, Pong
+from cactuswalk.model import CellRecord
 from cactuswalk.state.effects import SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
-from cactuswalk.state.owner import Phase
 from cactuswalk.state.roster import cell_key
 from features.support.bag import CELL
 from features.support.directed import (
+    AGENTS,
     SETTLE_S,
+    await_owner,
     cell,
     drop,
     isolate,
     others,
-    outcome,
     owner_name,
     run_full,
-    starts_of,
+    stored,
 )
-from features.support.judge import violations
-
-AGENTS = 5
 
 
 def begin(context) -> None:
@@ -35,26 +32,6 @@
     context.job = None
 
 
-def serving(bag) -> list:
-    return [
-        process.state.owner
-        for process in bag.processes.values()
-        if process.alive
-        and getattr(process.state, "owner", None) is not None
-        and process.state.owner.phase is Phase.SERVING
-    ]
-
-
-def await_owner(bag, seconds: float = 15.0) -> None:
-    """Wait until a live owner serves that has not served before."""
-    assert bag.run_until(lambda: bool(serving(bag)), seconds), "no owner serves"
-
-
-def stored(bag) -> CellRecord:
-    value, _ = bag.key_value.values[cell_key(CELL)]
-    return msgspec.json.decode(value, type=CellRecord)
-
-
 def kill_owner(context, resubmit: bool = True) -> None:
     context.bag.kill(owner_name(context.bag))
     if resubmit:
@@ -195,27 +172,6 @@
     bag.run(SETTLE_S)
 
 
-@when("a worker is stopped and the last result that it sends is lost")
-def step_last_result(context):
-    bag = context.bag
-    name, lost = others(bag)[0], []
-
-    def fate(sender, receiver, message):
-        if isinstance(message, Leave):
-            bag.fate = lambda *_: [0.0005]
-        if isinstance(message, Result) and sender == f"tcp://{name}":
-            lost.append(message)
-            return []
-        return [0.0005]
-
-    bag.fate = fate
-    context.again = bag.submit("entry-0", bag.job(tasks=5, duration_ms=150))
-    bag.run(0.02)
-    bag.stop(name)
-    bag.run(SETTLE_S)
-    assert lost, "no result was lost"
-
-
 @when("the owner is cut off with an entry while a job waits there and elsewhere")
 def step_cut_off(context):
     bag = context.bag
@@ -387,148 +343,3 @@
     bag.run(SETTLE_S)
     bag.add_agent(name)
     bag.run(SETTLE_S)
-
-
-@when("each node is stopped and replaced in turn while jobs keep coming")
-def step_stop_all(context):
-    bag = context.bag
-    for number in range(AGENTS):
-        name = f"worker-{number}"
-        bag.stop(name)
-        process = bag.processes[f"tcp://{name}"]
-        for _ in range(60):
-            if not process.alive:
-                break
-            job = bag.job(tasks=4, duration_ms=150)
-            bag.submit(f"entry-{number % 2}", job, 8000)
-            bag.run(0.2)
-        assert not process.alive, f"{name} has not stopped"
-        bag.add_agent(name)
-        bag.run(1.0)
-    bag.run(SETTLE_S)
-
-
-@then("no promise was broken in the directed run")
-def step_no_violation(context):
-    assert violations(context.bag) == [], violations(context.bag)
-
-
-@then("the directed job is told unknown and nothing of it starts again")
-def step_unknown(context):
-    assert context.again.reply is not None, "no reply"
-    told = {str(result.outcome) for result in context.again.reply.results}
-    assert "unknown" in told, (outcome(context.again), told)
-    assert starts_of(context.bag, context.job) == len(context.job.tasks)
-
-
-@then("the directed job is answered again and nothing of it starts again")
-def step_answered_again(context):
-    assert outcome(context.again) is Outcome.ANSWERED, context.again.reply
-    assert starts_of(context.bag, context.job) == len(context.job.tasks)
-
-
-@then('the job at the cut-off entry is not told a "not run" that is untrue')
-def step_not_untrue(context):
-    told = outcome(context.cut_off)
-    assert told in (Outcome.NOT_RUN, Outcome.UNKNOWN), context.cut_off.reply
-    assert told is Outcome.UNKNOWN or starts_of(context.bag, context.waiting) == 0
-
-
-@then("the job at the cut-off entry is told unknown and runs elsewhere once")
-def step_cut_off_unknown(context):
-    assert outcome(context.cut_off) is Outcome.UNKNOWN, context.cut_off.reply
-    assert starts_of(context.bag, context.waiting) == 1
-
-
-@then("{after:d} ms later it has no standing")
-def step_no_standing(context, after):
-    state = context.bag.processes[f"tcp://{context.owner}"].state.owner
-    assert state.is_confirmed(context.bag.now)
-    context.bag.run(after / 1000)
-    assert not state.is_confirmed(context.bag.now)
-
-
-@then("nothing of the directed job has started")
-def step_nothing(context):
-    assert starts_of(context.bag, context.job) == 0
-
-
-@then("the directed cell has the epoch and the owner that it had")
-def step_same(context):
-    record = stored(context.bag)
-    assert (record.epoch, record.owner.worker) == (context.epoch, context.owner)
-
-
-@then("the directed cell has served again under the next epoch")
-def step_next_epoch(context):
-    assert [one.record.epoch for one in serving(context.bag)] == [context.epoch + 1]
-    assert stored(context.bag).epoch == context.epoch + 1
-
-
-@then("the directed cell has one serving owner that the service names")
-def step_one_owner(context):
-    owners = serving(context.bag)
-    assert len(owners) == 1, [one.member.worker for one in owners]
-    assert stored(context.bag).owner == owners[0].member
-
-
-@then("a new directed job is answered")
-def step_new_job(context):
-    handed = context.bag.submit("entry-0", context.bag.job(tasks=3, duration_ms=50))
-    context.bag.run(5.0)
-    assert outcome(handed) is Outcome.ANSWERED, handed.reply
-
-
-@then("every directed job was answered and the epoch is the same")
-def step_all_same(context):
-    step_all(context)
-    assert context.bag.owner().state.owner.record.epoch == context.epoch
-
-
-@then("every directed job was answered")
-def step_all(context):
-    told = [one.reply for one in context.bag.handed.values()]
-    assert all(one and one.outcome is Outcome.ANSWERED for one in told), [
-        one and (one.outcome, one.refusal) for one in told
-    ]
-
-
-@then("the directed caller of the stopped worker is answered")
-def step_stopped_answered(context):
-    assert outcome(context.again) is Outcome.ANSWERED, context.again.reply
-
-
-@when("the owner is stopped as planned and a job comes at that moment")
-def step_stop_and_submit(context):
-    bag = context.bag
-    bag.stop(context.owner)
-    context.again = bag.submit("entry-1", bag.job(tasks=1, duration_ms=1))
-    bag.run(SETTLE_S)
-
-
-@then("the directed caller has the answer within {limit:d} ms of virtual time")
-def step_soon(context, limit):
-    assert outcome(context.again) is Outcome.ANSWERED, context.again.reply
-    waited_ms = (context.again.replied_at - context.again.at) * 1000
-    assert waited_ms <= limit, f"{waited_ms:.0f} ms"
-
-
-@when("the owner is stopped as a job comes, and its caller comes again later")
-def step_witnessed_only(context):
-    bag = context.bag
-    bag.stop(context.owner)
-    context.job = bag.job(tasks=4, duration_ms=50)
-    bag.submit("entry-1", context.job)
-    # The submission has left it.
-    bag.run(0.002)
-    bag.kill("entry-1")
-    bag.run(2.0)
-    assert bag.owner().name != context.owner
-    context.again = bag.submit("entry-0", context.job)
-    bag.run(SETTLE_S)
-
-
-@then("the directed job is answered and each task ran once")
-def step_ran_once(context):
-    assert outcome(context.again) is Outcome.ANSWERED, context.again.reply
-    assert starts_of(context.bag, context.job) == len(context.job.tasks)
--- a/features/support/directed.py
+++ b/features/support/directed.py
@@ -1,13 +1,18 @@
 """What the directed failures share: a cell, its roles, and what a caller got."""
 
+import msgspec
+
 from cactuswalk.messages import Submit
-from cactuswalk.model import Job, Outcome
+from cactuswalk.model import CellRecord, Job, Outcome
 from cactuswalk.state.events import Received
-from features.support.bag import Bag, Handed, Process, small_cell
+from cactuswalk.state.owner import Phase
+from cactuswalk.state.roster import cell_key
+from features.support.bag import CELL, Bag, Handed, Process, small_cell
 
 # Above the retention-free part of every scenario: takeover, deadline, settling.
 SETTLE_S = 8.0
 SLOTS = 8
+AGENTS = 5
 
 
 def owner_name(bag: Bag) -> str:
@@ -76,3 +81,23 @@
 
 def cell(agents: int = 5, **fields) -> Bag:
     return small_cell(agents, **fields)
+
+
+def serving(bag) -> list:
+    return [
+        process.state.owner
+        for process in bag.processes.values()
+        if process.alive
+        and getattr(process.state, "owner", None) is not None
+        and process.state.owner.phase is Phase.SERVING
+    ]
+
+
+def await_owner(bag, seconds: float = 15.0) -> None:
+    """Wait until a live owner serves that has not served before."""
+    assert bag.run_until(lambda: bool(serving(bag)), seconds), "no owner serves"
+
+
+def stored(bag) -> CellRecord:
+    value, _ = bag.key_value.values[cell_key(CELL)]
+    return msgspec.json.decode(value, type=CellRecord)
