--- a/features/steps/once_directed_mutants_steps.py
+++ b/features/steps/once_directed_mutants_steps.py
@@ -2,8 +2,7 @@
 
 from behave import then, when
 
-from tools.mutants import ROOT, StaleMutantError, broken_text
-from tools.mutants_list import MUTANTS
+from tools.mutants import MUTANTS, ROOT, StaleMutantError, broken_text
 
 
 @when("each mutant's text is looked for in the source")
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -18,9 +18,12 @@
 import msgspec
 
 from cactuswalk.errors import CactuswalkError
-from tools.mutants_list import MUTANTS, Mutant
 
 ROOT = Path(__file__).resolve().parent.parent
+STATE = "src/cactuswalk/state"
+GATE = "once_gate.feature"
+TAKEOVER = "once_directed_takeover.feature"
+ANSWERS = "once_directed_answers.feature"
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
@@ -28,6 +31,19 @@
 NOT_RUN = "does not run"
 
 
+class Mutant(msgspec.Struct):
+    """One safeguard taken away.
+
+    :param feature: the one that is to notice, a path below ``features``.
+    """
+
+    name: str
+    path: str
+    old: str
+    new: str
+    feature: str
+
+
 class Tried(msgspec.Struct):
     """What became of a mutant.
 
@@ -40,6 +56,285 @@
     noticed: str
 
 
+MUTANTS = [
+    Mutant(
+        "a new owner does not wait out the old one's standing",
+        f"{STATE}/recovery.py",
+        "if not _majority(state) or now < state.old_owner_until:",
+        "if not _majority(state):",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a new owner serves without a fenced majority",
+        f"{STATE}/recovery.py",
+        "if not _majority(state) or now < state.old_owner_until:",
+        "if now < state.old_owner_until:",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an entry takes a deposed owner's word for not run",
+        f"{STATE}/entry.py",
+        "if answer.outcome is Outcome.NOT_RUN and answer.epoch < view.epoch:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a stopping member leaves with attempts that nobody has settled",
+        f"{STATE}/roster.py",
+        "(peer.leaving and not peer.flights)",
+        "peer.leaving",
+        TAKEOVER,
+    ),
+    Mutant(
+        "records that changed wait behind later ones",
+        f"{STATE}/retention.py",
+        "                heapq.heappush(self.expiries, (due, submission))\n",
+        "                self.expiries.append((due + self.retention, submission))\n",
+        ANSWERS,
+    ),
+    Mutant(
+        "every member says that it misses the owner",
+        f"{STATE}/agent.py",
+        "silent = now - state.heard_at if known else 0.0",
+        "silent = 1e6",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a candidate forgets a swap that may apply late",
+        f"{STATE}/candidate.py",
+        "if record.write_id in state.attempted:",
+        "if False:",
+        TAKEOVER,
+    ),
+    Mutant(
+        "the epoch in question is the agent's, not the record's",
+        f"{STATE}/candidate.py",
+        "    if record is not None and record.epoch > state.agent.gate.epoch:\n"
+        "        return record.epoch",
+        "    if False:\n        return record.epoch",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an epoch that is no news is written",
+        f"{STATE}/candidate.py",
+        "    if record.epoch <= state.agent.gate.epoch:\n",
+        "    if False:\n",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a stopped owner does not name its successor",
+        f"{STATE}/node.py",
+        'gate.owner.address if gate.owner is not None else ""',
+        '""',
+        TAKEOVER,
+    ),
+    Mutant(
+        "a word that an attempt did not start leaves the witness's record",
+        f"{STATE}/flights.py",
+        "    _note_declined(state, message, now)\n",
+        "",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an answer that an earlier try asked for ends a later one",
+        f"{STATE}/entry.py",
+        "message.answer.attempt = message.attempt",
+        "message.answer.attempt = state_last(pending)",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key from the future is taken",
+        f"{STATE}/entry.py",
+        "if age_ms < -margin_ms:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key's other body joins the first",
+        f"{STATE}/submissions.py",
+        "    if tracked.job.fingerprint != submit.job.fingerprint:\n        refuse",
+        "    if False:\n        refuse",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key's other body joins the first at the entry",
+        f"{STATE}/entry.py",
+        "if pending.job.fingerprint != event.job.fingerprint:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a key's other body is not told from records",
+        f"{STATE}/submissions.py",
+        "    if known - {job.fingerprint}:\n        return KEY_REUSED\n",
+        "",
+        ANSWERS,
+    ),
+    Mutant(
+        "a start's stamp is not looked at",
+        f"{STATE}/gate.py",
+        "if age_ms > gate.confirm * 1000:",
+        "if False:",
+        GATE,
+    ),
+    Mutant(
+        "a start's epoch is not looked at",
+        f"{STATE}/gate.py",
+        "if start.epoch != gate.epoch:",
+        "if False:",
+        GATE,
+    ),
+    Mutant(
+        "the gate forgets the records",
+        f"{STATE}/gate.py",
+        "if record is not None and not _may_follow(record, start):",
+        "if False:",
+        GATE,
+    ),
+    Mutant(
+        "a declined attempt leaves no tombstone",
+        f"{STATE}/agent.py",
+        "        tombstone(gate, start, now)\n",
+        "",
+        ANSWERS,
+    ),
+    Mutant(
+        "a probed attempt that never came is not declined for good",
+        f"{STATE}/agent.py",
+        "    state.gate.records.put(record, now)\n    return record",
+        "    return record",
+        ANSWERS,
+    ),
+    Mutant(
+        "standing counts from the pong, not from the ping",
+        f"{STATE}/peers.py",
+        "peer.confirmed_at = sent_at",
+        "peer.confirmed_at = now",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an owner without standing starts tasks",
+        f"{STATE}/owner.py",
+        "return has_standing(self.rosters(), confirmed, self.timing.confirm, now)",
+        "return True",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a start beside the owner has no witness",
+        f"{STATE}/flights.py",
+        "if peer.member == state.member and state.backup_ready:",
+        "if False:",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a new owner serves before its own records are backed up, and says so",
+        f"{STATE}/roster.py",
+        "backed_up = state.backup_ready and state.backup not in removed",
+        "backed_up = True",
+        TAKEOVER,
+    ),
+    Mutant(
+        "missing records count as no start",
+        f"{STATE}/recovery.py",
+        "    return earlier.departed + lost\n",
+        "    return []\n",
+        TAKEOVER,
+    ),
+    Mutant(
+        "members that departed are forgotten at once",
+        f"{STATE}/roster.py",
+        "return kept + [member for member in removed if member not in kept]",
+        "return []",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a restarted agent speaks for its earlier life",
+        f"{STATE}/gate.py",
+        "if start.incarnation != gate.member.incarnation:\n        return Verdict",
+        "if False:\n        return Verdict",
+        GATE,
+    ),
+    Mutant(
+        "a time-out counts as not run",
+        f"{STATE}/ledger.py",
+        'index, TaskOutcome.UNKNOWN, reason="it was sent to a worker and not settled"',
+        'index, TaskOutcome.NOT_RUN, reason="it was sent to a worker and not settled"',
+        ANSWERS,
+    ),
+    Mutant(
+        "an uncertain call to the upstream counts as not sent",
+        f"{STATE}/agent.py",
+        "if event.outcome is UpstreamOutcome.NOT_SENT:",
+        "if event.outcome is not UpstreamOutcome.ANSWERED:",
+        ANSWERS,
+    ),
+    Mutant(
+        "an answer of another attempt passes",
+        f"{STATE}/flights.py",
+        "    if not _is_of(task.place, message.incarnation, message.attempt):\n"
+        "        # An earlier",
+        "    if False:\n        # An earlier",
+        ANSWERS,
+    ),
+    Mutant(
+        "an owner that lost its cell still says not run",
+        f"{STATE}/ledger.py",
+        "    if not confirmed:\n",
+        "    if False:\n",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an entry says not run of a key that it sent to nobody",
+        f"{STATE}/entry.py",
+        "return Outcome.NOT_RUN if minted else Outcome.UNKNOWN",
+        "return Outcome.NOT_RUN",
+        ANSWERS,
+    ),
+    Mutant(
+        "a submission that the network held back is taken",
+        f"{STATE}/submissions.py",
+        "return submit.epoch != state.record.epoch or age > state.timing.confirm",
+        "return False",
+        ANSWERS,
+    ),
+    Mutant(
+        "a copy of a refused submission runs",
+        f"{STATE}/submissions.py",
+        "return tracked.waiters.get(held.sender) != held.submit.attempt",
+        "return True",
+        ANSWERS,
+    ),
+    Mutant(
+        "a damaged answer reaches the caller",
+        f"{STATE}/entry.py",
+        "answer.fingerprint != pending.job.fingerprint or not _is_whole",
+        "False and not _is_whole",
+        ANSWERS,
+    ),
+    Mutant(
+        "too old a key is taken for a new one",
+        f"{STATE}/entry.py",
+        "if age_ms > state.timing.retention * 1000 - margin_ms:",
+        "if False:",
+        ANSWERS,
+    ),
+    Mutant(
+        "a takeover needs no silence of the others",
+        f"{STATE}/candidate.py",
+        "    if 2 * agreeing <= len(roster):\n        return\n",
+        "",
+        TAKEOVER,
+    ),
+    Mutant(
+        "a swap whose reply was lost is taken for refused",
+        f"{STATE}/candidate.py",
+        "    if event.outcome is SwapOutcome.LOST:",
+        "    if event.outcome is not SwapOutcome.APPLIED:",
+        TAKEOVER,
+    ),
+]
+
+
 class StaleMutantError(CactuswalkError):
     """A mutant's text no longer stands in the source exactly once."""
 
@@ -57,7 +352,7 @@
     if found != 1:
         raise StaleMutantError(
             f"{mutant.name}: its text stands {found} times in {mutant.path}",
-            "Bring the mutant's text up to date in tools/mutants_list.py.",
+            "Bring the mutant's text up to date in tools/mutants.py.",
         )
     return text.replace(mutant.old, mutant.new)
 
