A pong tells which changes an agent holds ahead of its revision

Cause: when the key-value service goes away just after a write, the change is held ahead of a gap; pongs told one revision, so the owner counted only itself and 'cactuswalk wait' timed out. That the change wasn't sent is ruled out by this: only the report was altered, and the agents report it.

--- a/src/cactuswalk/messages/cell.py
+++ b/src/cactuswalk/messages/cell.py
@@ -100,6 +100,7 @@
         to bring it back while it is young.
     :param running: attempts of the starts that it is running.
     :param announcement_serial: of its latest announcement.
+    :param ahead: changes of the configuration in force beyond its revision.
     """
 
     cell: str
@@ -111,6 +112,7 @@
     configuration: int
     ready: bool
     announcement_serial: int
+    ahead: list[int] = []
 
 
 class Start(msgspec.Struct, array_like=True, tag=24):
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -142,6 +142,7 @@
         state.configuration,
         _is_ready(state),
         state.announcement_serial,
+        sorted(state.spread.replica.ahead),
     )
     state.effects.append(Send(sender, pong))
 
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -46,6 +46,7 @@
         that operators gave it.
     :param roster_sent: write id of the record whose roster goes with the pings
         since ``roster_since``; ``roster_known`` once one of them is confirmed.
+    :param ahead: changes in force there beyond its revision ``configuration``.
     :param flights: attempts placed there, by (submission, index).
     """
 
@@ -65,6 +66,7 @@
     roster_since: int = 0
     roster_known: str = ""
     configuration: int = 0
+    ahead: list[int] = []
     flights: dict[tuple[str, int], Place] = {}
 
 
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -89,8 +89,8 @@
     peer.heard_at = now
     peer.stamp, peer.stamp_at = pong.stamp, now
     peer.ready = pong.ready
-    peer.configuration = pong.configuration
-    state.effects += state.spread.heard(sender, pong.configuration, now)
+    peer.configuration, peer.ahead = pong.configuration, pong.ahead
+    state.effects += state.spread.heard(sender, pong.configuration, now, pong.ahead)
     _probe_missing(state, peer, pong, now)
     dispatch(state, now)
 
--- a/src/cactuswalk/state/spreading.py
+++ b/src/cactuswalk/state/spreading.py
@@ -137,7 +137,7 @@
     replica = spread.replica
     states = [(replica.revision, replica.ahead)]
     states += [
-        (peer.configuration, ())
+        (peer.configuration, peer.ahead)
         for peer in owner.peers.values()
         if peer.member != owner.member
     ]
