--- a/features/process_operators.feature
+++ b/features/process_operators.feature
@@ -28,7 +28,8 @@
     configuration back.
     When an operator runs "drain w2" through entry 1
     And the operators' key-value service goes down at once
-    Then the accepted change comes into force on every node
+    Then the accepted change of worker w2 is put in force by every agent
+    And the accepted change comes into force on every node
     When entry 2 and a drained worker's agent are killed and started again
     Then entry 2 comes to show worker w2 as drained
     And of 10 requests through entry 1 none lands on w2
--- a/features/steps/process_faults_operators_steps.py
+++ b/features/steps/process_faults_operators_steps.py
@@ -170,6 +170,21 @@
     context.cluster.clear_keyvalue_faults()
 
 
+@then("the accepted change of worker {worker} is put in force by every agent")
+def step_by_agents(context, worker):
+    """Read it in the agents' own logs, beside what an entry reports."""
+
+    def put(name):
+        log = context.cluster[f"agent-{name}"].log.read_text(encoding="utf-8")
+        return any(
+            "put changes in force" in line and f"worker/{worker}" in line
+            for line in log.splitlines()
+        )
+
+    for name in context.cluster.workers:
+        wait_until(lambda name=name: put(name), PATIENCE_S, f"the change at {name}")
+
+
 @then("the accepted change comes into force on every node")
 def step_in_force(context):
     status, said, error = run_command(
