--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -161,9 +161,9 @@
     records = RecordBook(timing.retention, int(maximum_bytes * RECORDS_SHARE))
     # Copies serve a takeover only, which looks back this far; dropped earlier for
     # want of room they would make a new owner take young keys for old ones.
-    copies = RecordBook(COPIES_SPANS * timing.recent, sys.maxsize)
+    copies = RecordBook(min(COPIES_SPANS * timing.reach, timing.retention), sys.maxsize)
     gate = Gate(member, records, timing.confirm)
-    agent = agents.new_agent(cell, gate, copies, Spread(Replica()), timing.recent, now)
+    agent = agents.new_agent(cell, gate, copies, Spread(Replica()), timing.reach, now)
     candidate = candidates.new_candidate(cell, agent, timing, generator)
     return Node(
         cell,
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -297,7 +297,7 @@
     owner knows them from the takeover and from what it sent there itself.
     """
     elsewhere = set(state.peers) - {state.member.incarnation}
-    since = now - state.timing.recent
+    since = now - state.timing.reach
     found = state.agent.gate.records.changed_since(since)
     found += state.agent.copies.changed_since(since)
     found += state.recovered.changed_since(since)
--- a/src/cactuswalk/state/timing.py
+++ b/src/cactuswalk/state/timing.py
@@ -52,3 +52,8 @@
     join: float = 0.5
     clock_margin: float = 2.0
     entry_margin: float = 1.0
+
+    @property
+    def reach(self) -> float:
+        """Return how far back a takeover looks: no further than records are kept."""
+        return min(self.recent, self.retention)
