A start beside the owner does not wait for a witness that is gone

Ruled out: the owner's standing (2 of 3 confirm), the restarted entry. An unwitnessed task is queued again after a ping period, a silent witness is replaced without the roster's change.

--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -385,6 +385,7 @@
     peers.ping_peers(owner, now)
     peers.watch_peers(owner, now)
     roster.keep_roster(owner, now)
+    placing.withdraw_unwitnessed(owner, now)
     submissions.expire_ledger(owner, now)
     placing.dispatch(owner, now)
     peers.report(owner, now)
--- a/src/cactuswalk/state/placing.py
+++ b/src/cactuswalk/state/placing.py
@@ -16,7 +16,13 @@
 from cactuswalk.state.ledger import Place, Stage, Tracked
 from cactuswalk.state.owner import OwnerState, Peer
 
-__all__ = ["dispatch", "on_witnessed", "refresh_workers", "send_start"]
+__all__ = [
+    "dispatch",
+    "on_witnessed",
+    "refresh_workers",
+    "send_start",
+    "withdraw_unwitnessed",
+]
 
 
 def dispatch(state: OwnerState, now: float) -> None:
@@ -51,17 +57,20 @@
     # A ping period less than P: the stamp must still be young on arrival.
     young = now - peer.confirmed_at <= state.timing.confirm - state.timing.ping
     on_rosters = all(peer.member in roster for roster in state.rosters())
-    if peer.member == state.member and not _can_start_beside(state):
+    if peer.member == state.member and not _can_start_beside(state, now):
         return False
     return young and on_rosters and peer.ready and not peer.leaving
 
 
-def _can_start_beside(state: OwnerState) -> bool:
-    """Tell whether a start beside the owner would have a witness.
+def _can_start_beside(state: OwnerState, now: float) -> bool:
+    """Tell whether a start beside the owner would have a witness at once.
 
     A cell of one has nobody to tell, and nobody who could take it over.
     """
-    return state.backup_ready or len(state.record.roster) == 1
+    if not state.backup_ready:
+        return len(state.record.roster) == 1
+    witness = state.peers.get(state.backup.incarnation)
+    return witness is not None and now - witness.confirmed_at <= state.timing.confirm
 
 
 def _place(state: OwnerState, assignment: Assignment, now: float) -> None:
@@ -147,6 +156,24 @@
     state.send(peer.member.address, start)
 
 
+def withdraw_unwitnessed(state: OwnerState, now: float) -> None:
+    """Queue again what no witness has confirmed in a ping period.
+
+    The witness is gone, or a message was lost. Without this the task would wait
+    for its deadline, while other workers are free. No start has been sent.
+    """
+    own = state.peers.get(state.member.incarnation)
+    for name, index in list(own.flights) if own is not None else ():
+        tracked = state.ledger.get(name)
+        if tracked is None or tracked.answer is not None:
+            continue
+        task = tracked.tasks[index]
+        waits = task.stage is Stage.WITNESSING
+        if waits and now - task.place.sent_at > state.timing.ping:
+            state.count("witness.missed")
+            withdraw(state, tracked, index, now)
+
+
 def on_witnessed(state: OwnerState, sender: str, seen: Witnessed, now: float) -> None:
     """The witness has the record: start the task, if it is still wanted."""
     tracked = state.ledger.get(seen.submission)
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -238,7 +238,7 @@
 
 def _keep_backup(state: OwnerState, now: float) -> None:
     """See to it that one other member has copies of what only this host knows."""
-    if state.backup is None or state.backup.incarnation not in state.peers:
+    if _backup_is_gone(state, now):
         state.backup, state.backup_ready = _best_backup(state, now), False
         state.backup_again_at = now
     if state.backup is None:
@@ -249,6 +249,18 @@
     _send_copies(state, state.backup, now)
 
 
+def _backup_is_gone(state: OwnerState, now: float) -> bool:
+    """Tell whether another backup is needed.
+
+    While the key-value service is away a lost member stays on the roster, and
+    would be waited for as a witness.
+    """
+    if state.backup is None:
+        return True
+    peer = state.peers.get(state.backup.incarnation)
+    return peer is None or is_lost(state, peer, now)
+
+
 def _best_backup(state: OwnerState, now: float) -> Member | None:
     fit = [
         peer
