--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -4,16 +4,10 @@
 It answers pings, probes and fences from its records alone.
 """
 
-import math
-
 import msgspec
 
 from cactuswalk.messages import (
-    Adopt,
-    Adopted,
     Declined,
-    Fence,
-    Fenced,
     Heard,
     HeardReply,
     Join,
@@ -25,8 +19,6 @@
     Result,
     Running,
     Start,
-    Witness,
-    Witnessed,
 )
 from cactuswalk.model import (
     Announcement,
@@ -54,13 +46,10 @@
     take_epoch,
     tombstone,
 )
-from cactuswalk.state.retention import RecordBook, newer
+from cactuswalk.state.retention import RecordBook
 
 __all__ = ["AgentState", "new_agent"]
 
-# Records in one message. At some 200 bytes each without a body this is 40 KB,
-# which holds up neither end's loop for more than a few milliseconds.
-RECORDS_A_PART = 200
 
 # The first status that means that the upstream did not do what was asked, by
 # the fault of its own (RFC 9110, section 15.6).
@@ -253,79 +242,6 @@
     _tell_owner(state, record, record.result, 0)
 
 
-def on_fence(state: AgentState, sender: str, fence: Fence, now: float) -> None:
-    """A new owner has taken the cell: end the old epochs, hand out records."""
-    gate = state.gate
-    earlier = gate.epoch
-    if not take_epoch(gate, fence.epoch, fence.owner):
-        state.effects.append(Count("agent.fence.refused"))
-        return
-    if fence.epoch > earlier:
-        state.confirmed_at = state.heard_at
-    state.heard_at = now
-    if state.fenced_epoch != fence.epoch:
-        state.fenced_epoch = fence.epoch
-        _hand_out(state, now)
-    parts = max(1, math.ceil(len(state.handed_out) / RECORDS_A_PART))
-    for part in range(parts):
-        first = part * RECORDS_A_PART
-        fenced = Fenced(
-            state.cell,
-            fence.epoch,
-            gate.member,
-            part,
-            parts,
-            state.handed_out[first : first + RECORDS_A_PART],
-            state.announcement,
-            int((now - state.confirmed_at) * 1000),
-            int((now - state.handed_out_since) * 1000),
-        )
-        state.effects.append(Send(sender, fenced))
-
-
-def _hand_out(state: AgentState, now: float) -> None:
-    """Take the records for a new owner as they stand, and how far they reach."""
-    since = now - state.recent
-    records = state.gate.records
-    state.handed_out = records.changed_since(since) + state.copies.changed_since(since)
-    state.handed_out_since = max(since, records.known_since, state.copies.known_since)
-
-
-def on_witness(state: AgentState, sender: str, witness: Witness, now: float) -> None:
-    """The owner starts a task beside itself: keep its record here too."""
-    gate = state.gate
-    young = now * 1000 - witness.stamp <= gate.confirm * 1000
-    if (
-        witness.epoch != gate.epoch
-        or witness.incarnation != gate.member.incarnation
-        or not young
-    ):
-        state.effects.append(Count("agent.witness.refused"))
-        return
-    keep_copy(state, witness.record, now)
-    record = witness.record
-    seen = Witnessed(
-        state.cell,
-        gate.epoch,
-        gate.member.incarnation,
-        record.submission,
-        record.index,
-        record.attempt,
-    )
-    state.effects.append(Send(sender, seen))
-
-
-def on_adopt(state: AgentState, sender: str, adopt: Adopt, now: float) -> None:
-    """Keep copies of another agent's records."""
-    if adopt.epoch < state.gate.epoch:
-        state.effects.append(Count("agent.adopt.refused"))
-        return
-    for record in adopt.records:
-        keep_copy(state, record, now)
-    adopted = Adopted(state.cell, state.gate.member.incarnation, adopt.token)
-    state.effects.append(Send(sender, adopted))
-
-
 def on_heard(state: AgentState, sender: str, heard: Heard, now: float) -> None:
     """A member misses the owner: say how long it has been silent here."""
     known = heard.epoch >= state.gate.epoch
@@ -335,12 +251,6 @@
     state.effects.append(Send(sender, reply))
 
 
-def keep_copy(state: AgentState, record: Record, now: float) -> None:
-    """Keep a copy of a record unless more is known here already."""
-    kept = state.copies.get(record.submission, record.index)
-    state.copies.put(record if kept is None else newer(kept, record), now)
-
-
 def stamp_of(now: float) -> int:
     """Return the stamp for a moment: whole milliseconds, rounded down."""
     return int(now * 1000)
--- /dev/null
+++ b/src/cactuswalk/state/copying.py
@@ -0,0 +1,107 @@
+"""Records that leave their agent: handed to a new owner, copied for another."""
+
+import math
+
+from cactuswalk.messages import (
+    Adopt,
+    Adopted,
+    Fence,
+    Fenced,
+    Record,
+    Witness,
+    Witnessed,
+)
+from cactuswalk.state.agent import AgentState
+from cactuswalk.state.effects import (
+    Count,
+    Send,
+)
+from cactuswalk.state.gate import (
+    take_epoch,
+)
+from cactuswalk.state.retention import newer
+
+__all__ = ["RECORDS_A_PART", "on_adopt", "on_fence", "on_witness"]
+
+# Records in one message. At some 200 bytes each without a body this is 40 KB,
+# which holds up neither end's loop for more than a few milliseconds.
+RECORDS_A_PART = 200
+
+
+def on_fence(state: AgentState, sender: str, fence: Fence, now: float) -> None:
+    """A new owner has taken the cell: end the old epochs, hand out records."""
+    gate = state.gate
+    earlier = gate.epoch
+    if not take_epoch(gate, fence.epoch, fence.owner):
+        state.effects.append(Count("agent.fence.refused"))
+        return
+    if fence.epoch > earlier:
+        state.confirmed_at = state.heard_at
+    state.heard_at = now
+    if state.fenced_epoch != fence.epoch:
+        state.fenced_epoch = fence.epoch
+        _hand_out(state, now)
+    parts = max(1, math.ceil(len(state.handed_out) / RECORDS_A_PART))
+    for part in range(parts):
+        first = part * RECORDS_A_PART
+        fenced = Fenced(
+            state.cell,
+            fence.epoch,
+            gate.member,
+            part,
+            parts,
+            state.handed_out[first : first + RECORDS_A_PART],
+            state.announcement,
+            int((now - state.confirmed_at) * 1000),
+            int((now - state.handed_out_since) * 1000),
+        )
+        state.effects.append(Send(sender, fenced))
+
+
+def _hand_out(state: AgentState, now: float) -> None:
+    """Take the records for a new owner as they stand, and how far they reach."""
+    since = now - state.recent
+    records = state.gate.records
+    state.handed_out = records.changed_since(since) + state.copies.changed_since(since)
+    state.handed_out_since = max(since, records.known_since, state.copies.known_since)
+
+
+def on_witness(state: AgentState, sender: str, witness: Witness, now: float) -> None:
+    """The owner starts a task beside itself: keep its record here too."""
+    gate = state.gate
+    young = now * 1000 - witness.stamp <= gate.confirm * 1000
+    if (
+        witness.epoch != gate.epoch
+        or witness.incarnation != gate.member.incarnation
+        or not young
+    ):
+        state.effects.append(Count("agent.witness.refused"))
+        return
+    _keep_copy(state, witness.record, now)
+    record = witness.record
+    seen = Witnessed(
+        state.cell,
+        gate.epoch,
+        gate.member.incarnation,
+        record.submission,
+        record.index,
+        record.attempt,
+    )
+    state.effects.append(Send(sender, seen))
+
+
+def on_adopt(state: AgentState, sender: str, adopt: Adopt, now: float) -> None:
+    """Keep copies of another agent's records."""
+    if adopt.epoch < state.gate.epoch:
+        state.effects.append(Count("agent.adopt.refused"))
+        return
+    for record in adopt.records:
+        _keep_copy(state, record, now)
+    adopted = Adopted(state.cell, state.gate.member.incarnation, adopt.token)
+    state.effects.append(Send(sender, adopted))
+
+
+def _keep_copy(state: AgentState, record: Record, now: float) -> None:
+    """Keep a copy of a record unless more is known here already."""
+    kept = state.copies.get(record.submission, record.index)
+    state.copies.put(record if kept is None else newer(kept, record), now)
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -1,12 +1,8 @@
 """The reducer of an agent's process: agent, candidate, and perhaps owner."""
 
-import random
 import sys
 from collections.abc import Callable
 
-import msgspec
-
-from cactuswalk.decisions.scheduler import Scheduler
 from cactuswalk.errors import InvariantError
 from cactuswalk.messages import (
     Adopt,
@@ -37,10 +33,10 @@
     Witness,
     Witnessed,
 )
-from cactuswalk.model import Member
 from cactuswalk.state import (
     agent as agents,
     candidate as candidates,
+    copying,
     flights,
     peers,
     placing,
@@ -49,8 +45,7 @@
     spreading,
     submissions,
 )
-from cactuswalk.state.candidate import CandidateState, TakenOver
-from cactuswalk.state.configuration import Replica, Spread
+from cactuswalk.state.candidate import TakenOver
 from cactuswalk.state.effects import Count, Effect, Log, Part, Send
 from cactuswalk.state.events import (
     Announced,
@@ -62,38 +57,21 @@
     Tick,
     UpstreamAnswered,
 )
-from cactuswalk.state.gate import Gate
+from cactuswalk.state.nodestate import Node, new_node
 from cactuswalk.state.owner import OwnerState
 from cactuswalk.state.retention import RecordBook
-from cactuswalk.state.timing import Timing
-
-# How the bytes for records are shared out: half for the agent's, a quarter for
-# what an owner keeps of submissions, and a quarter for the bodies of answers.
-RECORDS_SHARE = 1 / 2
-LEDGER_SHARE = 1 / 4
-# Copies are kept for two spans of what a new owner looks back.
-COPIES_SPANS = 2
+from cactuswalk.state.stopping import stop
 
 __all__ = ["Node", "handle", "new_node"]
 
-# An owner that stops tries another successor after this long without a takeover.
-HAND_OVER_AGAIN_AFTER = 2.0
-# An owner that can't hand its cell over, because the key-value service or every
-# other member is away, serves on this long and then goes when nothing is open;
-# after the second span it goes all the same: above the longest deadline.
-HAND_OVER_GIVEN_UP_AFTER = 10.0
-STOP_GIVEN_UP_AFTER = 90.0
-# A stopping agent that can't be taken off the roster, because the key-value
-# service is away, goes after this long; its cell then finds it lost.
-LEAVE_GIVEN_UP_AFTER = 5.0
 
 _TO_AGENT: dict[type, Callable] = {
     Ping: agents.on_ping,
     Start: agents.on_start,
     Probe: agents.on_probe,
-    Fence: agents.on_fence,
-    Witness: agents.on_witness,
-    Adopt: agents.on_adopt,
+    Fence: copying.on_fence,
+    Witness: copying.on_witness,
+    Adopt: copying.on_adopt,
     Heard: agents.on_heard,
 }
 _TO_OWNER: dict[type, Callable] = {
@@ -118,64 +96,6 @@
 }
 
 
-class Node(msgspec.Struct):
-    """All that an agent's process knows.
-
-    :param ledger_bytes: for the answers that an owner keeps.
-    :param make_scheduler: called for each epoch that this node owns.
-    :param idle_since: when a stopping node had nothing left to finish.
-    :param stopped: the process may exit.
-    """
-
-    cell: str
-    timing: Timing
-    generator: random.Random
-    agent: agents.AgentState
-    candidate: CandidateState
-    make_scheduler: Callable[[], Scheduler]
-    ledger_bytes: int
-    owner: OwnerState | None = None
-    stopping: bool = False
-    stopping_since: float = 0.0
-    handed_over_at: float = float("-inf")
-    leave_sent_at: float = float("-inf")
-    idle_since: float | None = None
-    stopped: bool = False
-
-    @property
-    def member(self) -> Member:
-        """Return this life of the agent."""
-        return self.agent.gate.member
-
-
-def new_node(
-    cell: str,
-    member: Member,
-    timing: Timing,
-    generator: random.Random,
-    maximum_bytes: int,
-    now: float,
-    make_scheduler: Callable[[], Scheduler] = Scheduler,
-) -> Node:
-    """Return the state of a process that has just been started."""
-    records = RecordBook(timing.retention, int(maximum_bytes * RECORDS_SHARE))
-    # Copies serve a takeover only, which looks back this far; dropped earlier for
-    # want of room they would make a new owner take young keys for old ones.
-    copies = RecordBook(min(COPIES_SPANS * timing.reach, timing.retention), sys.maxsize)
-    gate = Gate(member, records, timing.confirm)
-    agent = agents.new_agent(cell, gate, copies, Spread(Replica()), timing.reach, now)
-    candidate = candidates.new_candidate(cell, agent, timing, generator)
-    return Node(
-        cell,
-        timing,
-        generator,
-        agent,
-        candidate,
-        make_scheduler,
-        int(maximum_bytes * LEDGER_SHARE),
-    )
-
-
 def handle(node: Node, event: Event, now: float) -> list[Effect]:
     """Take one event and return what is to be done.
 
@@ -377,7 +297,7 @@
             candidates.on_member(node.candidate)
         candidates.on_tick(node.candidate, now)
     if node.stopping:
-        _stop(node, now)
+        stop(node, now)
 
 
 def _tick_owner(owner: OwnerState, now: float) -> None:
@@ -390,53 +310,3 @@
     placing.dispatch(owner, now)
     peers.report(owner, now)
     owner.recovered.expire(now)
-
-
-def _stop(node: Node, now: float) -> None:
-    """Finish, hand the cell over, leave the roster, and only then go."""
-    if node.owner is not None:
-        _hand_over(node, now)
-        return
-    if node.agent.gate.running:
-        return
-    if node.idle_since is None:
-        node.idle_since = now
-    outside = node.member not in node.agent.roster
-    if outside or now - node.idle_since > LEAVE_GIVEN_UP_AFTER:
-        node.stopped = True
-        return
-    owner = node.agent.gate.owner
-    if owner is not None and now - node.leave_sent_at >= node.timing.ping:
-        node.leave_sent_at = now
-        leave = Leave(node.cell, node.member)
-        node.agent.effects.append(Send(owner.address, leave))
-
-
-def _hand_over(node: Node, now: float) -> None:
-    """Ask another member to take the cell, without waiting for a silence."""
-    owner = node.owner
-    alone = len(owner.record.roster) == 1
-    waited = now - node.stopping_since
-    if alone or waited > HAND_OVER_GIVEN_UP_AFTER:
-        # Nobody can take the cell over; its entries tell so who comes next.
-        busy = owner.open or node.agent.gate.running
-        node.stopped = not busy or waited > STOP_GIVEN_UP_AFTER
-        if alone or node.stopped:
-            return
-    if now - node.handed_over_at < HAND_OVER_AGAIN_AFTER:
-        return
-    owner.handing_over = False
-    fit = [
-        peer
-        for peer in owner.peers.values()
-        if peer.member != node.member
-        and not peer.leaving
-        and now - peer.confirmed_at <= node.timing.confirm
-    ]
-    if not fit or owner.pending is not None:
-        return
-    node.handed_over_at = now
-    owner.handing_over = True
-    successor = node.generator.choice(fit).member
-    owner.log("hands the cell over", successor=successor.worker)
-    owner.send(successor.address, HandOver(node.cell, owner.record.epoch))
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -17,7 +17,7 @@
     TaskResult,
     TaskState,
 )
-from cactuswalk.state.agent import RECORDS_A_PART
+from cactuswalk.state.copying import RECORDS_A_PART
 from cactuswalk.state.effects import ReadKey, SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
 from cactuswalk.state.flights import give_up_flights
--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -2,6 +2,9 @@
 
 from collections.abc import Callable
 
+from cactuswalk.settings.agent import DEFAULT_RETENTION_BYTES
+from cactuswalk.state.answers import KEPT_AT_LEAST
+from cactuswalk.state.nodestate import LEDGER_SHARE, RECORDS_SHARE
 from tools.capacity import (
     BYTES_BOUND,
     CELL,
@@ -147,12 +150,15 @@
 
     def agent_mb(size: Size) -> float:
         kept = size.starts_a_worker * RETENTION_S * record
+        kept = min(kept, RECORDS_SHARE * DEFAULT_RETENTION_BYTES)
         return rest + (kept + objects_at(size) * stored) / MEGABYTE
 
     def owner_mb(task_bytes: float) -> Callable[[Size], float]:
         def value(size: Size) -> float:
-            kept = size.starts_a_cell * RETENTION_S * task_bytes / MEGABYTE
-            return agent_mb(size) + kept
+            kept = size.starts_a_cell * RETENTION_S * task_bytes
+            least = size.starts_a_cell * KEPT_AT_LEAST * task_bytes
+            room = 2 * LEDGER_SHARE * DEFAULT_RETENTION_BYTES
+            return agent_mb(size) + min(kept, max(room, least)) / MEGABYTE
 
         return value
 
@@ -161,32 +167,32 @@
             "agent",
             "resident memory",
             "MB",
-            f"at rest + starts/s × {RETENTION_S} s × bytes a record + objects × bytes",
+            "at rest + bytes for records (half of 8 MiB) + objects × bytes",
             agent_mb,
             MEMORY_BOUND_MB,
-            "records bounded in time and bytes; the default of 8 MB refuses "
-            "starts when it is full",
+            "records bounded in time and bytes; the oldest go first, and are "
+            "too old to know",
             "built",
         ),
         Row(
             "owner",
             "resident memory, all in jobs",
             "MB",
-            f"agent + cell's starts/s × {RETENTION_S} s × bytes a kept task",
+            "agent + bytes for answers (half of 8 MiB), or 10 s of starts",
             owner_mb(kept_task),
             MEMORY_BOUND_MB,
-            "answers kept for the retention window",
-            "bounded in time only",
+            "answers bounded in time and bytes; none younger than 10 s goes",
+            "built",
         ),
         Row(
             "owner",
             "resident memory, all single requests",
             "MB",
-            f"agent + cell's starts/s × {RETENTION_S} s × bytes a kept answer",
+            "agent + bytes for answers (half of 8 MiB), or 10 s of starts",
             owner_mb(kept_request),
             MEMORY_BOUND_MB,
             "as above",
-            "bounded in time only",
+            "built",
         ),
         Row(
             "entry",
--- a/tools/slopes_cell.py
+++ b/tools/slopes_cell.py
@@ -1,6 +1,7 @@
 """Slopes of a cell: its owner, its agents and the entries that it reports to."""
 
 import statistics
+import sys
 
 from cactuswalk.messages import Record
 from cactuswalk.model import Outcome, TaskOutcome, TaskResult, TaskState, digest
@@ -197,9 +198,11 @@
 def keep_answers(bag: MeteredBag, answers: int, tasks: int = 1) -> None:
     """Put answered submissions into the owner's ledger, as the path does."""
     state = bag.owner().state.owner
+    # The slope is wanted, not the bound that a ledger is kept within.
+    state.maximum_bytes = sys.maxsize
     for _ in range(answers):
         job = bag.job(tasks=tasks, duration_ms=TASK_MS)
-        tracked = Tracked(job, bag.now + 5, [Task() for _ in job.tasks])
+        tracked = Tracked(job, bag.now + 5, [Task() for _ in job.tasks], bag.now)
         tracked.waiters["tcp://entry-0"] = 1
         state.ledger[job.submission] = tracked
         for index, task in enumerate(tracked.tasks):
