--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -1,6 +1,5 @@
 """The agent's process: its sockets, its upstream, and the node's reducer."""
 
-import random
 import secrets
 import time
 
@@ -9,13 +8,8 @@
 from cactuswalk.http.server import HttpServer
 from cactuswalk.http.upstream import UpstreamClient
 from cactuswalk.model import Member
-from cactuswalk.platform import open_store
 from cactuswalk.runtime.application import Application
-from cactuswalk.runtime.keys import Keys, address_with_key
-from cactuswalk.runtime.keyvalue import KeyValuePort
-from cactuswalk.runtime.logs import open_logs
-from cactuswalk.runtime.metrics import make_metrics
-from cactuswalk.runtime.transport import Transport
+from cactuswalk.runtime.host import Host
 from cactuswalk.settings import AgentSettings
 from cactuswalk.state.effects import CallUpstream, StopUpstream
 from cactuswalk.state.events import UpstreamOutcome
@@ -42,25 +36,16 @@
 
     def __init__(self, settings: AgentSettings) -> None:
         self.settings = settings
-        self.log = open_logs(settings.logs, settings.worker)
-        self.metrics = make_metrics(settings.statsd)
-        self.generator = random.Random(secrets.randbits(64))
+        self.host = Host(settings.worker, settings)
         self.node = self._make_node()
         self.application = Application(
             settings.worker,
             lambda event, now: handle(self.node, event, now),
             lambda: self.node.stopped,
-            self.log.write,
-            self.metrics,
+            self.host.log.write,
+            self.host.metrics,
         )
-        keys = Keys(settings.curve) if settings.curve else None
-        self.transport = Transport(
-            self.node.member.address,
-            self.application.receive,
-            self.metrics.count,
-            keys,
-        )
-        self.application.transport = self.transport
+        self.host.attach(self.application, AGENT_RATE, AGENT_BURST)
         self.upstream = UpstreamClient()
         self.application.performers[CallUpstream] = self._call
         self.application.performers[StopUpstream] = self._stop
@@ -72,15 +57,12 @@
 
     def _make_node(self) -> Node:
         settings = self.settings
-        address = settings.address
-        if settings.curve:
-            address = address_with_key(address, settings.curve.public_key)
-        member = Member(settings.worker, secrets.token_hex(8), address)
+        member = Member(settings.worker, secrets.token_hex(8), self.host.address)
         return new_node(
             settings.cell,
             member,
             timing_of(settings),
-            self.generator,
+            self.host.generator,
             settings.retention_bytes,
             time.monotonic(),
         )
@@ -95,36 +77,9 @@
             FINISH_SECONDS,
         )
         self.server = server
-        application.add_hook(self._open_transport, self._close_transport)
-        application.add_hook(self._open_store, self._close_store)
         application.add_hook(self.upstream.open, self.upstream.close)
         application.add_hook(server.start, server.stop)
 
-    async def _open_transport(self) -> None:
-        self.transport.open()
-
-    async def _close_transport(self) -> None:
-        self.transport.close()
-
-    async def _open_store(self) -> None:
-        settings = self.settings.key_value
-        self.store = open_store(
-            settings.endpoints,
-            self.settings.worker,
-            AGENT_RATE,
-            AGENT_BURST,
-            prefix=settings.prefix,
-            timeout=settings.timeout_ms / 1000,
-            generator=random.Random(self.generator.getrandbits(64)),
-            count=lambda name: self.metrics.count(name, 1),
-        )
-        KeyValuePort(self.application, self.store)
-
-    async def _close_store(self) -> None:
-        await self.store.close()
-        self.metrics.close()
-        self.log.close()
-
     def _not_ready(self) -> list[str]:
         reasons = []
         if self.application.stopping:
@@ -139,7 +94,7 @@
     async def _run_call(self, effect: CallUpstream) -> None:
         event = await self.upstream.call(effect)
         if event.outcome is UpstreamOutcome.ANSWERED:
-            self.metrics.timing("agent.upstream", event.elapsed_ms)
+            self.host.metrics.timing("agent.upstream", event.elapsed_ms)
         self.application.feed(event)
 
     def _stop(self, effect: StopUpstream) -> None:
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -12,14 +12,9 @@
 from cactuswalk.http.operators_store import ConfigurationKeys, follow
 from cactuswalk.http.server import HttpServer
 from cactuswalk.messages import ConfigurationUpdate, JobState
-from cactuswalk.platform import open_store
 from cactuswalk.runtime.application import Application
-from cactuswalk.runtime.keys import Keys, address_with_key
-from cactuswalk.runtime.keyvalue import KeyValuePort
-from cactuswalk.runtime.logs import open_logs
-from cactuswalk.runtime.metrics import make_metrics
+from cactuswalk.runtime.host import Host
 from cactuswalk.runtime.operators import OperatorsDesk
-from cactuswalk.runtime.transport import Transport
 from cactuswalk.settings import EntrySettings
 from cactuswalk.state.effects import Reply, ReplyState
 from cactuswalk.state.entry import EntryState, handle_entry, new_entry
@@ -40,9 +35,7 @@
 
     def __init__(self, settings: EntrySettings) -> None:
         self.settings = settings
-        self.log = open_logs(settings.logs, settings.name)
-        self.metrics = make_metrics(settings.statsd)
-        self.generator = random.Random(secrets.randbits(64))
+        self.host = Host(settings.name, settings)
         self.waiting: dict[str, asyncio.Future] = {}
         self.questions: dict[str, asyncio.Future] = {}
         self.serial = itertools.count(1)
@@ -51,15 +44,11 @@
             settings.name,
             lambda event, now: handle_entry(self.state, event, now),
             self._is_stopped,
-            self.log.write,
-            self.metrics,
+            self.host.log.write,
+            self.host.metrics,
             UNREADY_SECONDS,
         )
-        keys = Keys(settings.curve) if settings.curve else None
-        self.transport = Transport(
-            self.state.address, self.application.receive, self.metrics.count, keys
-        )
-        self.application.transport = self.transport
+        self.host.attach(self.application, ENTRY_RATE, ENTRY_BURST)
         self.application.performers[Reply] = self._reply
         self.application.performers[ReplyState] = self._reply_state
         self._add_hooks()
@@ -69,13 +58,11 @@
         await self.application.run()
 
     def _make_state(self) -> EntryState:
-        address = self.settings.address
-        if self.settings.curve:
-            address = address_with_key(address, self.settings.curve.public_key)
         timing = Timing(retention=float(self.settings.retention_seconds))
         wall_ms = time.time() * 1000 - time.monotonic() * 1000
         peers = self.settings.peers
-        return new_entry(address, [], timing, self.generator, wall_ms, peers)
+        host = self.host
+        return new_entry(host.address, [], timing, host.generator, wall_ms, peers)
 
     def _add_hooks(self) -> None:
         application, settings = self.application, self.settings
@@ -85,7 +72,7 @@
             application.feed,
             self.query,
             self._not_ready,
-            lambda name: self.metrics.count(name, 1),
+            self.host.counter(),
         )
         finish_seconds = settings.limits.maximum_deadline_ms / 1000
         self.server = HttpServer(
@@ -95,35 +82,20 @@
             settings.http,
             finish_seconds,
         )
-        application.add_hook(self._open_transport, self._close_transport)
-        application.add_hook(self._open_store, self._close_store)
+        application.add_hook(self._follow, self._follow_no_more)
         application.add_hook(self.server.start, self.server.stop)
         if settings.operators_http is not None:
             application.add_hook(self._open_operators, self._close_operators)
 
-    async def _open_transport(self) -> None:
-        self.transport.open()
-
-    async def _close_transport(self) -> None:
-        self.transport.close()
-
-    async def _open_store(self) -> None:
-        settings = self.settings.key_value
-        self.store = open_store(
-            settings.endpoints,
-            self.settings.name,
-            ENTRY_RATE,
-            ENTRY_BURST,
-            prefix=settings.prefix,
-            timeout=settings.timeout_ms / 1000,
-            generator=random.Random(self.generator.getrandbits(64)),
-            count=lambda name: self.metrics.count(name, 1),
-        )
-        port = KeyValuePort(self.application, self.store)
-        self.configuration_keys = ConfigurationKeys(self.store)
-        self.application.spawn(port.watch("cells/"))
+    async def _follow(self) -> None:
+        """Watch the cells and the configuration; ends with the application."""
+        self.configuration_keys = ConfigurationKeys(self.host.store)
+        self.application.spawn(self.host.port.watch("cells/"))
         self.application.spawn(follow(self.configuration_keys, self._publish))
 
+    async def _follow_no_more(self) -> None:
+        """Do nothing: the application has ended the watches."""
+
     def _publish(self, update: ConfigurationUpdate) -> None:
         self.application.feed(ConfigurationChanged(update))
 
@@ -142,11 +114,6 @@
     async def _close_operators(self) -> None:
         await self.operators_server.stop()
 
-    async def _close_store(self) -> None:
-        await self.store.close()
-        self.metrics.close()
-        self.log.close()
-
     async def submit(self, event: CallerSubmitted) -> Reply:
         """Hand a submission to the reducer and wait for its one reply."""
         future = asyncio.get_running_loop().create_future()
--- /dev/null
+++ b/src/cactuswalk/runtime/host.py
@@ -0,0 +1,90 @@
+"""What both daemons stand on: log, metrics, messages, the key-value service."""
+
+import random
+import secrets
+from collections.abc import Callable
+
+from cactuswalk.platform import KeyValueStore, open_store
+from cactuswalk.runtime.application import Application
+from cactuswalk.runtime.keys import Keys, address_with_key
+from cactuswalk.runtime.keyvalue import KeyValuePort
+from cactuswalk.runtime.logs import open_logs
+from cactuswalk.runtime.metrics import make_metrics
+from cactuswalk.runtime.transport import Transport
+from cactuswalk.settings import AgentSettings, EntrySettings
+
+__all__ = ["Host"]
+
+
+class Host:
+    """The parts of a process that its role does not change.
+
+    :param name: of the process, in its log lines and towards the service.
+    :param settings: of an entry or an agent.
+    """
+
+    def __init__(self, name: str, settings: AgentSettings | EntrySettings) -> None:
+        self.name = name
+        self.settings = settings
+        self.log = open_logs(settings.logs, name)
+        self.metrics = make_metrics(settings.statsd)
+        self.generator = random.Random(secrets.randbits(64))
+        self.address = settings.address
+        if settings.curve:
+            self.address = address_with_key(self.address, settings.curve.public_key)
+        self.application: Application | None = None
+        self.transport: Transport | None = None
+        self.store: KeyValueStore | None = None
+        self.port: KeyValuePort | None = None
+
+    def attach(self, application: Application, rate: float, burst: float) -> None:
+        """Let an application own these parts.
+
+        :param rate: of calls on the key-value service, see
+            ``decisions.callbudget``; so ``burst``.
+        """
+        self.application = application
+        keys = Keys(self.settings.curve) if self.settings.curve else None
+        self.transport = Transport(
+            self.address, application.receive, self.metrics.count, keys
+        )
+        application.transport = self.transport
+
+        async def open_transport() -> None:
+            self.transport.open()
+
+        async def close_transport() -> None:
+            self.transport.close()
+
+        async def open_store_and_port() -> None:
+            self._open_store(rate, burst)
+
+        application.add_hook(open_transport, close_transport)
+        application.add_hook(open_store_and_port, self._close_store)
+
+    def fork_generator(self) -> random.Random:
+        """Return a generator of its own for a part that draws on its own."""
+        return random.Random(self.generator.getrandbits(64))
+
+    def counter(self) -> Callable[[str], None]:
+        """Return what adds one to a counter."""
+        return lambda name: self.metrics.count(name, 1)
+
+    def _open_store(self, rate: float, burst: float) -> None:
+        settings = self.settings.key_value
+        self.store = open_store(
+            settings.endpoints,
+            self.name,
+            rate,
+            burst,
+            prefix=settings.prefix,
+            timeout=settings.timeout_ms / 1000,
+            generator=self.fork_generator(),
+            count=self.counter(),
+        )
+        self.port = KeyValuePort(self.application, self.store)
+
+    async def _close_store(self) -> None:
+        await self.store.close()
+        self.metrics.close()
+        self.log.close()
--- a/src/cactuswalk/runtime/keyvalue.py
+++ b/src/cactuswalk/runtime/keyvalue.py
@@ -45,13 +45,17 @@
                 )
 
     async def _read(self, effect: ReadKey, mark: str) -> None:
-        event = await self.store.read(effect.key)
-        self.under_way.discard(mark)
+        try:
+            event = await self.store.read(effect.key)
+        finally:
+            self.under_way.discard(mark)
         self.application.feed(event)
 
     async def _swap(self, effect: SwapKey, mark: str) -> None:
-        event = await self.store.swap(
-            effect.key, effect.expected, effect.value, effect.write_id
-        )
-        self.under_way.discard(mark)
+        try:
+            event = await self.store.swap(
+                effect.key, effect.expected, effect.value, effect.write_id
+            )
+        finally:
+            self.under_way.discard(mark)
         self.application.feed(event)
