--- a/src/cactuswalk/decisions/joborder.py
+++ b/src/cactuswalk/decisions/joborder.py
@@ -12,7 +12,7 @@
 
 from collections.abc import Callable
 
-__all__ = ["JobOrder", "by_patience", "first_come_first_served", "fewest_tasks"]
+__all__ = ["JobOrder", "by_patience"]
 
 # (arrived and deadline in seconds, expected run times in seconds, slots) -> key
 JobOrder = Callable[[float, float, list[float], int], float]
@@ -39,17 +39,3 @@
     work = sum(expected) / max(1, slots)
     patience = WORK_PATIENCE * work + LENGTH_PATIENCE * max(expected)
     return arrived + min(patience, DEADLINE_PART * (deadline - arrived))
-
-
-def first_come_first_served(
-    arrived: float, deadline: float, expected: list[float], slots: int
-) -> float:
-    """Order by arrival."""
-    return arrived
-
-
-def fewest_tasks(
-    arrived: float, deadline: float, expected: list[float], slots: int
-) -> float:
-    """Order by work alone; a large job can starve."""
-    return sum(expected)
--- a/src/cactuswalk/state/retention.py
+++ b/src/cactuswalk/state/retention.py
@@ -6,7 +6,7 @@
 from cactuswalk.messages import Record
 from cactuswalk.model import TaskOutcome, TaskResult, TaskState
 
-__all__ = ["RecordBook", "is_started", "newer"]
+__all__ = ["RecordBook", "newer"]
 
 # What a record takes besides its body: 715 bytes measured with tracemalloc for
 # submissions of one task (100,000 records, Python 3.11), 190 for those of 20.
@@ -197,8 +197,3 @@
     if one.attempt != other.attempt:
         return one if one.attempt > other.attempt else other
     return other if one.state is TaskState.RUNNING else one
-
-
-def is_started(record: Record) -> bool:
-    """Tell whether a record stands for a start (not a tombstone)."""
-    return record.state is not TaskState.DECLINED
--- a/tools/latency.py
+++ b/tools/latency.py
@@ -43,10 +43,6 @@
 REQUESTS_FOR_MEMORY = 10_000
 AGENT_BOUND_MB = 64
 
-# A record takes 1 kB, and 10,000 are kept at once in these runs: the default
-# of 8 MB would refuse the last of them.
-RETENTION_BYTES = 64 << 20
-
 
 class Target:
     """Sends empty requests, through the path or straight to the upstream."""
@@ -213,8 +209,7 @@
 @click.option("--page", default=str(PAGE), help="Page whose block is replaced.")
 def main(page: str) -> None:
     """Measure the path and write the page's tables."""
-    changes = {"agent": {"retention": {"bytes": str(RETENTION_BYTES)}}}
-    with Cluster(1, [Worker("w1", SERVICE)], changes) as cluster:
+    with Cluster(1, [Worker("w1", SERVICE)]) as cluster:
         cluster.wait_ready()
         text = asyncio.run(measure(cluster, resident_mb(cluster)))
     click.echo(text)
