Who was refused and comes back is not too old

Cause, found by reading: a key that the ledger knows as refused was looked up by its age all the same; in a full cell, where older submissions are forgotten, a caller that came back as told would have been refused as too old. The new scenario fails before this change and passes after it.

--- a/features/once_bounds.feature
+++ b/features/once_bounds.feature
@@ -41,6 +41,15 @@
     Then it is told that it is too old to know, and it has started once
     And a new request is answered
 
+  Scenario: Who was refused and comes back is not too old
+    A cell is full and a caller is refused; it comes back with the same key, as it
+    was told to. Meanwhile older submissions have been forgotten, but not this one.
+    Given a settled cell with room for 20 kept answers
+    When a request is refused as not run since all slots are taken
+    And what is as old as that request is forgotten, and slots are free
+    When that request is submitted again with its key
+    Then it is answered and has started once
+
   Scenario: An answer larger than the room for records
     An upstream answers with more than the agent may keep. Its caller should get
     the answer all the same; only asking for it again is in vain.
--- a/features/steps/once_bounds_steps.py
+++ b/features/steps/once_bounds_steps.py
@@ -160,3 +160,32 @@
     assert reply.outcome is Outcome.ANSWERED, reply
     assert len(reply.results[0].body) > 10
     assert violations(context.bag) == []
+
+
+@when("a request is refused as not run since all slots are taken")
+def step_refused(context):
+    bag = context.bag
+    for _ in range(4):
+        bag.submit("entry-0", bag.job(tasks=6, duration_ms=6000), 20_000)
+    bag.run(0.2)
+    context.first = bag.submit("entry-0", bag.job(duration_ms=50), 500)
+    bag.run(1.0)
+    assert context.first.reply.outcome is Outcome.NOT_RUN, context.first.reply
+
+
+@when("what is as old as that request is forgotten, and slots are free")
+def step_forgotten(context):
+    context.bag.run(8.0)
+    context.bag.owner().state.owner.known_since = context.bag.now
+
+
+@when("that request is submitted again with its key")
+def step_with_its_key(context):
+    submit_again(context, context.first)
+
+
+@then("it is answered and has started once")
+def step_answered_once(context):
+    assert context.again.reply.outcome is Outcome.ANSWERED, context.again.reply
+    assert own_starts(context) == 1
+    assert violations(context.bag) == []
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -94,7 +94,7 @@
             ),
         )
         return
-    if _is_too_old(state, submit, now):
+    if tracked is None and _is_too_old(state, submit, now):
         refuse(state, held.sender, submit, TOO_OLD, Outcome.UNKNOWN)
         return
     refusal = _refusal_before(state, held, now)
