One harness for the random scripts, one constant for coming back

The same Hypothesis harness stood three times (two step files, tools/soak.py); it is features/support/runs.py now, with the same seeds, counts and assertion. RETRY_WITHOUT_OWNER_MS stood twice since the entry's reducer was split; a field of the owner was never read.

--- a/features/steps/once_directed_random_steps.py
+++ b/features/steps/once_directed_random_steps.py
@@ -1,9 +1,8 @@
 """Steps for random runs that aim at takeovers."""
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, given as drawn, seed, settings
 
-from features.support.judge import violations
+from features.support.runs import run_scripts
 from features.support.targeted import TARGETED, play_targeted
 
 
@@ -16,22 +15,12 @@
 def step_play(context):
     context.played = 0
 
-    @seed(context.script_seed)
-    @settings(
-        max_examples=context.script_count,
-        database=None,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-        phases=[Phase.generate, Phase.shrink],
-        print_blob=False,
-    )
-    @drawn(TARGETED)
-    def run(script):
+    def count(played):
         context.played += 1
-        found = violations(play_targeted(script).bag)
-        assert found == [], found
 
-    run()
+    run_scripts(
+        TARGETED, play_targeted, context.script_seed, context.script_count, count
+    )
 
 
 @then("no promise was broken in any targeted script")
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -1,10 +1,9 @@
 """Steps for what must always hold, on the reducers."""
 
 from behave import given, then, when
-from hypothesis import HealthCheck, Phase, given as drawn, seed, settings
 
-from features.support.judge import violations
 from features.support.matrix import play_cell
+from features.support.runs import run_scripts
 from features.support.script import SCRIPTS, play
 from tools import matrix
 
@@ -16,24 +15,12 @@
 
 @when("each is run on the reducers")
 def step_play(context):
-    context.broken = []
     context.played = 0
 
-    @seed(context.script_seed)
-    @settings(
-        max_examples=context.script_count,
-        database=None,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-        phases=[Phase.generate, Phase.shrink],
-        print_blob=False,
-    )
-    @drawn(SCRIPTS)
-    def run(script):
+    def count(played):
         context.played += 1
-        assert violations(play(script).bag) == []
 
-    run()
+    run_scripts(SCRIPTS, play, context.script_seed, context.script_count, count)
 
 
 @then("no promise was broken in any of them")
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -15,6 +15,7 @@
     Send,
 )
 from cactuswalk.state.entryview import (
+    RETRY_WITHOUT_OWNER_MS,
     CellView,
     EntryState,
     Pending,
@@ -37,9 +38,6 @@
     "on_caller_submitted",
 ]
 
-# A caller that comes back after a takeover finds an owner.
-RETRY_WITHOUT_OWNER_MS = 3000
-
 
 def on_caller_submitted(state: EntryState, event: CallerSubmitted, now: float) -> None:
     """A caller has handed in a checked job."""
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -23,6 +23,7 @@
 from cactuswalk.state.timing import Timing
 
 __all__ = [
+    "RETRY_WITHOUT_OWNER_MS",
     "Asked",
     "CellView",
     "EntryState",
@@ -36,6 +37,9 @@
     "refuse_waiter",
 ]
 
+# A caller that comes back after a takeover finds an owner.
+RETRY_WITHOUT_OWNER_MS = 3000
+
 
 class CellView(msgspec.Struct):
     """What an entry knows of one cell.
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -143,7 +143,6 @@
     ping_serial: int = 0
     pinged_at: float = float("-inf")
     reported_at: float = float("-inf")
-    expired_at: float = float("-inf")
     maximum_bytes: int = 0
     kept_bytes: int = 0
     body_bytes: int = 0
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -19,6 +19,7 @@
     Send,
 )
 from cactuswalk.state.entryview import (
+    RETRY_WITHOUT_OWNER_MS,
     CellView,
     EntryState,
     Pending,
@@ -36,8 +37,6 @@
 DEADLINE_GRACE = 0.25
 # A takeover ends within this; until then a submission waits for its owner.
 OWNER_AWAITED = 6.0
-# A caller that comes back after a takeover finds an owner.
-RETRY_WITHOUT_OWNER_MS = 3000
 
 
 def send_submit(
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -9,13 +9,10 @@
 import secrets
 import sys
 import time
-from collections.abc import Callable
 
 import click
-from hypothesis import HealthCheck, Phase, given, seed as seeded, settings
-from hypothesis.strategies import SearchStrategy
 
-from features.support.judge import violations
+from features.support.runs import run_scripts
 from features.support.script import SCRIPTS, play
 from features.support.targeted import TARGETED, play_targeted
 
@@ -46,33 +43,6 @@
         return f"scripts {self.scripts}\nsteps: {steps}\ncallers were told: {told}"
 
 
-def run_batch(
-    seed: int, count: int, tally: Tally, scripts: SearchStrategy, player: Callable
-) -> None:
-    """Run some scripts.
-
-    :param scripts: what to draw them from.
-    :param player: runs one of them.
-    :raises AssertionError: with the smallest script that breaks a promise.
-    """
-
-    @seeded(seed)
-    @settings(
-        max_examples=count,
-        database=None,
-        deadline=None,
-        suppress_health_check=list(HealthCheck),
-        phases=[Phase.generate, Phase.shrink],
-    )
-    @given(scripts)
-    def run(script):
-        played = player(script)
-        tally.add(played)
-        assert violations(played.bag) == [], violations(played.bag)
-
-    run()
-
-
 @click.command()
 @click.option("--seconds", default=3600.0, show_default=True, help="How long to run.")
 @click.option("--seed", type=int, default=None, help="Repeat a run by its seed.")
@@ -83,8 +53,8 @@
     tally, end = Tally(), time.monotonic() + seconds
     try:
         while time.monotonic() < end:
-            run_batch(seed, BATCH, tally, SCRIPTS, play)
-            run_batch(seed, BATCH, tally, TARGETED, play_targeted)
+            run_scripts(SCRIPTS, play, seed, BATCH, tally.add)
+            run_scripts(TARGETED, play_targeted, seed, BATCH, tally.add)
             seed += 1
     except Exception as error:
         click.echo(f"failed at seed {seed}: {error}\n{tally.show()}")
