A cell that has had no owner for long refuses at once

Cause: each submission waited six seconds for its cell's owner, counted from its own arrival, also when the cell had been without one for long (an owner that dies in an outage of the key-value service): a trial with real processes had each request wait 10 s, its whole deadline, before and 6 s of it in vain. Ruled out: that they could be served, since nobody may take a cell over without the service. Now the entry notes since when it seeks an owner, and refuses new ones at the door after the same six seconds; what waits already, and who joins it, is as before. The new scenario fails before (refused after 6 s) and passes after (within 10 ms of virtual time), and a request is answered once the service is back.

--- a/features/once_directed_answers.feature
+++ b/features/once_directed_answers.feature
@@ -60,6 +60,15 @@
     When a job that has run is submitted at an entry without a view of any cell
     Then the directed caller is told unknown with "no_owner"
 
+  Scenario: A cell that has had no owner for long
+    An owner dies while the service is down, so that nobody can take its cell over.
+    Each request that comes then would wait for six seconds in vain, and its caller
+    with it, though it could have been told at once.
+    Given a directed pair of entries
+    When the owner and the service are gone for 8 s and a request comes
+    Then the directed caller is told "not_run" with "no_owner" within 10 ms
+    And a request is answered once the service is back
+
   Scenario: A submission that the network held back
     A submission reaches its owner after its entry gave it up and told its caller
     so. A booking that is made now would surprise the caller.
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -218,6 +218,35 @@
     )
 
 
+@when("the owner and the service are gone for {seconds:d} s and a request comes")
+def step_ownerless(context, seconds):
+    bag = context.bag
+    bag.key_value.down = True
+    bag.kill(owner_name(bag))
+    bag.run(seconds)
+    context.handed = bag.submit("entry-0", bag.job(), minted=True)
+    bag.run(SETTLE_S)
+
+
+@then('the directed caller is told "{told}" with "{expected}" within {span:d} ms')
+def step_told_within(context, told, expected, span):
+    handed = context.handed
+    assert (str(outcome(handed)), code(handed)) == (told, expected)
+    assert handed.reply.refusal.retry_after_ms > 0
+    # Virtual time.
+    assert handed.replied_at - handed.at <= span / 1000
+
+
+@then("a request is answered once the service is back")
+def step_answered_back(context):
+    bag = context.bag
+    bag.key_value.down = False
+    bag.run(SETTLE_S)
+    handed = bag.submit("entry-0", bag.job(), minted=True)
+    bag.run(SETTLE_S)
+    assert outcome(handed) is Outcome.ANSWERED, handed.reply
+
+
 def keep_submit(context, remaining_ms: int) -> Submit:
     """Submit a job whose message is lost; return the message."""
     bag, kept = context.bag, []
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -15,6 +15,7 @@
     Send,
 )
 from cactuswalk.state.entryview import (
+    OWNER_AWAITED,
     RETRY_WITHOUT_OWNER_MS,
     CellView,
     EntryState,
@@ -22,6 +23,7 @@
     age_ms,
     give_up,
     log,
+    no_owner,
     outcome_unsent,
     refuse_waiter,
 )
@@ -44,14 +46,17 @@
     job = event.job
     refusal = _refusal_at_door(state, event, now)
     if refusal is not None:
-        outcome = outcome_unsent(event.minted)
-        refuse_waiter(state, event.waiter, job.submission, outcome, refusal)
+        _refuse(state, event, refusal)
         return
     pending = state.pending.get(job.submission)
     if pending is not None:
         _join(state, pending, event)
         return
     cell = _choose_cell(state, job)
+    refusal = _refusal_without_owner(cell, now)
+    if refusal is not None:
+        _refuse(state, event, refusal)
+        return
     pending = Pending(
         job,
         cell.cell,
@@ -72,6 +77,11 @@
     send_submit(state, pending, cell, now)
 
 
+def _refuse(state: EntryState, event: CallerSubmitted, refusal: Refusal) -> None:
+    outcome = outcome_unsent(event.minted)
+    refuse_waiter(state, event.waiter, event.job.submission, outcome, refusal)
+
+
 def _refusal_at_door(
     state: EntryState, event: CallerSubmitted, now: float
 ) -> Refusal | None:
@@ -95,21 +105,37 @@
     if state.stopping:
         return Refusal(RefusalCode.STOPPING, "this entry is stopping", 0)
     if _choose_cell(state, job) is None:
-        if state.spread.replica.get("service", job.service) is not None:
-            return Refusal(
-                RefusalCode.NO_WORKER_NOW,
-                f"no worker has announced {job.service} yet",
-                RETRY_WITHOUT_OWNER_MS,
-            )
-        known = any(view.report is not None for view in state.cells.values())
-        if known:
-            return Refusal(
-                RefusalCode.UNKNOWN_SERVICE, f"no worker has announced {job.service}"
-            )
+        return _refusal_without_cell(state, job)
+    return None
+
+
+def _refusal_without_owner(cell: CellView, now: float) -> Refusal | None:
+    """Refuse at once where nobody has taken the cell over for long.
+
+    In an outage of the key-value service nobody can. Each submission would wait
+    as long as the first one did, and its caller could have gone elsewhere.
+    """
+    sought = cell.sought_since
+    if sought is None or now - sought <= OWNER_AWAITED:
+        return None
+    return no_owner(cell)
+
+
+def _refusal_without_cell(state: EntryState, job: Job) -> Refusal:
+    if state.spread.replica.get("service", job.service) is not None:
         return Refusal(
-            RefusalCode.NO_OWNER, "no cell is known here yet", RETRY_WITHOUT_OWNER_MS
+            RefusalCode.NO_WORKER_NOW,
+            f"no worker has announced {job.service} yet",
+            RETRY_WITHOUT_OWNER_MS,
         )
-    return None
+    known = any(view.report is not None for view in state.cells.values())
+    if known:
+        return Refusal(
+            RefusalCode.UNKNOWN_SERVICE, f"no worker has announced {job.service}"
+        )
+    return Refusal(
+        RefusalCode.NO_OWNER, "no cell is known here yet", RETRY_WITHOUT_OWNER_MS
+    )
 
 
 def _join(state: EntryState, pending: Pending, event: CallerSubmitted) -> None:
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -53,6 +53,7 @@
     new_owner = report.epoch > view.epoch or not view.owner
     view.owner, view.epoch = report.owner, report.epoch
     view.stamp, view.stamp_at = report.stamp, now
+    view.sought_since = None
     view.report = report
     if report.workers:
         view.workers = report.workers
@@ -113,6 +114,8 @@
     silent = now - view.stamp_at > state.timing.confirm
     if view.owner and now - view.subscribed_at >= state.timing.confirm / 2:
         _subscribe(state, view, view.owner, now)
+    if silent and view.sought_since is None:
+        view.sought_since = now
     if silent and now - view.read_at >= READ_CELL_AFTER:
         view.read_at = now
         state.effects.append(ReadKey(cell_key(view.cell)))
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -11,6 +11,7 @@
     Job,
     Outcome,
     Refusal,
+    RefusalCode,
 )
 from cactuswalk.state.configuration import Spread
 from cactuswalk.state.effects import (
@@ -23,6 +24,7 @@
 from cactuswalk.state.timing import Timing
 
 __all__ = [
+    "OWNER_AWAITED",
     "RETRY_WITHOUT_OWNER_MS",
     "Asked",
     "CellView",
@@ -33,12 +35,15 @@
     "give_up",
     "last_attempt",
     "log",
+    "no_owner",
     "outcome_unsent",
     "refuse_waiter",
 ]
 
 # A caller that comes back after a takeover finds an owner.
 RETRY_WITHOUT_OWNER_MS = 3000
+# A takeover ends within this; until then a submission waits for its owner.
+OWNER_AWAITED = 6.0
 
 
 class CellView(msgspec.Struct):
@@ -46,6 +51,8 @@
 
     :param owner: address of its owner, empty while it is not known.
     :param stamp_at: when the owner's latest stamp came here.
+    :param sought_since: since when its owner has been silent, None while it
+        is heard.
     """
 
     cell: str
@@ -56,6 +63,7 @@
     stamp_at: float = float("-inf")
     subscribed_at: float = float("-inf")
     read_at: float = float("-inf")
+    sought_since: float | None = None
     serial: int = -1
     workers: list[Announcement] = []
     report: CellReport | None = None
@@ -148,6 +156,15 @@
     return Outcome.NOT_RUN if minted else Outcome.UNKNOWN
 
 
+def no_owner(view: CellView) -> Refusal:
+    """Return the refusal of what has waited in vain for the owner of a cell."""
+    return Refusal(
+        RefusalCode.NO_OWNER,
+        f"cell {view.cell} has had no owner for {OWNER_AWAITED:.0f} s",
+        RETRY_WITHOUT_OWNER_MS,
+    )
+
+
 def age_ms(state: EntryState, job: Job, now: float) -> float:
     """Return how long ago a submission's key was born, by this wall clock."""
     return now * 1000 + state.wall_ms - job.born_ms
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -19,6 +19,7 @@
     Send,
 )
 from cactuswalk.state.entryview import (
+    OWNER_AWAITED,
     RETRY_WITHOUT_OWNER_MS,
     CellView,
     EntryState,
@@ -27,6 +28,7 @@
     give_up,
     last_attempt,
     log,
+    no_owner,
     outcome_unsent,
 )
 
@@ -35,8 +37,6 @@
 # How long past the deadline the owner's own word is awaited. It answers at the
 # deadline after ``settle`` at most; the rest is for a busy loop.
 DEADLINE_GRACE = 0.25
-# A takeover ends within this; until then a submission waits for its owner.
-OWNER_AWAITED = 6.0
 
 
 def send_submit(
@@ -154,12 +154,8 @@
         send_submit(state, pending, view, now)
         return
     if not pending.sent and now - pending.submitted_at > OWNER_AWAITED:
-        refusal = Refusal(
-            RefusalCode.NO_OWNER,
-            f"cell {view.cell} has had no owner for {OWNER_AWAITED:.0f} s",
-            RETRY_WITHOUT_OWNER_MS,
-        )
-        give_up(state, pending, outcome_unsent(pending.minted), refusal)
+        outcome = outcome_unsent(pending.minted)
+        give_up(state, pending, outcome, no_owner(view))
         return
     if pending.sent and view.owner and now - pending.sign_at >= pending.query_after:
         pending.sign_at = now
