An owner that hears nobody falls silent and takes nobody off the roster

Found by reading, then on the fixture: with all links towards the owner cut and its own open, 20 of 20 requests over 10 s got no answer while the cut lasted, with the service up and with it down. Cause: its pings went on, so that no member missed it, and after 3 s it swapped a roster of itself alone, so that the others could not take the cell over either. Ruled out: the entries (they follow the newest epoch at once), the candidates' quorum (reached as soon as the pings stop). Both scenarios fail before the change; both halves of it are mutants that are caught. The matrix has a row "deaf" for each role: 44 more cells, no promise broken.

--- a/features/once_directed_takeover.feature
+++ b/features/once_directed_takeover.feature
@@ -96,6 +96,23 @@
     When one worker stops hearing the owner for ten seconds
     Then the directed cell has the epoch and the owner that it had
 
+  Scenario: An owner that hears nobody
+    A link is cut one way: the owner's pings arrive, and nothing reaches it. It has
+    no standing, so it starts nothing; but nobody misses it, and it takes all others
+    for lost. Callers would be refused for as long as the cut lasts.
+    Given a directed cell without work
+    When the owner hears nobody for 10 s and requests come all the while
+    Then those that came after 4 s of it are answered under the next epoch
+    And no promise was broken in the directed run
+
+  Scenario: An owner that hears nobody while the service is away
+    The same cut in an outage of the service, so that nobody can take the cell
+    over. Once the cut is mended the owner goes on by itself.
+    Given a directed cell without work
+    When the owner hears nobody for 10 s and the service is down
+    Then the same owner answers again within 4 s of the mend
+    And no promise was broken in the directed run
+
   Scenario: A takeover whose reply was lost
     The swap to the next epoch is written, the reply is lost. A candidate that took
     it for refused would leave the cell to an owner that doesn't know of it. Callers
--- a/features/once_matrix.feature
+++ b/features/once_matrix.feature
@@ -77,6 +77,24 @@
       | answer received |
     Then no promise was broken at any step
 
+  Scenario: entry deaf
+    A process is sent nothing any more, what it sends arrives. A caller would
+    notice that nobody serves, or that two do.
+    When "entry deaf" strikes at each of these steps
+      | step |
+      | received |
+      | sent to owner |
+      | recorded |
+      | start sent |
+      | start accepted |
+      | upstream called |
+      | upstream answered |
+      | result sent |
+      | result recorded |
+      | answer sent |
+      | answer received |
+    Then no promise was broken at any step
+
   Scenario: entry cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
@@ -186,6 +204,24 @@
       | answer received |
     Then no promise was broken at any step
 
+  Scenario: owner deaf
+    A process is sent nothing any more, what it sends arrives. A caller would
+    notice that nobody serves, or that two do.
+    When "owner deaf" strikes at each of these steps
+      | step |
+      | received |
+      | sent to owner |
+      | recorded |
+      | start sent |
+      | start accepted |
+      | upstream called |
+      | upstream answered |
+      | result sent |
+      | result recorded |
+      | answer sent |
+      | answer received |
+    Then no promise was broken at any step
+
   Scenario: owner cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
@@ -295,6 +331,24 @@
       | answer received |
     Then no promise was broken at any step
 
+  Scenario: worker deaf
+    A process is sent nothing any more, what it sends arrives. A caller would
+    notice that nobody serves, or that two do.
+    When "worker deaf" strikes at each of these steps
+      | step |
+      | received |
+      | sent to owner |
+      | recorded |
+      | start sent |
+      | start accepted |
+      | upstream called |
+      | upstream answered |
+      | result sent |
+      | result recorded |
+      | answer sent |
+      | answer received |
+    Then no promise was broken at any step
+
   Scenario: worker cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
@@ -404,6 +458,24 @@
       | answer received |
     Then no promise was broken at any step
 
+  Scenario: backup deaf
+    A process is sent nothing any more, what it sends arrives. A caller would
+    notice that nobody serves, or that two do.
+    When "backup deaf" strikes at each of these steps
+      | step |
+      | received |
+      | sent to owner |
+      | recorded |
+      | start sent |
+      | start accepted |
+      | upstream called |
+      | upstream answered |
+      | result sent |
+      | result recorded |
+      | answer sent |
+      | answer received |
+    Then no promise was broken at any step
+
   Scenario: backup cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -200,6 +200,11 @@
             if both:
                 self.cut.add((address, f"tcp://{name}"))
 
+    def deafen(self, name: str) -> None:
+        """Cut what a process is sent by others; what it sends arrives."""
+        own = f"tcp://{name}"
+        self.cut |= {(other, own) for other in self.processes if other != own}
+
     def stop(self, name: str) -> None:
         self._at(0.0, f"tcp://{name}", StopRequested())
 
--- a/features/support/matrix.py
+++ b/features/support/matrix.py
@@ -58,7 +58,8 @@
 
 
 def role_faults() -> list[str]:
-    acts = ("killed", "restarted", "frozen", "cut one way", "cut off", "stopped")
+    acts = ("killed", "restarted", "frozen", "cut one way", "deaf", "cut off")
+    acts += ("stopped",)
     return [f"{role} {act}" for role in ROLES for act in acts]
 
 
@@ -183,5 +184,7 @@
         bag.freeze(name, FREEZE_S)
     elif act == "stopped":
         bag.stop(name)
+    elif act == "deaf":
+        bag.deafen(name)
     else:
         bag.cut_off(name, both=act == "cut off")
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -109,6 +109,7 @@
         ``kept_bytes`` and ``body_bytes`` are what they take.
     :param known_since: everything that was submitted since then is in the ledger
         or in the records; of what is older nobody here can say.
+    :param confirmed_at: when it was last seen to have standing.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
     :param unsure_until: until then a task without a record may have run, at one
@@ -142,6 +143,7 @@
     attempts: int = 0
     ping_serial: int = 0
     pinged_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
     reported_at: float = float("-inf")
     maximum_bytes: int = 0
     kept_bytes: int = 0
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -28,7 +28,7 @@
     """Ask every fenced member for its confirmation, once a ping period."""
     if state.phase is Phase.RECOVERING:
         return
-    if now - state.pinged_at < state.timing.ping:
+    if now - state.pinged_at < _ping_period(state, now):
         return
     state.pinged_at = now
     state.ping_serial += 1
@@ -49,6 +49,22 @@
     state.effects += state.spread.alongside(addresses)
 
 
+def _ping_period(state: OwnerState, now: float) -> float:
+    """Return how long this owner waits between two pings.
+
+    One that can send but hears nothing has no standing, yet its pings would keep
+    the members from missing it: the cell would start nothing for as long as the
+    link is cut one way. So it falls silent for longer than they wait. It goes on
+    rarely, for a cut that heals while the service is away and nobody can take
+    the cell over.
+    """
+    if state.is_confirmed(now):
+        state.confirmed_at = now
+    deaf_for = now - max(state.confirmed_at, state.taken_over_at)
+    deaf = deaf_for > state.timing.suspect
+    return state.timing.lost if deaf else state.timing.ping
+
+
 def send_fence(state: OwnerState, member: Member) -> None:
     """End earlier epochs at a member, and ask for its records."""
     fence = Fence(state.cell, state.record.epoch, state.member)
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -106,10 +106,12 @@
     it off. The member's word on it comes with the next probe.
     """
     record = state.record
+    deaf = _hears_nobody(state, now)
     gone = [
         peer.member
         for peer in state.peers.values()
-        if is_lost(state, peer, now) or (peer.leaving and not peer.flights)
+        if (is_lost(state, peer, now) and not deaf)
+        or (peer.leaving and not peer.flights)
     ]
     replaced = [
         member
@@ -135,6 +137,17 @@
     )
 
 
+def _hears_nobody(state: OwnerState, now: float) -> bool:
+    """Tell whether all other members seem to be lost at once.
+
+    Then it is rather this host that hears nothing. Were the others taken off the
+    roster, they could not take the cell over, and nobody would be served until
+    the link is mended. In a cell of two the other could not do so anyway.
+    """
+    others = [peer for peer in state.peers.values() if peer.member != state.member]
+    return len(others) > 1 and all(is_lost(state, peer, now) for peer in others)
+
+
 def _departed(state: OwnerState, removed: list[Member], now: float) -> list[Member]:
     """Return the members whose records nobody else holds yet.
 
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -38,6 +38,8 @@
     "unaware of it. A caller would notice what it starts on waking.",
     "cut one way": "What a process sends is lost, what it is sent arrives. A "
     "caller would notice two owners that both serve.",
+    "deaf": "A process is sent nothing any more, what it sends arrives. A caller "
+    "would notice that nobody serves, or that two do.",
     "cut off": "A process is cut off from all others. A caller behind the cut "
     "and one outside it would both be served.",
     "stopped": "A process is stopped as planned. A caller would notice a request "
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -57,6 +57,20 @@
 
 
 MUTANTS = [
+    Mutant(
+        "an owner that hears nobody goes on pinging",
+        f"{STATE}/peers.py",
+        "return state.timing.lost if deaf else state.timing.ping",
+        "return state.timing.ping",
+        TAKEOVER,
+    ),
+    Mutant(
+        "an owner that hears nobody takes all others for lost",
+        f"{STATE}/roster.py",
+        "deaf = _hears_nobody(state, now)",
+        "deaf = False",
+        TAKEOVER,
+    ),
     Mutant(
         "a new owner does not wait out the old one's standing",
         f"{STATE}/recovery.py",
