Links between real processes are cut, held back and late; a process may listen elsewhere

Cause: only the reducers had been tried with cuts of links; docs/proofs.md said so. Not covered: a link between two processes only; what a process sends.

--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -71,6 +71,26 @@
     context.load.wait_answered(15)
 
 
+@given("a cell of five workers under load from two entries, behind a network")
+def step_cell_network(context):
+    begin(context, network=True)
+    context.load = Load(context.cluster)
+    context.load.start()
+    context.load.wait_answered(15)
+
+
+@when("all that is sent to {who} is {conduct} for longer than a standing")
+def step_links(context, who, conduct):
+    faults = {
+        "lost": {"broken": True},
+        "held back": {"stalled": True},
+        "late": {"late_ms": 300},
+    }[conduct]
+    context.cluster.set_links(names_of(context, who), **faults)
+    time.sleep(PAST_ITS_STANDING_S)
+    context.cluster.clear_links()
+
+
 @when("the fault kills {who}")
 def step_kill(context, who):
     context.victims = names_of(context, who)
--- a/src/cactuswalk/runtime/host.py
+++ b/src/cactuswalk/runtime/host.py
@@ -46,7 +46,11 @@
         self.application = application
         keys = Keys(self.settings.curve) if self.settings.curve else None
         self.transport = Transport(
-            self.address, application.receive, self.metrics.count, keys
+            self.address,
+            application.receive,
+            self.metrics.count,
+            keys,
+            self.settings.listen,
         )
         application.transport = self.transport
 
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -61,10 +61,12 @@
 class Transport:
     """The sockets of one process.
 
-    :param address: where it listens, as other processes are told.
+    :param address: as other processes are told.
     :param on_message: called in the loop with sender and message.
     :param count: called with the name of a counter and what to add.
     :param keys: CURVE key pair and the allowed public keys, None for none.
+    :param listen: where it listens if that is another address of this host, as
+        behind a switch that translates addresses.
     """
 
     def __init__(
@@ -73,8 +75,10 @@
         on_message: Callable[[str, Message], None],
         count: Callable[[str, int], None],
         keys: Keys | None = None,
+        listen: str = "",
     ) -> None:
         self.address = address
+        self.listen = endpoint_of(listen or address)
         self.on_message = on_message
         self.count = count
         self.keys = keys
@@ -97,10 +101,10 @@
         if self.keys is not None:
             self.keys.protect_server(self.context, self.inbound, self.count)
         try:
-            self.inbound.bind(endpoint_of(self.address))
+            self.inbound.bind(self.listen)
         except zmq.ZMQError as error:
             raise TransportError(
-                f"can't listen at {endpoint_of(self.address)}: {error}",
+                f"can't listen at {self.listen}: {error}",
                 "Give this process an address of this host that is free.",
             ) from error
         self.loop.add_reader(self.inbound.fileno(), self._on_readable)
--- a/src/cactuswalk/settings/agent.py
+++ b/src/cactuswalk/settings/agent.py
@@ -23,6 +23,7 @@
     read_curve,
     read_http,
     read_key_value,
+    read_listen,
     read_logs,
     read_peers,
     read_statsd,
@@ -50,6 +51,7 @@
     """All that an agent is told at its start.
 
     :param address: where other processes send messages, ``tcp://ip:port``.
+    :param listen: where this one listens for them; empty for ``address``.
     :param labels: of the worker; the upstream's announcement adds its own.
     :param http: on the loopback, where the upstream announces itself.
     :param confirm_period_ms: P of docs/design/ownership.md.
@@ -62,6 +64,7 @@
     rack: str
     labels: dict[str, str]
     address: str
+    listen: str
     http: HttpSettings
     retention_seconds: int
     retention_bytes: int
@@ -87,6 +90,7 @@
         rack=reader.get("process", "rack", name),
         labels=_read_labels(reader),
         address=reader.get("process", "address", message_address),
+        listen=read_listen(reader),
         http=read_http(reader, "http", loopback_address),
         retention_seconds=read_retention_seconds(reader),
         retention_bytes=reader.get(
--- a/src/cactuswalk/settings/entry.py
+++ b/src/cactuswalk/settings/entry.py
@@ -24,6 +24,7 @@
     read_curve,
     read_http,
     read_key_value,
+    read_listen,
     read_logs,
     read_peers,
     read_statsd,
@@ -67,6 +68,7 @@
     """All that an entry is told at its start.
 
     :param address: where other processes send messages, ``tcp://ip:port``.
+    :param listen: where this one listens for them; empty for ``address``.
     :param operators_http: None where this entry serves no operators.
     :param peers: addresses of processes to learn the configuration from.
     :param callers: by the SHA-256 of the token, in hexadecimal.
@@ -76,6 +78,7 @@
     name: str
     data_centre: str
     address: str
+    listen: str
     http: HttpSettings
     operators_http: HttpSettings | None
     key_value: KeyValueSettings
@@ -99,6 +102,7 @@
         name=reader.get("process", "name", name),
         data_centre=reader.get("process", "data_centre", name),
         address=reader.get("process", "address", message_address),
+        listen=read_listen(reader),
         http=read_http(reader, "http"),
         operators_http=_read_operators_http(reader),
         key_value=read_key_value(reader),
--- a/src/cactuswalk/settings/shared.py
+++ b/src/cactuswalk/settings/shared.py
@@ -6,6 +6,7 @@
     each,
     existing_file,
     ip_address,
+    message_address,
     number,
     one_of,
     peer_address,
@@ -24,6 +25,7 @@
     "read_curve",
     "read_http",
     "read_key_value",
+    "read_listen",
     "read_logs",
     "read_peers",
     "read_statsd",
@@ -119,6 +121,11 @@
     )
 
 
+def read_listen(reader: Reader) -> str:
+    """Read where messages arrive, empty for the address that peers are told."""
+    return reader.get("process", "listen", message_address, "")
+
+
 def read_peers(reader: Reader) -> list[str]:
     """Read whom to ask for the configuration while the service is away."""
     reader.has("peers")
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -24,7 +24,7 @@
 import threading
 import urllib.error
 import urllib.request
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 from pathlib import Path
 
 import msgspec
@@ -79,6 +79,7 @@
     :param directory: for settings, logs and records; a temporary one, removed
         at the end, if it isn't given.
     :param teams: callers of the generated settings.
+    :param network: whether messages between processes pass a network stand-in.
     """
 
     def __init__(
@@ -88,7 +89,10 @@
         changes: dict[str, dict[str, dict[str, str]]] | None = None,
         directory: Path | None = None,
         teams: tuple[str, ...] = TEAMS,
+        network: bool = False,
     ) -> None:
+        self.network = network
+        self.listening: dict[str, str] = {}
         self.workers = {worker.name: worker for worker in workers}
         self.changes = changes or {}
         self.teams = teams
@@ -138,7 +142,7 @@
         have finished, so each kind of process outlives those that need it.
         """
         statuses: dict[str, int] = {}
-        for prefix in ("entry-", "upstream-", "agent-", "keyvalue"):
+        for prefix in ("entry-", "upstream-", "agent-", "keyvalue", "network"):
             chosen = [name for name in self.processes if name.startswith(prefix)]
             running = [name for name in chosen if self[name].alive]
             for name in running:
@@ -188,6 +192,15 @@
         """Make the key-value stand-in right again."""
         self._switch("keyvalue", "DELETE", "faults", None)
 
+    def set_links(self, names: list[str], **conduct: object) -> None:
+        """Change how what is sent to these processes arrives."""
+        links = {name: conduct for name in names}
+        self._switch("network", "POST", "links", links)
+
+    def clear_links(self) -> None:
+        """Make all links of the network stand-in right again."""
+        self._switch("network", "DELETE", "links", None)
+
     def keyvalue_calls(self) -> dict:
         """Return what the key-value stand-in has counted."""
         return self._switch("keyvalue", "GET", "calls", None)
@@ -264,23 +277,36 @@
         """Choose all ports, and write the settings of each process."""
         names = [*self.entry_names, *self._agent_names()]
         upstreams = [f"upstream-{worker}" for worker in self.workers]
-        ports = iter(free_ports(1 + 3 * len(names) + len(upstreams)))
+        ports = iter(free_ports(2 + 4 * len(names) + len(upstreams)))
         keyvalue_port = next(ports)
         for name in ["keyvalue", *names, *upstreams]:
             port = keyvalue_port if name == "keyvalue" else next(ports)
             self.urls[name] = f"http://127.0.0.1:{port}"
         for name in names:
             self.addresses[name] = f"tcp://127.0.0.1:{next(ports)}"
+            self.listening[name] = self.addresses[name]
         self.operator_urls = [
             f"http://127.0.0.1:{next(ports)}" for _ in self.entry_names
         ]
         self._add("keyvalue", ["standins.keyvalue", "--port", str(keyvalue_port)])
+        if self.network:
+            self._lay_out_network(names, ports)
         for number, name in enumerate(self.entry_names):
             path = self._write(name, "entry", self._entry_options(number, name))
             self._add(name, ["cactuswalk.commands.entry", "--settings", path])
         for worker in self.workers.values():
             self._lay_out_worker(worker)
 
+    def _lay_out_network(self, names: list[str], ports: Iterator[int]) -> None:
+        """Let each process listen behind the address that the others are told."""
+        self.urls["network"] = f"http://127.0.0.1:{next(ports)}"
+        arguments = ["standins.network", "--port", port_of(self.urls["network"])]
+        for name in names:
+            self.listening[name] = f"tcp://127.0.0.1:{next(ports)}"
+            ends = port_of(self.addresses[name]), port_of(self.listening[name])
+            arguments += ["--link", name, *ends]
+        self._add("network", arguments)
+
     def _lay_out_worker(self, worker: Worker) -> None:
         agent, upstream = f"agent-{worker.name}", f"upstream-{worker.name}"
         path = self._write(agent, "agent", self._agent_options(worker, agent))
@@ -310,6 +336,7 @@
                 "name": name,
                 "data_centre": "inverness",
                 "address": self.addresses[name],
+                "listen": self.listening[name],
             },
             "http": {"port": port_of(self.urls[name])},
             "operators_http": {"port": port_of(operators)},
@@ -327,6 +354,7 @@
                 "data_centre": worker.data_centre,
                 "rack": worker.rack,
                 "address": self.addresses[name],
+                "listen": self.listening[name],
             },
             "labels": worker.labels,
             "http": {"port": port_of(self.urls[name])},
