An owner that hears nobody keeps its backup

Cause, from a run with real processes behind the network stand-in: after the takeover from a deaf owner, each request with a caller's key was told records_lost for 3 s (326 of them in one loop), though nothing had run. The deaf owner took its backup for lost and wrote that its records were not backed up; the next owner then had to count it as unsure. Ruled out: the margins for births (they apply only where something is unsure). It starts nothing while it hears nobody, so the copies stay whole.

--- a/features/once_directed_takeover.feature
+++ b/features/once_directed_takeover.feature
@@ -102,7 +102,7 @@
     for lost. Callers would be refused for as long as the cut lasts.
     Given a directed cell without work
     When the owner hears nobody for 10 s and requests come all the while
-    Then those that came after 4 s of it are answered under the next epoch
+    Then all of them are answered, and the next epoch is in force
     And no promise was broken in the directed run
 
   Scenario: An owner that hears nobody while the service is away
--- a/features/steps/once_directed_links_steps.py
+++ b/features/steps/once_directed_links_steps.py
@@ -9,11 +9,12 @@
 
 
 def submit_for(bag, seconds):
-    """Submit a short request at each entry in turn, evenly."""
+    """Submit short requests at each entry in turn, half with callers' keys."""
     handed = []
     for number in range(int(seconds / REQUEST_EVERY_S)):
         job = bag.job(duration_ms=50)
-        handed.append(bag.submit(f"entry-{number % 2}", job, minted=True))
+        minted = number % 4 < 2
+        handed.append(bag.submit(f"entry-{number % 2}", job, minted=minted))
         bag.run(REQUEST_EVERY_S)
     return handed
 
@@ -21,18 +22,16 @@
 @when("the owner hears nobody for {seconds:d} s and requests come all the while")
 def step_deaf(context, seconds):
     bag = context.bag
-    context.epoch, context.began = stored(bag).epoch, bag.now
+    context.epoch = stored(bag).epoch
     bag.deafen(owner_name(bag))
     context.handed = submit_for(bag, seconds)
     bag.cut.clear()
     bag.run(8.0)
 
 
-@then("those that came after {seconds:d} s of it are answered under the next epoch")
-def step_answered_after(context, seconds):
-    later = [one for one in context.handed if one.at - context.began >= seconds]
-    assert later
-    assert {outcome(one) for one in later} == {Outcome.ANSWERED}
+@then("all of them are answered, and the next epoch is in force")
+def step_all_answered(context):
+    assert {outcome(one) for one in context.handed} == {Outcome.ANSWERED}
     assert stored(context.bag).epoch == context.epoch + 1
 
 
--- a/features/support/script.py
+++ b/features/support/script.py
@@ -30,6 +30,7 @@
     st.tuples(st.just("freeze_owner"), st.sampled_from([1.5, 2.5, 5.0])),
     st.tuples(st.just("cut"), NUMBERS, st.booleans()),
     st.tuples(st.just("cut_owner"), st.booleans()),
+    st.tuples(st.just("deaf"), NUMBERS),
     st.tuples(st.just("heal")),
     st.tuples(st.just("service_down"), st.booleans()),
     st.tuples(st.just("lose_reply")),
@@ -139,6 +140,10 @@
         played.bag.cut_off(owner.name, both)
 
 
+def _deaf(played: Played, who) -> None:
+    played.bag.deafen(played.worker(who))
+
+
 def _heal(played: Played) -> None:
     played.bag.cut.clear()
 
--- a/features/support/targeted.py
+++ b/features/support/targeted.py
@@ -22,6 +22,7 @@
     st.tuples(st.just("owner_sleeps"), st.sampled_from([1.1, 1.6, 2.5, 4.0]), TAKEOVER),
     st.tuples(st.just("split"), st.sampled_from(SIDES), st.integers(0, 2), TAKEOVER),
     st.tuples(st.just("outage"), TAKEOVER, TAKEOVER),
+    st.tuples(st.just("deaf"), TAKEOVER, st.booleans()),
     st.tuples(st.just("hand_over"), SHORT, st.sampled_from(SIDES), st.integers(0, 2)),
     st.tuples(st.just("owner_and_worker_die"), st.integers(0, 6), st.booleans()),
     st.tuples(st.just("lost_reply"), st.booleans()),
@@ -124,6 +125,20 @@
     played.bag.key_value.down = False
 
 
+def _deaf(played: Played, pause, killed) -> None:
+    """Let nothing reach the owner, and perhaps kill it before it is mended."""
+    name = _owner(played.bag)
+    if name is None:
+        return
+    played.bag.deafen(name)
+    played.bag.run(pause)
+    _resubmit_all(played)
+    if killed:
+        _kill(played, name)
+    played.bag.run(pause)
+    played.bag.cut.clear()
+
+
 def _hand_over(played: Played, pause, side, entries) -> None:
     name = _owner(played.bag)
     if name is None:
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -250,7 +250,13 @@
 
 
 def _keep_backup(state: OwnerState, now: float) -> None:
-    """See to it that one other member has copies of what only this host knows."""
+    """See to it that one other member has copies of what only this host knows.
+
+    An owner that hears nobody starts nothing, so the copies stay whole, and the
+    next owner is to know that they are.
+    """
+    if _hears_nobody(state, now):
+        return
     if _backup_is_gone(state, now):
         state.backup, state.backup_ready = _best_backup(state, now), False
         state.backup_again_at = now
