Entries ask for reports at a bearable pace, owners tell only news

Cause: each owner sent each entry a report four times a second, whether or not it said anything new.

Now an entry asks, at a pace that grows with the cells that it knows and with the entries that ask the same owner; the owner answers, and tells unasked only new workers and that a change is held by all its nodes. A submission for a cell not heard for P asks first and goes out with the answer, so nothing is sent to a dead owner. Answers carry the owner's stamp: a cell in use is asked nothing. A question names the list of workers that the entry holds; a list that was lost was never sent again before.

Ruled out: free slots as news (no entry decides by them, and under load they change with every task); sending on a hash alone and letting "not owner" bring the stamp (a dead owner would be sent to, "not run" would become "unknown"); reckoning stamps forward by the entry's clock.

--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -50,6 +50,8 @@
     :param results: of every task, in order, for ``answered`` and ``failed``.
     :param digest: over the results' digests, checked by the entry.
     :param epoch: of the owner that gives it.
+    :param stamp: the owner's own clock, as in its reports; an entry that gets
+        answers has no need to ask for one.
     """
 
     submission: str
@@ -60,6 +62,7 @@
     refusal: Refusal | None
     digest: bytes
     epoch: int = 0
+    stamp: int = 0
 
 
 class Cancel(msgspec.Struct, array_like=True, tag=3):
@@ -116,10 +119,15 @@
 
 
 class Subscribe(msgspec.Struct, array_like=True, tag=7):
-    """An entry asks an owner for reports, and renews the wish with each."""
+    """An entry asks an owner for a report now, and for news until it asks again.
+
+    :param epoch: of the owner that it knows, 0 for none; with ``serial``, what
+        it holds of the cell's workers.
+    """
 
     cell: str
-    entry: str
+    epoch: int
+    serial: int
 
 
 class Explain(msgspec.Struct, array_like=True, tag=9):
@@ -149,18 +157,19 @@
     """What an entry needs to choose and explain a cell, folded by its owner.
 
     :param free_slots: per service, after what is queued.
-    :param workers: announcements of the cell's workers, sent when ``serial``
-        has changed since the last report to that entry, else empty.
+    :param workers: announcements of the cell's workers, None where the entry
+        has those of ``serial`` already.
     :param configuration: what the owner and its agents have in force.
     :param stamp: the owner's monotonic clock in milliseconds, see ``Submit``.
+    :param entries: that ask this owner; each slows down as they grow more.
     """
 
     cell: str
     epoch: int
-    owner: str
     serial: int
     free_slots: dict[str, int]
     queued: dict[str, int]
-    workers: list[Announcement]
+    workers: list[Announcement] | None
     configuration: ConfigurationOffer
     stamp: int
+    entries: int = 1
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -19,6 +19,7 @@
 from cactuswalk.state.effects import Reply, ReplyState
 from cactuswalk.state.entry import EntryState, handle_entry, new_entry
 from cactuswalk.state.events import CallerAsked, CallerSubmitted, ConfigurationChanged
+from cactuswalk.state.listening import is_silent
 from cactuswalk.state.timing import Timing
 
 __all__ = ["EntryProcess"]
@@ -154,7 +155,7 @@
         now = time.monotonic()
         confirm = self.state.timing.confirm
         views = self.state.cells.values()
-        heard = [view for view in views if now - view.stamp_at <= confirm]
+        heard = [view for view in views if not is_silent(view, confirm, now)]
         if not heard:
             return ["no cell's owner reports to this entry"]
         if not any(view.services for view in heard):
--- a/src/cactuswalk/state/answers.py
+++ b/src/cactuswalk/state/answers.py
@@ -11,6 +11,7 @@
     TaskOutcome,
     TaskResult,
 )
+from cactuswalk.state.agent import stamp_of
 from cactuswalk.state.ledger import Tracked, answer_of, body_bytes_of, size_of
 from cactuswalk.state.owner import OwnerState
 
@@ -55,7 +56,7 @@
         reason=refusal.message if refusal is not None else "",
     )
     for address, attempt in tracked.waiters.items():
-        send_answer(state, tracked.answer, address, attempt)
+        send_answer(state, tracked.answer, address, attempt, now)
     _make_room(state, now)
 
 
@@ -116,14 +117,21 @@
         del state.ledger[name]
 
 
-def send_answer(state: OwnerState, answer: Answer, address: str, attempt: int) -> None:
+def send_answer(
+    state: OwnerState, answer: Answer, address: str, attempt: int, now: float
+) -> None:
     """Send an answer to one entry, under the attempt that it waits for."""
-    epoch = state.record.epoch
-    state.send(address, msgspec.structs.replace(answer, attempt=attempt, epoch=epoch))
+    fields = {"attempt": attempt, "epoch": state.record.epoch, "stamp": stamp_of(now)}
+    state.send(address, msgspec.structs.replace(answer, **fields))
 
 
 def refuse(
-    state: OwnerState, sender: str, submit: Submit, refusal: Refusal, outcome: Outcome
+    state: OwnerState,
+    sender: str,
+    submit: Submit,
+    refusal: Refusal,
+    outcome: Outcome,
+    now: float,
 ) -> None:
     """Answer a submission that is not taken into the ledger.
 
@@ -147,5 +155,6 @@
         refusal,
         b"",
         state.record.epoch,
+        stamp_of(now),
     )
     state.send(sender, answer)
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -7,7 +7,6 @@
     ConfigurationOffer,
     ConfigurationUpdate,
     NotOwner,
-    Subscribe,
 )
 from cactuswalk.model import (
     CellRecord,
@@ -15,12 +14,12 @@
 from cactuswalk.state.effects import (
     Count,
     ReadKey,
-    Send,
 )
 from cactuswalk.state.entryview import CellView, EntryState, last_attempt, log
 from cactuswalk.state.events import (
     KeyRead,
 )
+from cactuswalk.state.listening import ask, ask_again, hear, is_silent, pace
 from cactuswalk.state.roster import cell_key
 from cactuswalk.state.waiting import send_submit
 
@@ -51,13 +50,16 @@
         state.effects.append(Count("entry.report.stale"))
         return
     new_owner = report.epoch > view.epoch or not view.owner
-    view.owner, view.epoch = report.owner, report.epoch
-    view.stamp, view.stamp_at = report.stamp, now
+    if report.epoch > view.epoch:
+        view.stamp = 0
+    view.owner, view.epoch = sender, report.epoch
+    hear(view, report.stamp, now)
     view.report = report
-    if report.workers:
-        view.workers = report.workers
+    if report.workers is not None:
+        view.workers, view.serial = report.workers, report.serial
     view.services |= set(report.free_slots)
-    on_offer(state, report.owner, report.configuration, now)
+    state.held[report.cell] = report.configuration.held
+    on_offer(state, sender, report.configuration, now)
     if new_owner:
         log(
             state,
@@ -77,8 +79,9 @@
     if view is None:
         return
     if message.owner == sender and message.epoch == view.epoch:
-        # It owns the cell, but the stamp was old: the next report brings a
-        # young one, and the submission goes out again with it.
+        # It owns the cell, but the stamp was old: it is asked for a young one,
+        # and the submission goes out again with it.
+        view.stamp_at = float("-inf")
         pending = state.pending.get(message.submission)
         if pending is not None and message.attempt == last_attempt(pending):
             pending.sent_epoch = 0
@@ -86,7 +89,7 @@
     if message.epoch >= view.epoch and sender == view.owner:
         view.owner = ""
     if message.owner and message.epoch >= view.epoch and not view.owner:
-        _subscribe(state, view, message.owner, now)
+        ask(state, view, message.owner, now)
     pending = state.pending.get(message.submission)
     if pending is not None:
         pending.sent_epoch = min(pending.sent_epoch, message.epoch - 1)
@@ -99,20 +102,18 @@
     record = msgspec.json.decode(event.value, type=CellRecord)
     view = state.cells.setdefault(record.cell, CellView(record.cell))
     if record.epoch > view.epoch or not view.owner:
-        _subscribe(state, view, record.owner.address, now)
+        ask(state, view, record.owner.address, now)
 
 
-def _subscribe(state: EntryState, view: CellView, address: str, now: float) -> None:
-    view.subscribed_at = now
-    message = Subscribe(view.cell, state.address)
-    state.effects.append(Send(address, message))
+def keep_view(state: EntryState, view: CellView, busy: bool, now: float) -> None:
+    """Ask the owner at this entry's pace; look for another when it is silent.
 
-
-def keep_view(state: EntryState, view: CellView, now: float) -> None:
-    """Renew the wish for reports; look for the owner when they stay away."""
-    silent = now - view.stamp_at > state.timing.confirm
-    if view.owner and now - view.subscribed_at >= state.timing.confirm / 2:
-        _subscribe(state, view, view.owner, now)
+    :param busy: a submission waits there.
+    """
+    quiet = now - view.stamp_at
+    if view.owner and quiet >= pace(state, view, busy):
+        ask_again(state, view, now)
+    silent = is_silent(view, state.timing.confirm, now)
     if silent and now - view.read_at >= READ_CELL_AFTER:
         view.read_at = now
         state.effects.append(ReadKey(cell_key(view.cell)))
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -97,8 +97,9 @@
 
 
 def _on_tick(state: EntryState, event: Tick, now: float) -> None:
+    busy = {pending.cell for pending in state.pending.values()}
     for view in state.cells.values():
-        keep_view(state, view, now)
+        keep_view(state, view, view.cell in busy, now)
     keep_configuration(state, now)
     for pending in list(state.pending.values()):
         keep_pending(state, pending, now)
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -46,6 +46,9 @@
 
     :param owner: address of its owner, empty while it is not known.
     :param stamp_at: when the owner's latest stamp came here.
+    :param subscribed_at: when it was last asked for a report; ``asked_since``
+        the first time of those that nothing has answered.
+    :param serial: of ``workers``, for its owner's epoch.
     """
 
     cell: str
@@ -55,8 +58,9 @@
     stamp: int = 0
     stamp_at: float = float("-inf")
     subscribed_at: float = float("-inf")
+    asked_since: float = float("inf")
     read_at: float = float("-inf")
-    serial: int = -1
+    serial: int = 0
     workers: list[Announcement] = []
     report: CellReport | None = None
 
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -41,6 +41,7 @@
     peers,
     placing,
     recovery,
+    reporting,
     roster,
     spreading,
     submissions,
@@ -76,7 +77,7 @@
 }
 _TO_OWNER: dict[type, Callable] = {
     Pong: peers.on_pong,
-    Subscribe: peers.on_subscribe,
+    Subscribe: reporting.on_subscribe,
     Submit: submissions.on_submit,
     Cancel: submissions.on_cancel,
     Query: submissions.on_query,
@@ -308,5 +309,5 @@
     placing.withdraw_unwitnessed(owner, now)
     submissions.expire_ledger(owner, now)
     placing.dispatch(owner, now)
-    peers.report(owner, now)
+    reporting.report(owner, now)
     owner.recovered.expire(now)
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -1,7 +1,7 @@
 """The owner of a cell: its state, and what every part of it uses.
 
 The parts: ``submissions`` (entries), ``flights`` (starts and results),
-``peers`` (pings, standing, reports), ``roster`` (members, copies) and
+``peers`` (pings, standing), ``reporting`` (entries), ``roster`` (members, copies) and
 ``recovery`` (after a takeover).
 """
 
@@ -13,6 +13,7 @@
 
 from cactuswalk.decisions.scheduler import Scheduler
 from cactuswalk.messages import Message, Record, Submit
+from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import Announcement, CellRecord, Member
 from cactuswalk.state.agent import AgentState
 from cactuswalk.state.configuration import Spread
@@ -71,13 +72,16 @@
 
 
 class EntryView(msgspec.Struct):
-    """An entry that gets reports.
+    """An entry that asks for reports.
 
-    :param serial: of the workers' list that it was sent last.
+    :param serial: of the workers' list that it holds, or was sent last.
+    :param held: of the configuration, as it was told last, at ``told_at``.
     """
 
     subscribed_at: float
     serial: int = -1
+    held: list[NodesHolding] = []
+    told_at: float = float("-inf")
 
 
 class Held(msgspec.Struct):
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -1,28 +1,21 @@
-"""The owner's view of its members: pings, standing, probes, reports."""
+"""The owner's view of its members: pings, standing, probes."""
 
-from cactuswalk.messages import CellReport, Fence, Ping, Pong, Subscribe
+from cactuswalk.messages import Fence, Ping, Pong
 from cactuswalk.model import Member
-from cactuswalk.state.agent import stamp_of
 from cactuswalk.state.flights import give_up_flights
 from cactuswalk.state.landing import probe
-from cactuswalk.state.owner import EntryView, OwnerState, Peer, Phase
+from cactuswalk.state.owner import OwnerState, Peer, Phase
 from cactuswalk.state.placing import dispatch
-from cactuswalk.state.spreading import offer_of
 
 __all__ = [
     "is_lost",
     "on_pong",
-    "on_subscribe",
     "ping_peers",
-    "report",
     "send_fence",
     "send_ping",
     "watch_peers",
 ]
 
-# An entry that has not renewed its wish for two seconds is gone or elsewhere.
-ENTRY_FORGOTTEN_AFTER = 2.0
-
 
 def ping_peers(state: OwnerState, now: float) -> None:
     """Ask every fenced member for its confirmation, once a ping period."""
@@ -124,52 +117,3 @@
     if peer.member == state.member or state.phase is Phase.RECOVERING:
         return False
     return now - peer.heard_at > state.timing.lost
-
-
-def on_subscribe(
-    state: OwnerState, sender: str, subscribe: Subscribe, now: float
-) -> None:
-    """An entry wants reports; a new one gets its first at once."""
-    view = state.entries.get(sender)
-    if view is not None:
-        view.subscribed_at = now
-        return
-    state.entries[sender] = EntryView(now)
-    if state.phase is Phase.SERVING:
-        _send_report(state, sender, state.entries[sender], now)
-
-
-def report(state: OwnerState, now: float) -> None:
-    """Send each entry its report, once a report period."""
-    if state.phase is not Phase.SERVING:
-        return
-    if now - state.reported_at < state.timing.report:
-        return
-    state.reported_at = now
-    for address, view in list(state.entries.items()):
-        if now - view.subscribed_at > ENTRY_FORGOTTEN_AFTER:
-            del state.entries[address]
-            continue
-        _send_report(state, address, view, now)
-
-
-def _send_report(state: OwnerState, address: str, view: EntryView, now: float) -> None:
-    workers = []
-    if view.serial != state.workers_serial:
-        view.serial = state.workers_serial
-        workers = [peer.in_force for peer in state.peers.values()]
-        workers = [announcement for announcement in workers if announcement]
-    state.send(
-        address,
-        CellReport(
-            state.cell,
-            state.record.epoch,
-            state.member.address,
-            state.workers_serial,
-            state.scheduler.free_slots(),
-            state.scheduler.queued(),
-            workers,
-            offer_of(state, state.spread),
-            stamp_of(now),
-        ),
-    )
--- /dev/null
+++ b/src/cactuswalk/state/reporting.py
@@ -0,0 +1,95 @@
+"""What an owner tells entries: a report when one asks, and news in between.
+
+Why not at a steady pace: each owner would send to every entry, and each entry
+hear from every cell, some hundred bytes several times a second. At the target
+that was 63 KB a second at an entry. Entries ask at a pace that they can bear,
+see ``listening``; only what they decide by is worth a message that nobody asked
+for.
+"""
+
+from cactuswalk.messages import CellReport, Subscribe
+from cactuswalk.messages.configuration import ConfigurationOffer
+from cactuswalk.state.agent import stamp_of
+from cactuswalk.state.owner import EntryView, OwnerState, Phase
+from cactuswalk.state.spreading import offer_of
+
+__all__ = ["on_subscribe", "report"]
+
+# An entry that has not asked for this long is gone: three times the slowest
+# pace at which one asks.
+ENTRY_FORGOTTEN_AFTER = 30.0
+# While a change is on its way through the cell, its entries are told how far it
+# has come no more often than this; they are told at once when all nodes have it.
+UNSETTLED_NEWS_AFTER = 1.0
+
+
+def on_subscribe(
+    state: OwnerState, sender: str, subscribe: Subscribe, now: float
+) -> None:
+    """Tell an entry how the cell stands; the news will follow by itself."""
+    view = state.entries.setdefault(sender, EntryView(now))
+    view.subscribed_at = now
+    same_owner = subscribe.epoch == state.record.epoch
+    # What the entry says goes before what it was sent: that may have been lost.
+    view.serial = subscribe.serial if same_owner else -1
+    if state.phase is Phase.SERVING:
+        _tell(state, sender, view, offer_of(state, state.spread), now)
+
+
+def report(state: OwnerState, now: float) -> None:
+    """Look for news once a report period, and tell it to the entries."""
+    if state.phase is not Phase.SERVING:
+        return
+    if now - state.reported_at < state.timing.report:
+        return
+    state.reported_at = now
+    offer = offer_of(state, state.spread)
+    for address, view in list(state.entries.items()):
+        if now - view.subscribed_at > ENTRY_FORGOTTEN_AFTER:
+            del state.entries[address]
+        elif _has_news(state, view, offer, now):
+            _tell(state, address, view, offer, now)
+
+
+def _has_news(
+    state: OwnerState, view: EntryView, offer: ConfigurationOffer, now: float
+) -> bool:
+    """Tell whether something that an entry decides by, or waits for, has changed.
+
+    Free slots are not among it: an entry refuses nothing for want of room, and
+    under load they change with every task.
+    """
+    if view.serial != state.workers_serial:
+        return True
+    settled = len(offer.held) == 1
+    due = settled or now - view.told_at >= UNSETTLED_NEWS_AFTER
+    return view.held != offer.held and due
+
+
+def _tell(
+    state: OwnerState,
+    address: str,
+    view: EntryView,
+    offer: ConfigurationOffer,
+    now: float,
+) -> None:
+    workers = None
+    if view.serial != state.workers_serial:
+        view.serial = state.workers_serial
+        workers = [peer.in_force for peer in state.peers.values()]
+        workers = [announcement for announcement in workers if announcement]
+    view.held, view.told_at = offer.held, now
+    state.send(
+        address,
+        CellReport(
+            state.cell,
+            state.record.epoch,
+            state.workers_serial,
+            state.scheduler.free_slots(),
+            state.scheduler.queued(),
+            workers,
+            ConfigurationOffer(offer.revision, offer.ahead, "", offer.held),
+            stamp_of(now),
+            len(state.entries),
+        ),
+    )
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -79,7 +79,7 @@
     submit, job = held.submit, held.submit.job
     tracked = state.ledger.get(job.submission)
     if tracked is not None and not _is_new_try(tracked, held):
-        _join(state, tracked, held)
+        _join(state, tracked, held, now)
         return
     if _is_stale(state, submit, now):
         state.count("submit.stale")
@@ -95,13 +95,13 @@
         )
         return
     if tracked is None and _is_too_old(state, submit, now):
-        refuse(state, held.sender, submit, TOO_OLD, Outcome.UNKNOWN)
+        refuse(state, held.sender, submit, TOO_OLD, Outcome.UNKNOWN, now)
         return
     refusal = _refusal_before(state, held, now)
     if refusal is not None:
         certain = refusal is KEY_REUSED or state.is_confirmed(now)
         outcome = Outcome.NOT_RUN if certain else Outcome.UNKNOWN
-        refuse(state, held.sender, submit, refusal, outcome)
+        refuse(state, held.sender, submit, refusal, outcome, now)
         return
     _track(state, held, now)
 
@@ -119,15 +119,15 @@
     return tracked.waiters.get(held.sender) != held.submit.attempt
 
 
-def _join(state: OwnerState, tracked: Tracked, held: Held) -> None:
+def _join(state: OwnerState, tracked: Tracked, held: Held, now: float) -> None:
     submit = held.submit
     if tracked.job.fingerprint != submit.job.fingerprint:
-        refuse(state, held.sender, submit, KEY_REUSED, Outcome.NOT_RUN)
+        refuse(state, held.sender, submit, KEY_REUSED, Outcome.NOT_RUN, now)
         return
     tracked.waiters[held.sender] = submit.attempt
     state.count("submit.joined")
     if tracked.answer is not None:
-        send_answer(state, tracked.answer, held.sender, submit.attempt)
+        send_answer(state, tracked.answer, held.sender, submit.attempt, now)
 
 
 def _is_stale(state: OwnerState, submit: Submit, now: float) -> bool:
@@ -296,7 +296,7 @@
         refusal = Refusal(RefusalCode.CANCELLED, "its caller cancelled it")
         begin_ending(state, tracked, refusal, now)
     elif sender in tracked.waiters:
-        send_answer(state, tracked.answer, sender, tracked.waiters[sender])
+        send_answer(state, tracked.answer, sender, tracked.waiters[sender], now)
 
 
 def on_query(state: OwnerState, sender: str, query: Query, now: float) -> None:
--- a/src/cactuswalk/state/timing.py
+++ b/src/cactuswalk/state/timing.py
@@ -25,7 +25,8 @@
         that it is too old to know.
     :param settle: how long an ended job waits for the agents' word on what is
         still running; fifty round trips.
-    :param report: between two reports to an entry; as ``ping``.
+    :param report: between two looks of an owner for news for its entries; a
+        quarter of P, so that what they wait for comes well within a second.
     :param query: first wait of an entry for a sign of a submission; above
         nearly all run times, so that it is seldom asked in vain.
     :param join: between two tries to join a cell.
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -29,6 +29,7 @@
     log,
     outcome_unsent,
 )
+from cactuswalk.state.listening import ask_again, hear
 
 __all__ = ["keep_pending", "on_answer", "on_job_state", "send_submit"]
 
@@ -42,8 +43,15 @@
 def send_submit(
     state: EntryState, pending: Pending, cell: CellView, now: float
 ) -> None:
-    """Send a submission to the owner of its cell, if one is known and young."""
-    if not cell.owner or now - cell.stamp_at > state.timing.confirm:
+    """Send a submission to the owner of its cell, or first ask it for a stamp.
+
+    Its report comes after a round trip, and the submission goes out with it. An
+    owner that is gone gets nothing, so that its caller can be told "not run".
+    """
+    if not cell.owner:
+        return
+    if now - cell.stamp_at > state.timing.confirm:
+        ask_again(state, cell, now)
         return
     state.attempt += 1
     fresh = pending.minted and not pending.sent
@@ -71,6 +79,8 @@
         state.effects.append(Count("entry.answer.stale"))
         return
     view = state.cells[pending.cell]
+    if sender == view.owner and answer.epoch == view.epoch:
+        hear(view, answer.stamp, now)
     if answer.outcome is Outcome.NOT_RUN and answer.epoch < view.epoch:
         # A deposed owner's word that came late: the new one may have started it.
         state.effects.append(Count("entry.answer.deposed"))
--- a/tools/capacity_rows.py
+++ b/tools/capacity_rows.py
@@ -33,6 +33,9 @@
 
 PEERS = "control of a cell by its agents"
 BY_ENTRIES = "control of a cell by entries"
+BY_REGION = "control of a cell by entries of 130 cells"
+# Entries of the cell whose control grows with its agents.
+ENTRIES_MEASURED = 2
 CELLS = "an entry by cells"
 JOBS = "request path by job size"
 FRAMES = "frames between two sockets"
@@ -55,12 +58,19 @@
     """Return what each role spends on control."""
     frame_ms = slopes.slope(FRAMES, "processor ms, both ends") / 2
 
+    def by_entries(size: Size, figure: str) -> float:
+        series = BY_ENTRIES if size.cells_an_entry == 1 else BY_REGION
+        return slopes.slope(series, figure) * size.entries
+
     def owner_bytes(size: Size) -> float:
-        reports = slopes.slope(BY_ENTRIES, "owner bytes/s") * (size.entries - 2)
-        return slopes.at(PEERS, "owner bytes/s", size.cell) + reports
+        measured = slopes.slope(BY_ENTRIES, "owner bytes/s") * ENTRIES_MEASURED
+        agents = slopes.at(PEERS, "owner bytes/s", size.cell) - measured
+        return agents + by_entries(size, "owner bytes/s")
 
     def owner_core(size: Size) -> float:
-        reports = slopes.slope(BY_ENTRIES, "owner messages/s") * (size.entries - 1)
+        # The idle processes have one entry.
+        one = slopes.slope(BY_ENTRIES, "owner messages/s")
+        reports = by_entries(size, "owner messages/s") - one
         process = slopes.at(IDLE, "owner's agent processor ms/s", size.cell)
         return (process + reports * frame_ms) / 10
 
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -24,6 +24,7 @@
 GATE = "once_gate.feature"
 TAKEOVER = "once_directed_takeover.feature"
 ANSWERS = "once_directed_answers.feature"
+LISTENING = "once_listening.feature"
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
@@ -71,6 +72,20 @@
         "if now < state.old_owner_until:",
         TAKEOVER,
     ),
+    Mutant(
+        "an entry sends to an owner that it has not heard for P",
+        f"{STATE}/waiting.py",
+        "if now - cell.stamp_at > state.timing.confirm:",
+        "if False:",
+        LISTENING,
+    ),
+    Mutant(
+        "an entry keeps its pace though a caller waits",
+        f"{STATE}/listening.py",
+        "    if busy:\n        return CLOSEST_PACE\n",
+        "",
+        LISTENING,
+    ),
     Mutant(
         "an entry takes a deposed owner's word for not run",
         f"{STATE}/waiting.py",
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -31,6 +31,7 @@
 SMALL = (
     "control of a cell by its agents",
     "control of a cell by entries",
+    "control of a cell by entries of 130 cells",
     "request path by job size",
     "takeover by records",
     "agents replaced in a cell",
--- a/tools/slopes_cell.py
+++ b/tools/slopes_cell.py
@@ -6,6 +6,7 @@
 from cactuswalk.messages import Record
 from cactuswalk.model import Outcome, TaskOutcome, TaskResult, TaskState, digest
 from cactuswalk.state.answers import give_answer
+from cactuswalk.state.entryview import CellView, EntryState
 from cactuswalk.state.events import Tick
 from cactuswalk.state.ledger import Place, Stage, Task, Tracked, end_task
 from cactuswalk.state.node import Node
@@ -23,6 +24,9 @@
 
 # Virtual seconds of an idle cell: forty ping periods.
 IDLE_S = 10.0
+# Ten questions of an entry that knows the cells of a region at the target.
+SLOW_IDLE_S = 52.0
+CELLS_OF_A_REGION = 130
 # Parts of it whose processor times give a median.
 SLICES = 10
 
@@ -51,6 +55,12 @@
     return [
         Series("control of a cell by its agents", "agents", PEERS, idle_by_peers),
         Series("control of a cell by entries", "entries", ENTRIES, idle_by_entries),
+        Series(
+            "control of a cell by entries of 130 cells",
+            "entries",
+            ENTRIES,
+            idle_by_entries_of_a_region,
+        ),
         Series("request path by starts", "starts", STARTS, path_by_starts),
         Series("request path by job size", "tasks", JOB_SIZES, path_by_job_size),
         Series("an agent by its records", "records", RECORDS, agent_by_records),
@@ -76,25 +86,42 @@
     return idle(metered_cell(8, entries))
 
 
-def idle(bag: MeteredBag) -> Point:
+def idle_by_entries_of_a_region(entries: int) -> Point:
+    """Measure an idle cell of eight agents whose entries know 130 cells each."""
+    bag = metered_cell(8, entries)
+    for process in bag.processes.values():
+        if isinstance(process.state, EntryState):
+            for number in range(CELLS_OF_A_REGION - 1):
+                add_quiet_cell(process.state, f"other-{number}")
+    bag.run(2 * IDLE_S)
+    bag.reset()
+    return idle(bag, SLOW_IDLE_S)
+
+
+def add_quiet_cell(entry: EntryState, name: str) -> None:
+    """Have an entry know one more cell, which it has always just heard from."""
+    entry.cells[name] = CellView(name, owner="tcp://other", stamp_at=float("inf"))
+
+
+def idle(bag: MeteredBag, seconds: float = IDLE_S) -> Point:
     """Let a cell idle and return what each role sent and received."""
     owner, agents = bag.owner_meter(), bag.agent_meters()
     entries = bag.entry_meters()
     owner_ms, agent_ms = [], []
     for _ in range(SLICES):
         before = owner.processor_s, sum(one.processor_s for one in agents)
-        bag.run(IDLE_S / SLICES)
-        per_s = 1000 * SLICES / IDLE_S
+        bag.run(seconds / SLICES)
+        per_s = 1000 * SLICES / seconds
         owner_ms.append((owner.processor_s - before[0]) * per_s)
         agents_s = sum(one.processor_s for one in agents) - before[1]
         agent_ms.append(agents_s * per_s / len(agents))
     point = Point()
-    point.count("owner messages/s", owner.control.messages / IDLE_S)
-    point.count("owner bytes/s", owner.control.bytes / IDLE_S)
-    point.count("agent bytes/s", max(one.control.bytes for one in agents) / IDLE_S)
-    point.count("entry bytes/s", max(one.control.bytes for one in entries) / IDLE_S)
+    point.count("owner messages/s", owner.control.messages / seconds)
+    point.count("owner bytes/s", owner.control.bytes / seconds)
+    point.count("agent bytes/s", max(one.control.bytes for one in agents) / seconds)
+    point.count("entry bytes/s", max(one.control.bytes for one in entries) / seconds)
     calls = sum(meter.keyvalue_calls for meter in bag.meters.values())
-    point.count("key-value calls/s", calls / IDLE_S)
+    point.count("key-value calls/s", calls / seconds)
     point.time("owner processor ms/s", statistics.median(owner_ms))
     point.time("agent processor ms/s", statistics.median(agent_ms))
     return point
--- a/tools/slopes_entry.py
+++ b/tools/slopes_entry.py
@@ -4,7 +4,13 @@
 
 import msgspec
 
-from cactuswalk.messages import CellReport, ConfigurationOffer, Envelope, encode
+from cactuswalk.messages import (
+    CellReport,
+    ConfigurationOffer,
+    Envelope,
+    Subscribe,
+    encode,
+)
 from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import (
     Announcement,
@@ -28,14 +34,14 @@
 ADDRESS = "tcp://10.10.0.4:7000"
 SERVICE = "route-planning"
 WORKERS_A_CELL = 16
-CELLS = (4, 8, 16, 32)
+CELLS = (32, 64, 128, 256)
 WAITING = (250, 500, 1000, 2000)
 
 # Wall clock in milliseconds at virtual time 0; any day will do.
 WALL_MS = 1_700_000_000_000
 
 # Virtual seconds of listening to reports, and ticks in a second.
-LISTEN_S = 10
+LISTEN_S = 40
 TICKS_A_SECOND = 20
 
 
@@ -82,19 +88,18 @@
     ]
 
 
-def report_of(number: int, now: float, workers: list[Announcement]) -> Received:
+def report_of(number: int, now: float, workers: list[Announcement] | None) -> Received:
     """Return a report of a cell's owner."""
     address = owner_of(number).address
     held = [NodesHolding(7, [], WORKERS_A_CELL)]
     message = CellReport(
         f"cell-{number}",
         1,
-        address,
         1,
         {SERVICE: 100},
         {},
         workers,
-        ConfigurationOffer(7, [], f"cell-{number}", held),
+        ConfigurationOffer(7, [], "", held),
         int(now * 1000),
     )
     return Received(address, message)
@@ -113,19 +118,18 @@
 
 
 def listen(state: EntryState, cells: int, traffic: Traffic) -> None:
-    """Feed ticks and reports, and count them with what the entry sends."""
-    ticks_a_report = round(TICKS_A_SECOND * state.timing.report)
+    """Feed ticks, and a report for each that the entry asks for; count both."""
+    numbers = {owner_of(number).address: number for number in range(cells)}
     for tick in range(LISTEN_S * TICKS_A_SECOND):
         now = tick / TICKS_A_SECOND
-        effects = handle_entry(state, Tick(), now)
-        if tick % ticks_a_report == 0:
-            for number in range(cells):
-                report = report_of(number, now, [])
+        for effect in handle_entry(state, Tick(), now):
+            if not isinstance(effect, Send):
+                continue
+            traffic.add(frame_bytes(ADDRESS, effect.message))
+            if isinstance(effect.message, Subscribe):
+                report = report_of(numbers[effect.address], now, None)
                 traffic.add(frame_bytes(report.sender, report.message))
-                effects += handle_entry(state, report, now)
-        for effect in effects:
-            if isinstance(effect, Send):
-                traffic.add(frame_bytes(ADDRESS, effect.message))
+                handle_entry(state, report, now)
 
 
 def frame_bytes(sender: str, message) -> int:
