--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -53,6 +53,9 @@
     :param stamp_at: when the owner's latest stamp came here.
     :param sought_since: since when its owner has been silent, None while it
         is heard.
+    :param subscribed_at: when it was last asked for a report; ``asked_since``
+        the first time of those that nothing has answered.
+    :param serial: of ``workers``, for its owner's epoch.
     """
 
     cell: str
@@ -62,9 +65,10 @@
     stamp: int = 0
     stamp_at: float = float("-inf")
     subscribed_at: float = float("-inf")
+    asked_since: float = float("inf")
     read_at: float = float("-inf")
     sought_since: float | None = None
-    serial: int = -1
+    serial: int = 0
     workers: list[Announcement] = []
     report: CellReport | None = None
 
