An owner refuses submissions that its cell's record does not hold

Cause: an entry chose a submission's cell by hashing over the cells that it knew. Two entries that knew different cells sent one key to two owners, and each started it.

Now each cell's record says which slots of which service it holds, for keys of which births. An owner refuses any other key with NotHeld, which names a cell to go to, and the entry follows. The first holder of a service is settled by the swap that creates holders/SERVICE. Cells ask each other for slots; only keys that are not born yet change hands, so who holds a key never changes.

Ruled out: one slot map a service that all cells swap. An owner that can't reach the key-value service would not know whether it still holds a slot, and a deposed owner could cede after its successor has read the map.

--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -7,7 +7,7 @@
 import heapq
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from cactuswalk.messages import Envelope, decode, encode
 from cactuswalk.model import Announcement, Capacity, Job, Member, TaskSpec, digest, mint
@@ -156,12 +156,17 @@
 
     # Processes
 
-    def add_agent(self, worker: str, slots: int = 8, service: str = "routes"):
+    def add_agent(
+        self, worker: str, slots: int = 8, service: str = "routes", cell: str = CELL
+    ):
         """Start an agent, a new life if the worker has had one."""
         address = f"tcp://{worker}"
         member = Member(worker, f"{self.generator.getrandbits(32):08x}", address)
         generator = random.Random(self.generator.getrandbits(64))
-        node = new_node(CELL, member, self.timing, generator, MAXIMUM_BYTES, self.now)
+        node = new_node(
+            *(cell, member, self.timing, generator, MAXIMUM_BYTES, self.now),
+            wall_ms=WALL_MS,
+        )
         process = Process(worker, address, node)
         self.processes[address] = process
         self.upstreams.setdefault(worker, Upstream())
@@ -172,11 +177,11 @@
         self._at(self.generator.random() * TICK, address, Tick())
         return process
 
-    def add_entry(self, name: str):
+    def add_entry(self, name: str, cells: Sequence[str] = (CELL,)):
         address = f"tcp://{name}"
         state = new_entry(
             address,
-            [CELL],
+            list(cells),
             self.timing,
             random.Random(self.generator.getrandbits(64)),
             WALL_MS,
@@ -203,13 +208,15 @@
     def stop(self, name: str) -> None:
         self._at(0.0, f"tcp://{name}", StopRequested())
 
-    def owner(self) -> Process | None:
-        """Return the process that serves with the highest epoch."""
+    def owner(self, cell: str = CELL) -> Process | None:
+        """Return the process that serves a cell with the highest epoch."""
         best = None
         for process in self.processes.values():
             node = process.state
             if not process.alive or not isinstance(node, Node) or not node.owner:
                 continue
+            if node.cell != cell:
+                continue
             epoch = node.owner.record.epoch
             if best is None or epoch > best.state.owner.record.epoch:
                 best = process
@@ -398,4 +405,5 @@
         and sum(entry.cells[CELL].report.free_slots.values()) > 0
         for entry in entries
     )
+    known = known and state.record.holdings
     return usable == agents and known and (agents == 1 or state.record.backed_up)
--- /dev/null
+++ b/src/cactuswalk/decisions/sharing.py
@@ -0,0 +1,112 @@
+"""How cells divide the slots of a service among them.
+
+Load pattern: cells are added while requests arrive, are emptied before their
+hosts are replaced, and differ in size. Without shares that follow the workers, a
+new cell would idle beside a full one, and an emptied one would refuse its share
+of the requests for ever.
+
+Two cells at a time are levelled, by the worker slots that each has; no node has
+to know all cells.
+"""
+
+import msgspec
+
+from cactuswalk.model.holding import Holding
+
+__all__ = ["cede", "cession_begins_ms", "share_to_give", "take", "without_superseded"]
+
+# A difference below this part of the fair share is left: levelled to the last
+# slot, two cells whose workers come and go would swap slots without end.
+TOLERANCE = 0.25
+
+
+def share_to_give(mine: int, my_workers: int, theirs: int, their_workers: int) -> int:
+    """Return how many slots to cede to a cell that asks.
+
+    :param mine: open slots here, ``theirs`` at the cell that asks.
+    :param my_workers: worker slots of the service here, ``their_workers`` there.
+    """
+    if their_workers <= 0:
+        return 0
+    fair = (mine + theirs) * their_workers // (my_workers + their_workers)
+    wanted = fair - theirs
+    if wanted <= 0 or (my_workers and theirs and wanted < TOLERANCE * fair):
+        return 0
+    return min(mine, wanted)
+
+
+def cession_begins_ms(
+    holdings: list[Holding], service: str, wall_ms: float, latest_ms: int, ahead_ms: int
+) -> int:
+    """Return from which birth on a cell may cede slots.
+
+    Later than every key that it has seen, and than the beginning of each
+    holding: a clock that is behind that of the cell which ceded them would
+    otherwise give away births that the earlier holder kept.
+
+    :param latest_ms: the latest birth of a key that was accepted here.
+    :param ahead_ms: how far ahead of this clock a key may be born.
+    """
+    began = [one.since_ms for one in holdings if one.service == service]
+    return max(int(wall_ms) + ahead_ms, latest_ms + 1, *(at + 1 for at in began))
+
+
+def cede(
+    holdings: list[Holding], service: str, to: str, count: int, from_ms: int
+) -> list[Holding]:
+    """Return what is held once slots have been ceded for births from a moment on.
+
+    Whole holdings first, the last one in part, so that they stay few.
+    """
+    serial = 1 + max((one.serial for one in holdings), default=0)
+    found: list[Holding] = []
+    for one in reversed(holdings):
+        width = one.last - one.first + 1
+        if one.service != service or one.until_ms or count <= 0:
+            found.append(one)
+            continue
+        given = min(width, count)
+        count -= given
+        border = one.last - given + 1
+        found.append(
+            msgspec.structs.replace(
+                one, first=border, until_ms=from_ms, to=to, serial=serial
+            )
+        )
+        if given < width:
+            found.append(msgspec.structs.replace(one, last=border - 1))
+    return found[::-1]
+
+
+def take(
+    holdings: list[Holding], source: str, ceded: list[Holding], after: int
+) -> list[Holding]:
+    """Return what is held once the cessions after a serial have been taken."""
+    return holdings + [
+        Holding(one.service, one.first, one.last, one.until_ms, source=source)
+        for one in ceded
+        if one.serial > after
+    ]
+
+
+def without_superseded(holdings: list[Holding], before_ms: float) -> list[Holding]:
+    """Drop ended holdings of which no record is kept any more.
+
+    The latest of its slots stays, so that an entry can be sent on from here.
+    """
+    return [
+        one
+        for one in holdings
+        if not one.until_ms
+        or one.until_ms > before_ms
+        or not any(_follows(other, one) for other in holdings)
+    ]
+
+
+def _follows(other: Holding, one: Holding) -> bool:
+    return (
+        other.service == one.service
+        and other.since_ms >= one.until_ms
+        and other.first <= one.first
+        and other.last >= one.last
+    )
--- a/src/cactuswalk/messages/cell.py
+++ b/src/cactuswalk/messages/cell.py
@@ -8,12 +8,15 @@
 
 from cactuswalk.model.answer import TaskResult, TaskState
 from cactuswalk.model.cell import Member
+from cactuswalk.model.holding import Holding
 from cactuswalk.model.job import TaskSpec
 from cactuswalk.model.worker import Announcement
 
 __all__ = [
     "Adopt",
     "Adopted",
+    "AskShare",
+    "Ceded",
     "Declined",
     "Fence",
     "Fenced",
@@ -28,6 +31,7 @@
     "Record",
     "Result",
     "Running",
+    "Spare",
     "Start",
     "Witness",
     "Witnessed",
@@ -281,3 +285,34 @@
 
     cell: str
     epoch: int
+
+
+class AskShare(msgspec.Struct, array_like=True, tag=38):
+    """The owner of a cell asks another's for slots of a service.
+
+    :param held: open slots that the asking cell has.
+    :param workers: slots of its workers of the service.
+    """
+
+    cell: str
+    service: str
+    held: int
+    workers: int
+
+
+class Ceded(msgspec.Struct, array_like=True, tag=39):
+    """Slots that were ceded to the receiver's cell, as the giver's record has them.
+
+    :param life: of the giver; serials count anew in each.
+    """
+
+    cell: str
+    life: str
+    holdings: list[Holding]
+
+
+class Spare(msgspec.Struct, array_like=True, tag=43):
+    """A cell has slots of a service, but no workers: it wants to be asked."""
+
+    cell: str
+    service: str
--- a/src/cactuswalk/messages/codec.py
+++ b/src/cactuswalk/messages/codec.py
@@ -19,6 +19,7 @@
     | submission.Query
     | submission.JobState
     | submission.NotOwner
+    | submission.NotHeld
     | submission.Subscribe
     | submission.CellReport
     | submission.Explain
@@ -41,6 +42,9 @@
     | cell.Adopt
     | cell.Adopted
     | cell.HandOver
+    | cell.AskShare
+    | cell.Ceded
+    | cell.Spare
     | configuration.ConfigurationOffer
     | configuration.ConfigurationRequest
     | configuration.ConfigurationUpdate
--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -15,6 +15,7 @@
     "Explained",
     "Verdict",
     "JobState",
+    "NotHeld",
     "NotOwner",
     "Query",
     "Submit",
@@ -115,6 +116,19 @@
     attempt: int
 
 
+class NotHeld(msgspec.Struct, array_like=True, tag=11):
+    """The cell does not hold the submission; nothing of it ran or will run there.
+
+    :param holder: the cell that may hold it, empty if the owner knows of none.
+    """
+
+    cell: str
+    epoch: int
+    submission: str
+    attempt: int
+    holder: str
+
+
 class Subscribe(msgspec.Struct, array_like=True, tag=7):
     """An entry asks an owner for reports, and renews the wish with each."""
 
--- a/src/cactuswalk/model/__init__.py
+++ b/src/cactuswalk/model/__init__.py
@@ -9,6 +9,7 @@
     TaskState,
 )
 from cactuswalk.model.cell import CellRecord, Member
+from cactuswalk.model.holding import Holding, ServiceRecord
 from cactuswalk.model.identifier import (
     birth_ms,
     digest,
@@ -30,6 +31,7 @@
     "Announcement",
     "Capacity",
     "CellRecord",
+    "Holding",
     "Job",
     "Member",
     "Outcome",
@@ -38,6 +40,7 @@
     "Requirement",
     "Selector",
     "SelectorError",
+    "ServiceRecord",
     "TaskOutcome",
     "TaskResult",
     "TaskSpec",
--- a/src/cactuswalk/model/cell.py
+++ b/src/cactuswalk/model/cell.py
@@ -2,7 +2,14 @@
 
 import msgspec
 
-__all__ = ["CellRecord", "Member"]
+from cactuswalk.model.holding import Holding
+
+__all__ = ["CellRecord", "Member", "cell_key"]
+
+
+def cell_key(cell: str) -> str:
+    """Return the key of a cell's record in the key-value service."""
+    return f"cells/{cell}"
 
 
 class Member(msgspec.Struct, array_like=True, frozen=True):
@@ -31,6 +38,11 @@
         own agent, so that the loss of the owner's host alone loses none.
     :param write_id: names the write, so that a swap whose reply was lost can
         be recognised when it is read back.
+    :param identity: of this life of the cell; one whose record was lost and
+        written anew must not pass for the one that had it.
+    :param holdings: which submissions fall to this cell.
+    :param founded: services of which it was the first holder.
+    :param taken: by the life of a cell, the last cession taken from it.
     """
 
     cell: str
@@ -40,3 +52,7 @@
     departed: list[Member]
     write_id: str
     backed_up: bool = False
+    identity: str = ""
+    holdings: list[Holding] = []
+    founded: list[str] = []
+    taken: dict[str, int] = {}
--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -65,6 +65,7 @@
             self.host.generator,
             settings.retention_bytes,
             time.monotonic(),
+            wall_ms=time.time() * 1000 - time.monotonic() * 1000,
         )
 
     def _add_hooks(self) -> None:
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -4,11 +4,9 @@
     Cancel,
 )
 from cactuswalk.model import (
-    Job,
     Outcome,
     Refusal,
     RefusalCode,
-    digest,
 )
 from cactuswalk.state.effects import (
     Count,
@@ -16,7 +14,6 @@
 )
 from cactuswalk.state.entryview import (
     RETRY_WITHOUT_OWNER_MS,
-    CellView,
     EntryState,
     Pending,
     age_ms,
@@ -30,6 +27,7 @@
     CallerGone,
     CallerSubmitted,
 )
+from cactuswalk.state.moving import choose_cell
 from cactuswalk.state.waiting import send_submit
 
 __all__ = [
@@ -51,7 +49,7 @@
     if pending is not None:
         _join(state, pending, event)
         return
-    cell = _choose_cell(state, job)
+    cell = choose_cell(state, job)
     pending = Pending(
         job,
         cell.cell,
@@ -94,7 +92,7 @@
         return Refusal(RefusalCode.DEADLINE_PASSED, "the deadline has passed")
     if state.stopping:
         return Refusal(RefusalCode.STOPPING, "this entry is stopping", 0)
-    if _choose_cell(state, job) is None:
+    if choose_cell(state, job) is None:
         if state.spread.replica.get("service", job.service) is not None:
             return Refusal(
                 RefusalCode.NO_WORKER_NOW,
@@ -124,17 +122,6 @@
     state.effects.append(Count("entry.joined"))
 
 
-def _choose_cell(state: EntryState, job: Job) -> CellView | None:
-    """Return the cell of a submission: the same at every entry.
-
-    Highest random weight over the cells that serve it: a resubmission through
-    another entry has to meet the first one.
-    """
-    fit = [view for view in state.cells.values() if job.service in view.services]
-    name = job.submission.encode()
-    return max(fit, key=lambda view: digest(name, view.cell.encode()), default=None)
-
-
 def on_caller_cancelled(state: EntryState, event: CallerCancelled, now: float) -> None:
     """A caller wants a submission stopped."""
     pending = state.pending.get(event.submission)
--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -245,7 +245,8 @@
     write_id = f"{state.generator.getrandbits(64):016x}"
     if earlier is None:
         record = CellRecord(
-            state.cell, 1, state.member, [state.member], [], write_id, False
+            *(state.cell, 1, state.member, [state.member], [], write_id, False),
+            identity=write_id,
         )
     else:
         roster = [
@@ -254,14 +255,13 @@
         ]
         if state.member not in roster:
             roster.append(state.member)
-        record = CellRecord(
-            state.cell,
-            earlier.epoch + 1,
-            state.member,
-            roster,
-            earlier.departed,
-            write_id,
-            False,
+        record = msgspec.structs.replace(
+            earlier,
+            epoch=earlier.epoch + 1,
+            owner=state.member,
+            roster=roster,
+            write_id=write_id,
+            backed_up=False,
         )
     if record.epoch <= state.agent.gate.epoch:
         raise InvariantError(
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -88,7 +88,7 @@
     if message.owner and message.epoch >= view.epoch and not view.owner:
         _subscribe(state, view, message.owner, now)
     pending = state.pending.get(message.submission)
-    if pending is not None:
+    if pending is not None and pending.cell == message.cell:
         pending.sent_epoch = min(pending.sent_epoch, message.epoch - 1)
 
 
@@ -98,6 +98,8 @@
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
     view = state.cells.setdefault(record.cell, CellView(record.cell))
+    if event.revision > view.revision:
+        view.revision, view.holdings = event.revision, record.holdings
     if record.epoch > view.epoch or not view.owner:
         _subscribe(state, view, record.owner.address, now)
 
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -16,6 +16,7 @@
     ConfigurationUpdate,
     Explained,
     JobState,
+    NotHeld,
     NotOwner,
 )
 from cactuswalk.state.callers import (
@@ -53,6 +54,7 @@
     StopRequested,
     Tick,
 )
+from cactuswalk.state.moving import keep_moving, on_not_held
 from cactuswalk.state.questions import (
     expire_questions,
     on_asked_state,
@@ -101,6 +103,7 @@
         keep_view(state, view, now)
     keep_configuration(state, now)
     for pending in list(state.pending.values()):
+        keep_moving(state, pending, now)
         keep_pending(state, pending, now)
     expire_questions(state, now)
 
@@ -145,6 +148,7 @@
     Answer: on_answer,
     CellReport: on_report,
     NotOwner: on_not_owner,
+    NotHeld: on_not_held,
     JobState: _on_job_state,
     Explained: on_explained,
     ConfigurationOffer: on_offer,
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -8,6 +8,7 @@
 from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import (
     Announcement,
+    Holding,
     Job,
     Outcome,
     Refusal,
@@ -45,6 +46,8 @@
     """What an entry knows of one cell.
 
     :param owner: address of its owner, empty while it is not known.
+    :param holdings: which submissions fall to it, as far as is known here; an
+        owner that doesn't hold one says so.
     :param stamp_at: when the owner's latest stamp came here.
     """
 
@@ -59,6 +62,8 @@
     serial: int = -1
     workers: list[Announcement] = []
     report: CellReport | None = None
+    holdings: list[Holding] = []
+    revision: int = 0
 
 
 class Pending(msgspec.Struct):
@@ -66,7 +71,10 @@
 
     :param attempts: every attempt sent, so that a late answer to one of them
         is recognised; all of one submission have the same answer.
-    :param sent: whether it was ever sent to anybody.
+    :param sent: whether it was sent to anybody who has not said that it does
+        not hold it.
+    :param hops: how often it was sent on since a cell was last chosen.
+    :param moved_at: when it was sent on from a cell that doesn't hold it.
     """
 
     job: Job
@@ -80,6 +88,8 @@
     sign_at: float = 0.0
     query_after: float = 0.0
     minted: bool = False
+    hops: int = 0
+    moved_at: float = float("-inf")
     cancelled: bool = False
 
 
--- /dev/null
+++ b/src/cactuswalk/state/moving.py
@@ -0,0 +1,89 @@
+"""Which cell a submission goes to, and where it goes when that cell has it not.
+
+What an entry knows of the cells may be old or partial. It only costs a detour:
+the owner of a cell that doesn't hold a submission says so, and where to go.
+"""
+
+from cactuswalk.messages import NotHeld
+from cactuswalk.model import Job, digest
+from cactuswalk.model.holding import covers
+from cactuswalk.state.effects import Count, ReadKey
+from cactuswalk.state.entryview import (
+    CellView,
+    EntryState,
+    Pending,
+    last_attempt,
+    log,
+)
+from cactuswalk.state.roster import cell_key
+from cactuswalk.state.waiting import send_submit
+
+__all__ = ["choose_cell", "keep_moving", "on_not_held"]
+
+# A cession is taken within two calls of the key-value service, some 10 ms; asked
+# more often, cells would be flooded while it is away.
+CHOOSE_AGAIN_AFTER = 0.25
+# Slots pass from cell to cell a few times in their life; a longer way is a circle
+# of cells that know each other's old holdings.
+MAXIMUM_HOPS = 8
+
+
+def choose_cell(state: EntryState, job: Job) -> CellView | None:
+    """Return the cell that holds a submission, or one that may know which does.
+
+    None as long as no owner has reported workers of the service.
+    """
+    views = list(state.cells.values())
+    fit = [view for view in views if job.service in view.services]
+    if not fit:
+        return None
+    for view in views:
+        if covers(view.holdings, job.service, job.submission, job.born_ms):
+            return view
+    name = job.submission.encode()
+    return max(fit, key=lambda view: digest(name, view.cell.encode()))
+
+
+def on_not_held(state: EntryState, sender: str, message: NotHeld, now: float) -> None:
+    """An owner doesn't hold a submission: nothing of it ran or will run there."""
+    pending = state.pending.get(message.submission)
+    if pending is None or message.attempt != last_attempt(pending):
+        return
+    state.effects.append(Count("entry.submit.not_held"))
+    pending.attempts.clear()
+    pending.sent = False
+    pending.hops += 1
+    pending.moved_at = now
+    # Its record says what this entry did not know; the next choice is better.
+    state.effects.append(ReadKey(cell_key(message.cell)))
+    if message.holder and message.holder != message.cell:
+        if pending.hops > MAXIMUM_HOPS:
+            return
+        _move(state, pending, message.holder, now)
+
+
+def keep_moving(state: EntryState, pending: Pending, now: float) -> None:
+    """Choose again for a submission that no cell has been found to hold."""
+    if pending.attempts or now - pending.moved_at < CHOOSE_AGAIN_AFTER:
+        return
+    if pending.sent or pending.sent_epoch == 0:
+        return
+    pending.moved_at, pending.hops = now, 0
+    cell = choose_cell(state, pending.job)
+    if cell is not None:
+        _move(state, pending, cell.cell, now)
+
+
+def _move(state: EntryState, pending: Pending, cell: str, now: float) -> None:
+    view = state.cells.setdefault(cell, CellView(cell))
+    if not view.owner:
+        state.effects.append(ReadKey(cell_key(cell)))
+    log(
+        state,
+        "chose another cell",
+        submission=pending.job.submission,
+        cell=cell,
+        owner=view.owner,
+    )
+    pending.cell, pending.sent_epoch = cell, 0
+    send_submit(state, pending, view, now)
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -7,7 +7,9 @@
 from cactuswalk.messages import (
     Adopt,
     Adopted,
+    AskShare,
     Cancel,
+    Ceded,
     ConfigurationOffer,
     ConfigurationRequest,
     ConfigurationUpdate,
@@ -27,6 +29,7 @@
     Query,
     Result,
     Running,
+    Spare,
     Start,
     Submit,
     Subscribe,
@@ -42,6 +45,7 @@
     placing,
     recovery,
     roster,
+    sharing,
     spreading,
     submissions,
 )
@@ -89,6 +93,9 @@
     Adopted: roster.on_adopted,
     Join: roster.on_join,
     Leave: roster.on_leave,
+    AskShare: sharing.on_ask_share,
+    Ceded: sharing.on_ceded,
+    Spare: sharing.on_spare,
 }
 _TO_CANDIDATE: dict[type, Callable] = {
     HeardReply: candidates.on_heard_reply,
@@ -218,16 +225,32 @@
 
 def _on_read(node: Node, event: KeyRead, now: float) -> None:
     if node.owner is not None:
-        roster.on_read(node.owner, event, now)
+        _on_read_as_owner(node, event, now)
+        return
+    if event.key != roster.cell_key(node.cell):
         return
     taken = candidates.on_read(node.candidate, event, now)
     if taken is not None:
         _become_owner(node, taken, now)
 
 
+def _on_read_as_owner(node: Node, event: KeyRead, now: float) -> None:
+    if event.key == roster.cell_key(node.cell):
+        roster.on_read(node.owner, event, now)
+        return
+    if event.key.startswith(roster.cell_key("")):
+        sharing.on_partner_read(node.owner, event, now)
+    else:
+        sharing.on_service_read(node.owner, event, now)
+    roster.keep_roster(node.owner, now)
+
+
 def _on_swapped(node: Node, event: KeySwapped, now: float) -> None:
     if node.owner is not None:
-        roster.on_swapped(node.owner, event, now)
+        if event.key == roster.cell_key(node.cell):
+            roster.on_swapped(node.owner, event, now)
+        else:
+            sharing.on_service_swapped(node.owner, event, now)
         return
     taken = candidates.on_swapped(node.candidate, event, now)
     if taken is not None:
@@ -263,6 +286,7 @@
         # Bounded by what the agents hand out, which is some seconds' worth.
         RecordBook(node.timing.retention, sys.maxsize),
         maximum_bytes=node.ledger_bytes,
+        wall_ms=node.wall_ms,
     )
     recovery.begin_recovery(node.owner, taken.earlier, now)
 
@@ -304,6 +328,7 @@
     recovery.recover(owner, now)
     peers.ping_peers(owner, now)
     peers.watch_peers(owner, now)
+    sharing.keep_sharing(owner, now)
     roster.keep_roster(owner, now)
     placing.withdraw_unwitnessed(owner, now)
     submissions.expire_ledger(owner, now)
--- a/src/cactuswalk/state/nodestate.py
+++ b/src/cactuswalk/state/nodestate.py
@@ -34,6 +34,7 @@
     """All that an agent's process knows.
 
     :param ledger_bytes: for the answers that an owner keeps.
+    :param wall_ms: wall clock less monotonic clock, for births of keys only.
     :param make_scheduler: called for each epoch that this node owns.
     :param idle_since: when a stopping node had nothing left to finish.
     :param stopped: the process may exit.
@@ -46,6 +47,7 @@
     candidate: CandidateState
     make_scheduler: Callable[[], Scheduler]
     ledger_bytes: int
+    wall_ms: float = 0.0
     owner: OwnerState | None = None
     stopping: bool = False
     stopping_since: float = 0.0
@@ -68,6 +70,7 @@
     maximum_bytes: int,
     now: float,
     make_scheduler: Callable[[], Scheduler] = Scheduler,
+    wall_ms: float = 0.0,
 ) -> Node:
     """Return the state of a process that has just been started."""
     records = RecordBook(timing.retention, int(maximum_bytes * RECORDS_SHARE))
@@ -85,4 +88,5 @@
         candidate,
         make_scheduler,
         int(maximum_bytes * LEDGER_SHARE),
+        wall_ms,
     )
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -12,7 +12,7 @@
 import msgspec
 
 from cactuswalk.decisions.scheduler import Scheduler
-from cactuswalk.messages import Message, Record, Submit
+from cactuswalk.messages import Ceded, Message, Record, Submit
 from cactuswalk.model import Announcement, CellRecord, Member
 from cactuswalk.state.agent import AgentState
 from cactuswalk.state.configuration import Spread
@@ -22,7 +22,15 @@
 from cactuswalk.state.standing import has_standing
 from cactuswalk.state.timing import Timing
 
-__all__ = ["EntryView", "Held", "OwnerState", "Peer", "Phase"]
+__all__ = [
+    "Cession",
+    "EntryView",
+    "Held",
+    "OwnerState",
+    "Peer",
+    "Phase",
+    "SharingState",
+]
 
 # The low bits of an attempt count the owner's starts; at the target's 30 starts
 # a second and worker in a cell of 64, 32 bits last 25 days in one epoch. The
@@ -47,6 +55,7 @@
     :param roster_sent: write id of the record whose roster goes with the pings
         since ``roster_since``; ``roster_known`` once one of them is confirmed.
     :param ahead: changes in force there beyond its revision ``configuration``.
+    :param drained: operators keep new work away from it.
     :param flights: attempts placed there, by (submission, index).
     """
 
@@ -62,6 +71,7 @@
     fenced: bool = False
     in_force: Announcement | None = None
     usable: bool = False
+    drained: bool = False
     roster_sent: str = ""
     roster_since: int = 0
     roster_known: str = ""
@@ -88,6 +98,43 @@
     deadline: float
 
 
+class Cession(msgspec.Struct):
+    """Slots that are about to be ceded to another cell."""
+
+    service: str
+    to: str
+    count: int
+    from_ms: int
+
+
+class SharingState(msgspec.Struct):
+    """What the owner knows of its cell's share in each service, see sharing.py.
+
+    :param workers: worker slots by service, last seen at ``seen_at``.
+    :param partners: the other cells of each service.
+    :param turn: counts the partners that were looked at, by service.
+    :param taken_by: by cell, the last cession that its record shows as taken.
+    :param latest_birth_ms: of the keys that were submitted here.
+    """
+
+    workers: dict[str, int] = {}
+    seen_at: dict[str, float] = {}
+    partners: dict[str, list[str]] = {}
+    turn: dict[str, int] = {}
+    next_at: dict[str, float] = {}
+    wait: dict[str, float] = {}
+    founding: set[str] = set()
+    taking: Ceded | None = None
+    cession: Cession | None = None
+    taken_by: dict[str, int] = {}
+    push_at: float = float("-inf")
+    latest_birth_ms: int = 0
+
+    def is_badly_off(self, service: str, held: int) -> bool:
+        """Tell whether a cell has workers without slots, or slots without workers."""
+        return (held == 0) != (service not in self.workers)
+
+
 class OwnerState(msgspec.Struct):
     """What the owner of a cell knows.
 
@@ -107,6 +154,7 @@
     :param with_bodies: answered ones whose bodies are kept, oldest first.
     :param maximum_bytes: for kept submissions, and again for their bodies;
         ``kept_bytes`` and ``body_bytes`` are what they take.
+    :param wall_ms: wall clock less monotonic clock, for births of keys.
     :param known_since: everything that was submitted since then is in the ledger
         or in the records; of what is older nobody here can say.
     :param taken_over_at: when the fence was complete.
@@ -144,6 +192,8 @@
     pinged_at: float = float("-inf")
     reported_at: float = float("-inf")
     maximum_bytes: int = 0
+    wall_ms: float = 0.0
+    sharing: SharingState = msgspec.field(default_factory=SharingState)
     kept_bytes: int = 0
     body_bytes: int = 0
     known_since: float = float("-inf")
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -17,6 +17,8 @@
     TaskResult,
     TaskState,
 )
+from cactuswalk.model.cell import cell_key
+from cactuswalk.state import sharing
 from cactuswalk.state.copying import RECORDS_A_PART
 from cactuswalk.state.effects import ReadKey, SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
@@ -43,11 +45,6 @@
 SWAP_AGAIN_AFTER = 0.5
 
 
-def cell_key(cell: str) -> str:
-    """Return the key of a cell's record in the key-value service."""
-    return f"cells/{cell}"
-
-
 def on_join(state: OwnerState, sender: str, join: Join, now: float) -> None:
     """An agent wants to be a member, or announces a change."""
     member = join.member
@@ -120,18 +117,17 @@
     added = [member for member in state.joining.values() if member not in record.roster]
     departed = _departed(state, removed, now)
     backed_up = state.backup_ready and state.backup not in removed
+    base = sharing.changed(state, now)
     if not removed and not added and departed == record.departed:
-        if backed_up == record.backed_up:
+        if backed_up == record.backed_up and base == record:
             return None
     roster = [member for member in record.roster if member not in removed] + added
-    return CellRecord(
-        state.cell,
-        record.epoch,
-        state.member,
-        roster,
-        departed,
-        f"{state.generator.getrandbits(64):016x}",
-        backed_up,
+    return msgspec.structs.replace(
+        base,
+        roster=roster,
+        departed=departed,
+        write_id=f"{state.generator.getrandbits(64):016x}",
+        backed_up=backed_up,
     )
 
 
@@ -198,12 +194,16 @@
         state.revision = event.revision
         if record.write_id == state.pending.write_id:
             _adopt_record(state, record, now)
+        # What was to be ceded is asked for again: until then, keys that are born
+        # after the moment in it may be accepted here, and it would be untrue.
+        state.sharing.cession = None
         state.pending = None
 
 
 def _adopt_record(state: OwnerState, record: CellRecord, now: float) -> None:
     """Go over to a record that stands in the service."""
     earlier, state.record = state.record, record
+    state.sharing.cession, state.sharing.taking = None, None
     for member in earlier.roster:
         if member not in record.roster:
             _forget(state, member, now)
--- a/src/cactuswalk/state/spreading.py
+++ b/src/cactuswalk/state/spreading.py
@@ -114,6 +114,7 @@
         owner.workers_serial += 1
         owner.scheduler.set_worker(view.announcement, peer.usable, now)
     gets_nothing = view.drained or not view.may_serve
+    peer.drained = gets_nothing
     owner.scheduler.set_drained(peer.announcement.worker, gets_nothing, now)
 
 
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -36,6 +36,7 @@
 )
 from cactuswalk.state.owner import Held, OwnerState, Phase
 from cactuswalk.state.placing import dispatch
+from cactuswalk.state.sharing import holds, refuse_unheld
 
 __all__ = [
     "expire_ledger",
@@ -94,6 +95,10 @@
             ),
         )
         return
+    if not holds(state, job, now):
+        refuse_unheld(state, held.sender, submit)
+        return
+    state.sharing.latest_birth_ms = max(state.sharing.latest_birth_ms, job.born_ms)
     if tracked is None and _is_too_old(state, submit, now):
         refuse(state, held.sender, submit, TOO_OLD, Outcome.UNKNOWN)
         return
