Cells' shares: failures of a cession, random scripts, mutants, counts

An older fault found by "A cell's workers withdraw": an agent changed its announcement in place when its upstream withdrew. An owner in the same process holds the same object, saw nothing new, and went on counting on its slots. It is replaced now.

A cell looks round only while its share does not fit its workers, and one that holds all of a service asks nobody.

--- a/features/once_cells.feature
+++ b/features/once_cells.feature
@@ -17,3 +17,65 @@
     Given two cells of one service and an entry that knows only the first
     When 40 keys are submitted at the entry that knows both and then at the other
     Then every submission at either entry is answered and ran once
+
+  Scenario: A cession takes effect though its reply is lost
+    A cell cedes slots, the key-value service applies the swap and then goes away
+    with its reply. The owner can't know. If it served the ceded keys meanwhile, the
+    new cell would serve them again when the caller comes back, and a booking would
+    be made twice.
+    Given two cells of one service and an entry that knows only the first
+    When a cession's reply is lost, and keys come before and after it is known
+    Then no submission ran twice and no key falls to two cells
+    And every slot of the service is held once for new keys
+
+  Scenario: The word of a cession comes a second time
+    The network holds back a copy of the word that slots were ceded, until its
+    receiver has ceded some of them to a third cell. Taken again, they would be
+    held by both, and callers of either would have their bookings made twice.
+    Given two cells of one service and an entry that knows only the first
+    When each word of a cession comes again 20 s later, and a third cell asks
+    Then no submission ran twice and no key falls to two cells
+    And every slot of the service is held once for new keys
+
+  Scenario: The owner of a ceding cell dies before it has told anybody
+    The swap is in force, and the new cell has not heard of it. Nobody would hold
+    those slots, and their callers would be refused for ever.
+    Given two cells of one service and an entry that knows only the first
+    When the owner of a ceding cell dies as its swap takes effect
+    Then no submission ran twice and no key falls to two cells
+    And every slot of the service is held once for new keys
+
+  Scenario: A cell cedes what a clock ahead of its own gave it
+    A cell's owner has a clock that is a minute behind. It cedes slots to a third
+    cell, by its clock from a moment before it got them: those keys stayed with the
+    first cell, and callers would have them run by both.
+    Given two cells of one service and an entry that knows only the first
+    When a cell whose clock is a minute behind is asked for its share
+    Then no submission ran twice and no key falls to two cells
+    And every slot of the service is held once for new keys
+
+  Scenario: Two cells begin to serve a new service at one moment
+    Both find that nobody holds it, both write that they do, and one reply is lost.
+    With two first holders every key of it could run twice.
+    Given two cells of one service and an entry that knows only the first
+    When both cells begin a new service at once and replies are lost
+    Then no submission ran twice and no key falls to two cells
+    And every slot of the service is held once for new keys
+
+  Scenario: An owner is replaced after its cell has ceded
+    The owner dies, another agent takes the cell over, and a new cell asks it for
+    slots. If it did not know what its cell had ceded, or ceded keys of which it has
+    no records, they would run again when their callers come back.
+    Given two cells of one service and an entry that knows only the first
+    When both cells' owners are replaced, a third cell asks, and every key comes again
+    Then no submission ran twice and no key falls to two cells
+    And every slot of the service is held once for new keys
+
+  Scenario: A cell's workers withdraw
+    The upstreams of a cell are taken away. Its slots would be refused for want of
+    a worker though the other cell has room; callers of half of all keys would
+    notice.
+    Given two cells of one service and an entry that knows only the first
+    When the workers of the first cell withdraw for 20 s
+    Then the second cell holds all new keys and answers them at either entry
+    And no submission ran twice and no key falls to two cells
--- a/features/steps/once_cells_steps.py
+++ b/features/steps/once_cells_steps.py
@@ -1,10 +1,29 @@
 """Steps for one service on several cells."""
 
+from collections.abc import Callable
+
 from behave import given, then, when
 
+from cactuswalk.messages import Ceded
 from cactuswalk.model import Outcome
-from features.support.cells import two_cells
+from cactuswalk.model.cell import cell_key
+from cactuswalk.model.holding import SLOT_COUNT
+from cactuswalk.state.effects import SwapKey
+from cactuswalk.state.events import Announced, SwapOutcome
+from features.support.bag import CELL, WALL_MS, Process
+from features.support.cells import (
+    SECOND,
+    add_cell,
+    held_by,
+    overlaps,
+    records,
+    two_cells,
+)
+from features.support.cellscript import CELL_SCRIPTS, play_cells
 from features.support.judge import violations
+from features.support.runs import run_scripts
+
+ENTRIES = ("entry-0", "entry-1", "entry-2")
 
 
 @given("two cells of one service and an entry that knows only the first")
@@ -37,3 +56,190 @@
     assert found == [], found
     outcomes = [handed.reply.outcome for handed in context.bag.handed.values()]
     assert set(outcomes) == {Outcome.ANSWERED}, outcomes
+
+
+def submit_everywhere(context, count: int = 20, service: str = "routes") -> None:
+    """Submit new keys, and the latest ones again, at entries in turn."""
+    context.jobs = getattr(context, "jobs", [])
+    context.jobs += [context.bag.job(service=service) for _ in range(count)]
+    entries = [name for name in ENTRIES if f"tcp://{name}" in context.bag.processes]
+    for job in context.jobs[-3 * count :]:
+        for entry in entries:
+            context.bag.submit(entry, job, 4000)
+
+
+def know_third(context) -> None:
+    """Start an entry that knows only the third cell, and sends everything there."""
+    context.bag.add_entry("entry-2", ["cell-3"])
+    context.bag.run(2.0)
+
+
+def at_cession(context, act: Callable[[Process], None]) -> None:
+    """Act on the owner that cedes slots next, as its swap takes effect."""
+    bag = context.bag
+
+    def watch(kind, process, what, delays):
+        owner = getattr(process.state, "owner", None)
+        ceding = owner is not None and owner.sharing.cession is not None
+        if ceding and kind == "performed" and isinstance(what, SwapKey):
+            bag.watch = None
+            act(process)
+        return delays
+
+    bag.watch = watch
+
+
+@when("a cession's reply is lost, and keys come before and after it is known")
+def step_reply_lost(context):
+    bag = context.bag
+
+    def go_away(process):
+        bag.key_value.down = True
+
+    swap = bag.key_value.swap
+
+    def lose_cessions(effect):
+        done = swap(effect)
+        ceding = bag.watch is not None and b'"cell-3"' in effect.value
+        if ceding and effect.key != cell_key("cell-3"):
+            done.outcome = SwapOutcome.UNKNOWN
+        return done
+
+    bag.key_value.swap = lose_cessions
+    at_cession(context, go_away)
+    for number in range(3):
+        bag.add_agent(f"cell-3-{number}", cell="cell-3")
+    assert bag.run_until(lambda: bag.watch is None), "nothing was ceded"
+    # Longer than the keys that are ceded are away from being born.
+    bag.run(5.0)
+    submit_everywhere(context)
+    bag.run(2.0)
+    bag.key_value.down = False
+    bag.run(6.0)
+    know_third(context)
+    submit_everywhere(context)
+    bag.run(20.0)
+
+
+@when("each word of a cession comes again 20 s later, and a third cell asks")
+def step_word_again(context):
+    bag = context.bag
+    bag.fate = lambda sender, receiver, message: (
+        [0.0005, 20.0] if isinstance(message, Ceded) else [0.0005]
+    )
+    for cell in ("cell-3", "cell-4"):
+        add_cell(bag, cell)
+    for _ in range(4):
+        bag.run(8.0)
+        submit_everywhere(context)
+    bag.run(20.0)
+
+
+@when("the owner of a ceding cell dies as its swap takes effect")
+def step_ceding_dies(context):
+    at_cession(context, lambda process: context.bag.kill(process.name))
+    add_cell(context.bag, "cell-3")
+    assert context.bag.watch is None, "nothing was ceded"
+    for _ in range(4):
+        submit_everywhere(context)
+        context.bag.run(10.0)
+
+
+@when("a cell whose clock is a minute behind is asked for its share")
+def step_clock_behind(context):
+    bag = context.bag
+    add_cell(bag, "cell-3", wall_ms=WALL_MS - 60_000)
+    bag.run(10.0)
+    add_cell(bag, "cell-4", agents=6)
+    for _ in range(3):
+        submit_everywhere(context)
+        bag.run(10.0)
+    assert any(
+        one.source == "cell-3" for record in records(bag) for one in record.holdings
+    ), "the cell whose clock is behind has ceded nothing"
+
+
+@when("both cells begin a new service at once and replies are lost")
+def step_new_service(context):
+    bag = context.bag
+    context.service = "stays"
+    bag.key_value.lose_replies = 4
+    for cell in (CELL, SECOND):
+        bag.add_agent(f"{cell}-new", service="stays", cell=cell)
+    for _ in range(3):
+        bag.run(5.0)
+        submit_everywhere(context, service="stays")
+    bag.run(20.0)
+
+
+@when("both cells' owners are replaced, a third cell asks, and every key comes again")
+def step_owners_die(context):
+    bag = context.bag
+    submit_everywhere(context)
+    # Further back than the records reach that a new owner collects.
+    bag.run(bag.timing.recent + 5.0)
+    for cell in (CELL, SECOND):
+        bag.kill(bag.owner(cell).name)
+    bag.run(6.0)
+    add_cell(bag, "cell-3")
+    know_third(context)
+    for _ in range(2):
+        submit_everywhere(context)
+        bag.run(10.0)
+
+
+@when("the workers of the first cell withdraw for 20 s")
+def step_withdraw(context):
+    bag = context.bag
+    for process in list(bag.processes.values()):
+        if getattr(process.state, "cell", "") == CELL:
+            bag._at(0.0, process.address, Announced(None))
+    bag.run(20.0)
+
+
+@then("the second cell holds all new keys and answers them at either entry")
+def step_second_holds(context):
+    assert held_by(context.bag, SECOND) == SLOT_COUNT
+    before = len(context.bag.handed)
+    submit_everywhere(context)
+    context.bag.run(6.0)
+    handed = list(context.bag.handed.values())[before:]
+    assert {one.reply.outcome for one in handed} == {Outcome.ANSWERED}
+
+
+@then("no submission ran twice and no key falls to two cells")
+def step_no_overlap(context):
+    found = violations(context.bag) + overlaps(context.bag)
+    assert found == [], found
+
+
+@then("every slot of the service is held once for new keys")
+def step_all_held(context):
+    service = getattr(context, "service", "routes")
+    cells = [record.cell for record in records(context.bag)]
+    held = {cell: held_by(context.bag, cell, service) for cell in cells}
+    assert sum(held.values()) == SLOT_COUNT and all(held.values()), held
+
+
+@given("{count:d} scripts of cells that come and go, from seed {number:d}")
+def step_cell_scripts(context, count, number):
+    context.script_count, context.script_seed = count, number
+
+
+@when("each is run on the reducers of several cells")
+def step_play_cells(context):
+    context.played, context.overlaps = 0, []
+
+    def tell(played):
+        context.played += 1
+        context.overlaps += played.overlaps
+
+    run_scripts(
+        CELL_SCRIPTS, play_cells, context.script_seed, context.script_count, tell
+    )
+
+
+@then("no promise was broken, and no key ever fell to two cells")
+def step_none_broken(context):
+    assert context.played >= context.script_count
+    assert context.overlaps == [], context.overlaps[:3]
--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -81,6 +81,7 @@
 
     def swap(self, effect: SwapKey) -> KeySwapped:
         self.calls += 1
+        assert effect.write_id.encode() in effect.value, "it could not be settled"
         if self.down:
             return KeySwapped(effect.key, effect.write_id, SwapOutcome.UNKNOWN, 0)
         _, revision = self.values.get(effect.key, (None, 0))
@@ -157,7 +158,12 @@
     # Processes
 
     def add_agent(
-        self, worker: str, slots: int = 8, service: str = "routes", cell: str = CELL
+        self,
+        worker: str,
+        slots: int = 8,
+        service: str = "routes",
+        cell: str = CELL,
+        wall_ms: float = WALL_MS,
     ):
         """Start an agent, a new life if the worker has had one."""
         address = f"tcp://{worker}"
@@ -165,7 +171,7 @@
         generator = random.Random(self.generator.getrandbits(64))
         node = new_node(
             *(cell, member, self.timing, generator, MAXIMUM_BYTES, self.now),
-            wall_ms=WALL_MS,
+            wall_ms=wall_ms,
         )
         process = Process(worker, address, node)
         self.processes[address] = process
@@ -333,6 +339,7 @@
         elif isinstance(effect, SwapKey):
             event = self.key_value.swap(effect)
             self._at(self.key_value.delay, process.address, event)
+            self._tell("performed", process, effect, [])
         elif isinstance(effect, Reply):
             handed = self.handed[effect.waiter]
             assert handed.reply is None, f"{effect.waiter} is answered twice"
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -1,5 +1,12 @@
 """Several cells of one service in a bag, and entries that know some of them."""
 
+import itertools
+
+import msgspec
+
+from cactuswalk.model import CellRecord, Holding
+from cactuswalk.model.cell import cell_key
+from cactuswalk.model.holding import open_slots
 from features.support.bag import CELL, Bag
 
 SECOND = "cell-2"
@@ -15,9 +22,41 @@
     return bag
 
 
-def add_cell(bag: Bag, cell: str, agents: int = 3, service: str = "routes") -> None:
+def add_cell(bag: Bag, cell: str, agents: int = 3, **fields) -> None:
     """Start the agents of a cell, and let it settle."""
     for number in range(agents):
-        bag.add_agent(f"{cell}-{number}", service=service, cell=cell)
+        bag.add_agent(f"{cell}-{number}", cell=cell, **fields)
         bag.run(0.1)
     bag.run(6.0)
+
+
+def records(bag: Bag) -> list[CellRecord]:
+    """Return the cells' records as they stand in the key-value service."""
+    return [
+        msgspec.json.decode(value, type=CellRecord)
+        for key, (value, _) in bag.key_value.values.items()
+        if key.startswith(cell_key(""))
+    ]
+
+
+def overlaps(bag: Bag) -> list[str]:
+    """Return a sentence for each two holdings that some key falls to both of."""
+    held = [(one.cell, holding) for one in records(bag) for holding in one.holdings]
+    return [
+        f"{one} of {cell} and {other} of {other_cell}"
+        for (cell, one), (other_cell, other) in itertools.combinations(held, 2)
+        if _meet(one, other)
+    ]
+
+
+def _meet(one: Holding, other: Holding) -> bool:
+    first, last = max(one.first, other.first), min(one.last, other.last)
+    since = max(one.since_ms, other.since_ms)
+    until = min(each.until_ms or float("inf") for each in (one, other))
+    return one.service == other.service and first <= last and since < until
+
+
+def held_by(bag: Bag, cell: str, service: str = "routes") -> int:
+    """Return how many slots a cell holds for keys that are yet to be born."""
+    found = [one.holdings for one in records(bag) if one.cell == cell]
+    return open_slots(found[0], service) if found else 0
--- a/src/cactuswalk/model/holding.py
+++ b/src/cactuswalk/model/holding.py
@@ -55,10 +55,12 @@
     :param founder: the life of the cell that held all slots first; settled by
         the swap that creates the key, and never changed.
     :param cells: names of the cells that take part, the founder first.
+    :param write_id: names the write, for the platform's client to settle it by.
     """
 
     founder: str
     cells: list[str]
+    write_id: str
 
 
 def service_key(service: str) -> str:
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -112,8 +112,11 @@
     if announcement is None:
         state.gate.slots = 0
         if state.announcement is not None:
-            state.announcement.ready = False
-            state.announcement.serial = state.announcement_serial
+            # Never changed in place: an owner in this process has the same object,
+            # would find nothing new in it, and go on counting on its slots.
+            state.announcement = msgspec.structs.replace(
+                state.announcement, ready=False, serial=state.announcement_serial
+            )
         return
     announcement.serial = state.announcement_serial
     state.announcement = announcement
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -107,6 +107,13 @@
     from_ms: int
 
 
+class Fitted(msgspec.Struct):
+    """How a cell's share fitted its workers when it last planned to look round."""
+
+    badly_off: bool
+    workers: int
+
+
 class SharingState(msgspec.Struct):
     """What the owner knows of its cell's share in each service, see sharing.py.
 
@@ -123,6 +130,7 @@
     turn: dict[str, int] = {}
     next_at: dict[str, float] = {}
     wait: dict[str, float] = {}
+    fitted: dict[str, Fitted] = {}
     founding: set[str] = set()
     taking: Ceded | None = None
     cession: Cession | None = None
@@ -130,10 +138,6 @@
     push_at: float = float("-inf")
     latest_birth_ms: int = 0
 
-    def is_badly_off(self, service: str, held: int) -> bool:
-        """Tell whether a cell has workers without slots, or slots without workers."""
-        return (held == 0) != (service not in self.workers)
-
 
 class OwnerState(msgspec.Struct):
     """What the owner of a cell knows.
--- a/src/cactuswalk/state/sharing.py
+++ b/src/cactuswalk/state/sharing.py
@@ -20,8 +20,8 @@
     successor,
 )
 from cactuswalk.state.effects import ReadKey, SwapKey
-from cactuswalk.state.events import KeyRead, KeySwapped
-from cactuswalk.state.owner import Cession, OwnerState, Phase
+from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
+from cactuswalk.state.owner import Cession, Fitted, OwnerState, Phase
 
 __all__ = [
     "changed",
@@ -40,6 +40,8 @@
 # cells ever more seldom, up to the last. At 130 cells that is two reads a second.
 ASK_AFTER = 2.0
 MAXIMUM_WAIT = 60.0
+# A cell whose workers have grown by this much since asks again soon.
+GROWN = 1.25
 # Workers that are away for less keep their cell's share: upstreams restart in
 # seconds, and slots that were ceded come back only by being asked for.
 EMPTY_AFTER = 10.0
@@ -49,26 +51,27 @@
 
 
 def holds(state: OwnerState, job: Job, now: float) -> bool:
-    """Tell whether a submission falls to this cell, whatever becomes of a swap.
-
-    What is about to be ceded is not held any more: the swap may have taken effect
-    though its reply was lost, and another cell may have taken the slots.
-    """
-    records = [state.record]
-    if state.pending is not None:
-        records.append(state.pending)
-    if state.sharing.cession is not None:
-        records.append(changed(state, now))
+    """Tell whether a submission falls to this cell, whatever becomes of a swap."""
     return all(
         covers(record.holdings, job.service, job.submission, job.born_ms)
-        for record in records
+        for record in (state.record, _without_ceded(state, now))
     )
 
 
-def refuse_unheld(state: OwnerState, sender: str, submit: Submit) -> None:
+def _without_ceded(state: OwnerState, now: float) -> CellRecord:
+    """Return the record without what is about to be ceded.
+
+    The swap may have taken effect though its reply was lost. Served here still,
+    keys of those slots would be served again by the cell that has taken them.
+    """
+    return state.record if state.sharing.cession is None else changed(state, now)
+
+
+def refuse_unheld(state: OwnerState, sender: str, submit: Submit, now: float) -> None:
     """Send a submission to the cell that may hold it; nothing of it ran here."""
     job = submit.job
-    cell = successor(state.record.holdings, job.service, job.submission, job.born_ms)
+    record = _without_ceded(state, now)
+    cell = successor(record.holdings, job.service, job.submission, job.born_ms)
     if not cell:
         partners = state.sharing.partners.get(job.service, [])
         cell = partners[0] if partners else ""
@@ -86,11 +89,29 @@
     _note_workers(state, now)
     held = {one.service for one in state.record.holdings if not one.until_ms}
     for service in sorted(held | state.sharing.workers.keys()):
-        if now >= state.sharing.next_at.get(service, now):
+        _plan_look(state, service, now)
+        if now >= state.sharing.next_at[service]:
             _look_round(state, service, now)
     _push_ceded(state, now)
 
 
+def _plan_look(state: OwnerState, service: str, now: float) -> None:
+    """Look round soon when the cell's share stops fitting its workers."""
+    plans, workers = state.sharing, state.sharing.workers.get(service, 0)
+    badly_off = _is_badly_off(state, service)
+    before = plans.fitted.get(service)
+    if before is None:
+        # Takeovers come in waves; only a cell that lacks something asks at once.
+        later = 0.0 if badly_off else MAXIMUM_WAIT * state.generator.random()
+        plans.next_at[service] = now + later
+    elif badly_off > before.badly_off or workers > GROWN * before.workers:
+        plans.next_at[service] = min(plans.next_at[service], now + ASK_AFTER)
+    elif badly_off == before.badly_off:
+        return
+    plans.wait[service] = ASK_AFTER
+    plans.fitted[service] = Fitted(badly_off, workers)
+
+
 def _note_workers(state: OwnerState, now: float) -> None:
     """Count the worker slots of each service; one that is gone counts a while."""
     present: dict[str, int] = {}
@@ -108,13 +129,24 @@
             del state.sharing.workers[service]
 
 
+def _is_badly_off(state: OwnerState, service: str) -> bool:
+    """Tell whether the cell has workers without slots, or slots without workers."""
+    holds_some = open_slots(state.record.holdings, service) > 0
+    return holds_some != (service in state.sharing.workers)
+
+
 def _look_round(state: OwnerState, service: str, now: float) -> None:
-    wait = state.sharing.wait.get(service, ASK_AFTER)
-    if state.sharing.is_badly_off(service, open_slots(state.record.holdings, service)):
-        wait = ASK_AFTER
+    """Read who takes part in a service, ever less often, and then one of them."""
+    wait = state.sharing.wait[service]
+    if not _is_badly_off(state, service):
+        wait = MAXIMUM_WAIT
     # Whole cells start at one moment; spread, they don't all call at once.
     state.sharing.next_at[service] = now + wait * state.generator.uniform(0.75, 1.25)
     state.sharing.wait[service] = min(2 * wait, MAXIMUM_WAIT)
+    holds_all = open_slots(state.record.holdings, service) == SLOT_COUNT
+    if holds_all and service in state.sharing.workers:
+        # There is nothing to ask for; a cell that lacks something asks here.
+        return
     state.effects.append(ReadKey(service_key(service)))
 
 
@@ -125,7 +157,7 @@
         return
     life = f"{state.cell}/{state.record.identity}"
     if event.value is None:
-        _write_service(state, service, ServiceRecord(life, [state.cell]), 0)
+        _write_service(state, service, [state.cell], life, 0)
         return
     record = msgspec.json.decode(event.value, type=ServiceRecord)
     if record.founder == life and service not in state.record.founded:
@@ -133,8 +165,8 @@
         # reply was lost counts as well.
         state.sharing.founding.add(service)
     if state.cell not in record.cells:
-        joined = ServiceRecord(record.founder, [*record.cells, state.cell])
-        _write_service(state, service, joined, event.revision)
+        cells = [*record.cells, state.cell]
+        _write_service(state, service, cells, record.founder, event.revision)
     partners = [cell for cell in record.cells if cell != state.cell]
     state.sharing.partners[service] = partners
     if partners:
@@ -144,16 +176,17 @@
 
 
 def _write_service(
-    state: OwnerState, service: str, record: ServiceRecord, revision: int
+    state: OwnerState, service: str, cells: list[str], founder: str, revision: int
 ) -> None:
     write_id = f"{state.generator.getrandbits(64):016x}"
-    value = msgspec.json.encode(record)
+    value = msgspec.json.encode(ServiceRecord(founder, cells, write_id))
     state.effects.append(SwapKey(service_key(service), revision, value, write_id))
 
 
 def on_service_swapped(state: OwnerState, event: KeySwapped, now: float) -> None:
     """A swap of a service's record has ended; only what is read back counts."""
-    state.sharing.next_at[event.key.removeprefix(service_key(""))] = now
+    if event.outcome is not SwapOutcome.UNKNOWN:
+        state.sharing.next_at[event.key.removeprefix(service_key(""))] = now
 
 
 def on_partner_read(state: OwnerState, event: KeyRead, now: float) -> None:
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -96,7 +96,7 @@
         )
         return
     if not holds(state, job, now):
-        refuse_unheld(state, held.sender, submit)
+        refuse_unheld(state, held.sender, submit, now)
         return
     state.sharing.latest_birth_ms = max(state.sharing.latest_birth_ms, job.born_ms)
     if tracked is None and _is_too_old(state, submit, now):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -18,6 +18,8 @@
 import msgspec
 
 from cactuswalk.errors import CactuswalkError
+from tools.mutant import Mutant
+from tools.mutants_cells import CELL_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 STATE = "src/cactuswalk/state"
@@ -31,19 +33,6 @@
 NOT_RUN = "does not run"
 
 
-class Mutant(msgspec.Struct):
-    """One safeguard taken away.
-
-    :param feature: the one that is to notice, a path below ``features``.
-    """
-
-    name: str
-    path: str
-    old: str
-    new: str
-    feature: str
-
-
 class Tried(msgspec.Struct):
     """What became of a mutant.
 
@@ -57,6 +46,7 @@
 
 
 MUTANTS = [
+    *CELL_MUTANTS,
     Mutant(
         "a new owner does not wait out the old one's standing",
         f"{STATE}/recovery.py",
--- /dev/null
+++ b/tools/mutants_cells.py
@@ -0,0 +1,82 @@
+"""Mutants of what keeps one key from two cells."""
+
+from tools.mutant import Mutant
+
+__all__ = ["CELL_MUTANTS"]
+
+SHARING = "src/cactuswalk/state/sharing.py"
+CELLS = "once_cells.feature"
+
+CELL_MUTANTS = [
+    Mutant(
+        "an owner takes submissions that its record does not hold",
+        "src/cactuswalk/state/submissions.py",
+        "    if not holds(state, job, now):\n",
+        "    if False:\n",
+        CELLS,
+    ),
+    Mutant(
+        "an entry does not follow an owner that holds nothing of a key",
+        "src/cactuswalk/state/moving.py",
+        "        _move(state, pending, message.holder, now)\n",
+        "        pass\n",
+        CELLS,
+    ),
+    Mutant(
+        "what is being ceded is held until the reply is known",
+        SHARING,
+        "return state.record if state.sharing.cession is None else changed(state, now)",
+        "return state.record",
+        CELLS,
+    ),
+    Mutant(
+        "a cession is taken as often as it is told",
+        "src/cactuswalk/decisions/sharing.py",
+        "        if one.serial > after\n",
+        "",
+        CELLS,
+    ),
+    Mutant(
+        "a cession may begin before its holding",
+        "src/cactuswalk/decisions/sharing.py",
+        ", *(at + 1 for at in began))",
+        ")",
+        CELLS,
+    ),
+    Mutant(
+        "keys that are born already are ceded",
+        SHARING,
+        "        int(ahead * 1000),\n",
+        "        -60_000,\n",
+        CELLS,
+    ),
+    Mutant(
+        "a new owner knows of no cession",
+        "src/cactuswalk/state/candidate.py",
+        "            write_id=write_id,\n            backed_up=False,\n",
+        "            write_id=write_id,\n            backed_up=False,\n"
+        "            holdings=[one for one in earlier.holdings if not one.until_ms],\n",
+        CELLS,
+    ),
+    Mutant(
+        "ceded slots are told of once",
+        SHARING,
+        "for one in _ceded(state) if not _is_taken(state, one)}",
+        "for one in ()}",
+        CELLS,
+    ),
+    Mutant(
+        "each cell takes itself for the first holder",
+        SHARING,
+        "    if record.founder == life and service",
+        "    if service",
+        CELLS,
+    ),
+    Mutant(
+        "a cell without workers keeps its slots",
+        SHARING,
+        "            state.send(address, Spare(state.cell, service))\n",
+        "            pass\n",
+        CELLS,
+    ),
+]
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -12,6 +12,7 @@
 
 import click
 
+from features.support.cellscript import CELL_SCRIPTS, play_cells
 from features.support.runs import run_scripts
 from features.support.script import SCRIPTS, play
 from features.support.targeted import TARGETED, play_targeted
@@ -55,6 +56,7 @@
         while time.monotonic() < end:
             run_scripts(SCRIPTS, play, seed, BATCH, tally.add)
             run_scripts(TARGETED, play_targeted, seed, BATCH, tally.add)
+            run_scripts(CELL_SCRIPTS, play_cells, seed, BATCH, tally.add)
             seed += 1
     except Exception as error:
         click.echo(f"failed at seed {seed}: {error}\n{tally.show()}")
