--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -18,6 +18,8 @@
 import msgspec
 
 from cactuswalk.errors import CactuswalkError
+from tools.mutant import Mutant
+from tools.mutants_cells import CELL_MUTANTS
 
 ROOT = Path(__file__).resolve().parent.parent
 STATE = "src/cactuswalk/state"
@@ -32,19 +34,6 @@
 NOT_RUN = "does not run"
 
 
-class Mutant(msgspec.Struct):
-    """One safeguard taken away.
-
-    :param feature: the one that is to notice, a path below ``features``.
-    """
-
-    name: str
-    path: str
-    old: str
-    new: str
-    feature: str
-
-
 class Tried(msgspec.Struct):
     """What became of a mutant.
 
@@ -58,6 +47,7 @@
 
 
 MUTANTS = [
+    *CELL_MUTANTS,
     Mutant(
         "an owner that hears nobody goes on pinging",
         f"{STATE}/peers.py",
