An entry leaves once its balancer has noticed, not after a fixed time

On a busy host it asks later, and sends until then. Ruled out: a longer fixed time, which every upgrade would pay and a slower balancer would exceed. Now it waits until whoever asked before has been told and nothing new has come for a second: 3 s at least, 20 s at most.

--- /dev/null
+++ b/features/steps/decision_leaving_steps.py
@@ -0,0 +1,50 @@
+"""Steps for an entry that leaves."""
+
+from behave import given, then, when
+
+from cactuswalk.decisions.leaving import Leaving
+
+STEP_S = 0.05
+BEGAN_AT = 100.0
+
+
+@given("an entry that was asked for readiness a second before it is to stop")
+def step_asked(context):
+    context.leaving = Leaving()
+    context.leaving.ask_ready(BEGAN_AT - 1.0)
+    context.leaving.begin(BEGAN_AT)
+
+
+@given("an entry that nobody has asked for readiness")
+def step_not_asked(context):
+    context.leaving = Leaving()
+    context.leaving.begin(BEGAN_AT)
+
+
+def left_after(leaving, submits_until, asks_from):
+    """Return after how long it may leave."""
+    for number in range(int(60 / STEP_S)):
+        after = number * STEP_S
+        if after >= asks_from and number % 20 == 0:
+            leaving.ask_ready(BEGAN_AT + after)
+        if after < submits_until and number % 10 == 0:
+            leaving.take(BEGAN_AT + after)
+        if leaving.is_due(BEGAN_AT + after):
+            return after
+    raise AssertionError("it never leaves")
+
+
+@when("it gets a submission each half second, and the balancer asks after {asks:d} s")
+def step_balancer(context, asks):
+    # The balancer sends until it has been told.
+    context.left = left_after(context.leaving, asks, asks)
+
+
+@when("it gets no submission")
+def step_nothing(context):
+    context.left = left_after(context.leaving, 0, float("inf"))
+
+
+@then("it leaves between {least:d} and {most:d} seconds after it was told to")
+def step_left(context, least, most):
+    assert least <= context.left <= most, context.left
--- /dev/null
+++ b/src/cactuswalk/decisions/leaving.py
@@ -0,0 +1,58 @@
+"""When an entry that is to stop may take no more callers.
+
+Load pattern: a rolling upgrade while callers work. A balancer learns that an entry
+leaves only by asking whether it is ready, and some ask late, or late under load.
+An entry that left after a fixed time would refuse or cut off what such a balancer
+still sends it; one that waited without end could never be replaced.
+"""
+
+__all__ = ["Leaving"]
+
+# A balancer asks once in one to two seconds; so long nothing is taken as its word.
+LEAST_SECONDS = 3.0
+# Without a new submission for this long the balancer has heeded what it was told.
+# At a request a second and entry, one in three such spans would be quiet by chance;
+# that is why it has to be told first.
+QUIET_SECONDS = 1.0
+# A balancer that sends on for this long does not look at readiness at all. Below
+# the half minute that supervisors commonly wait beyond the longest deadline.
+MOST_SECONDS = 20.0
+# Who has asked in this span before the stop is expected to ask again.
+ASKED_WITHIN_SECONDS = 10.0
+
+
+class Leaving:
+    """What an entry has seen of its balancer, and since when it is to stop."""
+
+    __slots__ = ("began_at", "asked_at", "told_at", "taken_at")
+
+    def __init__(self) -> None:
+        self.began_at: float | None = None
+        self.asked_at = float("-inf")
+        self.told_at = float("-inf")
+        self.taken_at = float("-inf")
+
+    def begin(self, now: float) -> None:
+        """Note that the entry is to stop."""
+        self.began_at = now
+
+    def ask_ready(self, now: float) -> None:
+        """Note that somebody asks whether the entry is ready."""
+        self.asked_at = now
+        if self.began_at is not None and self.told_at < self.began_at:
+            self.told_at = now
+
+    def take(self, now: float) -> None:
+        """Note that a caller has submitted something."""
+        self.taken_at = now
+
+    def is_due(self, now: float) -> bool:
+        """Tell whether nobody is expected to send anything any more."""
+        if self.began_at is None or now - self.began_at < LEAST_SECONDS:
+            return False
+        if now - self.began_at >= MOST_SECONDS:
+            return True
+        expects_question = self.began_at - self.asked_at <= ASKED_WITHIN_SECONDS
+        if self.told_at < self.began_at and expects_question:
+            return False
+        return now - max(self.taken_at, self.told_at) >= QUIET_SECONDS
--- a/src/cactuswalk/runtime/application.py
+++ b/src/cactuswalk/runtime/application.py
@@ -33,8 +33,8 @@
     :param is_stopped: tells whether a planned stop is complete.
     :param write_log: takes each ``Log`` effect.
     :param metrics: has ``count(name, by)`` and ``gauge(name, value)``.
-    :param unready_seconds: how long a process that is to stop only says so, and
-        serves on.
+    :param may_leave: tells whether a process that is to stop may take nothing new
+        from now on; until then it only says so, and serves on.
     """
 
     def __init__(
@@ -44,14 +44,14 @@
         is_stopped: Callable[[], bool],
         write_log: Callable[..., None],
         metrics,
-        unready_seconds: float = 0.0,
+        may_leave: Callable[[float], bool] = lambda now: True,
     ) -> None:
         self.name = name
         self.reduce = reduce
         self.is_stopped = is_stopped
         self.write_log = write_log
         self.metrics = metrics
-        self.unready_seconds = unready_seconds
+        self.may_leave = may_leave
         self.transport = None
         self.performers: dict[type, Callable] = {
             Log: write_log,
@@ -137,16 +137,18 @@
         if self.stopping:
             return
         self.stopping = True
-        asyncio.get_running_loop().call_later(self.unready_seconds, self._stop)
 
     def _on_signal(self, *_: object) -> None:
         """Wake the loop; a signal that comes after its end changes nothing."""
         if not self.loop.is_closed():
             self.loop.call_soon_threadsafe(self.request_stop)
 
-    def _stop(self) -> None:
-        self.told_to_stop = True
-        self.feed(StopRequested())
+    def _keep_stopping(self) -> bool:
+        """Go on with a planned stop; return whether it is complete."""
+        if not self.told_to_stop and self.may_leave(time.monotonic()):
+            self.told_to_stop = True
+            self.feed(StopRequested())
+        return self.told_to_stop and self.is_stopped()
 
     async def _tick(self) -> None:
         ticks = 0
@@ -157,7 +159,7 @@
             ticks += 1
             if ticks % IDLE_LOOK_TICKS == 0:
                 self.transport.close_idle(time.monotonic())
-            if self.told_to_stop and self.is_stopped():
+            if self.stopping and self._keep_stopping():
                 self.ended.set()
                 return
 
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -7,6 +7,7 @@
 import time
 
 from cactuswalk.decisions.callbudget import ENTRY_BURST, ENTRY_RATE
+from cactuswalk.decisions.leaving import Leaving
 from cactuswalk.http.callers import EntryCallables, make_callers_application
 from cactuswalk.http.operators import make_operators_application
 from cactuswalk.http.operators_store import ConfigurationKeys, follow
@@ -24,9 +25,6 @@
 
 __all__ = ["EntryProcess"]
 
-# From the first 503 of /ready to the end of the listener: a balancer asks once in
-# one to two seconds, and sends new connections until it has been told.
-UNREADY_SECONDS = 3.0
 # A change that an operator has asked for is settled within the store's patience.
 OPERATORS_FINISH_SECONDS = 10.0
 
@@ -40,6 +38,7 @@
         self.waiting: dict[str, asyncio.Future] = {}
         self.questions: dict[str, asyncio.Future] = {}
         self.serial = itertools.count(1)
+        self.leaving = Leaving()
         self.state = self._make_state()
         self.application = Application(
             settings.name,
@@ -47,7 +46,7 @@
             self._is_stopped,
             self.host.log.write,
             self.host.metrics,
-            UNREADY_SECONDS,
+            self._may_leave,
         )
         self.host.attach(self.application, ENTRY_RATE, ENTRY_BURST)
         self.application.performers[Reply] = self._reply
@@ -117,6 +116,7 @@
 
     async def submit(self, event: CallerSubmitted) -> Reply:
         """Hand a submission to the reducer and wait for its one reply."""
+        self.leaving.take(time.monotonic())
         future = asyncio.get_running_loop().create_future()
         self.waiting[event.waiter] = future
         self.application.feed(event)
@@ -149,10 +149,16 @@
     def _is_stopped(self) -> bool:
         return not self.state.pending and not self.waiting
 
+    def _may_leave(self, now: float) -> bool:
+        if self.leaving.began_at is None:
+            self.leaving.begin(now)
+        return self.leaving.is_due(now)
+
     def _not_ready(self) -> list[str]:
+        now = time.monotonic()
+        self.leaving.ask_ready(now)
         if self.application.stopping:
             return ["this entry is stopping"]
-        now = time.monotonic()
         confirm = self.state.timing.confirm
         views = self.state.cells.values()
         heard = [view for view in views if not is_silent(view, confirm, now)]
