An entry without a balancer does not wait for its question

Cause: whoever had waited for the entry's start counted as a balancer that would ask again. A balancer is now who has been told three times that the entry is ready.

--- a/features/steps/decision_leaving_steps.py
+++ b/features/steps/decision_leaving_steps.py
@@ -8,16 +8,20 @@
 BEGAN_AT = 100.0
 
 
-@given("an entry that was asked for readiness a second before it is to stop")
+@given("an entry that a balancer asks for readiness each second")
 def step_asked(context):
     context.leaving = Leaving()
-    context.leaving.ask_ready(BEGAN_AT - 1.0)
+    for before in range(5, 0, -1):
+        context.leaving.ask_ready(True, BEGAN_AT - before)
     context.leaving.begin(BEGAN_AT)
 
 
-@given("an entry that nobody has asked for readiness")
+@given("an entry that was asked for readiness while it started only")
 def step_not_asked(context):
     context.leaving = Leaving()
+    for before in (3.2, 3.1):
+        context.leaving.ask_ready(False, BEGAN_AT - before)
+    context.leaving.ask_ready(True, BEGAN_AT - 3.0)
     context.leaving.begin(BEGAN_AT)
 
 
@@ -26,7 +30,7 @@
     for number in range(int(60 / STEP_S)):
         after = number * STEP_S
         if after >= asks_from and number % 20 == 0:
-            leaving.ask_ready(BEGAN_AT + after)
+            leaving.ask_ready(False, BEGAN_AT + after)
         if after < submits_until and number % 10 == 0:
             leaving.take(BEGAN_AT + after)
         if leaving.is_due(BEGAN_AT + after):
--- a/src/cactuswalk/decisions/leaving.py
+++ b/src/cactuswalk/decisions/leaving.py
@@ -17,28 +17,36 @@
 # A balancer that sends on for this long does not look at readiness at all. Below
 # the half minute that supervisors commonly wait beyond the longest deadline.
 MOST_SECONDS = 20.0
-# Who has asked in this span before the stop is expected to ask again.
+# Who has been told so often that the entry is ready, and asked in this span before
+# the stop, is a balancer and will ask again; one that only waited for the entry's
+# start has been told once.
+REGULAR_TIMES = 3
 ASKED_WITHIN_SECONDS = 10.0
 
 
 class Leaving:
     """What an entry has seen of its balancer, and since when it is to stop."""
 
-    __slots__ = ("began_at", "asked_at", "told_at", "taken_at")
+    __slots__ = ("began_at", "asked_at", "told_at", "taken_at", "times_ready")
 
     def __init__(self) -> None:
         self.began_at: float | None = None
         self.asked_at = float("-inf")
         self.told_at = float("-inf")
         self.taken_at = float("-inf")
+        self.times_ready = 0
 
     def begin(self, now: float) -> None:
         """Note that the entry is to stop."""
         self.began_at = now
 
-    def ask_ready(self, now: float) -> None:
-        """Note that somebody asks whether the entry is ready."""
+    def ask_ready(self, ready: bool, now: float) -> None:
+        """Note that somebody has asked whether the entry is ready.
+
+        :param ready: what the answer was.
+        """
         self.asked_at = now
+        self.times_ready += ready
         if self.began_at is not None and self.told_at < self.began_at:
             self.told_at = now
 
@@ -52,7 +60,10 @@
             return False
         if now - self.began_at >= MOST_SECONDS:
             return True
-        expects_question = self.began_at - self.asked_at <= ASKED_WITHIN_SECONDS
-        if self.told_at < self.began_at and expects_question:
+        if self.told_at < self.began_at and self._expects_question():
             return False
         return now - max(self.taken_at, self.told_at) >= QUIET_SECONDS
+
+    def _expects_question(self) -> bool:
+        lately = self.began_at - self.asked_at <= ASKED_WITHIN_SECONDS
+        return lately and self.times_ready >= REGULAR_TIMES
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -156,7 +156,11 @@
 
     def _not_ready(self) -> list[str]:
         now = time.monotonic()
-        self.leaving.ask_ready(now)
+        reasons = self._reasons_against(now)
+        self.leaving.ask_ready(not reasons, now)
+        return reasons
+
+    def _reasons_against(self, now: float) -> list[str]:
         if self.application.stopping:
             return ["this entry is stopping"]
         confirm = self.state.timing.confirm
