A lost record makes no second cell; half a cell lost is told at once

Cause, data lost: an agent that found no record began the cell at epoch 1 beside a live owner. Callers' keys of before ran again there, an owner that then read the lower epoch stepped down, and members without an owner stopped with invariant_violated, their records with them.

Change: who finds no record asks the entries in its settings (Heard, answered by NotOwner) and looks again after P to 1.5 P. It joins an owner that an entry hears; else it begins above the highest epoch that an entry knows. Members of an ownerless cell go on from the roster that they know. A cell that begins tells keys of before, and of its first 3 s, too_old_to_know.

Cause, half lost: the bound of 6 s on waiting for an owner stood behind a branch that returned first for every cell that had had one, so that each caller was held back to its deadline (5.05 s of 5 s on the fixture). It is looked at first now, and counted from the owner's last word: told within 0.2 s. That the rest starts nothing is true only where the owner is among the lost; one that lives takes the silent members off the roster and goes on (new scenario).

--- a/features/process_faults_platform.feature
+++ b/features/process_faults_platform.feature
@@ -33,3 +33,19 @@
     Then each entry serves a new request after the faults
     And every caller of the load got one true and whole answer
     And no task of the load started twice by the upstreams' records
+
+  Scenario: The service comes back without its data and an agent is replaced
+    Somebody restarts the service from nothing. The owner lives, but the record that
+    says so is gone. An agent that starts now must not own a second cell beside it,
+    or a caller's copies of one booking would be made by both.
+    Given a cell of five workers under load from two entries
+    When the fault kills the key-value service
+    And the killed processes are started again
+    And the fault kills another agent
+    And the killed processes are started again
+    And the fault lasts 5 seconds more
+    And the load gets 40 more answers
+    Then no agent but the owner has served the cell since
+    And each entry serves a new request after the faults
+    And every caller of the load got one true and whole answer
+    And no task of the load started twice by the upstreams' records
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -128,7 +128,8 @@
     run_full(bag, AGENTS, 600, entry="entry-1")
     context.job = bag.job(tasks=1, duration_ms=500)
     first = bag.submit("entry-0", context.job, 200)
-    bag.run(TICK)
+    # Only as far as the entry: the owner may refuse it with its first word.
+    bag.run(0.0)
     entry = bag.processes["tcp://entry-0"]
     attempt = max(entry.state.pending[context.job.submission].attempts)
     bag.run(1.0)
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -119,6 +119,14 @@
     context.cluster.clear_keyvalue_faults()
 
 
+@then("no agent but the owner has served the cell since")
+def step_one_owner(context):
+    cluster = context.cluster
+    logs = [cluster[f"agent-{name}"].log for name in cluster.workers]
+    lines = [log.read_text(encoding="utf-8") for log in logs]
+    assert sum(text.count('"message":"owner: serves"') for text in lines) == 1
+
+
 @then("each entry serves a new request after the faults")
 def step_resumes(context):
     wait_served(context.cluster)
--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -71,6 +71,8 @@
         self.lose_replies = 0
         self.delay = 0.003
         self.calls = 0
+        # Addresses whose client refuses it, as one whose revisions went back.
+        self.refused_by: set[str] = set()
 
     def read(self, effect: ReadKey) -> KeyRead:
         self.calls += 1
@@ -161,7 +163,20 @@
         address = f"tcp://{worker}"
         member = Member(worker, f"{self.generator.getrandbits(32):08x}", address)
         generator = random.Random(self.generator.getrandbits(64))
-        node = new_node(CELL, member, self.timing, generator, MAXIMUM_BYTES, self.now)
+        entries = [
+            process.address
+            for process in self.processes.values()
+            if isinstance(process.state, EntryState)
+        ]
+        node = new_node(
+            CELL,
+            member,
+            self.timing,
+            generator,
+            MAXIMUM_BYTES,
+            self.now,
+            entries=entries,
+        )
         process = Process(worker, address, node)
         self.processes[address] = process
         self.upstreams.setdefault(worker, Upstream())
@@ -322,9 +337,15 @@
             self._tell("performed", process, effect, [])
         elif isinstance(effect, ReadKey):
             event = self.key_value.read(effect)
+            if process.address in self.key_value.refused_by:
+                event = KeyRead(effect.key, False, None, 0)
             self._at(self.key_value.delay, process.address, event)
         elif isinstance(effect, SwapKey):
-            event = self.key_value.swap(effect)
+            if process.address in self.key_value.refused_by:
+                unknown = SwapOutcome.UNKNOWN
+                event = KeySwapped(effect.key, effect.write_id, unknown, 0)
+            else:
+                event = self.key_value.swap(effect)
             self._at(self.key_value.delay, process.address, event)
         elif isinstance(effect, Reply):
             handed = self.handed[effect.waiter]
@@ -378,6 +399,8 @@
         bag.add_agent(f"worker-{number}")
         bag.run(0.1)
     assert bag.run_until(lambda: is_settled(bag, agents)), "the cell did not settle"
+    # In the first seconds of a cell, keys that callers chose are too old to know.
+    bag.run(bag.timing.clock_margin + bag.timing.entry_margin)
     return bag
 
 
--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -65,6 +65,7 @@
             self.host.generator,
             settings.retention_bytes,
             time.monotonic(),
+            entries=settings.peers,
         )
 
     def _add_hooks(self) -> None:
--- a/src/cactuswalk/settings/agent.py
+++ b/src/cactuswalk/settings/agent.py
@@ -53,7 +53,8 @@
     :param labels: of the worker; the upstream's announcement adds its own.
     :param http: on the loopback, where the upstream announces itself.
     :param confirm_period_ms: P of docs/design/ownership.md.
-    :param peers: addresses of processes to learn the configuration from.
+    :param peers: addresses of entries, to learn the configuration from, and who
+        owns the cell if the service has lost its record.
     """
 
     worker: str
--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -10,11 +10,17 @@
 import msgspec
 
 from cactuswalk.errors import InvariantError
-from cactuswalk.messages import HandOver, Heard, HeardReply, Join
+from cactuswalk.messages import HandOver, Heard, HeardReply, Join, NotOwner
 from cactuswalk.model import CellRecord, Member
 from cactuswalk.state.agent import AgentState
 from cactuswalk.state.effects import Effect, Log, Part, ReadKey, Send, SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
+from cactuswalk.state.founding import (
+    Absence,
+    ask_entries,
+    first_record,
+    rebuilt_record,
+)
 from cactuswalk.state.roster import cell_key
 from cactuswalk.state.timing import Timing
 
@@ -33,6 +39,14 @@
 # their owners; each then calls the service once or twice in this time.
 MAXIMUM_WAIT = 8.0
 
+# Agents that start together and find no record look again within so many P, and
+# not in one moment: the first begins the cell, the others find it begun.
+ABSENT_SPREAD = 1.5
+
+# An owner that an entry hears counts as alive for so many P: for longer than the
+# pause between two looks, or it would be forgotten by the second.
+LIVE_SPANS = 2
+
 
 class CandidateState(msgspec.Struct):
     """What an agent knows on its way to membership or ownership.
@@ -44,6 +58,8 @@
     :param written: the record of a swap that is under way.
     :param wanted_epoch: the epoch that this agent wants to end: most of the
         roster miss its owner, or the owner asked for it; 0 for none.
+    :param entries: addresses of processes that may know the cell's owner.
+    :param absence: of the cell's record in the service.
     :param attempted: by write id, every swap whose end is not known; one that
         was given up may apply late, and then this agent is the owner.
     """
@@ -52,7 +68,9 @@
     agent: AgentState
     timing: Timing
     generator: random.Random
+    entries: list[str] = []
     record: CellRecord | None = None
+    absence: Absence = msgspec.field(default_factory=Absence)
     record_at: float = 0.0
     read_at: float = float("-inf")
     join_wait: float = 0.0
@@ -76,9 +94,12 @@
     agent: AgentState,
     timing: Timing,
     generator: random.Random,
+    entries: list[str],
 ) -> CandidateState:
     """Return the state of an agent that is in no cell yet."""
-    return CandidateState(cell, agent, timing, generator, join_wait=timing.join)
+    return CandidateState(
+        cell, agent, timing, generator, entries, join_wait=timing.join
+    )
 
 
 def on_tick(state: CandidateState, now: float) -> None:
@@ -198,14 +219,18 @@
 def on_read(state: CandidateState, event: KeyRead, now: float) -> TakenOver | None:
     """The cell's record has been read."""
     if not event.known:
+        state.absence.end()
         # Without the service nobody can take the cell; asking goes on, rarely.
         state.ask_wait = min(max(2 * state.ask_wait, state.timing.ping), MAXIMUM_WAIT)
         return None
     state.ask_wait = 0.0
     if event.value is None:
         state.record = None
-        _write(state, None, 0, now)
+        _on_absent(state, now)
         return None
+    if state.absence.since is not None:
+        state.absence.end()
+        state.join_wait = state.timing.join
     record = msgspec.json.decode(event.value, type=CellRecord)
     if state.record is None or record.epoch > state.record.epoch:
         state.record_at = now
@@ -225,6 +250,34 @@
     return None
 
 
+def _on_absent(state: CandidateState, now: float) -> None:
+    """The service has no record of the cell: it is new, or its data are lost."""
+    timing, absence = state.timing, state.absence
+    absence.begin(now)
+    wanted, state.wanted_epoch = state.wanted_epoch, 0
+    # Members that miss their owner would read, and ask, four times a second.
+    pause = timing.confirm * state.generator.uniform(1.0, ABSENT_SPREAD)
+    state.ask_wait = state.join_wait = pause
+    owner = absence.live_owner(LIVE_SPANS * timing.confirm, now)
+    if owner:
+        join = Join(state.cell, state.member, state.agent.announcement)
+        state.effects.append(Send(owner, join))
+    if owner or not absence.has_lasted(timing.confirm, now):
+        state.effects += ask_entries(state.cell, state.entries)
+        return
+    gate = state.agent.gate
+    if not gate.epoch:
+        _write(state, None, 0, now)
+    elif wanted == gate.epoch and gate.owner is not None:
+        known = (state.cell, gate.epoch, gate.owner, state.agent.roster)
+        _write(state, rebuilt_record(*known), 0, now)
+
+
+def on_not_owner(state: CandidateState, message: NotOwner, now: float) -> None:
+    """An entry says what it knows of the cell."""
+    state.absence.told(message, now)
+
+
 def _settle_written(state: CandidateState, record: CellRecord, now: float) -> None:
     """Give up a swap of unknown outcome that the record does not show."""
     if record.epoch >= state.written.epoch:
@@ -244,9 +297,8 @@
     """
     write_id = f"{state.generator.getrandbits(64):016x}"
     if earlier is None:
-        record = CellRecord(
-            state.cell, 1, state.member, [state.member], [], write_id, False
-        )
+        epoch = state.absence.epoch
+        record = first_record(state.cell, epoch, state.member, write_id)
     else:
         roster = [
             state.member if one.worker == state.member.worker else one
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -6,6 +6,7 @@
     CellReport,
     ConfigurationOffer,
     ConfigurationUpdate,
+    Heard,
     NotOwner,
     Subscribe,
 )
@@ -27,6 +28,7 @@
 __all__ = [
     "keep_configuration",
     "keep_view",
+    "on_heard",
     "on_not_owner",
     "on_offer",
     "on_read",
@@ -92,6 +94,19 @@
         pending.sent_epoch = min(pending.sent_epoch, message.epoch - 1)
 
 
+def on_heard(state: EntryState, sender: str, heard: Heard, now: float) -> None:
+    """An agent that finds no record of its cell asks who owned it.
+
+    An owner that has been silent is not named: the agent would ask it for a place
+    for ever. The epoch is told all the same, or the cell would go back.
+    """
+    view = state.cells.get(heard.cell, CellView(heard.cell))
+    silent = now - view.stamp_at > state.timing.confirm
+    owner = "" if silent else view.owner
+    word = NotOwner(heard.cell, view.epoch, owner, "", 0)
+    state.effects.append(Send(sender, word))
+
+
 def on_read(state: EntryState, event: KeyRead, now: float) -> None:
     """A cell's record was read, to find its owner."""
     if not event.known or event.value is None:
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -15,6 +15,7 @@
     ConfigurationRequest,
     ConfigurationUpdate,
     Explained,
+    Heard,
     JobState,
     NotOwner,
 )
@@ -26,6 +27,7 @@
 from cactuswalk.state.cellviews import (
     keep_configuration,
     keep_view,
+    on_heard,
     on_not_owner,
     on_offer,
     on_read,
@@ -145,6 +147,7 @@
     Answer: on_answer,
     CellReport: on_report,
     NotOwner: on_not_owner,
+    Heard: on_heard,
     JobState: _on_job_state,
     Explained: on_explained,
     ConfigurationOffer: on_offer,
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -92,6 +92,7 @@
 }
 _TO_CANDIDATE: dict[type, Callable] = {
     HeardReply: candidates.on_heard_reply,
+    NotOwner: candidates.on_not_owner,
     HandOver: candidates.on_hand_over,
 }
 
--- a/src/cactuswalk/state/nodestate.py
+++ b/src/cactuswalk/state/nodestate.py
@@ -2,7 +2,7 @@
 
 import random
 import sys
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -68,15 +68,19 @@
     maximum_bytes: int,
     now: float,
     make_scheduler: Callable[[], Scheduler] = Scheduler,
+    entries: Sequence[str] = (),
 ) -> Node:
-    """Return the state of a process that has just been started."""
+    """Return the state of a process that has just been started.
+
+    :param entries: addresses of processes that may know the cell's owner.
+    """
     records = RecordBook(timing.retention, int(maximum_bytes * RECORDS_SHARE))
     # Copies serve a takeover only, which looks back this far; dropped earlier for
     # want of room they would make a new owner take young keys for old ones.
     copies = RecordBook(min(COPIES_SPANS * timing.reach, timing.retention), sys.maxsize)
     gate = Gate(member, records, timing.confirm)
     agent = agents.new_agent(cell, gate, copies, Spread(Replica()), timing.reach, now)
-    candidate = candidates.new_candidate(cell, agent, timing, generator)
+    candidate = candidates.new_candidate(cell, agent, timing, generator, list(entries))
     return Node(
         cell,
         timing,
--- a/src/cactuswalk/state/recovery.py
+++ b/src/cactuswalk/state/recovery.py
@@ -28,6 +28,10 @@
     :param earlier: the record before the takeover; None for a new cell.
     """
     state.earlier = earlier
+    if earlier is None:
+        # A cell of this name may have been before, and the service lost it: what
+        # its callers submitted is not known here. Taken for new it would run twice.
+        state.known_since = state.agent.gate.records.known_since = now
     for member in earlier.roster if earlier else ():
         if member.worker == state.member.worker and member != state.member:
             state.replaced.add(member.incarnation)
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -191,6 +191,11 @@
         state.revision = 0
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
+    if record.epoch < state.record.epoch:
+        # The service has gone back, and perhaps another cell began meanwhile. All
+        # agents and entries hold to this epoch, so the record is written over.
+        state.revision = event.revision
+        return
     if record.epoch > state.record.epoch or record.owner != state.member:
         state.deposed = True
         return
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -35,7 +35,9 @@
 # How long past the deadline the owner's own word is awaited. It answers at the
 # deadline after ``settle`` at most; the rest is for a busy loop.
 DEADLINE_GRACE = 0.25
-# A takeover ends within this; until then a submission waits for its owner.
+# A takeover ends within this; until then a submission waits for its owner. Counted
+# from the last word of an owner: where half of a cell is gone for good, those who
+# come later would wait for nothing, each up to its deadline.
 OWNER_AWAITED = 6.0
 
 
@@ -150,10 +152,8 @@
     if now >= pending.deadline + (DEADLINE_GRACE if pending.sent else 0.0):
         _give_up_late(state, pending, view)
         return
-    if pending.sent_epoch < view.epoch:
-        send_submit(state, pending, view, now)
-        return
-    if not pending.sent and now - pending.submitted_at > OWNER_AWAITED:
+    silent_since = pending.submitted_at if view.report is None else view.stamp_at
+    if not pending.sent and now - silent_since > OWNER_AWAITED:
         refusal = Refusal(
             RefusalCode.NO_OWNER,
             f"cell {view.cell} has had no owner for {OWNER_AWAITED:.0f} s",
@@ -161,6 +161,9 @@
         )
         give_up(state, pending, outcome_unsent(pending.minted), refusal)
         return
+    if pending.sent_epoch < view.epoch:
+        send_submit(state, pending, view, now)
+        return
     if pending.sent and view.owner and now - pending.sign_at >= pending.query_after:
         pending.sign_at = now
         query = Query(pending.job.submission, "", last_attempt(pending))
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -24,6 +24,7 @@
 GATE = "once_gate.feature"
 TAKEOVER = "once_directed_takeover.feature"
 ANSWERS = "once_directed_answers.feature"
+LOST = "once_lost.feature"
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
@@ -121,6 +122,48 @@
         "    if False:\n",
         TAKEOVER,
     ),
+    Mutant(
+        "a cell that begins takes keys of before for new ones",
+        f"{STATE}/recovery.py",
+        "state.known_since = state.agent.gate.records.known_since = now",
+        "pass",
+        LOST,
+    ),
+    Mutant(
+        "an owner that an entry hears does not keep a second cell from beginning",
+        f"{STATE}/candidate.py",
+        "    owner = absence.live_owner(LIVE_SPANS * timing.confirm, now)\n",
+        '    owner = ""\n',
+        LOST,
+    ),
+    Mutant(
+        "a cell begins below the epoch that entries know",
+        f"{STATE}/founding.py",
+        "self.epoch = max(self.epoch, message.epoch)",
+        "pass",
+        LOST,
+    ),
+    Mutant(
+        "members do not go on without the record",
+        f"{STATE}/candidate.py",
+        "    elif wanted == gate.epoch and gate.owner is not None:\n",
+        "    elif False:\n",
+        LOST,
+    ),
+    Mutant(
+        "an old record deposes the owner",
+        f"{STATE}/roster.py",
+        "    if record.epoch < state.record.epoch:\n",
+        "    if False:\n",
+        LOST,
+    ),
+    Mutant(
+        "callers wait for their deadlines where half of a cell is lost",
+        f"{STATE}/waiting.py",
+        "silent_since = pending.submitted_at if view.report is None else view.stamp_at",
+        "silent_since = pending.submitted_at",
+        LOST,
+    ),
     Mutant(
         "a stopped owner does not name its successor",
         f"{STATE}/node.py",
