A worker that dies over and over is held back

Cause: each life of a worker is new to its owner, whose word on its health went with the last one.

Tests: once_flapping.feature (4). "A host that reboots in a loop" fails without the mend (run so); three new mutants, each caught.

--- a/src/cactuswalk/decisions/ejection.py
+++ b/src/cactuswalk/decisions/ejection.py
@@ -21,7 +21,7 @@
 
 import msgspec
 
-__all__ = ["Health", "HealthEvent", "blames_worker"]
+__all__ = ["GREATEST_EJECTED_PART", "Health", "HealthEvent", "blames_worker"]
 
 # A run of failures ejects if it would come by chance less than once in so many tasks,
 # were the worker no worse than the others. And at least the second figure, since the
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -14,11 +14,14 @@
 )
 from cactuswalk.decisions.budget import may_be_repeated
 from cactuswalk.decisions.cellstate import CellState
+from cactuswalk.decisions.damping import FlapDamping
+from cactuswalk.decisions.ejection import GREATEST_EJECTED_PART
 from cactuswalk.decisions.explaining import explain_worker
 from cactuswalk.decisions.fairness import LEAST_WEIGHT, Quota
 from cactuswalk.decisions.fitting import judge_fit
 from cactuswalk.decisions.guard import GuardAction, Usage, judge_usage
 from cactuswalk.decisions.joborder import JobOrder, by_patience
+from cactuswalk.decisions.placement import Worker
 from cactuswalk.decisions.queueing import Lane
 from cactuswalk.decisions.secondattempts import hedges
 from cactuswalk.decisions.tasks import Assignment, Explanation, QueuedTask, Shed
@@ -48,6 +51,7 @@
     ) -> None:
         self.generator = generator or random.Random(DEFAULT_SEED)
         self.cell = CellState(order)
+        self.damping = FlapDamping()
         self.next_review = 0.0
 
     # Workers.
@@ -62,6 +66,7 @@
         worker = self.cell.pool.put(announcement, usable)
         if is_new and self.returns(announcement, now):
             worker.health.begin_trial()
+            self._hold_back(worker, now)
         self.cell.refresh(worker, now)
 
     def returns(self, announcement: Announcement, now: float) -> bool:
@@ -69,6 +74,20 @@
         name = announcement.worker
         return any(gone.worker == name for gone in self.cell.departed.known(now))
 
+    def _hold_back(self, worker: Worker, now: float) -> None:
+        """Give a worker that dies over and over nothing for a while.
+
+        Unless that left too few: a cell whose hosts all restart together is no
+        worse for the one than for the others.
+        """
+        until = self.damping.held_until(worker.name, now)
+        if self.cell.others(worker, now).ejected_part <= GREATEST_EJECTED_PART:
+            worker.health.ejected_until = until
+
+    def worker_died(self, worker: str, now: float) -> None:
+        """Take note that a life of a worker has ended without a planned stop."""
+        self.damping.died(worker, now)
+
     def remove_worker(self, worker: str, now: float) -> None:
         """Forget a worker; what runs there is the owner's to settle."""
         known = self.cell.pool.workers.get(worker)
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -100,6 +100,7 @@
     :param hedged_services: whose operators want stragglers overtaken.
     :param quota_teams: teams that the scheduler was given a quota for.
     :param recovered: records collected at the takeover and ended since.
+    :param left: lives of workers that went off the roster unplanned, by worker.
     :param backup: the member that keeps copies of what only this host knows,
         ready once it has confirmed all of them.
     :param backup_covers: departed members whose records are in the copies that
@@ -156,6 +157,7 @@
     pending: CellRecord | None = None
     swap_again_at: float = float("-inf")
     joining: dict[str, Member] = {}
+    left: dict[str, str] = {}
     backup: Member | None = None
     backup_tokens: set[str] = set()
     backup_ready: bool = False
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -219,12 +219,21 @@
             if joining != member
         }
         if member.incarnation not in state.peers:
+            _note_life(state, member, now)
             state.peers[member.incarnation] = Peer(member, heard_at=now)
             send_fence(state, member)
     state.workers_serial += 1
     state.log("changed the roster", workers=[one.worker for one in record.roster])
 
 
+def _note_life(state: OwnerState, member: Member, now: float) -> None:
+    """Tell a worker that has died from one that was silent and is back."""
+    earlier = state.left.pop(member.worker, member.incarnation)
+    if earlier != member.incarnation:
+        state.scheduler.worker_died(member.worker, now)
+        state.count("worker.died")
+
+
 def _forget(state: OwnerState, member: Member, now: float) -> None:
     peer = state.peers.get(member.incarnation)
     if peer is None:
@@ -234,6 +243,8 @@
     if peer.leaving:
         # The last ping tells a stopping agent that it may go.
         send_ping(state, peer)
+    else:
+        state.left[member.worker] = member.incarnation
     # A new life of the worker announces itself anew; until then the scheduler
     # must not take it for the one that could be given work.
     state.scheduler.remove_worker(member.worker, now)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -25,6 +25,7 @@
 TAKEOVER = "once_directed_takeover.feature"
 ANSWERS = "once_directed_answers.feature"
 LOST = "once_lost.feature"
+FLAPPING = "once_flapping.feature"
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
@@ -164,6 +165,27 @@
         "silent_since = pending.submitted_at",
         LOST,
     ),
+    Mutant(
+        "a worker that dies over and over is not held back",
+        "src/cactuswalk/decisions/damping.py",
+        "HOLD_ABOVE = 2.0",
+        "HOLD_ABOVE = 99.0",
+        FLAPPING,
+    ),
+    Mutant(
+        "a pause counts as a death",
+        f"{STATE}/roster.py",
+        "    if earlier != member.incarnation:\n",
+        "    if True:\n",
+        FLAPPING,
+    ),
+    Mutant(
+        "all workers of a cell may be held back at once",
+        "src/cactuswalk/decisions/scheduler.py",
+        "if self.cell.others(worker, now).ejected_part <= GREATEST_EJECTED_PART:\n",
+        "if True:\n",
+        FLAPPING,
+    ),
     Mutant(
         "a stopped owner does not name its successor",
         f"{STATE}/node.py",
