--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -66,6 +66,7 @@
             settings.retention_bytes,
             time.monotonic(),
             wall_ms=time.time() * 1000 - time.monotonic() * 1000,
+            entries=settings.peers,
         )
 
     def _add_hooks(self) -> None:
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -15,6 +15,7 @@
     ConfigurationRequest,
     ConfigurationUpdate,
     Explained,
+    Heard,
     JobState,
     NotHeld,
     NotOwner,
@@ -27,6 +28,7 @@
 from cactuswalk.state.cellviews import (
     keep_configuration,
     keep_view,
+    on_heard,
     on_not_owner,
     on_offer,
     on_read,
@@ -150,6 +152,7 @@
     CellReport: on_report,
     NotOwner: on_not_owner,
     NotHeld: on_not_held,
+    Heard: on_heard,
     JobState: _on_job_state,
     Explained: on_explained,
     ConfigurationOffer: on_offer,
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -43,7 +43,9 @@
 
 # A caller that comes back after a takeover finds an owner.
 RETRY_WITHOUT_OWNER_MS = 3000
-# A takeover ends within this; until then a submission waits for its owner.
+# A takeover ends within this; until then a submission waits for its owner. Counted
+# from when the owner fell silent: where half of a cell is gone for good, those who
+# come later would wait for nothing, each up to its deadline.
 OWNER_AWAITED = 6.0
 
 
