--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -114,6 +114,8 @@
     if view.owner and quiet >= pace(state, view, busy):
         ask_again(state, view, now)
     silent = is_silent(view, state.timing.confirm, now)
+    if silent and view.sought_since is None:
+        view.sought_since = now
     if silent and now - view.read_at >= READ_CELL_AFTER:
         view.read_at = now
         state.effects.append(ReadKey(cell_key(view.cell)))
--- a/src/cactuswalk/state/listening.py
+++ b/src/cactuswalk/state/listening.py
@@ -63,6 +63,7 @@
         return
     view.stamp, view.stamp_at = stamp, now
     view.asked_since = float("inf")
+    view.sought_since = None
 
 
 def is_silent(view: CellView, confirm: float, now: float) -> bool:
