Standing and usable workers are kept, not counted anew for each pong

Cause: each pong, submission and tick counted the confirmations of all members and looked for each member in the roster by comparing structs: the square of the cell's size for each pong, the cube in a second. Each agent built the roster's names in each tick, too, to know its rank if the owner fell silent.

Now an owner keeps since when a majority has confirmed it. Confirmations only grow younger, so it counts again only when that is older than P or a roster changes. For a pong it looks at the worker that sent it and at its own; at all when the first one may have grown too old, or standing, the roster or the list of workers changes. An agent works out its rank only when the owner is silent.

Ruled out: a heap of confirmations (an update for each pong, for a look that is needed about once in 0.75 s); looking at all in each tick only (20 looks a second at each).

Tests: once_standing.feature compares the notes with a full look at each event of a cell that loses a third of its pings and pongs, and counts looks at two sizes. The mutant of standing has the new line.

--- /dev/null
+++ b/features/steps/once_standing_steps.py
@@ -0,0 +1,107 @@
+"""Steps that compare an owner's notes of its members with a full look."""
+
+from unittest import mock
+
+from behave import given, then, when
+
+from cactuswalk.messages import Ping, Pong
+from cactuswalk.state import placing
+from cactuswalk.state.owner import Phase
+from features.support.bag import small_cell
+
+AGENTS = 6
+
+
+def stands_by_count(state, now) -> bool:
+    """Tell by the definition whether most of each roster confirms an owner."""
+    confirmed = {
+        key
+        for key, peer in state.peers.items()
+        if now - peer.confirmed_at <= state.timing.confirm
+    }
+    return all(
+        2 * sum(member.incarnation in confirmed for member in roster) > len(roster)
+        for roster in state.rosters()
+    )
+
+
+def usable_by_look(state, now) -> list[str]:
+    stands = state.stands(now)
+    return [
+        peer.member.worker
+        for peer in state.peers.values()
+        if stands and peer.in_force and placing._is_usable(state, peer, now)
+    ]
+
+
+@given("a cell of 6 that loses a third of its pings and pongs")
+def step_lossy(context):
+    context.bag = bag = small_cell(AGENTS, seed=3)
+    context.looks, context.differences, context.verdicts = 0, [], set()
+
+    def fate(sender, receiver, message):
+        lost = isinstance(message, Ping | Pong) and bag.generator.random() < 1 / 3
+        return [] if lost else [0.0005]
+
+    def compare(kind, process, what, delays):
+        state = getattr(process.state, "owner", None)
+        if kind != "taken" or state is None or state.phase is not Phase.SERVING:
+            return delays
+        if not state.deposed:
+            context.looks += 1
+            standing = stands_by_count(state, bag.now)
+            context.verdicts.add(standing)
+            if state.is_confirmed(bag.now) != standing:
+                context.differences.append((bag.now, "standing", standing))
+            look_at_workers(context, state)
+        return delays
+
+    bag.fate, bag.watch = fate, compare
+
+
+def look_at_workers(context, state):
+    placing.refresh_workers(state, context.bag.now)
+    kept = [peer.member.worker for peer in state.peers.values() if peer.usable]
+    found = usable_by_look(state, context.bag.now)
+    if kept != found:
+        context.differences.append((context.bag.now, kept, found))
+
+
+@when("members die, come back and stop for 20 seconds")
+def step_turmoil(context):
+    bag = context.bag
+    for turn in range(10):
+        owner = bag.owner().name
+        name = next(f"worker-{n}" for n in range(turn % 5, 9) if f"worker-{n}" != owner)
+        if turn % 3 == 2:
+            bag.stop(name)
+        else:
+            bag.kill(name)
+        bag.run(1.0)
+        bag.add_agent(name)
+        bag.run(1.0)
+
+
+@then("at each moment the owner's notes were those of a full look")
+def step_same(context):
+    assert context.looks > 500, context.looks
+    assert context.verdicts == {True, False}, "standing was never lost, or never held"
+    assert not context.differences, context.differences[:5]
+
+
+def looks_in(agents: int) -> int:
+    bag = small_cell(agents, entries=1)
+    with mock.patch.object(placing, "_is_usable", wraps=placing._is_usable) as look:
+        bag.run(5.0)
+    return look.call_count
+
+
+@when("idle cells of 8 and 32 are watched for 5 seconds")
+def step_watch(context):
+    context.counts = looks_in(8), looks_in(32)
+
+
+@then("the larger one's owner looks at members five times as often at most")
+def step_linear(context):
+    small, large = context.counts
+    assert 0 < large <= 5 * small, context.counts
--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -89,7 +89,8 @@
         return
     if state.agent.gate.stopping:
         return
-    silent = _silence(state, now) > state.timing.suspect + _stagger(state)
+    silence = _silence(state, now) - state.timing.suspect
+    silent = silence > 0 and silence > _stagger(state)
     if silent or not _is_member(state):
         _seek_membership(state, now)
     if silent:
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -20,7 +20,7 @@
 from cactuswalk.state.effects import Count, Effect, Log, Part, Send
 from cactuswalk.state.ledger import Place, Tracked
 from cactuswalk.state.retention import RecordBook
-from cactuswalk.state.standing import has_standing
+from cactuswalk.state.standing import confirmed_since
 from cactuswalk.state.timing import Timing
 
 __all__ = ["EntryView", "Held", "OwnerState", "Peer", "Phase"]
@@ -116,6 +116,10 @@
     :param confirmed_at: when it was last seen to have standing.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
+    :param standing_since: when the rosters ``standing_names`` had last confirmed
+        this owner, as far as was looked.
+    :param usable_as_of: what the workers' usability was last worked out for,
+        all of them; it holds ``usable_until`` then, but for the one just heard.
     :param unsure_until: until then a task without a record may have run, at one
         of ``unsure_members``, whose records nobody has.
     :param cancelled: submissions cancelled before they came, and until when.
@@ -156,6 +160,10 @@
     taken_over_at: float = 0.0
     unsure_until: float = float("-inf")
     workers_serial: int = 0
+    standing_names: tuple[str, ...] = ()
+    standing_since: float = float("-inf")
+    usable_as_of: tuple = ()
+    usable_until: float = float("-inf")
     deposed: bool = False
     handing_over: bool = False
     # Roster and copies, see roster.py.
@@ -205,6 +213,12 @@
             return [self.record.roster]
         return [self.record.roster, self.pending.roster]
 
+    def roster_names(self) -> tuple[str, ...]:
+        """Return what names the rosters in force: each write has its own id."""
+        if self.pending is None:
+            return (self.record.write_id,)
+        return (self.record.write_id, self.pending.write_id)
+
     def stands(self, now: float) -> bool:
         """Tell whether this owner may start tasks now."""
         return not self.handing_over and self.is_confirmed(now)
@@ -213,8 +227,17 @@
         """Tell whether no other owner can be serving now."""
         if self.phase is not Phase.SERVING or self.deposed:
             return False
-        confirmed = {key: peer.confirmed_at for key, peer in self.peers.items()}
-        return has_standing(self.rosters(), confirmed, self.timing.confirm, now)
+        names = self.roster_names()
+        if names != self.standing_names or self._is_stale(now):
+            # Looked over again only when what was found is not enough: members'
+            # confirmations only ever grow younger, so it stays true meanwhile.
+            moments = {key: peer.confirmed_at for key, peer in self.peers.items()}
+            self.standing_names = names
+            self.standing_since = confirmed_since(self.rosters(), moments)
+        return not self._is_stale(now)
+
+    def _is_stale(self, now: float) -> bool:
+        return now - self.standing_since > self.timing.confirm
 
     def peer_of(self, worker: str) -> Peer | None:
         """Return the member that speaks for a worker, None if there is none."""
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -103,7 +103,7 @@
     peer.configuration, peer.ahead = pong.configuration, pong.ahead
     state.effects += state.spread.heard(sender, pong.configuration, now, pong.ahead)
     _probe_missing(state, peer, pong, now)
-    dispatch(state, now)
+    dispatch(state, now, peer)
 
 
 def _probe_missing(state: OwnerState, peer: Peer, pong: Pong, now: float) -> None:
--- a/src/cactuswalk/state/placing.py
+++ b/src/cactuswalk/state/placing.py
@@ -25,9 +25,12 @@
 ]
 
 
-def dispatch(state: OwnerState, now: float) -> None:
-    """Start all that can start, and refuse what can't be answered in time."""
-    refresh_workers(state, now)
+def dispatch(state: OwnerState, now: float, heard: Peer | None = None) -> None:
+    """Start all that can start, and refuse what can't be answered in time.
+
+    :param heard: the member whose pong has just come, if that is why.
+    """
+    refresh_workers(state, now, heard)
     for decision in state.scheduler.assign(now):
         if isinstance(decision, Shed):
             tracked = state.ledger.get(decision.task.job.submission)
@@ -43,23 +46,52 @@
     attempts.hedge(state, now, send_start)
 
 
-def refresh_workers(state: OwnerState, now: float) -> None:
-    """Tell the scheduler which workers can be given work at this moment."""
+def refresh_workers(state: OwnerState, now: float, heard: Peer | None = None) -> None:
+    """Tell the scheduler which workers can be given work at this moment.
+
+    All are looked at when something that concerns all has changed, or when the
+    first of them may have grown too old; else the one that was heard, and the
+    owner's own, which depends on its witness.
+    """
     stands = state.stands(now)
+    names = state.roster_names()
+    as_of = (stands, state.workers_serial, names)
+    if as_of == state.usable_as_of and now <= state.usable_until:
+        own = state.peers.get(state.member.incarnation)
+        for peer in (own, heard):
+            if peer is not None:
+                _refresh(state, peer, stands, now)
+        return
+    state.usable_as_of, state.usable_until = as_of, float("inf")
     for peer in state.peers.values():
-        usable = stands and _is_usable(state, peer, now)
-        if usable != peer.usable and peer.in_force is not None:
-            peer.usable = usable
-            state.scheduler.set_worker(peer.in_force, usable, now)
+        _refresh(state, peer, stands, now)
+
+
+def _refresh(state: OwnerState, peer: Peer, stands: bool, now: float) -> None:
+    usable = stands and _is_usable(state, peer, now)
+    if usable:
+        until = peer.confirmed_at + _longest_use(state)
+        state.usable_until = min(state.usable_until, until)
+    if usable != peer.usable and peer.in_force is not None:
+        peer.usable = usable
+        state.scheduler.set_worker(peer.in_force, usable, now)
+
+
+def _longest_use(state: OwnerState) -> float:
+    """Return how long a confirmation lets a worker be used.
+
+    A ping period less than P: the stamp must still be young on arrival.
+    """
+    return state.timing.confirm - state.timing.ping
 
 
 def _is_usable(state: OwnerState, peer: Peer, now: float) -> bool:
-    # A ping period less than P: the stamp must still be young on arrival.
-    young = now - peer.confirmed_at <= state.timing.confirm - state.timing.ping
-    on_rosters = all(peer.member in roster for roster in state.rosters())
+    young = now - peer.confirmed_at <= _longest_use(state)
+    if not (young and peer.ready) or peer.leaving:
+        return False
     if peer.member == state.member and not _can_start_beside(state, now):
         return False
-    return young and on_rosters and peer.ready and not peer.leaving
+    return all(peer.member in roster for roster in state.rosters())
 
 
 def _can_start_beside(state: OwnerState, now: float) -> bool:
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -80,6 +80,7 @@
     peer = state.peers.get(leave.member.incarnation)
     if peer is not None:
         peer.leaving = True
+        state.usable_as_of = ()
     keep_roster(state, now)
 
 
--- a/src/cactuswalk/state/standing.py
+++ b/src/cactuswalk/state/standing.py
@@ -4,7 +4,7 @@
 
 from cactuswalk.model import Member
 
-__all__ = ["has_majority", "has_standing"]
+__all__ = ["confirmed_since", "has_majority"]
 
 
 def has_majority(roster: Collection[Member], agreeing: Collection[str]) -> bool:
@@ -16,25 +16,26 @@
     return 2 * count > len(roster)
 
 
-def has_standing(
-    rosters: Collection[Collection[Member]],
-    confirmed_at: Mapping[str, float],
-    confirm: float,
-    now: float,
-) -> bool:
-    """Tell whether every roster in force confirmed the owner within ``confirm``.
+def confirmed_since(
+    rosters: Collection[Collection[Member]], confirmed_at: Mapping[str, float]
+) -> float:
+    """Return the latest moment since when every roster has confirmed the owner.
 
-    While a swap to a new roster is pending, both are in force: a new owner
-    reads one of the two and fences more than half of it, which then shares a
-    member with what this owner needs.
+    More than half of each roster has confirmed a ping that was sent then or later;
+    the owner has standing while that is no longer ago than P. While a swap to a
+    new roster is pending, both are in force: a new owner reads one of the two and
+    fences more than half of it, which then shares a member with what this owner
+    needs.
 
     :param confirmed_at: by incarnation, when the latest confirmed ping was
         sent. Counting from the pong instead would add its travel time to the
         span, and a new owner would act before this one has stopped.
     """
-    recent = {
-        incarnation
-        for incarnation, sent_at in confirmed_at.items()
-        if now - sent_at <= confirm
-    }
-    return all(has_majority(roster, recent) for roster in rosters)
+    return min(_since(roster, confirmed_at) for roster in rosters)
+
+
+def _since(roster: Collection[Member], confirmed_at: Mapping[str, float]) -> float:
+    never = float("-inf")
+    moments = [confirmed_at.get(member.incarnation, never) for member in roster]
+    moments.sort(reverse=True)
+    return moments[len(moments) // 2] if moments else never
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -244,7 +244,7 @@
     Mutant(
         "an owner without standing starts tasks",
         f"{STATE}/owner.py",
-        "return has_standing(self.rosters(), confirmed, self.timing.confirm, now)",
+        "return not self._is_stale(now)",
         "return True",
         TAKEOVER,
     ),
