--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -8,7 +8,6 @@
     Outcome,
     Refusal,
     RefusalCode,
-    digest,
 )
 from cactuswalk.state.effects import (
     Count,
@@ -32,6 +31,7 @@
     CallerGone,
     CallerSubmitted,
 )
+from cactuswalk.state.moving import choose_cell
 from cactuswalk.state.waiting import send_submit
 
 __all__ = [
@@ -52,7 +52,7 @@
     if pending is not None:
         _join(state, pending, event)
         return
-    cell = _choose_cell(state, job)
+    cell = choose_cell(state, job)
     refusal = _refusal_without_owner(cell, now)
     if refusal is not None:
         _refuse(state, event, refusal)
@@ -104,7 +104,7 @@
         return Refusal(RefusalCode.DEADLINE_PASSED, "the deadline has passed")
     if state.stopping:
         return Refusal(RefusalCode.STOPPING, "this entry is stopping", 0)
-    if _choose_cell(state, job) is None:
+    if choose_cell(state, job) is None:
         return _refusal_without_cell(state, job)
     return None
 
@@ -150,17 +150,6 @@
     state.effects.append(Count("entry.joined"))
 
 
-def _choose_cell(state: EntryState, job: Job) -> CellView | None:
-    """Return the cell of a submission: the same at every entry.
-
-    Highest random weight over the cells that serve it: a resubmission through
-    another entry has to meet the first one.
-    """
-    fit = [view for view in state.cells.values() if job.service in view.services]
-    name = job.submission.encode()
-    return max(fit, key=lambda view: digest(name, view.cell.encode()), default=None)
-
-
 def on_caller_cancelled(state: EntryState, event: CallerCancelled, now: float) -> None:
     """A caller wants a submission stopped."""
     pending = state.pending.get(event.submission)
