The guard's judgement is carried out at the upstream

Cause: judge_usage decided, and nothing told it what tasks use or did what it wanted. Now an upstream reports its tasks' memory to the agent beside it (POST /usage), the agent's reducer judges each report (state/guarding.py), and its effects throttle, save or stop a task at the upstream by HTTP. A stopped task is failed and its caller told why; an idempotent request is started again within the retry budget. [guard] enabled = no turns it off. The stand-in reports, with a lag as a fault, and can save tasks.

Ruled out: judging at the owner (reports would travel with each pong and be a second older), and measuring in the agent (it knows no process of a task).

Before: a request of 960 MB on a worker of 1,000 that declared 100 ran to its end (the scenario with the guard off shows it). After, with real processes and reports that are a second late: it is stopped and failed with "out of memory", three others beside it answered; idempotent, it is started twice and failed; where the upstream saves it is answered.

Each of six safeguards of state/guarding.py was taken away on a scratch copy (the check of the attempt, the wait for a stop, its end, the lift of a throttle, the bound of checkpoints, the reason): each time exactly the scenario meant for it failed.

--- /dev/null
+++ b/features/steps/guard_steps.py
@@ -0,0 +1,131 @@
+"""Steps for the guard in the agent's reducer."""
+
+import json
+
+from behave import given, then, when
+
+from cactuswalk.messages import Result
+from cactuswalk.model import Announcement, Capacity, TaskSpec
+from cactuswalk.state import agent as agents
+from cactuswalk.state.configuration import Replica, Spread
+from cactuswalk.state.effects import Count, Send, SteerUpstream, StopUpstream
+from cactuswalk.state.events import (
+    Announced,
+    TaskUsage,
+    UpstreamAnswered,
+    UpstreamOutcome,
+    UsageReported,
+)
+from cactuswalk.state.gate import Gate, take_epoch
+from cactuswalk.state.retention import RECORD_BYTES, RecordBook
+from features.edges_support import request
+from features.steps.once_gate_steps import OWNER, SELF, make_start
+
+
+@given("a guarded worker that runs {tasks}")
+def step_worker(context, tasks):
+    records = RecordBook(600.0, 100 * RECORD_BYTES)
+    copies = RecordBook(600.0, 100 * RECORD_BYTES)
+    gate = Gate(SELF, records, 1.0)
+    context.now = 50.0
+    assert take_epoch(gate, 3, OWNER)
+    spread = Spread(Replica())
+    context.agent = agents.new_agent("cell", gate, copies, spread, 20.0, context.now)
+    worker = Announcement(
+        SELF.worker, "routes", "dc", "rack", {}, Capacity(8, memory_mb=1000)
+    )
+    agents.on_announced(context.agent, Announced(worker), context.now)
+    for task in tasks.split(" and "):
+        name, attempt = task.split("/")
+        start = make_start(
+            submission=name,
+            attempt=int(attempt),
+            task=TaskSpec(b"", memory_mb=100),
+            remaining_ms=60_000,
+        )
+        agents.on_start(context.agent, OWNER.address, start, context.now)
+
+
+def report(context, text):
+    usages = []
+    for one in text.split(", "):
+        task, used, *saves = one.split()
+        name, attempt = task.split("/")
+        usages.append(TaskUsage(name, 0, int(attempt), int(used), bool(saves)))
+    context.agent.effects = []
+    agents.on_usage(context.agent, UsageReported(usages), context.now)
+
+
+@when('its upstream reports "{text}"')
+def step_report(context, text):
+    report(context, text)
+
+
+@when('its upstream reports "{text}" a second later')
+def step_report_later(context, text):
+    context.now += 1
+    report(context, text)
+
+
+@when('its upstream reports "{text}" {seconds:d} seconds later')
+def step_report_much_later(context, text, seconds):
+    context.now += seconds
+    report(context, text)
+
+
+def wish_of(effect):
+    if isinstance(effect, StopUpstream):
+        return f"stop {effect.submission}/{effect.attempt}"
+    action = "lift" if effect.factor == 1.0 else effect.action.value
+    action = "checkpoint" if effect.action == "checkpoint" else action
+    return f"{action} {effect.submission}/{effect.attempt}"
+
+
+def wishes(context):
+    kinds = (StopUpstream, SteerUpstream)
+    return [wish_of(one) for one in context.agent.effects if isinstance(one, kinds)]
+
+
+@then('the guard asks for "{text}"')
+def step_asks(context, text):
+    assert wishes(context) == text.split(", "), context.agent.effects
+
+
+@then("the guard asks for nothing")
+def step_asks_nothing(context):
+    assert not wishes(context), context.agent.effects
+
+
+@then("{count:d} tasks of the report were stale")
+def step_stale(context, count):
+    assert Count("agent.usage.stale", count) in context.agent.effects
+
+
+@when("{name}/{attempt:d} ends with status {status:d}")
+def step_ends(context, name, attempt, status):
+    context.agent.effects = []
+    event = UpstreamAnswered(
+        name, 0, attempt, UpstreamOutcome.ANSWERED, status, b"", 100
+    )
+    agents.on_upstream_answered(context.agent, event, context.now)
+
+
+@then('its owner is told "{outcome}" because it was "{words}"')
+def step_told(context, outcome, words):
+    sent = [one.message for one in context.agent.effects if isinstance(one, Send)]
+    assert [type(message) for message in sent] == [Result], sent
+    result = sent[0].result
+    assert result.outcome == outcome and words in result.reason, result
+
+
+@when("the upstream reports its use as {body}")
+def step_report_body(context, body):
+    context.status, _, context.body = request(
+        context, "POST", f"{context.agent_url}/usage", data=body.encode()
+    )
+
+
+@then('the report of use is refused as "{code}"')
+def step_refused(context, code):
+    assert context.status == 400, context.status
+    assert json.loads(context.body)["code"] == code, context.body
--- a/src/cactuswalk/http/announcements.py
+++ b/src/cactuswalk/http/announcements.py
@@ -13,9 +13,9 @@
 from cactuswalk.http.upstream import UpstreamClient
 from cactuswalk.model import Announcement, Capacity
 from cactuswalk.settings import AgentSettings
-from cactuswalk.state.events import Announced
+from cactuswalk.state.events import Announced, TaskUsage, UsageReported
 
-__all__ = ["AnnounceBody", "make_announce_application"]
+__all__ = ["AnnounceBody", "UsageBody", "make_announce_application"]
 
 # An upstream renews its announcement each second. After three missed ones it is
 # taken for gone: "no new work after a few seconds" (brief).
@@ -50,6 +50,25 @@
     echoes: bool = False
 
 
+class TaskUsageBody(msgspec.Struct, forbid_unknown_fields=True):
+    """What one running task uses, named by the headers of its request.
+
+    :param checkpoints: it can be saved and go on later.
+    """
+
+    submission: Annotated[str, msgspec.Meta(min_length=1, max_length=512)]
+    task: Annotated[int, msgspec.Meta(ge=0)]
+    attempt: Annotated[int, msgspec.Meta(ge=0)]
+    memory_mb: Annotated[int, msgspec.Meta(ge=0, le=1 << 40)]
+    checkpoints: bool = False
+
+
+class UsageBody(msgspec.Struct, forbid_unknown_fields=True):
+    """What an upstream reports about once a second: all tasks that it runs."""
+
+    tasks: list[TaskUsageBody]
+
+
 class UpstreamPresence:
     """What is known of the upstream beside this agent.
 
@@ -123,19 +142,20 @@
 def make_announce_application(
     settings: AgentSettings,
     client: UpstreamClient,
-    on_event: Callable[[Announced], None],
+    on_event: Callable[[Announced | UsageReported], None],
     not_ready: Callable[[], list[str]],
     expire_seconds: float = EXPIRE_SECONDS,
 ) -> web.Application:
     """Return the HTTP application of an agent.
 
     :param client: is told where the upstream takes tasks.
-    :param on_event: called in the loop with each ``Announced``.
+    :param on_event: called in the loop with each ``Announced`` and ``UsageReported``.
     :param not_ready: the reasons why this agent is not ready; none if it is.
     :param expire_seconds: without a renewal, until the upstream is gone.
     """
     presence = UpstreamPresence(settings, client, on_event, expire_seconds)
     decoder = msgspec.json.Decoder(AnnounceBody)
+    usage_decoder = msgspec.json.Decoder(UsageBody)
 
     async def announce(request: web.Request) -> web.Response:
         try:
@@ -148,6 +168,18 @@
         presence.announce(body)
         return web.json_response({"renew_within_ms": RENEW_MS})
 
+    async def report_usage(request: web.Request) -> web.Response:
+        try:
+            body = usage_decoder.decode(await request.read())
+        except (msgspec.MsgspecError, RecursionError) as error:
+            problem = Problem(
+                InputCode.MALFORMED_USAGE, f"not a report of use: {error}"
+            )
+            return problem_response(problem)
+        if settings.guard:
+            on_event(UsageReported([_usage_of(task) for task in body.tasks]))
+        return web.json_response({"guarded": settings.guard})
+
     async def withdraw(request: web.Request) -> web.Response:
         presence.withdraw()
         return web.Response(status=204)
@@ -159,7 +191,14 @@
         client_max_size=MAXIMUM_ANNOUNCE_BYTES, middlewares=[problem_middleware]
     )
     application.router.add_post("/announce", announce)
+    application.router.add_post("/usage", report_usage)
     application.router.add_delete("/announce", withdraw)
     application.on_cleanup.append(on_cleanup)
     add_health(application, not_ready)
     return application
+
+
+def _usage_of(task: TaskUsageBody) -> TaskUsage:
+    return TaskUsage(
+        task.submission, task.task, task.attempt, task.memory_mb, task.checkpoints
+    )
--- a/src/cactuswalk/http/problems.py
+++ b/src/cactuswalk/http/problems.py
@@ -47,6 +47,7 @@
     KEY_FROM_FUTURE = "idempotency_key_from_future"
     INCOMPLETE_BODY = "incomplete_body"
     MALFORMED_ANNOUNCEMENT = "malformed_announcement"
+    MALFORMED_USAGE = "malformed_usage"
     INTERNAL = "internal"
 
 
@@ -103,6 +104,9 @@
     InputCode.MALFORMED_ANNOUNCEMENT: ProblemKind(
         400, "Send the fields that docs/upstreams.md names."
     ),
+    InputCode.MALFORMED_USAGE: ProblemKind(
+        400, "Send the fields that docs/upstreams.md names."
+    ),
     InputCode.INTERNAL: ProblemKind(
         500, "Ask again with the same idempotency key; tell the operators."
     ),
--- a/src/cactuswalk/http/upstream.py
+++ b/src/cactuswalk/http/upstream.py
@@ -14,7 +14,7 @@
 from yarl import URL
 
 from cactuswalk.errors import CactuswalkError
-from cactuswalk.state.effects import CallUpstream, StopUpstream
+from cactuswalk.state.effects import CallUpstream, SteerUpstream, StopUpstream
 from cactuswalk.state.events import UpstreamAnswered, UpstreamOutcome
 
 __all__ = ["MAXIMUM_ANSWER_BYTES", "UpstreamClient"]
@@ -157,15 +157,26 @@
 
     async def stop(self, effect: StopUpstream) -> bool:
         """Ask the upstream to stop a task; return whether it took the wish."""
+        return await self._wish(effect, "stop", None)
+
+    async def steer(self, effect: SteerUpstream) -> bool:
+        """Ask it to throttle or save a task; return whether it took the wish."""
+        wish = {"factor": effect.factor}
+        return await self._wish(effect, effect.action.value, wish)
+
+    async def _wish(
+        self, effect: StopUpstream | SteerUpstream, action: str, body: dict | None
+    ) -> bool:
         if self.url is None or self.fresh is None:
             return False
-        path = f"/tasks/{quote(effect.submission, safe='')}/{effect.index}/stop"
+        path = f"/tasks/{quote(effect.submission, safe='')}/{effect.index}/{action}"
         url = URL(f"{self.url.origin()}{path}", encoded=True)
         headers = {"Cactuswalk-Attempt": str(effect.attempt)}
         timeout = aiohttp.ClientTimeout(total=STOP_TIMEOUT_SECONDS)
         try:
             async with self.fresh.post(
                 url,
+                json=body,
                 headers=headers,
                 timeout=timeout,
                 allow_redirects=False,
--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -11,7 +11,7 @@
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.host import Host
 from cactuswalk.settings import AgentSettings
-from cactuswalk.state.effects import CallUpstream, StopUpstream
+from cactuswalk.state.effects import CallUpstream, SteerUpstream, StopUpstream
 from cactuswalk.state.events import UpstreamOutcome
 from cactuswalk.state.node import Node, handle, new_node
 from cactuswalk.state.timing import Timing
@@ -49,6 +49,7 @@
         self.upstream = UpstreamClient()
         self.application.performers[CallUpstream] = self._call
         self.application.performers[StopUpstream] = self._stop
+        self.application.performers[SteerUpstream] = self._steer
         self._add_hooks()
 
     async def run(self) -> None:
@@ -102,3 +103,9 @@
 
     async def _run_stop(self, effect: StopUpstream) -> None:
         await self.upstream.stop(effect)
+
+    def _steer(self, effect: SteerUpstream) -> None:
+        self.application.spawn(self._run_steer(effect))
+
+    async def _run_steer(self, effect: SteerUpstream) -> None:
+        await self.upstream.steer(effect)
--- a/src/cactuswalk/settings/agent.py
+++ b/src/cactuswalk/settings/agent.py
@@ -11,6 +11,7 @@
     message_address,
     name,
     number,
+    one_of,
 )
 from cactuswalk.settings.reader import Reader
 from cactuswalk.settings.retention import read_retention_seconds
@@ -53,6 +54,7 @@
     :param labels: of the worker; the upstream's announcement adds its own.
     :param http: on the loopback, where the upstream announces itself.
     :param confirm_period_ms: P of docs/design/ownership.md.
+    :param guard: whether tasks that outgrow their declaration are dealt with.
     :param peers: addresses of processes to learn the configuration from.
     """
 
@@ -72,6 +74,7 @@
     curve: CurveSettings | None
     statsd: StatsdSettings | None
     logs: LogSettings
+    guard: bool = True
 
 
 def load_agent(path: str | Path) -> AgentSettings:
@@ -103,6 +106,7 @@
         curve=read_curve(reader),
         statsd=read_statsd(reader),
         logs=read_logs(reader),
+        guard=reader.get("guard", "enabled", one_of("yes", "no"), "yes") == "yes",
     )
     _check_periods(reader, settings)
     reader.finish()
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -38,7 +38,12 @@
     Send,
     StopUpstream,
 )
-from cactuswalk.state.events import Announced, UpstreamAnswered, UpstreamOutcome
+from cactuswalk.state.events import (
+    Announced,
+    UpstreamAnswered,
+    UpstreamOutcome,
+    UsageReported,
+)
 from cactuswalk.state.gate import (
     Gate,
     check_start,
@@ -46,6 +51,7 @@
     take_epoch,
     tombstone,
 )
+from cactuswalk.state.guarding import Guard, on_reported, unwatch, watch
 from cactuswalk.state.retention import RecordBook
 
 __all__ = ["AgentState", "new_agent"]
@@ -71,6 +77,7 @@
     :param fenced_epoch: the epoch whose fence took ``handed_out``, the records
         as they stood then; parts that are asked for again must not shift.
     :param configuration: revision in force here.
+    :param guard: of the worker's memory.
     :param effects: gathered while an event is handled.
     """
 
@@ -89,6 +96,7 @@
     recent: float = 20.0
     configuration: int = 0
     effects: list[Effect] = []
+    guard: Guard = msgspec.field(default_factory=Guard)
 
 
 def new_agent(
@@ -182,6 +190,7 @@
         state.effects.append(Send(sender, declined))
         return
     record_start(gate, start, now)
+    watch(state.guard, start)
     _log(state, "started a task", start, epoch=start.epoch)
     left_ms = start.remaining_ms - int(now * 1000 - start.stamp)
     call = CallUpstream(
@@ -208,11 +217,12 @@
         state.effects.append(Count("agent.answer.stale"))
         return
     del gate.running[place]
+    stopped = unwatch(state.guard, *place)
     ended = msgspec.structs.replace(record)
     if event.outcome is UpstreamOutcome.NOT_SENT:
         ended.state = TaskState.DECLINED
     else:
-        ended.result = _result_of(event)
+        ended.result = _result_of(event, stopped)
         done = ended.result.outcome is TaskOutcome.DONE
         ended.state = TaskState.DONE if done else TaskState.FAILED
     result = ended.result
@@ -221,6 +231,14 @@
     _tell_owner(state, ended, result, event.elapsed_ms)
 
 
+def on_usage(state: AgentState, event: UsageReported, now: float) -> None:
+    """The upstream has reported what its tasks use."""
+    if state.announcement is not None:
+        capacity, worker = state.announcement.capacity, state.gate.member.worker
+        effects = on_reported(state.guard, event.usages, capacity, worker, now)
+        state.effects += effects
+
+
 def on_probe(state: AgentState, sender: str, probe: Probe, now: float) -> None:
     """The owner asks what became of an attempt; tell it from the record."""
     gate = state.gate
@@ -276,12 +294,12 @@
     return record
 
 
-def _result_of(event: UpstreamAnswered) -> TaskResult:
+def _result_of(event: UpstreamAnswered, stopped: str) -> TaskResult:
     if event.outcome is UpstreamOutcome.UNCERTAIN:
         reason = "the upstream was called and gave no whole answer"
         return TaskResult(event.index, TaskOutcome.UNKNOWN, reason=reason)
     if event.status >= FIRST_SERVER_ERROR:
-        reason = f"the upstream answered with status {event.status}"
+        reason = stopped or f"the upstream answered with status {event.status}"
         return TaskResult(event.index, TaskOutcome.FAILED, event.status, reason=reason)
     return TaskResult(
         event.index, TaskOutcome.DONE, event.status, event.body, digest(event.body)
--- a/src/cactuswalk/state/effects.py
+++ b/src/cactuswalk/state/effects.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cactuswalk.decisions.guard import GuardAction
 from cactuswalk.messages import Explained, JobState, Message
 from cactuswalk.model import Outcome, Refusal, TaskResult, TaskSpec
 
@@ -19,6 +20,7 @@
     "ReplyExplanation",
     "ReplyState",
     "Send",
+    "SteerUpstream",
     "StopUpstream",
     "SwapKey",
 ]
@@ -61,6 +63,19 @@
     attempt: int
 
 
+class SteerUpstream(msgspec.Struct):
+    """Ask the upstream to throttle a running task, or to save it.
+
+    :param factor: by which a throttled task is slowed; 1 lifts it.
+    """
+
+    submission: str
+    index: int
+    attempt: int
+    action: GuardAction
+    factor: float = 1.0
+
+
 class Reply(msgspec.Struct):
     """Answer the callers who wait for a submission at this entry."""
 
@@ -132,6 +147,7 @@
     Send
     | CallUpstream
     | StopUpstream
+    | SteerUpstream
     | Reply
     | ReplyState
     | ReplyExplanation
--- a/src/cactuswalk/state/events.py
+++ b/src/cactuswalk/state/events.py
@@ -21,9 +21,11 @@
     "Received",
     "StopRequested",
     "SwapOutcome",
+    "TaskUsage",
     "Tick",
     "UpstreamAnswered",
     "UpstreamOutcome",
+    "UsageReported",
 ]
 
 
@@ -114,6 +116,25 @@
     elapsed_ms: int
 
 
+class TaskUsage(msgspec.Struct):
+    """What one task used when its upstream looked.
+
+    :param checkpoints: the upstream can save it and go on later.
+    """
+
+    submission: str
+    index: int
+    attempt: int
+    used_mb: int
+    checkpoints: bool = False
+
+
+class UsageReported(msgspec.Struct):
+    """The upstream has reported what its tasks use; about a second old."""
+
+    usages: list[TaskUsage]
+
+
 class Announced(msgspec.Struct):
     """The upstream has announced itself, or withdrawn (None)."""
 
@@ -170,6 +191,7 @@
     | OperatorAsked
     | UpstreamAnswered
     | Announced
+    | UsageReported
     | KeyRead
     | KeySwapped
     | ConfigurationChanged
--- /dev/null
+++ b/src/cactuswalk/state/guarding.py
@@ -0,0 +1,153 @@
+"""The guard beside a worker: late reports of use in, wishes to the upstream out.
+
+Load pattern: a task takes ten times its declared memory among seven others. Without
+this the operating system ends one of them, and not always the guilty one; its outcome
+is unknown, and a seat check may not be asked again. Stopped by the guard, the guilty
+one answers its call itself, so that it is told truly: it ran and failed.
+
+``decisions.guard`` judges; this module knows what runs here, and how old a report is.
+"""
+
+import msgspec
+
+from cactuswalk.decisions.guard import GuardAction, Usage, judge_usage
+from cactuswalk.messages import Start
+from cactuswalk.model import Capacity
+from cactuswalk.state.effects import (
+    Count,
+    Effect,
+    Log,
+    Part,
+    SteerUpstream,
+    StopUpstream,
+)
+from cactuswalk.state.events import TaskUsage
+
+__all__ = ["Guard", "Guarded", "on_reported", "unwatch", "watch"]
+
+# A throttled task gets half of the processor time: it grows half as fast, and its
+# caller, whose deadline is a few run times away, may still get an answer.
+THROTTLE_FACTOR = 2.0
+
+# A stop takes up to two seconds to arrive (the call's time-out), and reports are a
+# second old. Until then the memory of a stopped task still shows in them, and a second
+# task would be stopped for what the first has given back.
+STOP_SETTLES_SECONDS = 3.0
+
+# An upstream that was asked this often to save a task, and still reports its memory,
+# does not save it.
+MOST_CHECKPOINTS = 2
+
+
+class Guarded(msgspec.Struct):
+    """A task that runs here, as its caller declared it, and what was done to it.
+
+    :param checkpoints: how often its upstream was asked to save it.
+    :param stopped_at: when it was last asked to stop it, None for never.
+    :param reason: of the stop, for its outcome.
+    """
+
+    attempt: int
+    declared_mb: int
+    repeatable: bool
+    throttled: bool = False
+    checkpoints: int = 0
+    stopped_at: float | None = None
+    reason: str = ""
+
+
+class Guard(msgspec.Struct):
+    """What the guard of one agent knows, by (submission, index)."""
+
+    tasks: dict[tuple[str, int], Guarded] = {}
+
+
+def watch(guard: Guard, start: Start) -> None:
+    """Take note of a task that starts here."""
+    guard.tasks[start.submission, start.index] = Guarded(
+        start.attempt, start.task.memory_mb, start.idempotent
+    )
+
+
+def unwatch(guard: Guard, submission: str, index: int) -> str:
+    """Forget a task that has ended; return why it was stopped, empty if it wasn't."""
+    task = guard.tasks.pop((submission, index), None)
+    return task.reason if task is not None else ""
+
+
+def on_reported(
+    guard: Guard, usages: list[TaskUsage], capacity: Capacity, worker: str, now: float
+) -> list[Effect]:
+    """Judge a report of what the tasks here use; return what is to be done.
+
+    What has ended since, or is another attempt of the same task, is left out: a
+    report is about a second old, and its wish would hit the wrong one.
+    """
+    places = {}
+    for usage in usages:
+        task = guard.tasks.get((usage.submission, usage.index))
+        if task is not None and task.attempt == usage.attempt:
+            places[f"{usage.submission} {usage.index}"] = (usage, task)
+    effects: list[Effect] = []
+    if stale := len(usages) - len(places):
+        effects.append(Count("agent.usage.stale", stale))
+    judged = [_as_judged(name, *place) for name, place in places.items()]
+    actions = judge_usage(judged, capacity.memory_mb, capacity.slots)
+    for name, (usage, task) in places.items():
+        action = actions.get(name, GuardAction.NONE)
+        effects += _act(guard, action, usage, task, worker, now)
+    return effects
+
+
+def _as_judged(name: str, usage: TaskUsage, task: Guarded) -> Usage:
+    saves = usage.checkpoints and task.checkpoints < MOST_CHECKPOINTS
+    return Usage(name, task.declared_mb, usage.used_mb, task.repeatable, saves)
+
+
+def _act(
+    guard: Guard,
+    action: GuardAction,
+    usage: TaskUsage,
+    task: Guarded,
+    worker: str,
+    now: float,
+) -> list[Effect]:
+    if action is GuardAction.NONE and not task.throttled:
+        return []
+    place = (usage.submission, usage.index, usage.attempt)
+    if action is GuardAction.STOP:
+        if any(_settles(other, task, now) for other in guard.tasks.values()):
+            return []
+        task.stopped_at = now
+        task.reason = (
+            f"its worker was out of memory and stopped it: it used {usage.used_mb} MB, "
+            f"declared {task.declared_mb}"
+        )
+        effect = StopUpstream(*place)
+    elif action is GuardAction.CHECKPOINT:
+        task.checkpoints += 1
+        effect = SteerUpstream(*place, action)
+    else:
+        # Sent again with each report while it holds: the last one may be lost.
+        task.throttled = action is GuardAction.THROTTLE
+        factor = THROTTLE_FACTOR if task.throttled else 1.0
+        effect = SteerUpstream(*place, GuardAction.THROTTLE, factor)
+    done = "lift" if action is GuardAction.NONE else action.value
+    fields = {
+        "action": done,
+        "submission": usage.submission,
+        "task": usage.index,
+        "attempt": usage.attempt,
+        "worker": worker,
+        "used_mb": usage.used_mb,
+        "declared_mb": task.declared_mb,
+    }
+    log = Log(Part.AGENT, "guards its worker's memory", fields)
+    return [Count(f"agent.guard.{done}"), log, effect]
+
+
+def _settles(other: Guarded, task: Guarded, now: float) -> bool:
+    """Return whether another task was stopped and may not yet be gone."""
+    if other is task or other.stopped_at is None:
+        return False
+    return now - other.stopped_at < STOP_SETTLES_SECONDS
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -56,6 +56,7 @@
     StopRequested,
     Tick,
     UpstreamAnswered,
+    UsageReported,
 )
 from cactuswalk.state.nodestate import Node, new_node
 from cactuswalk.state.owner import OwnerState
@@ -139,6 +140,8 @@
         _on_tick(node, now)
     elif isinstance(event, UpstreamAnswered):
         agents.on_upstream_answered(node.agent, event, now)
+    elif isinstance(event, UsageReported):
+        agents.on_usage(node.agent, event, now)
     elif isinstance(event, Announced):
         agents.on_announced(node.agent, event, now)
     elif isinstance(event, KeyRead):
--- a/standins/upstream.py
+++ b/standins/upstream.py
@@ -42,6 +42,7 @@
     labels: dict[str, str] = {}
     record: str = ""
     echoes: bool = True
+    saves: bool = False
 
 
 class Faults(msgspec.Struct, forbid_unknown_fields=True):
@@ -54,6 +55,7 @@
     :param close: the work is done, and the connection closed without answer.
     :param late_ms: a finished answer is held back for this long.
     :param twice: the answer is sent twice on its connection, which stays open.
+    :param usage_late_ms: a report of use tells what was so this long ago.
     """
 
     slow: float = 1.0
@@ -63,14 +65,17 @@
     close: bool = False
     late_ms: int = 0
     twice: bool = False
+    usage_late_ms: int = 0
 
 
 class RunningTask:
     """A task while it runs; ``changed`` wakes it to look at its fields."""
 
-    __slots__ = ("changed", "left", "factor", "stopped")
+    __slots__ = ("attempt", "changed", "factor", "left", "memory_mb", "stopped")
 
-    def __init__(self, seconds: float) -> None:
+    def __init__(self, seconds: float, attempt: int, memory_mb: int) -> None:
+        self.attempt = attempt
+        self.memory_mb = memory_mb
         self.changed = asyncio.Event()
         self.left = seconds
         self.factor = 1.0
@@ -141,11 +146,12 @@
         attempt = int(request.headers["Cactuswalk-Attempt"])
         work = json.loads(body)
         seconds = float(work.get("duration_ms", 0)) / 1000
+        memory_mb = int(work.get("uses_mb", 0))
     except (KeyError, ValueError, AttributeError, TypeError) as error:
         return web.json_response({"error": f"no task: {error!r}"}, status=400)
     await upstream.thawed.wait()
     upstream.note("start", submission, index, attempt=attempt, work=work.get("work"))
-    task = RunningTask(seconds)
+    task = RunningTask(seconds, attempt, memory_mb)
     upstream.running[submission, index] = task
     upstream.most_running = max(upstream.most_running, len(upstream.running))
     outcome = "cut"
@@ -209,7 +215,10 @@
         task.stopped = True
     elif action == "throttle":
         task.factor = max(1.0, float((await request.json()).get("factor", 2.0)))
-    upstream.note(action, submission, index)
+    else:
+        # What is saved is no longer in memory; here it goes on from its copy at once.
+        task.memory_mb = 0
+    upstream.note(action, submission, index, factor=task.factor)
     task.changed.set()
     # Let the task wake and reckon what is left of it.
     await asyncio.sleep(0.005)
@@ -290,6 +299,31 @@
             await asyncio.sleep(ANNOUNCE_EVERY_SECONDS)
 
 
+async def report_usage(upstream: StandInUpstream) -> None:
+    """Tell the agent once a second what the running tasks use."""
+    options = upstream.options
+    timeout = aiohttp.ClientTimeout(total=ANNOUNCE_EVERY_SECONDS)
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        while True:
+            await upstream.thawed.wait()
+            tasks = [
+                {
+                    "submission": submission,
+                    "task": index,
+                    "attempt": task.attempt,
+                    "memory_mb": task.memory_mb,
+                    "checkpoints": options.saves,
+                }
+                for (submission, index), task in upstream.running.items()
+            ]
+            await asyncio.sleep(upstream.faults.usage_late_ms / 1000)
+            with contextlib.suppress(aiohttp.ClientError, TimeoutError):
+                address = f"{options.agent}/usage"
+                async with session.post(address, json={"tasks": tasks}) as response:
+                    await response.read()
+            await asyncio.sleep(ANNOUNCE_EVERY_SECONDS)
+
+
 async def withdraw(options: Options) -> None:
     """Tell the agent that this upstream leaves."""
     timeout = aiohttp.ClientTimeout(total=ANNOUNCE_EVERY_SECONDS)
@@ -328,12 +362,14 @@
     bound = runner.addresses[0][1]
     if port_file:
         write_port(port_file, bound)
-    announcing = None
+    speaking = []
     if options.agent:
-        announcing = asyncio.create_task(announce(upstream, bound))
+        speaking.append(asyncio.create_task(announce(upstream, bound)))
+        speaking.append(asyncio.create_task(report_usage(upstream)))
     await stopping.wait()
-    if announcing is not None:
-        announcing.cancel()
+    for task in speaking:
+        task.cancel()
+    if speaking:
         await withdraw(options)
     await finish(upstream)
     await runner.cleanup()
@@ -352,6 +388,7 @@
 @click.option("--accelerators", default=0)
 @click.option("--label", "labels", multiple=True, help="KEY=VALUE, repeated.")
 @click.option("--echoes/--no-echoes", default=True, help="Name the request.")
+@click.option("--saves/--no-saves", default=False, help="Can checkpoint its tasks.")
 @click.option("--record", default="", help="Append starts and ends to this file.")
 def main(host, port, port_file, labels, **fields):
     """Run a stand-in for an upstream."""
--- a/tools/cluster.py
+++ b/tools/cluster.py
@@ -49,6 +49,7 @@
     """A worker of the deployment; the defaults are the brief's.
 
     :param cell: by default the name of its service.
+    :param saves: its upstream can checkpoint tasks.
     :param labels: of the worker, in its agent's settings.
     """
 
@@ -60,6 +61,7 @@
     slots: int = 8
     connections: int = 64
     memory_mb: int = 0
+    saves: bool = False
     labels: dict[str, str] = {}
 
 
@@ -298,6 +300,8 @@
         arguments = ["standins.upstream"]
         for option, value in options.items():
             arguments += [f"--{option}", str(value)]
+        if worker.saves:
+            arguments.append("--saves")
         self._add(upstream, arguments)
 
     def _add(self, name: str, arguments: list[str]) -> None:
