--- a/features/steps/announcement_steps.py
+++ b/features/steps/announcement_steps.py
@@ -16,6 +16,7 @@
 from cactuswalk.model import TaskSpec
 from cactuswalk.settings import load_agent
 from cactuswalk.state.effects import CallUpstream
+from cactuswalk.state.events import Announced
 from features.edges_support import (
     EXAMPLES,
     add_clean_up,
@@ -29,13 +30,18 @@
 
 @given("an agent's announcement application")
 def step_application(context, expire_seconds=EXPIRE_SECONDS):
-    context.announced, context.reasons = [], []
+    context.announced, context.reported, context.reasons = [], [], []
+
+    def on_event(event):
+        kind = context.announced if isinstance(event, Announced) else context.reported
+        kind.append(event)
+
     context.upstream_client = UpstreamClient()
     run(context, context.upstream_client.open())
     application = make_announce_application(
         load_agent(EXAMPLES / "labuta-unita-agent.ini"),
         context.upstream_client,
-        context.announced.append,
+        on_event,
         lambda: context.reasons,
         expire_seconds,
     )
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -128,4 +128,5 @@
 @then('the report of use is refused as "{code}"')
 def step_refused(context, code):
     assert context.status == 400, context.status
+    assert not context.reported, context.reported
     assert json.loads(context.body)["code"] == code, context.body
