A task that its worker's guard stopped is not held against the worker

Cause: the owner took it for any failed task, so callers who declare too little would get one sound worker after the other ejected. Its result has no status now, which the owner reads; an upstream's own failure always has one.

After: it stays in use; with an upstream's 503 in their place it is ejected as before.

--- a/features/guard_reports.feature
+++ b/features/guard_reports.feature
@@ -55,6 +55,19 @@
     When its upstream reports "a/1 960 saves, b/1 10" a second later
     Then the guard asks for "stop a/1"
 
+  Scenario Outline: Who outgrows a worker does not get it ejected
+    Callers of one kind of rebuild all declare too little, and one after the other is
+    stopped. Taken for failures of the worker, they would get it ejected, and then
+    the next one, until lookups find no worker; a worker that fails by itself is.
+    Given a scheduler of three workers
+    When twenty requests one after the other end at w1 as "failed" with status <status>
+    Then w1 is <state>
+
+    Examples:
+      | status | state   |
+      | 0      | in use  |
+      | 503    | ejected |
+
   Scenario Outline: What is no report of use changes nothing
     Given an agent's announcement application
     When the upstream reports its use as <body>
--- a/features/steps/guard_steps.py
+++ b/features/steps/guard_steps.py
@@ -4,8 +4,16 @@
 
 from behave import given, then, when
 
+from cactuswalk.decisions import Scheduler
 from cactuswalk.messages import Result
-from cactuswalk.model import Announcement, Capacity, TaskSpec
+from cactuswalk.model import (
+    Announcement,
+    Capacity,
+    Job,
+    TaskOutcome,
+    TaskResult,
+    TaskSpec,
+)
 from cactuswalk.state import agent as agents
 from cactuswalk.state.configuration import Replica, Spread
 from cactuswalk.state.effects import Count, Send, SteerUpstream, StopUpstream
@@ -130,3 +138,37 @@
     assert context.status == 400, context.status
     assert not context.reported, context.reported
     assert json.loads(context.body)["code"] == code, context.body
+
+
+@given("a scheduler of three workers")
+def step_scheduler(context):
+    context.now = 50.0
+    context.scheduler = Scheduler()
+    for name in ("w1", "w2", "w3"):
+        worker = Announcement(name, "routes", "dc", name, {}, Capacity(1))
+        context.scheduler.set_worker(worker, True, context.now)
+
+
+@when(
+    'twenty requests one after the other end at w1 as "failed" with status {status:d}'
+)
+def step_fail(context, status):
+    result = TaskResult(0, TaskOutcome.FAILED, status)
+    for number in range(20):
+        for place in range(3):
+            job = Job(f"team/{number}.{place}", b"", "routes", "team", [TaskSpec(b"")])
+            assert context.scheduler.admit(job, context.now + 60, context.now) is None
+        for started in context.scheduler.assign(context.now):
+            place = (started.task.job.submission, 0, started.worker)
+            failed = started.worker == "w1"
+            ending = (not failed, 100, context.now + 0.1, failed and result.guarded)
+            context.scheduler.finished(*place, *ending)
+        context.now += 0.2
+
+
+@then("w1 is {state}")
+def step_takes(context, state):
+    asked = Job("team/asked", b"", "routes", "team", [TaskSpec(b"")])
+    found = context.scheduler.explain(asked, context.now)
+    verdict = next(one for one in found if one.worker == "w1")
+    assert ("ejected" in verdict.verdict) == (state == "ejected"), verdict
--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -189,8 +189,12 @@
         succeeded: bool,
         elapsed_ms: int,
         now: float,
+        excused: bool = False,
     ) -> None:
-        """Free what a task held on a worker, and learn from how it ended."""
+        """Free what a task held on a worker, and learn from how it ended.
+
+        :param excused: it failed, but not by its worker's fault.
+        """
         known = self.cell.pool.workers.get(worker)
         if known is None:
             return
@@ -205,7 +209,7 @@
         state = self.cell.service(service)
         if succeeded:
             self.cell.learn(state, known, task, elapsed_ms / 1000, now)
-        else:
+        elif not excused:
             self.cell.blame(known, task, now)
         self.cell.release(known, submission, index, now)
 
--- a/src/cactuswalk/model/answer.py
+++ b/src/cactuswalk/model/answer.py
@@ -83,6 +83,7 @@
     """The outcome of one task, with the upstream's body where it is done.
 
     :param index: the task's place in its job, from 0.
+    :param status: of the upstream; 0 where it gave none, or does not count.
     :param digest: of the body, taken beside the upstream; a body that no
         longer matches it was cut short or mixed up and is never delivered.
     """
@@ -93,3 +94,12 @@
     body: bytes = b""
     digest: bytes = b""
     reason: str = ""
+
+    @property
+    def guarded(self) -> bool:
+        """Return whether its worker's guard stopped it: failed without a status.
+
+        Callers whose tasks outgrow their declarations would else get one sound
+        worker after the other ejected.
+        """
+        return self.outcome is TaskOutcome.FAILED and not self.status
--- a/src/cactuswalk/state/agent.py
+++ b/src/cactuswalk/state/agent.py
@@ -311,7 +311,9 @@
         reason = "the upstream was called and gave no whole answer"
         return TaskResult(event.index, TaskOutcome.UNKNOWN, reason=reason)
     if event.status >= FIRST_SERVER_ERROR:
-        reason = stopped or f"the upstream answered with status {event.status}"
+        if stopped:
+            return TaskResult(event.index, TaskOutcome.FAILED, reason=stopped)
+        reason = f"the upstream answered with status {event.status}"
         return TaskResult(event.index, TaskOutcome.FAILED, event.status, reason=reason)
     return TaskResult(
         event.index, TaskOutcome.DONE, event.status, event.body, digest(event.body)
