Callers name an operators' job template

Cause: templates served explain only, so what it said of a template was not what a caller's work got. Cactuswalk-Template fills in what a request or the tasks of a job leave out; its selector holds besides the caller's. One that is not in force here, or for another service, is refused, with a key as "unknown", since a copy that came before the change may run.

The fingerprint takes the template by its name, before it is filled in: with the filled-in values a repetition after a change by the operators was taken for another submission (the scenario, run so, fails). Without a template it is as before.

--- a/features/callers_support.py
+++ b/features/callers_support.py
@@ -34,6 +34,7 @@
         self.events, self.gone, self.cancelled = [], [], []
         self.reply, self.state = self.echo, None
         self.released = asyncio.Event()
+        self.templates = {}
 
     async def submit(self, event):
         self.events.append(event)
@@ -67,6 +68,7 @@
         cancel=entry.cancelled.append,
         query=entry.query,
         not_ready=list,
+        template=entry.templates.get,
     )
     application = make_callers_application(
         settings, callables, lambda: NOW, random.Random(1)
--- a/src/cactuswalk/http/bodies.py
+++ b/src/cactuswalk/http/bodies.py
@@ -115,12 +115,14 @@
         raise refuse(InputCode.MALFORMED_JSON, detail) from error
 
 
-def fingerprint(job: Job, first_sent_ms: int) -> bytes:
+def fingerprint(job: Job, first_sent_ms: int, template: str = "") -> bytes:
     """Return a digest of all that a resubmission has to repeat.
 
     The deadline is left out, since less of it is left each time; the caller is,
     since a colleague of the team may ask for the same answer. A changed
-    ``first_sent_ms`` would make an old submission young, so it is in.
+    ``first_sent_ms`` would make an old submission young, so it is in. A template
+    counts by its name, before it is filled in: its operators may change it between
+    a submission and its repetition.
     """
     flags = f"{job.idempotent:d}{job.request:d}{first_sent_ms}"
     parts = [job.service, job.selector, job.key, flags]
@@ -128,4 +130,6 @@
     for task in job.tasks:
         sizes = f"{task.duration_ms},{task.memory_mb},{task.accelerators}"
         encoded += [sizes.encode(), task.body]
+    if template:
+        encoded.append(f"template {template}".encode())
     return digest(*encoded)
--- a/src/cactuswalk/http/callers.py
+++ b/src/cactuswalk/http/callers.py
@@ -33,8 +33,10 @@
 from cactuswalk.http.health import add_health
 from cactuswalk.http.middleware import problem_middleware
 from cactuswalk.http.problems import InputCode, Problem, ProblemError
+from cactuswalk.http.templates import FindTemplate, fill, read_template
 from cactuswalk.messages import JobState
 from cactuswalk.model import Job, Outcome, RefusalCode, mint, submission_name
+from cactuswalk.model.configuration import JobTemplate
 from cactuswalk.settings import CallerIdentity, EntrySettings
 from cactuswalk.settings.converters import is_name
 from cactuswalk.state.effects import Reply
@@ -60,6 +62,7 @@
         for an empty one, at all; None if no owner has answered.
     :param not_ready: reasons why this entry is not ready; none if it is.
     :param count: adds one to a counter.
+    :param template: finds a job template that is in force here.
     """
 
     submit: Callable[[CallerSubmitted], Awaitable[Reply]]
@@ -68,6 +71,7 @@
     query: Callable[[str, str], Awaitable[JobState | None]]
     not_ready: Callable[[], list[str]]
     count: Callable[[str], None] = lambda name: None
+    template: FindTemplate = lambda name: None
 
 
 class CallersEdge:
@@ -110,7 +114,7 @@
         refuse_unknown_headers(request, REQUEST_HEADERS)
         service = read_service(request)
         declared = read_declared_work(request)
-        key, deadline_ms = self._read_common(request)
+        template, key, deadline_ms = self._read_common(request, service)
         task = read_request_task(
             await read_body(request),
             declared.duration_ms,
@@ -129,7 +133,7 @@
             idempotent=declared.idempotent,
             request=True,
         )
-        event = self._event(job, key, deadline_ms, arrived)
+        event = self._event(job, template, key, deadline_ms, arrived)
         return await self._wait(event)
 
     async def submit_job(self, request: web.Request) -> web.Response:
@@ -138,7 +142,7 @@
         identity = self.identify(request)
         refuse_unknown_headers(request, JOB_HEADERS)
         service = read_service(request)
-        key, deadline_ms = self._read_common(request)
+        template, key, deadline_ms = self._read_common(request, service)
         wait_seconds = wants_async(request)
         tasks, selector, specialised_key = read_job(await read_body(request))
         job = Job(
@@ -151,7 +155,7 @@
             selector=selector,
             key=specialised_key,
         )
-        event = self._event(job, key, deadline_ms, arrived)
+        event = self._event(job, template, key, deadline_ms, arrived)
         if wait_seconds is None:
             return await self._wait(event)
         return await self._wait_in_background(event, wait_seconds)
@@ -172,18 +176,27 @@
         self.entry.cancel(CallerCancelled(name))
         return _state_response(202, key, state)
 
-    def _read_common(self, request: web.Request) -> tuple[SubmissionKey, int]:
+    def _read_common(
+        self, request: web.Request, service: str
+    ) -> tuple[JobTemplate | None, SubmissionKey, int]:
         self._refuse_overload()
         limits = self.settings.limits
         now_ms = int(self.wall_clock() * 1000)
         key = read_key(request, now_ms, self.settings.retention_seconds)
-        deadline_ms = read_deadline_ms(
-            request, limits.default_deadline_ms, limits.maximum_deadline_ms
-        )
-        return key, deadline_ms
+        template = read_template(request, service, self.entry.template)
+        default_ms = limits.default_deadline_ms
+        if template is not None and template.deadline_ms:
+            default_ms = min(template.deadline_ms, limits.maximum_deadline_ms)
+        deadline_ms = read_deadline_ms(request, default_ms, limits.maximum_deadline_ms)
+        return template, key, deadline_ms
 
     def _event(
-        self, job: Job, key: SubmissionKey, deadline_ms: int, arrived: float
+        self,
+        job: Job,
+        template: JobTemplate | None,
+        key: SubmissionKey,
+        deadline_ms: int,
+        arrived: float,
     ) -> CallerSubmitted:
         """Return the event for a job; its body's time is taken off the deadline."""
         remaining_ms = deadline_ms - int((time.monotonic() - arrived) * 1000)
@@ -197,7 +210,10 @@
             identifier = mint(born_ms, self.generator)
         job.submission = submission_name(job.team, identifier)
         job.born_ms = born_ms
-        job.fingerprint = fingerprint(job, key.first_sent_ms)
+        named = template.name if template is not None else ""
+        job.fingerprint = fingerprint(job, key.first_sent_ms, named)
+        if template is not None:
+            fill(job, template)
         waiter = f"{self.settings.name}/{next(self.waiters)}"
         return CallerSubmitted(waiter, job, key.minted, remaining_ms)
 
--- a/src/cactuswalk/http/headers.py
+++ b/src/cactuswalk/http/headers.py
@@ -40,7 +40,9 @@
 MAXIMUM_SELECTOR_LENGTH = 1_024
 MAXIMUM_SPECIALISED_KEY_LENGTH = 128
 
-JOB_HEADERS = frozenset({"cactuswalk-deadline-ms", "cactuswalk-first-sent"})
+JOB_HEADERS = frozenset(
+    {"cactuswalk-deadline-ms", "cactuswalk-first-sent", "cactuswalk-template"}
+)
 REQUEST_HEADERS = JOB_HEADERS | {
     "cactuswalk-idempotent",
     "cactuswalk-selector",
--- a/src/cactuswalk/http/problems.py
+++ b/src/cactuswalk/http/problems.py
@@ -37,6 +37,7 @@
     UNSUPPORTED_MEDIA_TYPE = "unsupported_media_type"
     MALFORMED_JSON = "malformed_json"
     MALFORMED_JOB = "malformed_job"
+    NO_SUCH_TEMPLATE = "no_such_template"
     EMPTY_JOB = "empty_job"
     TOO_MANY_TASKS = "too_many_tasks"
     INVALID_HEADER = "invalid_header"
@@ -76,6 +77,9 @@
     InputCode.MALFORMED_JOB: ProblemKind(
         400, 'Send {"tasks": [{"body": ...}, ...]}; docs/callers.md has the fields.'
     ),
+    InputCode.NO_SUCH_TEMPLATE: ProblemKind(
+        400, "Name a template that the operators have made for this service."
+    ),
     InputCode.EMPTY_JOB: ProblemKind(400, "Put 1 to 140 tasks into a job."),
     InputCode.TOO_MANY_TASKS: ProblemKind(
         400, "Put 1 to 140 tasks into a job, and the rest into another."
@@ -163,6 +167,7 @@
         InputCode.UNAUTHENTICATED,
         InputCode.BODY_TOO_LARGE,
         InputCode.INVALID_DEADLINE,
+        InputCode.NO_SUCH_TEMPLATE,
         InputCode.INCOMPLETE_BODY,
         RefusalCode.OVERLOADED,
         RefusalCode.DEADLINE_PASSED,
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -12,6 +12,7 @@
 from cactuswalk.http.operators_store import ConfigurationKeys, follow
 from cactuswalk.http.server import HttpServer
 from cactuswalk.messages import ConfigurationUpdate, JobState
+from cactuswalk.model.configuration import JobTemplate
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.host import Host
 from cactuswalk.runtime.operators import OperatorsDesk
@@ -74,6 +75,7 @@
             self.query,
             self._not_ready,
             self.host.counter(),
+            self._template,
         )
         finish_seconds = settings.limits.maximum_deadline_ms / 1000
         self.server = HttpServer(
@@ -88,6 +90,10 @@
         if settings.operators_http is not None:
             application.add_hook(self._open_operators, self._close_operators)
 
+    def _template(self, name: str) -> JobTemplate | None:
+        found = self.state.spread.replica.get("job", name)
+        return found if isinstance(found, JobTemplate) else None
+
     async def _follow(self) -> None:
         """Watch the cells and the configuration; ends with the application."""
         self.configuration_keys = ConfigurationKeys(self.host.store)
