--- a/src/cactuswalk/decisions/scheduler.py
+++ b/src/cactuswalk/decisions/scheduler.py
@@ -25,7 +25,7 @@
 from cactuswalk.decisions.queueing import Lane
 from cactuswalk.decisions.secondattempts import hedges
 from cactuswalk.decisions.tasks import Assignment, Explanation, QueuedTask, Shed
-from cactuswalk.model import Announcement, Job, Refusal
+from cactuswalk.model import Announcement, Job, Refusal, RefusalCode
 
 __all__ = ["Assignment", "Explanation", "QueuedTask", "Scheduler", "Shed"]
 
@@ -150,9 +150,14 @@
         special = self.cell.special_wait(queued)
         backlog = state.backlog(queued, group.slots, free, special, now)
         refusal = judge(backlog, deadline - now, self.generator.random())
+        if not backlog.lasting:
+            late = refusal is not None and refusal.code is RefusalCode.OVERLOADED
+            state.overload.judged(late)
         if refusal is not None:
             return refusal
-        queued.reckoned = backlog.wait / backlog.margin
+        queued.in_peak = not backlog.lasting
+        if backlog.lasting:
+            queued.reckoned = backlog.wait / backlog.margin
         self.cell.jobs[job.submission] = queued
         by_lane: dict[Lane, list[int]] = {}
         for index, lane in enumerate(queued.lanes):
@@ -203,8 +208,12 @@
         succeeded: bool,
         elapsed_ms: int,
         now: float,
+        excused: bool = False,
     ) -> None:
-        """Free what a task held on a worker, and learn from how it ended."""
+        """Free what a task held on a worker, and learn from how it ended.
+
+        :param excused: it failed, but not by its worker's fault.
+        """
         known = self.cell.pool.workers.get(worker)
         if known is None:
             return
@@ -219,7 +228,7 @@
         state = self.cell.service(service)
         if succeeded:
             self.cell.learn(state, known, task, elapsed_ms / 1000, now)
-        else:
+        elif not excused:
             self.cell.blame(known, task, now)
         self.cell.release(known, submission, index, now)
 
