--- a/src/cactuswalk/state/moving.py
+++ b/src/cactuswalk/state/moving.py
@@ -15,8 +15,9 @@
     last_attempt,
     log,
 )
+from cactuswalk.state.listening import is_silent
 from cactuswalk.state.roster import cell_key
-from cactuswalk.state.waiting import is_silent, send_submit
+from cactuswalk.state.waiting import send_submit
 
 __all__ = ["choose_cell", "keep_moving", "mint_well", "on_not_held"]
 
@@ -71,7 +72,11 @@
 def _worth(state: EntryState, job: Job, now: float) -> int:
     """Return how well the cell of a job is, up to ``WELL``."""
     cell = choose_cell(state, job)
-    if cell is None or cell.report is None or is_silent(state, cell, now):
+    if (
+        cell is None
+        or cell.report is None
+        or is_silent(cell, state.timing.confirm, now)
+    ):
         return 0
     return WELL if cell.report.free_slots.get(job.service, 0) > 0 else 1
 
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -44,6 +44,7 @@
     peers,
     placing,
     recovery,
+    reporting,
     roster,
     sharing,
     spreading,
@@ -80,7 +81,7 @@
 }
 _TO_OWNER: dict[type, Callable] = {
     Pong: peers.on_pong,
-    Subscribe: peers.on_subscribe,
+    Subscribe: reporting.on_subscribe,
     Submit: submissions.on_submit,
     Cancel: submissions.on_cancel,
     Query: submissions.on_query,
@@ -333,5 +334,5 @@
     placing.withdraw_unwitnessed(owner, now)
     submissions.expire_ledger(owner, now)
     placing.dispatch(owner, now)
-    peers.report(owner, now)
+    reporting.report(owner, now)
     owner.recovered.expire(now)
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -1,7 +1,7 @@
 """The owner of a cell: its state, and what every part of it uses.
 
 The parts: ``submissions`` (entries), ``flights`` (starts and results),
-``peers`` (pings, standing, reports), ``roster`` (members, copies) and
+``peers`` (pings, standing), ``reporting`` (entries), ``roster`` (members, copies) and
 ``recovery`` (after a takeover).
 """
 
@@ -13,6 +13,7 @@
 
 from cactuswalk.decisions.scheduler import Scheduler
 from cactuswalk.messages import Ceded, Message, Record, Submit
+from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import Announcement, CellRecord, Member
 from cactuswalk.state.agent import AgentState
 from cactuswalk.state.configuration import Spread
@@ -81,13 +82,16 @@
 
 
 class EntryView(msgspec.Struct):
-    """An entry that gets reports.
+    """An entry that asks for reports.
 
-    :param serial: of the workers' list that it was sent last.
+    :param serial: of the workers' list that it holds, or was sent last.
+    :param held: of the configuration, as it was told last, at ``told_at``.
     """
 
     subscribed_at: float
     serial: int = -1
+    held: list[NodesHolding] = []
+    told_at: float = float("-inf")
 
 
 class Held(msgspec.Struct):
@@ -161,6 +165,7 @@
     :param wall_ms: wall clock less monotonic clock, for births of keys.
     :param known_since: everything that was submitted since then is in the ledger
         or in the records; of what is older nobody here can say.
+    :param confirmed_at: when it was last seen to have standing.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
     :param unsure_until: until then a task without a record may have run, at one
@@ -194,6 +199,7 @@
     attempts: int = 0
     ping_serial: int = 0
     pinged_at: float = float("-inf")
+    confirmed_at: float = float("-inf")
     reported_at: float = float("-inf")
     maximum_bytes: int = 0
     wall_ms: float = 0.0
