--- a/src/cactuswalk/model/holding.py
+++ b/src/cactuswalk/model/holding.py
@@ -15,8 +15,8 @@
     "successor",
 ]
 
-# Eight slots for each of the 130 cells that the target's 8,300 workers make, so
-# that shares of one service can follow the cells' sizes to about an eighth.
+# Two slots for each of the 518 cells that docs/CAPACITY.md reckons with at the
+# target, if one service were on all of them; a record of 16 cells takes 1.8 KB.
 SLOT_COUNT = 1024
 
 
--- a/src/cactuswalk/runtime/operators.py
+++ b/src/cactuswalk/runtime/operators.py
@@ -9,6 +9,7 @@
 from cactuswalk.messages import ConfigurationUpdate
 from cactuswalk.model import Job, TaskSpec
 from cactuswalk.model.configuration import JobTemplate
+from cactuswalk.model.holding import SLOT_COUNT, open_slots
 from cactuswalk.runtime.application import Application
 from cactuswalk.state.configuration import InForce, add_up
 from cactuswalk.state.effects import Log, Part, ReplyExplanation
@@ -121,9 +122,20 @@
         "workers": len(view.workers),
         "free slots": sum(report.free_slots.values()) if report else 0,
         "queued": sum(report.queued.values()) if report else 0,
+        "holds": _shown_shares(view),
     }
 
 
+def _shown_shares(view) -> str:
+    """Say how much of each service a cell holds for keys that are yet to be born."""
+    services = sorted({one.service for one in view.holdings})
+    shares = [
+        f"{open_slots(view.holdings, service)}/{SLOT_COUNT} of {service}"
+        for service in services
+    ]
+    return ", ".join(shares) or "nothing"
+
+
 def _job_of(state: EntryState, query: dict[str, str]) -> Job:
     """Return the job that a question describes, its template filled in."""
     template = state.spread.replica.get("job", query.get("template", ""))
--- a/src/cactuswalk/state/sharing.py
+++ b/src/cactuswalk/state/sharing.py
@@ -37,7 +37,8 @@
 ]
 
 # A cell without a share asks this often; one that has its share looks for new
-# cells ever more seldom, up to the last. At 130 cells that is two reads a second.
+# cells ever more seldom, up to the last: 0.033 reads a second for each cell and
+# service that it shares (docs/design/cells.md).
 ASK_AFTER = 2.0
 MAXIMUM_WAIT = 60.0
 # A cell whose workers have grown by this much since asks again soon.
@@ -160,7 +161,8 @@
         _write_service(state, service, [state.cell], life, 0)
         return
     record = msgspec.json.decode(event.value, type=ServiceRecord)
-    if record.founder == life and service not in state.record.founded:
+    holds_some = any(one.service == service for one in state.record.holdings)
+    if record.founder == life and not holds_some:
         # The one who created the key holds all; read back, so that a swap whose
         # reply was lost counts as well.
         state.sharing.founding.add(service)
--- a/tools/mutants_cells.py
+++ b/tools/mutants_cells.py
@@ -68,8 +68,8 @@
     Mutant(
         "each cell takes itself for the first holder",
         SHARING,
-        "    if record.founder == life and service",
-        "    if service",
+        "    if record.founder == life and not holds_some:",
+        "    if not holds_some:",
         CELLS,
     ),
     Mutant(
