--- a/tools/mutants_cells.py
+++ b/tools/mutants_cells.py
@@ -68,8 +68,8 @@
     Mutant(
         "each cell takes itself for the first holder",
         SHARING,
-        "    if record.founder == life and service",
-        "    if service",
+        "    if record.founder == life and not holds_some:",
+        "    if not holds_some:",
         CELLS,
     ),
     Mutant(
@@ -79,4 +79,18 @@
         "            pass\n",
         CELLS,
     ),
+    Mutant(
+        "a minted key falls where it falls",
+        "src/cactuswalk/state/callers.py",
+        "    if event.minted:\n        mint_well",
+        "    if False:\n        mint_well",
+        CELLS,
+    ),
+    Mutant(
+        "a key whose cell can get no owner is held back",
+        "src/cactuswalk/state/waiting.py",
+        "if not pending.sent and view.unread and",
+        "if False and",
+        CELLS,
+    ),
 ]
