--- a/features/steps/once_lost_steps.py
+++ b/features/steps/once_lost_steps.py
@@ -106,7 +106,9 @@
     for name in lost:
         bag.kill(name)
     context.lost = lost
-    bag.run(float(seconds))
+    bag.run(2.0)
+    context.early = bag.submit("entry-0", bag.job(), 20_000, minted=True)
+    bag.run(seconds - 2.0)
 
 
 @when("one lost host is replaced under its name and address")
@@ -123,7 +125,7 @@
     context.minted = bag.submit("entry-0", bag.job(), 8000, minted=True)
     context.own = bag.submit("entry-1", bag.job(), 8000)
     bag.run(0.2)
-    for handed in (context.minted, context.own):
+    for handed in (context.early, context.minted, context.own):
         assert handed.reply is not None, "held back"
         assert code(handed) == "no_owner", handed.reply
         assert handed.reply.refusal.retry_after_ms
--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -66,6 +66,7 @@
             settings.retention_bytes,
             time.monotonic(),
             entries=settings.peers,
+            wall_ms=time.time() * 1000 - time.monotonic() * 1000,
         )
 
     def _add_hooks(self) -> None:
--- a/src/cactuswalk/state/entry.py
+++ b/src/cactuswalk/state/entry.py
@@ -17,6 +17,7 @@
     Explained,
     Heard,
     JobState,
+    NotHeld,
     NotOwner,
 )
 from cactuswalk.state.callers import (
@@ -55,6 +56,7 @@
     StopRequested,
     Tick,
 )
+from cactuswalk.state.moving import keep_moving, on_not_held
 from cactuswalk.state.questions import (
     expire_questions,
     on_asked_state,
@@ -99,10 +101,12 @@
 
 
 def _on_tick(state: EntryState, event: Tick, now: float) -> None:
+    busy = {pending.cell for pending in state.pending.values()}
     for view in state.cells.values():
-        keep_view(state, view, now)
+        keep_view(state, view, view.cell in busy, now)
     keep_configuration(state, now)
     for pending in list(state.pending.values()):
+        keep_moving(state, pending, now)
         keep_pending(state, pending, now)
     expire_questions(state, now)
 
@@ -148,6 +152,7 @@
     CellReport: on_report,
     NotOwner: on_not_owner,
     Heard: on_heard,
+    NotHeld: on_not_held,
     JobState: _on_job_state,
     Explained: on_explained,
     ConfigurationOffer: on_offer,
--- a/src/cactuswalk/state/founding.py
+++ b/src/cactuswalk/state/founding.py
@@ -63,7 +63,9 @@
 
     :param epoch: the highest that is known of an earlier cell of this name.
     """
-    return CellRecord(cell, epoch + 1, member, [member], [], write_id, False)
+    return CellRecord(
+        *(cell, epoch + 1, member, [member], [], write_id, False), identity=write_id
+    )
 
 
 def rebuilt_record(
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -1,34 +1,27 @@
-"""The owner's view of its members: pings, standing, probes, reports."""
+"""The owner's view of its members: pings, standing, probes."""
 
-from cactuswalk.messages import CellReport, Fence, Ping, Pong, Subscribe
+from cactuswalk.messages import Fence, Ping, Pong
 from cactuswalk.model import Member
-from cactuswalk.state.agent import stamp_of
 from cactuswalk.state.flights import give_up_flights
 from cactuswalk.state.landing import probe
-from cactuswalk.state.owner import EntryView, OwnerState, Peer, Phase
+from cactuswalk.state.owner import OwnerState, Peer, Phase
 from cactuswalk.state.placing import dispatch
-from cactuswalk.state.spreading import offer_of
 
 __all__ = [
     "is_lost",
     "on_pong",
-    "on_subscribe",
     "ping_peers",
-    "report",
     "send_fence",
     "send_ping",
     "watch_peers",
 ]
 
-# An entry that has not renewed its wish for two seconds is gone or elsewhere.
-ENTRY_FORGOTTEN_AFTER = 2.0
-
 
 def ping_peers(state: OwnerState, now: float) -> None:
     """Ask every fenced member for its confirmation, once a ping period."""
     if state.phase is Phase.RECOVERING:
         return
-    if now - state.pinged_at < state.timing.ping:
+    if now - state.pinged_at < _ping_period(state, now):
         return
     state.pinged_at = now
     state.ping_serial += 1
@@ -49,6 +42,22 @@
     state.effects += state.spread.alongside(addresses)
 
 
+def _ping_period(state: OwnerState, now: float) -> float:
+    """Return how long this owner waits between two pings.
+
+    One that can send but hears nothing has no standing, yet its pings would keep
+    the members from missing it: the cell would start nothing for as long as the
+    link is cut one way. So it falls silent for longer than they wait. It goes on
+    rarely, for a cut that heals while the service is away and nobody can take
+    the cell over.
+    """
+    if state.is_confirmed(now):
+        state.confirmed_at = now
+    deaf_for = now - max(state.confirmed_at, state.taken_over_at)
+    deaf = deaf_for > state.timing.suspect
+    return state.timing.lost if deaf else state.timing.ping
+
+
 def send_fence(state: OwnerState, member: Member) -> None:
     """End earlier epochs at a member, and ask for its records."""
     fence = Fence(state.cell, state.record.epoch, state.member)
@@ -124,52 +133,3 @@
     if peer.member == state.member or state.phase is Phase.RECOVERING:
         return False
     return now - peer.heard_at > state.timing.lost
-
-
-def on_subscribe(
-    state: OwnerState, sender: str, subscribe: Subscribe, now: float
-) -> None:
-    """An entry wants reports; a new one gets its first at once."""
-    view = state.entries.get(sender)
-    if view is not None:
-        view.subscribed_at = now
-        return
-    state.entries[sender] = EntryView(now)
-    if state.phase is Phase.SERVING:
-        _send_report(state, sender, state.entries[sender], now)
-
-
-def report(state: OwnerState, now: float) -> None:
-    """Send each entry its report, once a report period."""
-    if state.phase is not Phase.SERVING:
-        return
-    if now - state.reported_at < state.timing.report:
-        return
-    state.reported_at = now
-    for address, view in list(state.entries.items()):
-        if now - view.subscribed_at > ENTRY_FORGOTTEN_AFTER:
-            del state.entries[address]
-            continue
-        _send_report(state, address, view, now)
-
-
-def _send_report(state: OwnerState, address: str, view: EntryView, now: float) -> None:
-    workers = []
-    if view.serial != state.workers_serial:
-        view.serial = state.workers_serial
-        workers = [peer.in_force for peer in state.peers.values()]
-        workers = [announcement for announcement in workers if announcement]
-    state.send(
-        address,
-        CellReport(
-            state.cell,
-            state.record.epoch,
-            state.member.address,
-            state.workers_serial,
-            state.scheduler.free_slots(),
-            state.scheduler.queued(),
-            workers,
-            offer_of(state, state.spread),
-            stamp_of(now),
-        ),
-    )
