The stop of a job's running tasks, followed from owner to upstream

A job that fails or is cancelled has what it still runs stopped: a scenario follows the wish from the owner over each agent to its upstream, with every slot in use. It passed as the code stood.

Cause found beside it: a wish that was lost on the way was not repeated, so that the task held its slot up to its own end. What runs still and was asked to stop is asked again, once in P, by the pong's list of running starts.

Tests: once_stopped.feature (3). "The wish to stop is lost on the way" fails without the mend: 8 of 40 tasks, the owner's own, were stopped (run so); a mutant keeps it. Not run: the whole way with real processes in one scenario. The fixture's clocks, which come with this commit, run at rate 1 unless asked.

--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -41,6 +41,8 @@
 TICK = 0.05
 # Wall clock in milliseconds at virtual time 0; any day will do.
 WALL_MS = 1_700_000_000_000
+# What an upstream answers of a task that it was asked to stop.
+STOPPED = 503
 MAXIMUM_BYTES = 16 * 1024 * 1024
 
 
@@ -54,8 +56,18 @@
         self.alive = True
         self.frozen_until = 0.0
         self.waiting: list = []
+        # Seconds of its own clock in one of virtual time, since it was started.
+        self.rate = 1.0
+        self.started_at = 0.0
+
+    def clock(self, now: float) -> float:
+        """Return what this process's monotonic clock shows."""
+        if self.rate == 1.0:
+            return now
+        return self.started_at + (now - self.started_at) * self.rate
 
     def handle(self, event, now: float) -> list:
+        now = self.clock(now)
         if isinstance(self.state, Node):
             return handle(self.state, event, now)
         return handle_entry(self.state, event, now)
@@ -130,6 +142,7 @@
         self.starts: list[Began] = []
         self.outcome = UpstreamOutcome.ANSWERED
         self.status = 200
+        self.stopped: list[StopUpstream] = []
         # Seconds that each call takes longer than its task.
         self.hangs = 0.0
 
@@ -137,8 +150,13 @@
 class Bag:
     """Processes, messages under way, and the virtual clock."""
 
-    def __init__(self, seed: int = 1, timing: Timing | None = None) -> None:
+    def __init__(
+        self, seed: int = 1, timing: Timing | None = None, drift: float = 0.0
+    ) -> None:
         self.generator = random.Random(seed)
+        # The clock of each agent runs faster or slower by up to this part.
+        self.drift = drift
+        self.drifts = random.Random(seed)
         self.timing = timing or Timing()
         self.now = 100.0
         self.serial = itertools.count()
@@ -182,6 +200,8 @@
             wall_ms=wall_ms,
         )
         process = Process(worker, address, node)
+        process.started_at = self.now
+        process.rate = 1.0 + self.drift * self.drifts.uniform(-1, 1)
         self.processes[address] = process
         self.upstreams.setdefault(worker, Upstream())
         announcement = Announcement(
@@ -367,7 +387,15 @@
         elif isinstance(effect, Log):
             self.logs.append((self.now, process.name, effect))
         elif isinstance(effect, StopUpstream):
-            pass
+            self._stop(process, effect)
+
+    def _stop(self, process: Process, effect: StopUpstream) -> None:
+        """End a call as an upstream does that takes the wish."""
+        self.upstreams[process.name].stopped.append(effect)
+        place = (effect.submission, effect.index, effect.attempt)
+        outcome = UpstreamOutcome.ANSWERED
+        event = UpstreamAnswered(*place, outcome, STOPPED, b"", 0)
+        self._at(0.0, process.address, event)
 
     def _send(self, process: Process, effect: Send) -> None:
         kind = type(effect.message).__name__
--- a/src/cactuswalk/state/landing.py
+++ b/src/cactuswalk/state/landing.py
@@ -82,6 +82,7 @@
     """Have an attempt that is no longer wanted stopped where it runs."""
     peer = state.peers.get(place.incarnation)
     if peer is not None and (submission, index) in peer.flights:
+        peer.flights[(submission, index)].unwanted = True
         probe(state, peer, (submission, index), now, stop=True)
 
 
--- a/src/cactuswalk/state/ledger.py
+++ b/src/cactuswalk/state/ledger.py
@@ -51,6 +51,7 @@
     :param sent_ping: serial of the last ping sent before the start; a later
         pong that doesn't list the start shows that it is not running there.
     :param witness: incarnation of the witness, empty without one.
+    :param unwanted: its end is no use to anybody, and it was asked to stop.
     """
 
     worker: str
@@ -60,6 +61,7 @@
     sent_at: float
     witness: str = ""
     probed_at: float = 0.0
+    unwanted: bool = False
 
 
 class Task(msgspec.Struct):
--- a/src/cactuswalk/state/peers.py
+++ b/src/cactuswalk/state/peers.py
@@ -110,11 +110,16 @@
     """Ask after starts that should be running there and are not.
 
     Either the start or its result was lost on the way. Without this the job
-    would hang until its deadline.
+    would hang until its deadline. What runs still and was asked to stop is asked
+    again: without that, a lost wish holds its slot until the task's own end.
     """
     running = set(pong.running)
     for place, flight in list(peer.flights.items()):
-        if flight.attempt in running or flight.sent_ping >= pong.serial:
+        if flight.attempt in running:
+            if flight.unwanted and now - flight.probed_at >= state.timing.confirm:
+                probe(state, peer, place, now, stop=True)
+            continue
+        if flight.sent_ping >= pong.serial:
             continue
         if flight.sent_at and now - flight.probed_at >= state.timing.ping:
             probe(state, peer, place, now, stop=False)
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -205,6 +205,13 @@
         "if True:\n",
         FLAPPING,
     ),
+    Mutant(
+        "a wish to stop that was lost is not repeated",
+        f"{STATE}/peers.py",
+        "if flight.unwanted and now",
+        "if False and now",
+        "once_stopped.feature",
+    ),
     Mutant(
         "a stopped owner does not name its successor",
         f"{STATE}/node.py",
