Random runs with clocks that run at different rates

The fixture gives each agent a rate of its own. design/ownership.md says what rests on rates ("not run" of an owner that has lost its standing, for 0.4 ms at 200 ppm each way and 0.1 s at 5%) and what doesn't (starts, answers).

--- a/features/once_directed_random.feature
+++ b/features/once_directed_random.feature
@@ -9,3 +9,16 @@
     Given 120 scripts of moves that aim at takeovers, from seed 0
     When each targeted script is run on the reducers
     Then no promise was broken in any targeted script
+
+  Scenario Outline: Clocks that run at different rates
+    The quartz of one host is warm, that of another is broken and loses three seconds
+    a minute. Spans that two hosts measure differ, and an owner might count itself in
+    force when another has begun. Callers would notice as above.
+    Given <count> scripts of moves that aim at takeovers, from seed 5
+    When each targeted script is run on the reducers, with clocks that differ by <drift>
+    Then no promise was broken in any targeted script
+
+    Examples:
+      | count | drift   |
+      | 30    | 200 ppm |
+      | 30    | 5%      |
--- a/features/steps/once_directed_random_steps.py
+++ b/features/steps/once_directed_random_steps.py
@@ -1,5 +1,7 @@
 """Steps for random runs that aim at takeovers."""
 
+from functools import partial
+
 from behave import given, then, when
 
 from features.support.runs import run_scripts
@@ -11,16 +13,23 @@
     context.script_count, context.script_seed = count, number
 
 
+DRIFTS = {"200 ppm": 0.0002, "5%": 0.05}
+
+
+@when("each targeted script is run on the reducers, with clocks that differ by {drift}")
+def step_play_drifting(context, drift):
+    step_play(context, DRIFTS[drift])
+
+
 @when("each targeted script is run on the reducers")
-def step_play(context):
+def step_play(context, drift=0.0):
     context.played = 0
 
     def count(played):
         context.played += 1
 
-    run_scripts(
-        TARGETED, play_targeted, context.script_seed, context.script_count, count
-    )
+    play = partial(play_targeted, drift=drift)
+    run_scripts(TARGETED, play, context.script_seed, context.script_count, count)
 
 
 @then("no promise was broken in any targeted script")
--- a/features/support/script.py
+++ b/features/support/script.py
@@ -51,8 +51,8 @@
 class Played:
     """What a script has done so far."""
 
-    def __init__(self, agents: int, seed: int, loss: float) -> None:
-        self.bag: Bag = small_cell(agents, seed=seed)
+    def __init__(self, agents: int, seed: int, loss: float, drift: float = 0.0) -> None:
+        self.bag: Bag = small_cell(agents, seed=seed, drift=drift)
         self.agents = agents
         self.jobs: list = []
         self.counts: dict[str, int] = {}
@@ -75,10 +75,10 @@
         return f"worker-{number % self.agents}"
 
 
-def play(script: tuple) -> Played:
+def play(script: tuple, drift: float = 0.0) -> Played:
     """Run a script to its end, then let everything heal and settle."""
     agents, seed, loss, steps = script
-    played = Played(agents, seed, loss)
+    played = Played(agents, seed, loss, drift)
     for pause, step in steps:
         played.counts[step[0]] = played.counts.get(step[0], 0) + 1
         globals()[f"_{step[0]}"](played, *step[1:])
--- a/features/support/targeted.py
+++ b/features/support/targeted.py
@@ -42,10 +42,10 @@
 )
 
 
-def play_targeted(script: tuple) -> Played:
+def play_targeted(script: tuple, drift: float = 0.0) -> Played:
     """Run a script to its end, then let everything heal and settle."""
     agents, seed, loss, moves = script
-    played = Played(agents, seed, loss)
+    played = Played(agents, seed, loss, drift)
     bag = played.bag
     for job, before, move, after in moves:
         played.counts[move[0]] = played.counts.get(move[0], 0) + 1
