--- a/features/steps/once_stopped_steps.py
+++ b/features/steps/once_stopped_steps.py
@@ -39,6 +39,8 @@
     context.ended = ended
     context.handed = next(iter(context.bag.handed.values()))
     context.ended_at = context.bag.now
+    for upstream in context.bag.upstreams.values():
+        upstream.takes_stops = True
     bring_about()
     context.bag.run(END_S)
 
--- a/features/support/bag.py
+++ b/features/support/bag.py
@@ -142,7 +142,9 @@
         self.starts: list[Began] = []
         self.outcome = UpstreamOutcome.ANSWERED
         self.status = 200
+        # Wishes to stop; one that takes none runs each task to its own end.
         self.stopped: list[StopUpstream] = []
+        self.takes_stops = False
         # Seconds that each call takes longer than its task.
         self.hangs = 0.0
 
@@ -196,8 +198,8 @@
         ]
         node = new_node(
             *(cell, member, self.timing, generator, MAXIMUM_BYTES, self.now),
-            entries=entries,
             wall_ms=wall_ms,
+            entries=entries,
         )
         process = Process(worker, address, node)
         process.started_at = self.now
@@ -390,8 +392,11 @@
             self._stop(process, effect)
 
     def _stop(self, process: Process, effect: StopUpstream) -> None:
-        """End a call as an upstream does that takes the wish."""
-        self.upstreams[process.name].stopped.append(effect)
+        """Hand an upstream the wish to stop a task."""
+        upstream = self.upstreams[process.name]
+        upstream.stopped.append(effect)
+        if not upstream.takes_stops:
+            return
         place = (effect.submission, effect.index, effect.attempt)
         outcome = UpstreamOutcome.ANSWERED
         event = UpstreamAnswered(*place, outcome, STOPPED, b"", 0)
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -106,15 +106,19 @@
     """
     view = state.cells.get(heard.cell, CellView(heard.cell))
     silent = is_silent(view, state.timing.confirm, now)
-    if view.owner and now - view.stamp_at > state.timing.confirm:
-        ask_again(state, view, now)
     owner = "" if silent else view.owner
+    if owner and now - view.stamp_at > state.timing.confirm:
+        # Not asked for long; by the agent's next question it is known.
+        ask_again(state, view, now)
     word = NotOwner(heard.cell, view.epoch, owner, "", 0)
     state.effects.append(Send(sender, word))
 
 
 def on_read(state: EntryState, event: KeyRead, now: float) -> None:
     """A cell's record was read, to find its owner."""
+    read = state.cells.get(event.key.removeprefix(cell_key("")))
+    if read is not None:
+        read.unread = not event.known
     if not event.known or event.value is None:
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
--- a/src/cactuswalk/state/nodestate.py
+++ b/src/cactuswalk/state/nodestate.py
@@ -70,8 +70,8 @@
     maximum_bytes: int,
     now: float,
     make_scheduler: Callable[[], Scheduler] = Scheduler,
-    entries: Sequence[str] = (),
     wall_ms: float = 0.0,
+    entries: Sequence[str] = (),
 ) -> Node:
     """Return the state of a process that has just been started.
 
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -31,7 +31,7 @@
     no_owner,
     outcome_unsent,
 )
-from cactuswalk.state.listening import ask_again, hear
+from cactuswalk.state.listening import ask_again, hear, is_silent
 
 __all__ = ["keep_pending", "on_answer", "on_job_state", "send_submit"]
 
@@ -160,7 +160,18 @@
     if now >= pending.deadline + (DEADLINE_GRACE if pending.sent else 0.0):
         _give_up_late(state, pending, view)
         return
-    since = view.sought_since or pending.submitted_at
+    if not pending.sent and view.unread and is_silent(view, state.timing.confirm, now):
+        refusal = Refusal(
+            RefusalCode.NO_OWNER,
+            f"cell {view.cell} has no owner, and the key-value service is away",
+            RETRY_WITHOUT_OWNER_MS,
+        )
+        give_up(state, pending, outcome_unsent(pending.minted), refusal)
+        return
+    sought = view.sought_since
+    since = (
+        pending.submitted_at if sought is None else min(pending.submitted_at, sought)
+    )
     if not pending.sent and now - since > OWNER_AWAITED:
         outcome = outcome_unsent(pending.minted)
         give_up(state, pending, outcome, no_owner(view))
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -26,9 +26,9 @@
 GATE = "once_gate.feature"
 TAKEOVER = "once_directed_takeover.feature"
 ANSWERS = "once_directed_answers.feature"
+LISTENING = "once_listening.feature"
 LOST = "once_lost.feature"
 FLAPPING = "once_flapping.feature"
-LISTENING = "once_listening.feature"
 PARALLEL = 4
 # A mutant that makes a run endless is as much caught as one that fails it.
 TIMEOUT_S = 240
@@ -306,7 +306,7 @@
     Mutant(
         "an owner without standing starts tasks",
         f"{STATE}/owner.py",
-        "return has_standing(self.rosters(), confirmed, self.timing.confirm, now)",
+        "return not self._is_stale(now)",
         "return True",
         TAKEOVER,
     ),
