--- a/src/cactuswalk/http/problems.py
+++ b/src/cactuswalk/http/problems.py
@@ -37,6 +37,7 @@
     UNSUPPORTED_MEDIA_TYPE = "unsupported_media_type"
     MALFORMED_JSON = "malformed_json"
     MALFORMED_JOB = "malformed_job"
+    NO_SUCH_TEMPLATE = "no_such_template"
     EMPTY_JOB = "empty_job"
     TOO_MANY_TASKS = "too_many_tasks"
     INVALID_HEADER = "invalid_header"
@@ -47,6 +48,7 @@
     KEY_FROM_FUTURE = "idempotency_key_from_future"
     INCOMPLETE_BODY = "incomplete_body"
     MALFORMED_ANNOUNCEMENT = "malformed_announcement"
+    MALFORMED_USAGE = "malformed_usage"
     INTERNAL = "internal"
 
 
@@ -75,6 +77,9 @@
     InputCode.MALFORMED_JOB: ProblemKind(
         400, 'Send {"tasks": [{"body": ...}, ...]}; docs/callers.md has the fields.'
     ),
+    InputCode.NO_SUCH_TEMPLATE: ProblemKind(
+        400, "Name a template that the operators have made for this service."
+    ),
     InputCode.EMPTY_JOB: ProblemKind(400, "Put 1 to 140 tasks into a job."),
     InputCode.TOO_MANY_TASKS: ProblemKind(
         400, "Put 1 to 140 tasks into a job, and the rest into another."
@@ -103,6 +108,9 @@
     InputCode.MALFORMED_ANNOUNCEMENT: ProblemKind(
         400, "Send the fields that docs/upstreams.md names."
     ),
+    InputCode.MALFORMED_USAGE: ProblemKind(
+        400, "Send the fields that docs/upstreams.md names."
+    ),
     InputCode.INTERNAL: ProblemKind(
         500, "Ask again with the same idempotency key; tell the operators."
     ),
@@ -159,6 +167,7 @@
         InputCode.UNAUTHENTICATED,
         InputCode.BODY_TOO_LARGE,
         InputCode.INVALID_DEADLINE,
+        InputCode.NO_SUCH_TEMPLATE,
         InputCode.INCOMPLETE_BODY,
         RefusalCode.OVERLOADED,
         RefusalCode.DEADLINE_PASSED,
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -7,11 +7,13 @@
 import time
 
 from cactuswalk.decisions.callbudget import ENTRY_BURST, ENTRY_RATE
+from cactuswalk.decisions.leaving import Leaving
 from cactuswalk.http.callers import EntryCallables, make_callers_application
 from cactuswalk.http.operators import make_operators_application
 from cactuswalk.http.operators_store import ConfigurationKeys, follow
 from cactuswalk.http.server import HttpServer
 from cactuswalk.messages import ConfigurationUpdate, JobState
+from cactuswalk.model.configuration import JobTemplate
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.host import Host
 from cactuswalk.runtime.operators import OperatorsDesk
@@ -24,9 +26,6 @@
 
 __all__ = ["EntryProcess"]
 
-# From the first 503 of /ready to the end of the listener: a balancer asks once in
-# one to two seconds, and sends new connections until it has been told.
-UNREADY_SECONDS = 3.0
 # A change that an operator has asked for is settled within the store's patience.
 OPERATORS_FINISH_SECONDS = 10.0
 
@@ -40,6 +39,7 @@
         self.waiting: dict[str, asyncio.Future] = {}
         self.questions: dict[str, asyncio.Future] = {}
         self.serial = itertools.count(1)
+        self.leaving = Leaving()
         self.state = self._make_state()
         self.application = Application(
             settings.name,
@@ -47,7 +47,7 @@
             self._is_stopped,
             self.host.log.write,
             self.host.metrics,
-            UNREADY_SECONDS,
+            self._may_leave,
         )
         self.host.attach(self.application, ENTRY_RATE, ENTRY_BURST)
         self.application.performers[Reply] = self._reply
@@ -74,6 +74,7 @@
             self.query,
             self._not_ready,
             self.host.counter(),
+            self._template,
         )
         finish_seconds = settings.limits.maximum_deadline_ms / 1000
         self.server = HttpServer(
@@ -88,6 +89,10 @@
         if settings.operators_http is not None:
             application.add_hook(self._open_operators, self._close_operators)
 
+    def _template(self, name: str) -> JobTemplate | None:
+        found = self.state.spread.replica.get("job", name)
+        return found if isinstance(found, JobTemplate) else None
+
     async def _follow(self) -> None:
         """Watch the cells and the configuration; ends with the application."""
         self.configuration_keys = ConfigurationKeys(self.host.store)
@@ -117,6 +122,7 @@
 
     async def submit(self, event: CallerSubmitted) -> Reply:
         """Hand a submission to the reducer and wait for its one reply."""
+        self.leaving.take(time.monotonic())
         future = asyncio.get_running_loop().create_future()
         self.waiting[event.waiter] = future
         self.application.feed(event)
@@ -149,10 +155,20 @@
     def _is_stopped(self) -> bool:
         return not self.state.pending and not self.waiting
 
+    def _may_leave(self, now: float) -> bool:
+        if self.leaving.began_at is None:
+            self.leaving.begin(now)
+        return self.leaving.is_due(now)
+
     def _not_ready(self) -> list[str]:
+        now = time.monotonic()
+        reasons = self._reasons_against(now)
+        self.leaving.ask_ready(not reasons, now)
+        return reasons
+
+    def _reasons_against(self, now: float) -> list[str]:
         if self.application.stopping:
             return ["this entry is stopping"]
-        now = time.monotonic()
         confirm = self.state.timing.confirm
         views = self.state.cells.values()
         heard = [view for view in views if not is_silent(view, confirm, now)]
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -43,7 +43,9 @@
 
 # A caller that comes back after a takeover finds an owner.
 RETRY_WITHOUT_OWNER_MS = 3000
-# A takeover ends within this; until then a submission waits for its owner.
+# A takeover ends within this; until then a submission waits for its owner. Counted
+# from when the owner fell silent: where half of a cell is gone for good, those who
+# come later would wait for nothing, each up to its deadline.
 OWNER_AWAITED = 6.0
 
 
@@ -53,6 +55,8 @@
     :param owner: address of its owner, empty while it is not known.
     :param holdings: which submissions fall to it, as far as is known here; an
         owner that doesn't hold one says so.
+    :param unread: the key-value service gave no answer when its record was read
+        last; then nobody can take the cell over either.
     :param stamp_at: when the owner's latest stamp came here.
     :param sought_since: since when its owner has been silent, None while it
         is heard.
@@ -76,6 +80,7 @@
     report: CellReport | None = None
     holdings: list[Holding] = []
     revision: int = 0
+    unread: bool = False
 
 
 class Pending(msgspec.Struct):
