cactuswalk retire: the share of a cell that is gone for good goes on

Cause: a cell whose hosts are gone for good took its slots along. Its callers' keys were refused for ever, and agents on other hosts can't take its record over, since more than half of its roster has to answer or come back at its addresses.

An operator who knows that all hosts of the cell are off retires it: its record is swapped to the next epoch, without owner and roster, with all slots ceded for keys born 5 s later. The heir takes them from that record. Keys of before are told unknown at once. The command refuses without the operator's word, and while the entry hears the cell's owner.

Ruled out: fencing the cell's agents first. Dead and cut off look the same, so it would never end for a cell that is really gone.

--- a/features/once_cells.feature
+++ b/features/once_cells.feature
@@ -88,3 +88,13 @@
     When the service goes away, an owner dies, and requests with and without keys come
     Then all without keys are answered, and those with keys of the lost cell are told unknown at once
     And no submission ran twice and no key falls to two cells
+
+  Scenario: A cell's hosts are gone for good and an operator retires it
+    A room burns down with a whole cell. Its share of callers' keys is refused until
+    an operator gives it to the other cell. What had run there nobody knows; run
+    again, a booking would be made twice.
+    Given two cells of one service and an entry that knows only the first
+    When keys are answered, the second cell is lost for good, and it is retired
+    Then the first cell holds all new keys and answers them at either entry
+    And the lost cell's keys of before are told unknown when they come again
+    And no submission ran twice and no key falls to two cells
--- a/features/operators_command.feature
+++ b/features/operators_command.feature
@@ -113,3 +113,17 @@
     would be a host less until somebody looks.
     When an operator checks the settings of an agent that have mistakes
     Then the operators' command ends with 2 and prints "Error [settings]"
+
+  Scenario: A cell is retired on the operator's word only
+    A cell that still runs behind a cut would start the same keys as its heir. The
+    command wants the operator's word; without it a caller's booking could be made
+    twice by a slip of the keyboard.
+    Given cells north and south in the fake service
+    When an operator runs "retire north --to south"
+    Then the operators' command ends with 2 and prints "Switch all hosts of the cell off"
+    When an operator runs "retire north --to south --hosts-are-off"
+    Then the operators' command ends with 0 and prints "north: retired; new keys go to south"
+    When an operator runs "retire north --to south --hosts-are-off"
+    Then the operators' command ends with 0 and prints "north: was retired before"
+    When an operator runs "retire west --to south --hosts-are-off"
+    Then the operators' command ends with 3 and prints "there is no cell west"
--- a/features/steps/once_cells_steps.py
+++ b/features/steps/once_cells_steps.py
@@ -1,14 +1,17 @@
 """Steps for one service on several cells."""
 
+import asyncio
 from collections.abc import Callable
 
 from behave import given, then, when
 
+from cactuswalk.errors import CactuswalkError
+from cactuswalk.http.operators_cells import CellsDesk
 from cactuswalk.messages import Ceded
 from cactuswalk.model import Outcome
 from cactuswalk.model.cell import cell_key
 from cactuswalk.model.holding import SLOT_COUNT
-from cactuswalk.state.effects import SwapKey
+from cactuswalk.state.effects import ReadKey, SwapKey
 from cactuswalk.state.events import Announced, SwapOutcome
 from features.support.bag import CELL, WALL_MS, Process
 from features.support.cells import (
@@ -273,3 +276,79 @@
         assert one.reply.outcome is Outcome.UNKNOWN
         assert one.reply.refusal.retry_after_ms
         assert one.replied_at - one.at < 0.1, one.replied_at - one.at
+
+
+class BagStore:
+    """The bag's key-value service, as the operators' interface calls it."""
+
+    def __init__(self, bag):
+        self.fake = bag.key_value
+
+    async def read(self, key):
+        return self.fake.read(ReadKey(key))
+
+    async def swap(self, key, expected, value, write_id):
+        return self.fake.swap(SwapKey(key, expected, value, write_id))
+
+
+def tell_refusal(asked) -> str:
+    """Run what is to be refused, and return the refusal's code."""
+    try:
+        asyncio.run(asked)
+    except CactuswalkError as error:
+        return error.code
+    return "not refused"
+
+
+@when("keys are answered, the second cell is lost for good, and it is retired")
+def step_retire(context):
+    bag = context.bag
+    submit_everywhere(context)
+    bag.run(6.0)
+    for process in bag.processes.values():
+        if getattr(process.state, "cell", "") == SECOND:
+            process.alive = False
+    bag.run(6.0)
+    context.before = [
+        job
+        for job in context.jobs
+        if any(
+            one.submission == job.submission and one.worker.startswith(f"{SECOND}-")
+            for one in bag.starts()
+        )
+    ]
+    desk = CellsDesk(
+        BagStore(bag), lambda cell: False, lambda: int(WALL_MS + bag.now * 1000)
+    )
+    refused = tell_refusal(desk.retire(SECOND, CELL, False))
+    assert refused == "usage", refused
+    done = [asyncio.run(desk.retire(SECOND, CELL, True)) for _ in range(2)]
+    assert [one["written"] for one in done] == [True, False]
+    desk.is_heard = lambda cell: True
+    assert tell_refusal(desk.retire(SECOND, CELL, True)) == "cell_alive"
+    tell_records(bag, "entry-1")
+    bag.run(10.0)
+
+
+@then("the first cell holds all new keys and answers them at either entry")
+def step_first_holds(context):
+    assert held_by(context.bag, CELL) == SLOT_COUNT
+    handed = [
+        context.bag.submit(entry, context.bag.job(), 4000)
+        for _ in range(20)
+        for entry in ("entry-0", "entry-1")
+    ]
+    context.bag.run(6.0)
+    assert {one.reply.outcome for one in handed} == {Outcome.ANSWERED}
+
+
+@then("the lost cell's keys of before are told unknown when they come again")
+def step_lost_keys(context):
+    assert context.before
+    handed = [
+        context.bag.submit(entry, job, 4000)
+        for job in context.before
+        for entry in ("entry-0", "entry-1")
+    ]
+    context.bag.run(8.0)
+    assert {one.reply.outcome for one in handed} == {Outcome.UNKNOWN}
--- a/features/steps/operators_command_steps.py
+++ b/features/steps/operators_command_steps.py
@@ -5,10 +5,13 @@
 import socket
 import tempfile
 
+import msgspec
 from behave import given, then, when
 from click.testing import CliRunner
 
 from cactuswalk.commands.operator import operator_group
+from cactuswalk.model import CellRecord, Holding, Member
+from cactuswalk.model.cell import cell_key
 from features.operators_server import TOKEN, OperatorsServer
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
@@ -20,6 +23,15 @@
     context.clean_ups = [context.server.stop]
 
 
+@given("cells north and south in the fake service")
+def step_cells(context):
+    for cell in ("north", "south"):
+        owner = Member(f"{cell}-1", "a", f"tcp://{cell}")
+        record = CellRecord(cell, 1, owner, [owner], [], "write", identity=cell)
+        record.holdings = [Holding("routes", 0, 9, 0)] if cell == "north" else []
+        context.server.service.put(cell_key(cell), msgspec.json.encode(record))
+
+
 def run(context, arguments, stdin=None, **environment):
     """Run the command; an environment variable of None is left out."""
     defaults = {
--- a/src/cactuswalk/commands/operator.py
+++ b/src/cactuswalk/commands/operator.py
@@ -4,6 +4,7 @@
 
 from cactuswalk import __version__
 from cactuswalk.commands import operator_changes, operator_views
+from cactuswalk.commands.operator_cells import retire
 from cactuswalk.commands.operator_context import (
     OperatorContext,
     read_settings,
@@ -64,6 +65,7 @@
     operator_changes.drain,
     operator_changes.label,
     operator_changes.undrain,
+    retire,
     operator_views.describe,
     operator_views.explain,
     operator_views.get,
--- a/src/cactuswalk/commands/operator_client.py
+++ b/src/cactuswalk/commands/operator_client.py
@@ -182,6 +182,16 @@
             "Run the same command again; what has been written is then shown.",
         )
 
+    async def act(self, path: str, query: dict[str, str]) -> Reply:
+        """Have an entry do what does no more harm when it is done again."""
+        failures = []
+        for endpoint in self.endpoints:
+            try:
+                return await self._send("POST", endpoint, path, query, {}, None)
+            except (aiohttp.ClientError, TimeoutError) as error:
+                failures.append(describe(endpoint, error))
+        raise unreachable(failures)
+
     async def wait(
         self, revision: int, seconds: float, tell: Callable[[dict], None]
     ) -> dict[str, object]:
--- a/src/cactuswalk/decisions/sharing.py
+++ b/src/cactuswalk/decisions/sharing.py
@@ -13,7 +13,14 @@
 
 from cactuswalk.model.holding import Holding
 
-__all__ = ["cede", "cession_begins_ms", "share_to_give", "take", "without_superseded"]
+__all__ = [
+    "cede",
+    "cession_begins_ms",
+    "retire",
+    "share_to_give",
+    "take",
+    "without_superseded",
+]
 
 # A difference below this part of the fair share is left: levelled to the last
 # slot, two cells whose workers come and go would swap slots without end.
@@ -78,6 +85,16 @@
     return found[::-1]
 
 
+def retire(holdings: list[Holding], to: str, from_ms: int) -> list[Holding]:
+    """Return what a cell that is gone for good leaves: all ceded to another."""
+    services = {one.service for one in holdings}
+    for service in sorted(services):
+        count = sum(one.last - one.first + 1 for one in holdings)
+        begun = [one.since_ms + 1 for one in holdings if one.service == service]
+        holdings = cede(holdings, service, to, count, max(from_ms, *begun))
+    return holdings
+
+
 def take(
     holdings: list[Holding], source: str, ceded: list[Holding], after: int
 ) -> list[Holding]:
--- a/src/cactuswalk/http/operators.py
+++ b/src/cactuswalk/http/operators.py
@@ -16,6 +16,7 @@
 from aiohttp import web
 
 from cactuswalk.errors import UsageError
+from cactuswalk.http.operators_cells import CellsDesk
 from cactuswalk.http.operators_changes import Accepted, ChangeRequest, Changes
 from cactuswalk.http.operators_errors import (
     MissingPreconditionError,
@@ -53,6 +54,7 @@
     :param status: returns what ``cactuswalk status`` shows.
     :param explain: answers "where may this job land, and why not there".
     :param in_force: says on how many of the known nodes a revision is in force.
+    :param is_heard: whether the entry hears the owner of a cell.
     :param wall_ms: wall clock in milliseconds, for people only.
     :param log: takes a sentence and its values.
     """
@@ -65,6 +67,7 @@
     explain: Callable[[dict[str, str]], Awaitable[object]]
     in_force: Callable[[int], InForce]
     wall_ms: Callable[[], int]
+    is_heard: Callable[[str], bool] = lambda cell: False
     log: Callable[[str, dict[str, object]], None] = lambda sentence, fields: None
 
 
@@ -90,6 +93,7 @@
             web.patch(one, patch_object),
             web.delete(one, delete_object),
             web.get(f"{one}/history", get_history),
+            web.post("/operator/cells/{cell}/retire", retire_cell),
             web.get("/operator/status", get_status),
             web.get("/operator/explain", get_explanation),
             web.get("/operator/in-force", get_in_force),
@@ -197,6 +201,18 @@
     return answer(request.app[INTERFACE].status())
 
 
+async def retire_cell(request: web.Request) -> web.Response:
+    """Give the slots of a cell that is gone for good to another."""
+    interface, cell = request.app[INTERFACE], request.match_info["cell"]
+    to = request.query.get("to", "")
+    store, heard, clock = interface.keys.store, interface.is_heard, interface.wall_ms
+    desk = CellsDesk(store, heard, clock)
+    # A write that has begun ends also if the operator closes the connection.
+    done = await asyncio.shield(desk.retire(cell, to, is_set(request, "hosts_are_off")))
+    interface.log("retired a cell", done | {"who": request[WHO]})
+    return answer(done)
+
+
 async def get_explanation(request: web.Request) -> web.Response:
     """Answer where a job may land."""
     query = dict(request.query)
--- a/src/cactuswalk/runtime/operators.py
+++ b/src/cactuswalk/runtime/operators.py
@@ -15,6 +15,7 @@
 from cactuswalk.state.effects import Log, Part, ReplyExplanation
 from cactuswalk.state.entry import EntryState
 from cactuswalk.state.events import ConfigurationChanged, OperatorAsked
+from cactuswalk.state.listening import is_silent
 
 __all__ = ["OperatorsDesk"]
 
@@ -48,6 +49,7 @@
             explain=lambda query: self.explain(state, query),
             in_force=lambda revision: in_force(state, revision),
             wall_ms=lambda: int(time.time() * 1000),
+            is_heard=lambda cell: _is_heard(state, cell),
             log=self.log,
         )
 
@@ -126,6 +128,13 @@
     }
 
 
+def _is_heard(state: EntryState, cell: str) -> bool:
+    view = state.cells.get(cell)
+    if view is None or not view.owner:
+        return False
+    return not is_silent(view, state.timing.confirm, time.monotonic())
+
+
 def _shown_shares(view) -> str:
     """Say how much of each service a cell holds for keys that are yet to be born."""
     services = sorted({one.service for one in view.holdings})
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -117,6 +117,8 @@
     In an outage of the key-value service nobody can. Each submission would wait
     as long as the first one did, and its caller could have gone elsewhere.
     """
+    if cell.retired:
+        return Refusal(RefusalCode.NO_OWNER, f"cell {cell.cell} was lost for good")
     sought = cell.sought_since
     if sought is None or now - sought <= OWNER_AWAITED:
         return None
--- a/src/cactuswalk/state/candidate.py
+++ b/src/cactuswalk/state/candidate.py
@@ -218,7 +218,7 @@
         return None
     if record.epoch == state.wanted_epoch:
         _write(state, record, event.revision, now)
-    elif state.member != record.owner:
+    elif state.member != record.owner and record.owner.address:
         join = Join(state.cell, state.member, state.agent.announcement)
         state.effects.append(Send(record.owner.address, join))
     state.wanted_epoch = 0
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from cactuswalk.messages import (
+    Ceded,
     CellReport,
     ConfigurationOffer,
     ConfigurationUpdate,
@@ -14,6 +15,7 @@
 from cactuswalk.state.effects import (
     Count,
     ReadKey,
+    Send,
 )
 from cactuswalk.state.entryview import CellView, EntryState, last_attempt, log
 from cactuswalk.state.events import (
@@ -106,15 +108,34 @@
     view = state.cells.setdefault(record.cell, CellView(record.cell))
     if event.revision > view.revision:
         view.revision, view.holdings = event.revision, record.holdings
+    if not record.owner.address:
+        view.retired, view.owner, view.epoch = True, "", record.epoch
+        _tell_heirs(state, record)
+        return
     if record.epoch > view.epoch or not view.owner:
         ask(state, view, record.owner.address, now)
 
 
+def _tell_heirs(state: EntryState, record: CellRecord) -> None:
+    """Tell cells that a retired one left them slots; nobody of it can.
+
+    They find out by themselves too, but look at one cell a minute only.
+    """
+    life = f"{record.cell}/{record.identity}"
+    for heir in sorted({one.to for one in record.holdings if one.serial}):
+        view = state.cells.get(heir)
+        if view is not None and view.owner:
+            left = [one for one in record.holdings if one.to == heir]
+            state.effects.append(Send(view.owner, Ceded(record.cell, life, left)))
+
+
 def keep_view(state: EntryState, view: CellView, busy: bool, now: float) -> None:
     """Ask the owner at this entry's pace; look for another when it is silent.
 
     :param busy: a submission waits there.
     """
+    if view.retired:
+        return
     quiet = now - view.stamp_at
     if view.owner and quiet >= pace(state, view, busy):
         ask_again(state, view, now)
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -53,6 +53,7 @@
     :param owner: address of its owner, empty while it is not known.
     :param holdings: which submissions fall to it, as far as is known here; an
         owner that doesn't hold one says so.
+    :param retired: an operator has said that its hosts are gone for good.
     :param unread: the key-value service gave no answer when its record was read
         last; then nobody can take the cell over either.
     :param stamp_at: when the owner's latest stamp came here.
@@ -79,6 +80,7 @@
     holdings: list[Holding] = []
     revision: int = 0
     unread: bool = False
+    retired: bool = False
 
 
 class Pending(msgspec.Struct):
--- a/src/cactuswalk/state/moving.py
+++ b/src/cactuswalk/state/moving.py
@@ -46,6 +46,8 @@
     for view in views:
         if covers(view.holdings, job.service, job.submission, job.born_ms):
             return view
+    # A retired cell answers nothing; its heirs know what they were left.
+    fit = [view for view in fit if not view.retired] or fit
     name = job.submission.encode()
     return max(fit, key=lambda view: digest(name, view.cell.encode()))
 
@@ -113,7 +115,7 @@
 
 def _move(state: EntryState, pending: Pending, cell: str, now: float) -> None:
     view = state.cells.setdefault(cell, CellView(cell))
-    if not view.owner:
+    if not view.owner and not view.retired:
         state.effects.append(ReadKey(cell_key(cell)))
     log(
         state,
--- a/src/cactuswalk/state/sharing.py
+++ b/src/cactuswalk/state/sharing.py
@@ -196,7 +196,10 @@
     if not event.known or event.value is None or state.phase is not Phase.SERVING:
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
+    _take_ceded(state, record)
     address = record.owner.address
+    if not address:
+        return
     _hand_ceded(state, record)
     for service, cells in state.sharing.partners.items():
         if record.cell not in cells:
@@ -286,6 +289,15 @@
         state.send(record.owner.address, message)
 
 
+def _take_ceded(state: OwnerState, record: CellRecord) -> None:
+    """Take what another cell's record cedes to this one; its owner may be gone."""
+    life = f"{record.cell}/{record.identity}"
+    after = state.record.taken.get(life, 0)
+    ceded = [one for one in record.holdings if one.to == state.cell]
+    if state.pending is None and any(one.serial > after for one in ceded):
+        state.sharing.taking = Ceded(record.cell, life, ceded)
+
+
 def on_ceded(state: OwnerState, sender: str, ceded: Ceded, now: float) -> None:
     """Slots were ceded to this cell; the giver's record says so already."""
     if state.phase is not Phase.SERVING or state.pending is not None:
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -160,10 +160,14 @@
     if now >= pending.deadline + (DEADLINE_GRACE if pending.sent else 0.0):
         _give_up_late(state, pending, view)
         return
-    if not pending.sent and view.unread and is_silent(view, state.timing.confirm, now):
+    if (
+        not pending.sent
+        and (view.unread or view.retired)
+        and is_silent(view, state.timing.confirm, now)
+    ):
         refusal = Refusal(
             RefusalCode.NO_OWNER,
-            f"cell {view.cell} has no owner, and the key-value service is away",
+            f"cell {view.cell} has no owner, and nobody can take it over now",
             RETRY_WITHOUT_OWNER_MS,
         )
         give_up(state, pending, outcome_unsent(pending.minted), refusal)
--- a/tools/mutants_cells.py
+++ b/tools/mutants_cells.py
@@ -89,8 +89,22 @@
     Mutant(
         "a key whose cell can get no owner is held back",
         "src/cactuswalk/state/waiting.py",
-        "if not pending.sent and view.unread and",
-        "if False and",
+        "        and (view.unread or view.retired)\n",
+        "        and False\n",
+        CELLS,
+    ),
+    Mutant(
+        "a retired cell's slots are left to nobody",
+        "src/cactuswalk/decisions/sharing.py",
+        "        holdings = cede(holdings, service, to, count, max(from_ms, *begun))\n",
+        "        pass\n",
+        CELLS,
+    ),
+    Mutant(
+        "a cell is retired without the operator's word",
+        "src/cactuswalk/http/operators_cells.py",
+        "if not hosts_are_off or cell == to:",
+        "if cell == to:",
         CELLS,
     ),
 ]
