An entry is not ready while its only cell has just begun

Ruled out: serving later, which would hold back the keys that entries mint. Now a report says for how long still, and an entry whose only cells have just begun is not ready; the answer names the seconds left.

--- a/features/once_lost.feature
+++ b/features/once_lost.feature
@@ -86,3 +86,10 @@
     Then a new directed job is answered
     And the directed cell has the epoch and the owner that it had
     And no promise was broken in the directed run
+
+  Scenario: An entry is not ready while its only cell has just begun
+    A deployment is started for the first time, and its balancer sends at once. The
+    bookings of the first three seconds, with callers' own keys, would be refused as
+    too old to know, since a new cell can't tell them from keys of before.
+    Given a directed cell whose agents have all just been started
+    Then its entry is not ready before callers' own keys are taken, and is then
--- a/features/steps/once_lost_steps.py
+++ b/features/steps/once_lost_steps.py
@@ -1,9 +1,11 @@
 """Steps for the loss of the service's data and of half of a cell."""
 
-from behave import then, when
+from behave import given, then, when
 
 from cactuswalk.model import Outcome
+from cactuswalk.state.readiness import reasons_against
 from features.steps.once_directed_takeover_steps import kill_owner
+from features.support.bag import Bag
 from features.support.directed import (
     AGENTS,
     SETTLE_S,
@@ -159,3 +161,29 @@
 @then("the epoch of the directed cell has not gone back")
 def step_epoch(context):
     assert stored(context.bag).epoch >= context.epoch
+
+
+@given("a directed cell whose agents have all just been started")
+def step_just_started(context):
+    context.bag = bag = Bag()
+    bag.add_entry("entry-0")
+    for number in range(3):
+        bag.add_agent(f"worker-{number}")
+
+
+@then("its entry is not ready before callers' own keys are taken, and is then")
+def step_ready_late(context):
+    bag = context.bag
+    entry = bag.processes["tcp://entry-0"].state
+    told = set()
+
+    def ready():
+        reasons = reasons_against(entry, bag.now)
+        told.update(reason.split(";")[0] for reason in reasons)
+        return not reasons
+
+    assert bag.run_until(ready, 15.0), told
+    assert "each cell has just begun" in told, told
+    handed = bag.submit("entry-0", bag.job())
+    bag.run(2.0)
+    assert outcome(handed) is Outcome.ANSWERED, handed.reply
--- a/src/cactuswalk/messages/submission.py
+++ b/src/cactuswalk/messages/submission.py
@@ -176,6 +176,8 @@
     :param configuration: what the owner and its agents have in force.
     :param stamp: the owner's monotonic clock in milliseconds, see ``Submit``.
     :param entries: that ask this owner; each slows down as they grow more.
+    :param young_ms: for so long still a cell that has just begun refuses the keys
+        that callers chose; 0 for all others.
     """
 
     cell: str
@@ -187,3 +189,4 @@
     configuration: ConfigurationOffer
     stamp: int
     entries: int = 1
+    young_ms: int = 0
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -21,7 +21,7 @@
 from cactuswalk.state.effects import Reply, ReplyState
 from cactuswalk.state.entry import EntryState, handle_entry, new_entry
 from cactuswalk.state.events import CallerAsked, CallerSubmitted, ConfigurationChanged
-from cactuswalk.state.listening import is_silent
+from cactuswalk.state.readiness import reasons_against
 from cactuswalk.state.timing import Timing
 
 __all__ = ["EntryProcess"]
@@ -169,11 +169,4 @@
     def _reasons_against(self, now: float) -> list[str]:
         if self.application.stopping:
             return ["this entry is stopping"]
-        confirm = self.state.timing.confirm
-        views = self.state.cells.values()
-        heard = [view for view in views if not is_silent(view, confirm, now)]
-        if not heard:
-            return ["no cell's owner reports to this entry"]
-        if not any(view.services for view in heard):
-            return ["no cell has a worker that has announced its service"]
-        return []
+        return reasons_against(self.state, now)
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -59,6 +59,7 @@
     view.owner, view.epoch = sender, report.epoch
     hear(view, report.stamp, now)
     view.report = report
+    view.takes_keys_at = now + report.young_ms / 1000
     if report.workers is not None:
         view.workers, view.serial = report.workers, report.serial
     view.services |= set(report.free_slots)
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -61,6 +61,7 @@
     :param stamp_at: when the owner's latest stamp came here.
     :param sought_since: since when its owner has been silent, None while it
         is heard.
+    :param takes_keys_at: from when on it takes keys that callers chose.
     :param subscribed_at: when it was last asked for a report; ``asked_since``
         the first time of those that nothing has answered.
     :param serial: of ``workers``, for its owner's epoch.
@@ -76,6 +77,7 @@
     asked_since: float = float("inf")
     read_at: float = float("-inf")
     sought_since: float | None = None
+    takes_keys_at: float = float("-inf")
     serial: int = 0
     workers: list[Announcement] = []
     report: CellReport | None = None
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -175,6 +175,7 @@
     :param wall_ms: wall clock less monotonic clock, for births of keys.
     :param known_since: everything that was submitted since then is in the ledger
         or in the records; of what is older nobody here can say.
+    :param founded_at: when this owner began the cell, if it did.
     :param confirmed_at: when it was last seen to have standing.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
@@ -222,6 +223,7 @@
     kept_bytes: int = 0
     body_bytes: int = 0
     known_since: float = float("-inf")
+    founded_at: float = float("-inf")
     taken_over_at: float = 0.0
     unsure_until: float = float("-inf")
     workers_serial: int = 0
--- /dev/null
+++ b/src/cactuswalk/state/readiness.py
@@ -0,0 +1,26 @@
+"""Whether an entry may be given callers' work, as a balancer asks."""
+
+from cactuswalk.state.entryview import EntryState
+from cactuswalk.state.listening import is_silent
+
+__all__ = ["reasons_against"]
+
+
+def reasons_against(state: EntryState, now: float) -> list[str]:
+    """Return why this entry should not be given work; nothing if it should.
+
+    A cell that has just begun refuses the keys that callers chose for some seconds,
+    since it can't tell them from keys of before. While no other cell serves, a
+    balancer that sent them here would have them refused, with no harm but a wait.
+    """
+    confirm = state.timing.confirm
+    heard = [view for view in state.cells.values() if not is_silent(view, confirm, now)]
+    if not heard:
+        return ["no cell's owner reports to this entry"]
+    serving = [view for view in heard if view.services]
+    if not serving:
+        return ["no cell has a worker that has announced its service"]
+    if all(view.takes_keys_at > now for view in serving):
+        wait = min(view.takes_keys_at for view in serving) - now
+        return [f"each cell has just begun; callers' keys are taken in {wait:.1f} s"]
+    return []
--- a/src/cactuswalk/state/recovery.py
+++ b/src/cactuswalk/state/recovery.py
@@ -32,6 +32,7 @@
         # A cell of this name may have been before, and the service lost it: what
         # its callers submitted is not known here. Taken for new it would run twice.
         state.known_since = state.agent.gate.records.known_since = now
+        state.founded_at = now
     for member in earlier.roster if earlier else ():
         if member.worker == state.member.worker and member != state.member:
             state.replaced.add(member.incarnation)
--- a/src/cactuswalk/state/reporting.py
+++ b/src/cactuswalk/state/reporting.py
@@ -91,5 +91,13 @@
             ConfigurationOffer(offer.revision, offer.ahead, "", offer.held),
             stamp_of(now),
             len(state.entries),
+            _young_ms(state, now),
         ),
     )
+
+
+def _young_ms(state: OwnerState, now: float) -> int:
+    """Return for how long still callers' own keys may be taken for keys of before."""
+    margin = state.timing.clock_margin + state.timing.entry_margin
+    left = state.founded_at + margin - now
+    return int(left * 1000) if left > 0 else 0
