Stops, a lost rack and the shell's completion tried as processes

The completion of bash and zsh is asked for as a shell does.

Not done of the small ones: TLS of the entry (nothing in the environment makes certificates), and _members_without_records: where a second new owner says records_lost, two hosts are gone and nobody knows more.

--- a/features/operators_command.feature
+++ b/features/operators_command.feature
@@ -113,3 +113,13 @@
     would be a host less until somebody looks.
     When an operator checks the settings of an agent that have mistakes
     Then the operators' command ends with 2 and prints "Error [settings]"
+
+  Scenario: The shell completes commands and options
+    The handbook tells operators to load the completion. One that breaks is noticed
+    at night, by somebody who types a worker's drain from memory.
+    When a shell asks for the completion script of the operators' command
+    Then the completion has the line "_cactuswalk_completion() {"
+    When a shell completes "cactuswalk dr"
+    Then the completion has the line "plain,drain"
+    When a shell completes "cactuswalk drain --wa"
+    Then the completion has the line "plain,--wait"
--- a/features/process_faults_kills.feature
+++ b/features/process_faults_kills.feature
@@ -36,3 +36,16 @@
     Then each entry serves a new request after the faults
     And every caller of the load got one true and whole answer
     And no task of the load started twice by the upstreams' records
+
+  Scenario: A rack is lost with the owner and more than half of its cell
+    Three of five hosts lose their power. The two that are left can't know whether the
+    others run on behind a cut. Callers are told that there is no owner, and served as
+    soon as the hosts are back under their names and addresses.
+    Given a cell of five workers under load from two entries
+    When the fault kills three of five hosts, the owner's too
+    And the fault lasts 8 seconds more
+    Then a new request is told that there is no owner
+    When the killed processes are started again
+    Then each entry serves a new request after the faults
+    And every caller of the load got one true and whole answer
+    And no task of the load started twice by the upstreams' records
--- a/features/process_stops.feature
+++ b/features/process_stops.feature
@@ -22,3 +22,12 @@
       | the owner's agent |
       | an upstream       |
       | the owner's host  |
+
+  Scenario: A job fails at one upstream while others run its tasks
+    An upstream fails everything it is given. What the other upstreams still run of
+    a job that has failed is of no use, and would keep later callers from their
+    slots for as long as it takes.
+    Given a cell of three workers and an upstream that fails everything
+    When a job of ten tasks of 60 s is sent to it
+    Then its caller is told at once that it failed
+    And what the other upstreams ran of it was stopped, by their own records
--- a/features/steps/operators_command_steps.py
+++ b/features/steps/operators_command_steps.py
@@ -3,6 +3,8 @@
 import pathlib
 import shlex
 import socket
+import subprocess
+import sys
 import tempfile
 
 from behave import given, then, when
@@ -93,6 +95,42 @@
         run(context, ["check-settings", "agent", str(path)])
 
 
+# As the installed command, whose name the shell's variable is made of.
+COMMAND = (
+    "import sys; sys.argv = ['cactuswalk']; "
+    "from cactuswalk.commands.operator import main; main()"
+)
+
+
+def complete(context, what, **environment):
+    done = subprocess.run(
+        [sys.executable, "-c", COMMAND],
+        env={"PYTHONPATH": str(ROOT / "src"), "_CACTUSWALK_COMPLETE": what}
+        | environment,
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    context.completion = done.stdout.splitlines()
+
+
+@when("a shell asks for the completion script of the operators' command")
+def step_completion_script(context):
+    # Of bash's none is printed where bash is missing or too old.
+    complete(context, "zsh_source")
+
+
+@when('a shell completes "{words}"')
+def step_complete(context, words):
+    last = str(len(words.split()) - 1)
+    complete(context, "bash_complete", COMP_WORDS=words, COMP_CWORD=last)
+
+
+@then('the completion has the line "{line}"')
+def step_completion(context, line):
+    assert line in context.completion, context.completion
+
+
 @then('the operators\' command ends with {code:d} and prints "{text}"')
 def step_ends(context, code, text):
     result = context.result
--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -55,6 +55,11 @@
         "an entry": ["entry-1"],
         "the key-value service": ["keyvalue"],
         "every agent": [f"agent-{name}" for name in cluster.workers],
+        "three of five hosts, the owner's too": [
+            f"{kind}-{name}"
+            for name in [owner, *(one for one in cluster.workers if one != owner)][:3]
+            for kind in ("agent", "upstream")
+        ],
         "all hosts of the cell": [
             f"{kind}-{name}"
             for name in cluster.workers
@@ -147,6 +152,12 @@
     assert sum(text.count('"message":"owner: serves"') for text in lines) == 1
 
 
+@then("a new request is told that there is no owner")
+def step_no_owner(context):
+    sent = ask(context.cluster)
+    assert sent.code == "no_owner", sent
+
+
 @then("each entry serves a new request after the faults")
 def step_resumes(context):
     wait_served(context.cluster)
--- a/features/steps/process_faults_stops_steps.py
+++ b/features/steps/process_faults_stops_steps.py
@@ -1,11 +1,15 @@
 """Steps for planned stops of real processes under load."""
 
+import json
 import time
 
 from behave import given, then, when
 
 from features.process_faults_load import PATIENCE_S, Load, faults_found
+from features.steps.process_faults_operators_steps import land
 from features.steps.process_faults_steps import begin, names_of
+from tools.cluster import token_of
+from tools.processes import wait_until
 from tools.rolling import refusals_of, roll
 
 # So often that some signal meets each moment of a stop, its last ones too.
@@ -79,3 +83,44 @@
     assert not found, found[:10]
     assert not refused, refused
     assert not context.load.broken, context.load.broken
+
+
+@given("a cell of three workers and an upstream that fails everything")
+def step_failing(context):
+    begin(context, workers=WORKERS["three"])
+    cluster = context.cluster
+    wait_until(lambda: "w2" in land(cluster, 1, 12), PATIENCE_S, "work on w2")
+    cluster.set_upstream_faults("w2", fail=True)
+
+
+@when("a job of {tasks} tasks of {seconds:d} s is sent to it")
+def step_job(context, tasks, seconds):
+    work = {"work": "pen", "duration_ms": seconds * 1000}
+    body = {"tasks": [{"body": work}] * {"ten": 10}[tasks]}
+    headers = {"Authorization": f"Bearer {token_of('labuta')}"}
+    url = f"{context.cluster.entry_url(0)}/v1/services/booking/jobs"
+    # Far below the tasks' own time, so that waiting for them shows.
+    status, answer = context.cluster.request("POST", url, body, headers, 30.0)
+    context.job_status, context.job_answer = status, json.loads(answer)
+
+
+@then("its caller is told at once that it failed")
+def step_told(context):
+    told = (context.job_status, context.job_answer["code"])
+    assert told == (502, "upstream_failed"), context.job_answer
+
+
+@then("what the other upstreams ran of it was stopped, by their own records")
+def step_stopped(context):
+    def ends():
+        name = context.job_answer["submission"]
+        records = context.cluster.records()
+        of_job = [one for one in records if name in one["submission"]]
+        begun = {one["index"] for one in of_job if one["event"] == "start"}
+        ended = {
+            one["index"]: one["outcome"] for one in of_job if one["event"] == "end"
+        }
+        return ended.values() if begun == ended.keys() else ()
+
+    wait_until(lambda: "stopped" in ends(), PATIENCE_S / 2, "the end of all tasks")
+    assert set(ends()) == {"stopped", "failed"}, ends()
