--- a/features/operators_command.feature
+++ b/features/operators_command.feature
@@ -127,3 +127,13 @@
     Then the operators' command ends with 0 and prints "north: was retired before"
     When an operator runs "retire west --to south --hosts-are-off"
     Then the operators' command ends with 3 and prints "there is no cell west"
+
+  Scenario: The shell completes commands and options
+    The handbook tells operators to load the completion. One that breaks is noticed
+    at night, by somebody who types a worker's drain from memory.
+    When a shell asks for the completion script of the operators' command
+    Then the completion has the line "_cactuswalk_completion() {"
+    When a shell completes "cactuswalk dr"
+    Then the completion has the line "plain,drain"
+    When a shell completes "cactuswalk drain --wa"
+    Then the completion has the line "plain,--wait"
