--- a/features/once_cells.feature
+++ b/features/once_cells.feature
@@ -79,3 +79,22 @@
     When the workers of the first cell withdraw for 20 s
     Then the second cell holds all new keys and answers them at either entry
     And no submission ran twice and no key falls to two cells
+
+  Scenario: A cell loses its owner while the key-value service is away
+    Nobody can take the cell over. Requests without a key of the caller's are drawn
+    to the other cell; a caller's own key stays where it may have run, and is
+    refused at once with a time to come back, not held until the service returns.
+    Given two cells of one service and an entry that knows only the first
+    When the service goes away, an owner dies, and requests with and without keys come
+    Then all without keys are answered, and those with keys of the lost cell are told unknown at once
+    And no submission ran twice and no key falls to two cells
+
+  Scenario: A cell's hosts are gone for good and an operator retires it
+    A room burns down with a whole cell. Its share of callers' keys is refused until
+    an operator gives it to the other cell. What had run there nobody knows; run
+    again, a booking would be made twice.
+    Given two cells of one service and an entry that knows only the first
+    When keys are answered, the second cell is lost for good, and it is retired
+    Then the first cell holds all new keys and answers them at either entry
+    And the lost cell's keys of before are told unknown when they come again
+    And no submission ran twice and no key falls to two cells
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -31,7 +31,7 @@
     CallerGone,
     CallerSubmitted,
 )
-from cactuswalk.state.moving import choose_cell
+from cactuswalk.state.moving import choose_cell, mint_well
 from cactuswalk.state.waiting import send_submit
 
 __all__ = [
@@ -52,6 +52,8 @@
     if pending is not None:
         _join(state, pending, event)
         return
+    if event.minted:
+        mint_well(state, job, now)
     cell = choose_cell(state, job)
     refusal = _refusal_without_owner(cell, now)
     if refusal is not None:
@@ -115,6 +117,8 @@
     In an outage of the key-value service nobody can. Each submission would wait
     as long as the first one did, and its caller could have gone elsewhere.
     """
+    if cell.retired:
+        return Refusal(RefusalCode.NO_OWNER, f"cell {cell.cell} was lost for good")
     sought = cell.sought_since
     if sought is None or now - sought <= OWNER_AWAITED:
         return None
--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -3,9 +3,11 @@
 import msgspec
 
 from cactuswalk.messages import (
+    Ceded,
     CellReport,
     ConfigurationOffer,
     ConfigurationUpdate,
+    Heard,
     NotOwner,
 )
 from cactuswalk.model import (
@@ -14,6 +16,7 @@
 from cactuswalk.state.effects import (
     Count,
     ReadKey,
+    Send,
 )
 from cactuswalk.state.entryview import CellView, EntryState, last_attempt, log
 from cactuswalk.state.events import (
@@ -26,6 +29,7 @@
 __all__ = [
     "keep_configuration",
     "keep_view",
+    "on_heard",
     "on_not_owner",
     "on_offer",
     "on_read",
@@ -55,6 +59,7 @@
     view.owner, view.epoch = sender, report.epoch
     hear(view, report.stamp, now)
     view.report = report
+    view.takes_keys_at = now + report.young_ms / 1000
     if report.workers is not None:
         view.workers, view.serial = report.workers, report.serial
     view.services |= set(report.free_slots)
@@ -95,23 +100,61 @@
         pending.sent_epoch = min(pending.sent_epoch, message.epoch - 1)
 
 
+def on_heard(state: EntryState, sender: str, heard: Heard, now: float) -> None:
+    """An agent that finds no record of its cell asks who owned it.
+
+    An owner that is silent is not named: the agent would ask it for a place for
+    ever. The epoch is told all the same, or the cell would go back.
+    """
+    view = state.cells.get(heard.cell, CellView(heard.cell))
+    silent = is_silent(view, state.timing.confirm, now)
+    owner = "" if silent else view.owner
+    if owner and now - view.stamp_at > state.timing.confirm:
+        # Not asked for long; by the agent's next question it is known.
+        ask_again(state, view, now)
+    word = NotOwner(heard.cell, view.epoch, owner, "", 0)
+    state.effects.append(Send(sender, word))
+
+
 def on_read(state: EntryState, event: KeyRead, now: float) -> None:
     """A cell's record was read, to find its owner."""
+    read = state.cells.get(event.key.removeprefix(cell_key("")))
+    if read is not None:
+        read.unread = not event.known
     if not event.known or event.value is None:
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
     view = state.cells.setdefault(record.cell, CellView(record.cell))
     if event.revision > view.revision:
         view.revision, view.holdings = event.revision, record.holdings
+    if not record.owner.address:
+        view.retired, view.owner, view.epoch = True, "", record.epoch
+        _tell_heirs(state, record)
+        return
     if record.epoch > view.epoch or not view.owner:
         ask(state, view, record.owner.address, now)
 
 
+def _tell_heirs(state: EntryState, record: CellRecord) -> None:
+    """Tell cells that a retired one left them slots; nobody of it can.
+
+    They find out by themselves too, but look at one cell a minute only.
+    """
+    life = f"{record.cell}/{record.identity}"
+    for heir in sorted({one.to for one in record.holdings if one.serial}):
+        view = state.cells.get(heir)
+        if view is not None and view.owner:
+            left = [one for one in record.holdings if one.to == heir]
+            state.effects.append(Send(view.owner, Ceded(record.cell, life, left)))
+
+
 def keep_view(state: EntryState, view: CellView, busy: bool, now: float) -> None:
     """Ask the owner at this entry's pace; look for another when it is silent.
 
     :param busy: a submission waits there.
     """
+    if view.retired:
+        return
     quiet = now - view.stamp_at
     if view.owner and quiet >= pace(state, view, busy):
         ask_again(state, view, now)
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -16,11 +16,12 @@
 from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import Announcement, CellRecord, Member
 from cactuswalk.state.agent import AgentState
+from cactuswalk.state.answered import Answered
 from cactuswalk.state.configuration import Spread
 from cactuswalk.state.effects import Count, Effect, Log, Part, Send
 from cactuswalk.state.ledger import Place, Tracked
 from cactuswalk.state.retention import RecordBook
-from cactuswalk.state.standing import has_standing
+from cactuswalk.state.standing import confirmed_since
 from cactuswalk.state.timing import Timing
 
 __all__ = [
@@ -53,6 +54,9 @@
     :param stamp_at: when its latest stamp came here.
     :param announcement: as its upstream gave it; ``in_force`` with the labels
         that operators gave it.
+    :param pinged: serial of the last ping, ``confirmed`` of the last one that was
+        confirmed; ``asked_since`` is when the first after it was sent, at
+        ``pinged_at`` the last.
     :param roster_sent: write id of the record whose roster goes with the pings
         since ``roster_since``; ``roster_known`` once one of them is confirmed.
     :param ahead: changes in force there beyond its revision ``configuration``.
@@ -63,6 +67,10 @@
     member: Member
     announcement: Announcement | None = None
     pings: dict[int, float] = {}
+    pinged: int = 0
+    confirmed: int = 0
+    asked_since: float = float("-inf")
+    pinged_at: float = float("-inf")
     confirmed_at: float = float("-inf")
     heard_at: float = float("-inf")
     stamp: int = 0
@@ -150,11 +158,13 @@
     :param pending: a record whose swap is under way, None if there is none.
     :param agent: the agent in the same process; its records are this host's.
     :param open: the submissions that are not answered yet, in order.
+    :param ledger: those, by name; ``answered`` are the others.
     :param kept: answered ones, in the order in which they are forgotten.
     :param spread: this process's copy of the configuration.
     :param hedged_services: whose operators want stragglers overtaken.
     :param quota_teams: teams that the scheduler was given a quota for.
     :param recovered: records collected at the takeover and ended since.
+    :param left: lives of workers that went off the roster unplanned, by worker.
     :param backup: the member that keeps copies of what only this host knows,
         ready once it has confirmed all of them.
     :param backup_covers: departed members whose records are in the copies that
@@ -165,9 +175,14 @@
     :param wall_ms: wall clock less monotonic clock, for births of keys.
     :param known_since: everything that was submitted since then is in the ledger
         or in the records; of what is older nobody here can say.
+    :param founded_at: when this owner began the cell, if it did.
     :param confirmed_at: when it was last seen to have standing.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
+    :param standing_since: when the rosters ``standing_names`` had last confirmed
+        this owner, as far as was looked.
+    :param usable_as_of: what the workers' usability was last worked out for,
+        all of them; it holds ``usable_until`` then, but for the one just heard.
     :param unsure_until: until then a task without a record may have run, at one
         of ``unsure_members``, whose records nobody has.
     :param cancelled: submissions cancelled before they came, and until when.
@@ -187,8 +202,9 @@
     peers: dict[str, Peer] = {}
     ledger: dict[str, Tracked] = {}
     open: dict[str, None] = {}
-    kept: collections.deque[Tracked] = msgspec.field(default_factory=collections.deque)
-    with_bodies: collections.deque[Tracked] = msgspec.field(
+    answered: dict[str, Answered] = {}
+    kept: collections.deque[Answered] = msgspec.field(default_factory=collections.deque)
+    with_bodies: collections.deque[Answered] = msgspec.field(
         default_factory=collections.deque
     )
     held: list[Held] = []
@@ -207,15 +223,21 @@
     kept_bytes: int = 0
     body_bytes: int = 0
     known_since: float = float("-inf")
+    founded_at: float = float("-inf")
     taken_over_at: float = 0.0
     unsure_until: float = float("-inf")
     workers_serial: int = 0
+    standing_names: tuple[str, ...] = ()
+    standing_since: float = float("-inf")
+    usable_as_of: tuple = ()
+    usable_until: float = float("-inf")
     deposed: bool = False
     handing_over: bool = False
     # Roster and copies, see roster.py.
     pending: CellRecord | None = None
     swap_again_at: float = float("-inf")
     joining: dict[str, Member] = {}
+    left: dict[str, str] = {}
     backup: Member | None = None
     backup_tokens: set[str] = set()
     backup_ready: bool = False
@@ -259,6 +281,12 @@
             return [self.record.roster]
         return [self.record.roster, self.pending.roster]
 
+    def roster_names(self) -> tuple[str, ...]:
+        """Return what names the rosters in force: each write has its own id."""
+        if self.pending is None:
+            return (self.record.write_id,)
+        return (self.record.write_id, self.pending.write_id)
+
     def stands(self, now: float) -> bool:
         """Tell whether this owner may start tasks now."""
         return not self.handing_over and self.is_confirmed(now)
@@ -267,8 +295,17 @@
         """Tell whether no other owner can be serving now."""
         if self.phase is not Phase.SERVING or self.deposed:
             return False
-        confirmed = {key: peer.confirmed_at for key, peer in self.peers.items()}
-        return has_standing(self.rosters(), confirmed, self.timing.confirm, now)
+        names = self.roster_names()
+        if names != self.standing_names or self._is_stale(now):
+            # Looked over again only when what was found is not enough: members'
+            # confirmations only ever grow younger, so it stays true meanwhile.
+            moments = {key: peer.confirmed_at for key, peer in self.peers.items()}
+            self.standing_names = names
+            self.standing_since = confirmed_since(self.rosters(), moments)
+        return not self._is_stale(now)
+
+    def _is_stale(self, now: float) -> bool:
+        return now - self.standing_since > self.timing.confirm
 
     def peer_of(self, worker: str) -> Peer | None:
         """Return the member that speaks for a worker, None if there is none."""
--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -19,6 +19,7 @@
 )
 from cactuswalk.model.cell import cell_key
 from cactuswalk.state import sharing
+from cactuswalk.state.answered import unpack
 from cactuswalk.state.copying import RECORDS_A_PART
 from cactuswalk.state.effects import ReadKey, SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
@@ -77,6 +78,7 @@
     peer = state.peers.get(leave.member.incarnation)
     if peer is not None:
         peer.leaving = True
+        state.usable_as_of = ()
     keep_roster(state, now)
 
 
@@ -134,14 +136,19 @@
 
 
 def _hears_nobody(state: OwnerState, now: float) -> bool:
-    """Tell whether all other members seem to be lost at once.
+    """Tell whether all other members have fallen silent together.
 
     Then it is rather this host that hears nothing. Were the others taken off the
     roster, they could not take the cell over, and nobody would be served until
     the link is mended. In a cell of two the other could not do so anyway.
+
+    Their last words came at different moments. So this is known well before the
+    first of them counts as lost: once nobody was heard for as long as a member
+    waits for its owner.
     """
     others = [peer for peer in state.peers.values() if peer.member != state.member]
-    return len(others) > 1 and all(is_lost(state, peer, now) for peer in others)
+    heard_at = max((peer.heard_at for peer in others), default=now)
+    return len(others) > 1 and now - heard_at > state.timing.suspect
 
 
 def _departed(state: OwnerState, removed: list[Member], now: float) -> list[Member]:
@@ -200,6 +207,11 @@
         state.revision = 0
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
+    if record.epoch < state.record.epoch:
+        # The service has gone back, and perhaps another cell began meanwhile. All
+        # agents and entries hold to this epoch, so the record is written over.
+        state.revision = event.revision
+        return
     if record.epoch > state.record.epoch or record.owner != state.member:
         state.deposed = True
         return
@@ -227,12 +239,21 @@
             if joining != member
         }
         if member.incarnation not in state.peers:
+            _note_life(state, member, now)
             state.peers[member.incarnation] = Peer(member, heard_at=now)
             send_fence(state, member)
     state.workers_serial += 1
     state.log("changed the roster", workers=[one.worker for one in record.roster])
 
 
+def _note_life(state: OwnerState, member: Member, now: float) -> None:
+    """Tell a worker that has died from one that was silent and is back."""
+    earlier = state.left.pop(member.worker, member.incarnation)
+    if earlier != member.incarnation:
+        state.scheduler.worker_died(member.worker, now)
+        state.count("worker.died")
+
+
 def _forget(state: OwnerState, member: Member, now: float) -> None:
     peer = state.peers.get(member.incarnation)
     if peer is None:
@@ -242,6 +263,8 @@
     if peer.leaving:
         # The last ping tells a stopping agent that it may go.
         send_ping(state, peer)
+    else:
+        state.left[member.worker] = member.incarnation
     # A new life of the worker announces itself anew; until then the scheduler
     # must not take it for the one that could be given work.
     state.scheduler.remove_worker(member.worker, now)
@@ -315,10 +338,10 @@
     """Yield the submissions that are open, or were answered since."""
     for name in state.open:
         yield state.ledger[name]
-    for tracked in reversed(state.kept):
-        if tracked.kept_until - state.timing.retention < since:
+    for answered in reversed(state.kept):
+        if answered.kept_until - state.timing.retention < since:
             return
-        yield tracked
+        yield unpack(answered)
 
 
 def sole_records(state: OwnerState, now: float) -> list[Record]:
--- a/src/cactuswalk/state/sharing.py
+++ b/src/cactuswalk/state/sharing.py
@@ -37,7 +37,8 @@
 ]
 
 # A cell without a share asks this often; one that has its share looks for new
-# cells ever more seldom, up to the last. At 130 cells that is two reads a second.
+# cells ever more seldom, up to the last: 0.033 reads a second for each cell and
+# service that it shares (docs/design/cells.md).
 ASK_AFTER = 2.0
 MAXIMUM_WAIT = 60.0
 # A cell whose workers have grown by this much since asks again soon.
@@ -160,7 +161,8 @@
         _write_service(state, service, [state.cell], life, 0)
         return
     record = msgspec.json.decode(event.value, type=ServiceRecord)
-    if record.founder == life and service not in state.record.founded:
+    holds_some = any(one.service == service for one in state.record.holdings)
+    if record.founder == life and not holds_some:
         # The one who created the key holds all; read back, so that a swap whose
         # reply was lost counts as well.
         state.sharing.founding.add(service)
@@ -194,7 +196,10 @@
     if not event.known or event.value is None or state.phase is not Phase.SERVING:
         return
     record = msgspec.json.decode(event.value, type=CellRecord)
+    _take_ceded(state, record)
     address = record.owner.address
+    if not address:
+        return
     _hand_ceded(state, record)
     for service, cells in state.sharing.partners.items():
         if record.cell not in cells:
@@ -284,6 +289,15 @@
         state.send(record.owner.address, message)
 
 
+def _take_ceded(state: OwnerState, record: CellRecord) -> None:
+    """Take what another cell's record cedes to this one; its owner may be gone."""
+    life = f"{record.cell}/{record.identity}"
+    after = state.record.taken.get(life, 0)
+    ceded = [one for one in record.holdings if one.to == state.cell]
+    if state.pending is None and any(one.serial > after for one in ceded):
+        state.sharing.taking = Ceded(record.cell, life, ceded)
+
+
 def on_ceded(state: OwnerState, sender: str, ceded: Ceded, now: float) -> None:
     """Slots were ceded to this cell; the giver's record says so already."""
     if state.phase is not Phase.SERVING or state.pending is not None:
--- a/tools/mutants_cells.py
+++ b/tools/mutants_cells.py
@@ -68,8 +68,8 @@
     Mutant(
         "each cell takes itself for the first holder",
         SHARING,
-        "    if record.founder == life and service",
-        "    if service",
+        "    if record.founder == life and not holds_some:",
+        "    if not holds_some:",
         CELLS,
     ),
     Mutant(
@@ -79,4 +79,32 @@
         "            pass\n",
         CELLS,
     ),
+    Mutant(
+        "a minted key falls where it falls",
+        "src/cactuswalk/state/callers.py",
+        "    if event.minted:\n        mint_well",
+        "    if False:\n        mint_well",
+        CELLS,
+    ),
+    Mutant(
+        "a key whose cell can get no owner is held back",
+        "src/cactuswalk/state/waiting.py",
+        "        and (view.unread or view.retired)\n",
+        "        and False\n",
+        CELLS,
+    ),
+    Mutant(
+        "a retired cell's slots are left to nobody",
+        "src/cactuswalk/decisions/sharing.py",
+        "        holdings = cede(holdings, service, to, count, max(from_ms, *begun))\n",
+        "        pass\n",
+        CELLS,
+    ),
+    Mutant(
+        "a cell is retired without the operator's word",
+        "src/cactuswalk/http/operators_cells.py",
+        "if not hosts_are_off or cell == to:",
+        "if cell == to:",
+        CELLS,
+    ),
 ]
