--- a/src/cactuswalk/state/cellviews.py
+++ b/src/cactuswalk/state/cellviews.py
@@ -59,6 +59,7 @@
     view.owner, view.epoch = sender, report.epoch
     hear(view, report.stamp, now)
     view.report = report
+    view.takes_keys_at = now + report.young_ms / 1000
     if report.workers is not None:
         view.workers, view.serial = report.workers, report.serial
     view.services |= set(report.free_slots)
@@ -102,8 +103,8 @@
 def on_heard(state: EntryState, sender: str, heard: Heard, now: float) -> None:
     """An agent that finds no record of its cell asks who owned it.
 
-    An owner that has been silent is not named: the agent would ask it for a place
-    for ever. The epoch is told all the same, or the cell would go back.
+    An owner that is silent is not named: the agent would ask it for a place for
+    ever. The epoch is told all the same, or the cell would go back.
     """
     view = state.cells.get(heard.cell, CellView(heard.cell))
     silent = is_silent(view, state.timing.confirm, now)
--- a/src/cactuswalk/state/owner.py
+++ b/src/cactuswalk/state/owner.py
@@ -16,6 +16,7 @@
 from cactuswalk.messages.configuration import NodesHolding
 from cactuswalk.model import Announcement, CellRecord, Member
 from cactuswalk.state.agent import AgentState
+from cactuswalk.state.answered import Answered
 from cactuswalk.state.configuration import Spread
 from cactuswalk.state.effects import Count, Effect, Log, Part, Send
 from cactuswalk.state.ledger import Place, Tracked
@@ -53,6 +54,9 @@
     :param stamp_at: when its latest stamp came here.
     :param announcement: as its upstream gave it; ``in_force`` with the labels
         that operators gave it.
+    :param pinged: serial of the last ping, ``confirmed`` of the last one that was
+        confirmed; ``asked_since`` is when the first after it was sent, at
+        ``pinged_at`` the last.
     :param roster_sent: write id of the record whose roster goes with the pings
         since ``roster_since``; ``roster_known`` once one of them is confirmed.
     :param ahead: changes in force there beyond its revision ``configuration``.
@@ -63,6 +67,10 @@
     member: Member
     announcement: Announcement | None = None
     pings: dict[int, float] = {}
+    pinged: int = 0
+    confirmed: int = 0
+    asked_since: float = float("-inf")
+    pinged_at: float = float("-inf")
     confirmed_at: float = float("-inf")
     heard_at: float = float("-inf")
     stamp: int = 0
@@ -150,6 +158,7 @@
     :param pending: a record whose swap is under way, None if there is none.
     :param agent: the agent in the same process; its records are this host's.
     :param open: the submissions that are not answered yet, in order.
+    :param ledger: those, by name; ``answered`` are the others.
     :param kept: answered ones, in the order in which they are forgotten.
     :param spread: this process's copy of the configuration.
     :param hedged_services: whose operators want stragglers overtaken.
@@ -166,6 +175,7 @@
     :param wall_ms: wall clock less monotonic clock, for births of keys.
     :param known_since: everything that was submitted since then is in the ledger
         or in the records; of what is older nobody here can say.
+    :param founded_at: when this owner began the cell, if it did.
     :param confirmed_at: when it was last seen to have standing.
     :param taken_over_at: when the fence was complete.
     :param old_owner_until: until then an earlier owner may have standing.
@@ -192,8 +202,9 @@
     peers: dict[str, Peer] = {}
     ledger: dict[str, Tracked] = {}
     open: dict[str, None] = {}
-    kept: collections.deque[Tracked] = msgspec.field(default_factory=collections.deque)
-    with_bodies: collections.deque[Tracked] = msgspec.field(
+    answered: dict[str, Answered] = {}
+    kept: collections.deque[Answered] = msgspec.field(default_factory=collections.deque)
+    with_bodies: collections.deque[Answered] = msgspec.field(
         default_factory=collections.deque
     )
     held: list[Held] = []
@@ -212,6 +223,7 @@
     kept_bytes: int = 0
     body_bytes: int = 0
     known_since: float = float("-inf")
+    founded_at: float = float("-inf")
     taken_over_at: float = 0.0
     unsure_until: float = float("-inf")
     workers_serial: int = 0
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -53,8 +53,8 @@
     Mutant(
         "an owner that hears nobody goes on pinging",
         f"{STATE}/peers.py",
-        "return state.timing.lost if deaf else state.timing.ping",
-        "return state.timing.ping",
+        "return deaf_for > state.timing.suspect",
+        "return False",
         TAKEOVER,
     ),
     Mutant(
@@ -180,8 +180,8 @@
     Mutant(
         "callers wait for their deadlines where half of a cell is lost",
         f"{STATE}/waiting.py",
-        "silent_since = pending.submitted_at if view.report is None else view.stamp_at",
-        "silent_since = pending.submitted_at",
+        "    if not pending.sent and now - since > OWNER_AWAITED:\n",
+        "    if False:\n",
         LOST,
     ),
     Mutant(
@@ -205,6 +205,13 @@
         "if True:\n",
         FLAPPING,
     ),
+    Mutant(
+        "a wish to stop that was lost is not repeated",
+        f"{STATE}/peers.py",
+        "if flight.unwanted and now",
+        "if False and now",
+        "once_stopped.feature",
+    ),
     Mutant(
         "a stopped owner does not name its successor",
         f"{STATE}/node.py",
@@ -292,8 +299,8 @@
     Mutant(
         "standing counts from the pong, not from the ping",
         f"{STATE}/peers.py",
-        "peer.confirmed_at = sent_at",
-        "peer.confirmed_at = now",
+        "peer.confirmed, peer.confirmed_at = pong.serial, sent_at",
+        "peer.confirmed, peer.confirmed_at = pong.serial, now",
         TAKEOVER,
     ),
     Mutant(
