--- a/features/once_matrix.feature
+++ b/features/once_matrix.feature
@@ -8,18 +8,7 @@
     A host dies without a word. A caller would notice a seat check that was done
     twice by whoever took over, or an answer that never comes.
     When "entry killed" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: entry restarted
@@ -27,126 +16,49 @@
     nothing of what it knew. A caller would notice a second start of what its
     earlier life had started.
     When "entry restarted" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: entry frozen
     A process sleeps for five seconds, past its standing, and wakes unaware of
     it. A caller would notice what it starts on waking.
     When "entry frozen" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: entry cut one way
     What a process sends is lost, what it is sent arrives. A caller would notice
     two owners that both serve.
     When "entry cut one way" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: entry deaf
     A process is sent nothing any more, what it sends arrives. A caller would
     notice that nobody serves, or that two do.
     When "entry deaf" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: entry cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
     When "entry cut off" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: entry stopped
     A process is stopped as planned. A caller would notice a request that is cut
     off or refused for it.
     When "entry stopped" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner killed
     A host dies without a word. A caller would notice a seat check that was done
     twice by whoever took over, or an answer that never comes.
     When "owner killed" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner restarted
@@ -154,126 +66,49 @@
     nothing of what it knew. A caller would notice a second start of what its
     earlier life had started.
     When "owner restarted" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner frozen
     A process sleeps for five seconds, past its standing, and wakes unaware of
     it. A caller would notice what it starts on waking.
     When "owner frozen" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner cut one way
     What a process sends is lost, what it is sent arrives. A caller would notice
     two owners that both serve.
     When "owner cut one way" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner deaf
     A process is sent nothing any more, what it sends arrives. A caller would
     notice that nobody serves, or that two do.
     When "owner deaf" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
     When "owner cut off" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner stopped
     A process is stopped as planned. A caller would notice a request that is cut
     off or refused for it.
     When "owner stopped" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker killed
     A host dies without a word. A caller would notice a seat check that was done
     twice by whoever took over, or an answer that never comes.
     When "worker killed" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker restarted
@@ -281,126 +116,49 @@
     nothing of what it knew. A caller would notice a second start of what its
     earlier life had started.
     When "worker restarted" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker frozen
     A process sleeps for five seconds, past its standing, and wakes unaware of
     it. A caller would notice what it starts on waking.
     When "worker frozen" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker cut one way
     What a process sends is lost, what it is sent arrives. A caller would notice
     two owners that both serve.
     When "worker cut one way" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker deaf
     A process is sent nothing any more, what it sends arrives. A caller would
     notice that nobody serves, or that two do.
     When "worker deaf" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
     When "worker cut off" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: worker stopped
     A process is stopped as planned. A caller would notice a request that is cut
     off or refused for it.
     When "worker stopped" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup killed
     A host dies without a word. A caller would notice a seat check that was done
     twice by whoever took over, or an answer that never comes.
     When "backup killed" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup restarted
@@ -408,188 +166,84 @@
     nothing of what it knew. A caller would notice a second start of what its
     earlier life had started.
     When "backup restarted" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup frozen
     A process sleeps for five seconds, past its standing, and wakes unaware of
     it. A caller would notice what it starts on waking.
     When "backup frozen" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup cut one way
     What a process sends is lost, what it is sent arrives. A caller would notice
     two owners that both serve.
     When "backup cut one way" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup deaf
     A process is sent nothing any more, what it sends arrives. A caller would
     notice that nobody serves, or that two do.
     When "backup deaf" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup cut off
     A process is cut off from all others. A caller behind the cut and one
     outside it would both be served.
     When "backup cut off" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: backup stopped
     A process is stopped as planned. A caller would notice a request that is cut
     off or refused for it.
     When "backup stopped" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: message lost
     The network loses, repeats or holds back the message. A caller would notice
     a second start, or a wait until the deadline.
     When "message lost" strikes at each of these steps
-      | step |
-      | sent to owner |
-      | start sent |
-      | result sent |
-      | answer sent |
+      | sent to owner | start sent | result sent | answer sent |
     Then no promise was broken at any step
 
   Scenario: message repeated
     The network loses, repeats or holds back the message. A caller would notice
     a second start, or a wait until the deadline.
     When "message repeated" strikes at each of these steps
-      | step |
-      | sent to owner |
-      | start sent |
-      | result sent |
-      | answer sent |
+      | sent to owner | start sent | result sent | answer sent |
     Then no promise was broken at any step
 
   Scenario: message delayed
     The network loses, repeats or holds back the message. A caller would notice
     a second start, or a wait until the deadline.
     When "message delayed" strikes at each of these steps
-      | step |
-      | sent to owner |
-      | start sent |
-      | result sent |
-      | answer sent |
+      | sent to owner | start sent | result sent | answer sent |
     Then no promise was broken at any step
 
   Scenario: message reordered
     The network loses, repeats or holds back the message. A caller would notice
     a second start, or a wait until the deadline.
     When "message reordered" strikes at each of these steps
-      | step |
-      | sent to owner |
-      | start sent |
-      | result sent |
-      | answer sent |
+      | sent to owner | start sent | result sent | answer sent |
     Then no promise was broken at any step
 
   Scenario: owner and worker killed
     A host dies without a word. A caller would notice a seat check that was done
     twice by whoever took over, or an answer that never comes.
     When "owner and worker killed" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: owner and backup killed
     A host dies without a word. A caller would notice a seat check that was done
     twice by whoever took over, or an answer that never comes.
     When "owner and backup killed" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: service down
@@ -597,18 +251,7 @@
     reply, while the owner's host dies. A caller would notice two owners, or
     none.
     When "service down" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: service slow
@@ -616,18 +259,7 @@
     reply, while the owner's host dies. A caller would notice two owners, or
     none.
     When "service slow" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: service reply lost
@@ -635,72 +267,28 @@
     reply, while the owner's host dies. A caller would notice two owners, or
     none.
     When "service reply lost" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: resubmitted at the same entry
     A caller believes its job lost and submits it again. It would notice a
     second run.
     When "resubmitted at the same entry" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: resubmitted at another entry
     A caller believes its job lost and submits it again. It would notice a
     second run.
     When "resubmitted at another entry" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: cancelled
     A caller cancels its job. It would notice a task that runs after it was told
     that it had not and would not.
     When "cancelled" strikes at each of these steps
-      | step |
-      | received |
-      | sent to owner |
-      | recorded |
-      | start sent |
-      | start accepted |
-      | upstream called |
-      | upstream answered |
-      | result sent |
-      | result recorded |
-      | answer sent |
-      | answer received |
+      | received | sent to owner | recorded | start sent | start accepted | upstream called | upstream answered | result sent | result recorded | answer sent | answer received |
     Then no promise was broken at any step
 
   Scenario: The matrix is complete
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -31,13 +31,17 @@
 @when('"{fault}" strikes at each of these steps')
 def step_strike(context, fault):
     context.broken = []
-    for row in context.table:
-        _, broken = play_cell(row["step"], fault)
-        context.broken += [f"{row['step']}: {sentence}" for sentence in broken]
+    context.struck = 0
+    # The table is one row: the steps.
+    for step in context.table.headings:
+        _, broken = play_cell(step, fault)
+        context.broken += [f"{step}: {sentence}" for sentence in broken]
+        context.struck += 1
 
 
 @then("no promise was broken at any step")
 def step_none_at_any(context):
+    assert context.struck
     assert not context.broken, "\n".join(context.broken)
 
 
--- a/tools/matrix.py
+++ b/tools/matrix.py
@@ -72,11 +72,11 @@
     for fault in FAULTS:
         text = textwrap.indent(textwrap.fill(story(fault), 76), "    ")
         steps = [step for step in STEPS if not impossible(step, fault)]
-        rows = "\n".join(f"      | {step} |" for step in steps)
+        row = " | ".join(steps)
         parts.append(
             f"  Scenario: {fault}\n{text}\n"
             f'    When "{fault}" strikes at each of these steps\n'
-            f"      | step |\n{rows}\n"
+            f"      | {row} |\n"
             f"    Then no promise was broken at any step\n"
         )
     parts.append(
