--- a/src/cactuswalk/state/roster.py
+++ b/src/cactuswalk/state/roster.py
@@ -19,6 +19,7 @@
 )
 from cactuswalk.model.cell import cell_key
 from cactuswalk.state import sharing
+from cactuswalk.state.answered import unpack
 from cactuswalk.state.copying import RECORDS_A_PART
 from cactuswalk.state.effects import ReadKey, SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
@@ -135,14 +136,19 @@
 
 
 def _hears_nobody(state: OwnerState, now: float) -> bool:
-    """Tell whether all other members seem to be lost at once.
+    """Tell whether all other members have fallen silent together.
 
     Then it is rather this host that hears nothing. Were the others taken off the
     roster, they could not take the cell over, and nobody would be served until
     the link is mended. In a cell of two the other could not do so anyway.
+
+    Their last words came at different moments. So this is known well before the
+    first of them counts as lost: once nobody was heard for as long as a member
+    waits for its owner.
     """
     others = [peer for peer in state.peers.values() if peer.member != state.member]
-    return len(others) > 1 and all(is_lost(state, peer, now) for peer in others)
+    heard_at = max((peer.heard_at for peer in others), default=now)
+    return len(others) > 1 and now - heard_at > state.timing.suspect
 
 
 def _departed(state: OwnerState, removed: list[Member], now: float) -> list[Member]:
@@ -332,10 +338,10 @@
     """Yield the submissions that are open, or were answered since."""
     for name in state.open:
         yield state.ledger[name]
-    for tracked in reversed(state.kept):
-        if tracked.kept_until - state.timing.retention < since:
+    for answered in reversed(state.kept):
+        if answered.kept_until - state.timing.retention < since:
             return
-        yield tracked
+        yield unpack(answered)
 
 
 def sole_records(state: OwnerState, now: float) -> list[Record]:
