An owner tells a try nothing of an earlier refusal, and an earlier try nothing runs

The caller was told not run, and 0.7 s later the submission came and ran. While mending, by reading: a message of an earlier try that comes after a later one was refused ran too, since only the refused number itself was known. Now a question after a try that has not come is answered with 'not known', so that the entry sends it again; and no try runs that is no later than the last of its entry. Both scenarios fail before, pass after, and are mutants that are caught.

--- a/features/once_directed_answers.feature
+++ b/features/once_directed_answers.feature
@@ -33,6 +33,15 @@
     When a refused job is tried again and the first try's question is answered late
     Then the directed caller gets nothing of it, but the whole answer later
 
+  Scenario: A question that overtakes its submission
+    A job was refused, and its caller tries again through another entry. That entry's
+    submission is held back on the way, and its question where the job stands comes
+    first. Told of the earlier refusal, the caller believes that nothing runs, and
+    the submission comes and takes the seat.
+    Given a directed pair of entries
+    When a refused job is tried again and the question overtakes the submission
+    Then the directed caller gets nothing of it, but the whole answer later
+
   Scenario Outline: A key whose birth lies outside the records' window
     A caller comes back with a key that is <age> s old. Nobody can know what became
     of it. Run now, it might be the second time.
@@ -83,6 +92,14 @@
     When a young submission that names another epoch reaches the owner
     Then nothing of the late directed job starts
 
+  Scenario: An earlier try that comes after a later one was refused
+    An entry hears nothing of its submission and sends it again. The second message
+    is first to come, and refused; its caller is told that nothing runs. The first
+    comes a moment later, still young, and must not take the seat.
+    Given a directed pair of entries
+    When a later try is refused before the earlier one reaches the owner
+    Then nothing of the late directed job starts
+
   Scenario: A copy of a refused submission
     All slots are taken and a job's short deadline passes. Its caller is told that
     nothing ran. The network delivers its submission a second time when slots are
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -143,6 +143,27 @@
     receive(bag, entry, bag.owner().address, late)
 
 
+@when("a refused job is tried again and the question overtakes the submission")
+def step_overtaking_question(context):
+    bag = context.bag
+    run_full(bag, AGENTS, 600, entry="entry-1")
+    context.job = bag.job(tasks=1, duration_ms=500)
+    first = bag.submit("entry-0", context.job, 200)
+    bag.run(1.0)
+    assert outcome(first) is Outcome.NOT_RUN, first.reply
+    bag.fate = lambda sender, receiver, message: (
+        [0.7] if isinstance(message, Submit) else [0.0005]
+    )
+    context.handed = bag.submit("entry-1", context.job)
+    bag.run(0.1)
+    entry = bag.processes["tcp://entry-1"]
+    attempt = max(entry.state.pending[context.job.submission].attempts)
+    query = Query(context.job.submission, "", attempt)
+    effects = receive(bag, bag.owner(), entry.address, query)
+    assert any(isinstance(one, Send) for one in effects)
+    bag.run(0.2)
+
+
 def deliver(context, answer: Answer) -> None:
     bag = context.bag
     receive(bag, bag.processes["tcp://entry-0"], bag.owner().address, answer)
@@ -283,6 +304,20 @@
     context.bag.cut_off("entry-0")
 
 
+@when("a later try is refused before the earlier one reaches the owner")
+def step_earlier_after(context):
+    submit = keep_submit(context, 5000)
+    fields = {"attempt": submit.attempt + 1, "remaining_ms": 1}
+    later = msgspec.structs.replace(submit, **fields)
+    owner = context.bag.owner()
+    effects = receive(context.bag, owner, "tcp://entry-0", later)
+    answers = [one.message for one in effects if isinstance(one, Send)]
+    assert any(getattr(one, "outcome", "") is Outcome.NOT_RUN for one in answers)
+    receive(context.bag, owner, "tcp://entry-0", submit)
+    # The entry has not heard of the refusal, and must not send it again here.
+    context.bag.cut_off("entry-0")
+
+
 @then("nothing of the late directed job starts")
 def step_nothing_late(context):
     context.bag.run(SETTLE_S)
--- /dev/null
+++ b/src/cactuswalk/state/inquiries.py
@@ -0,0 +1,94 @@
+"""Questions to the owner: where a submission stands, where a job could go."""
+
+import msgspec
+
+from cactuswalk.messages import Explain, Explained, JobState, Query, Verdict
+from cactuswalk.model import Job, Outcome, TaskState
+from cactuswalk.state.answers import find
+from cactuswalk.state.ledger import (
+    Place,
+    Stage,
+    Task,
+    Tracked,
+    answer_of,
+    end_task,
+    first_failed,
+    is_past_try,
+    is_settled,
+)
+from cactuswalk.state.owner import OwnerState, Phase
+
+__all__ = ["job_state", "on_explain", "on_query"]
+
+
+def on_query(state: OwnerState, sender: str, query: Query, now: float) -> None:
+    """An entry asks where a submission stands."""
+    if state.phase is Phase.RECOVERING:
+        return
+    state.send(sender, job_state(state, query, sender))
+
+
+def on_explain(state: OwnerState, sender: str, explain: Explain, now: float) -> None:
+    """Say where a job could be placed now."""
+    found = state.scheduler.explain(explain.job, now)
+    verdicts = [Verdict(one.worker, one.fits, one.verdict) for one in found]
+    state.send(sender, Explained(explain.request, state.cell, verdicts))
+
+
+def job_state(state: OwnerState, query: Query, sender: str) -> JobState:
+    """Return where a submission stands, from the ledger or from records."""
+    tracked = find(state, query.submission)
+    if tracked is None:
+        tracked = _from_records(state, query.submission)
+    if tracked is None or _is_ahead(tracked, query, sender):
+        return JobState(
+            *(query.submission, query.request),
+            *(False, 0, 0, 0, 0, None, query.attempt),
+        )
+    stages = [task.stage for task in tracked.tasks]
+    return JobState(
+        query.submission,
+        query.request,
+        True,
+        len(stages),
+        stages.count(Stage.QUEUED),
+        stages.count(Stage.SENT) + stages.count(Stage.WITNESSING),
+        stages.count(Stage.ENDED),
+        tracked.answer
+        and msgspec.structs.replace(tracked.answer, epoch=state.record.epoch),
+        query.attempt,
+    )
+
+
+def _is_ahead(tracked: Tracked, query: Query, sender: str) -> bool:
+    """Tell whether an entry asks after a try that has yet to come here.
+
+    An earlier try was refused; this one may run when it comes. Were the refusal
+    given for it, its caller would be told "not run" of what starts a moment later.
+    """
+    if query.request or tracked.answer is None:
+        return False
+    refused = tracked.answer.outcome is Outcome.NOT_RUN
+    return refused and not is_past_try(tracked, sender, query.attempt)
+
+
+def _from_records(state: OwnerState, submission: str) -> Tracked | None:
+    """Rebuild an entry of the ledger that nobody has resubmitted."""
+    records = state.recovered.of(submission)
+    if not records:
+        return None
+    total = max(record.total for record in records.values())
+    some = next(iter(records.values()))
+    job = Job(submission, some.fingerprint, "", "", [])
+    tracked = Tracked(job, 0.0, [Task() for _ in range(total)], 0.0)
+    for record in records.values():
+        if record.result is not None:
+            end_task(tracked, record.result)
+        elif record.state is TaskState.RUNNING:
+            tracked.tasks[record.index].stage = Stage.SENT
+            tracked.tasks[record.index].place = Place(
+                record.worker, record.incarnation, record.attempt, 0, 0.0
+            )
+    if total and is_settled(tracked):
+        tracked.answer = answer_of(tracked, first_failed(tracked), True)
+    return tracked
--- a/src/cactuswalk/state/ledger.py
+++ b/src/cactuswalk/state/ledger.py
@@ -10,6 +10,7 @@
     Job,
     Outcome,
     Refusal,
+    RefusalCode,
     TaskOutcome,
     TaskResult,
     digest,
@@ -24,9 +25,18 @@
     "body_bytes_of",
     "compose",
     "end_task",
+    "first_failed",
+    "is_past_try",
     "is_settled",
 ]
 
+# Attempts of one life of an entry lie within this: far more than it sends within P,
+# after which a message is stale. Lives begin at random, 40 bits apart, so that a
+# restarted entry's try is not taken for an earlier one.
+ATTEMPTS_OF_A_LIFE = 1 << 20
+# Longer than a takeover, so that the next try finds an owner that knows.
+RETRY_AFTER_RECOVERY_MS = 5000
+
 
 class Stage(enum.Enum):
     """Where a task stands at the owner."""
@@ -194,3 +204,28 @@
             f"{name} would be told not run while a task of it may run",
             "Report this with the owner's log; no answer was sent.",
         )
+
+
+def first_failed(tracked: Tracked) -> Refusal | None:
+    """Return why the job fails because of a task that failed, None if none did."""
+    for task in tracked.tasks:
+        if task.result is None or task.result.outcome is TaskOutcome.DONE:
+            continue
+        return Refusal(
+            RefusalCode.RECORDS_LOST
+            if task.result.outcome is TaskOutcome.UNKNOWN
+            else RefusalCode.UPSTREAM_FAILED,
+            f"task {task.result.index}: {task.result.reason}",
+            RETRY_AFTER_RECOVERY_MS,
+        )
+    return None
+
+
+def is_past_try(tracked: Tracked, sender: str, attempt: int) -> bool:
+    """Tell whether a try of an entry is no later than the last that came from it.
+
+    Messages overtake each other. An earlier one that came after a later was refused
+    would start what its caller has been told will not run.
+    """
+    last = tracked.waiters.get(sender)
+    return last is not None and 0 <= last - attempt < ATTEMPTS_OF_A_LIFE
--- a/src/cactuswalk/state/submissions.py
+++ b/src/cactuswalk/state/submissions.py
@@ -1,21 +1,14 @@
-"""Submissions at the owner: new ones, repeated ones, cancels and queries."""
-
-import msgspec
+"""Submissions at the owner: new ones, repeated ones and cancels."""
 
 from cactuswalk.decisions.scheduler import QueuedTask
 from cactuswalk.messages import (
     Cancel,
-    Explain,
-    Explained,
-    JobState,
     NotOwner,
     Query,
     Record,
     Submit,
-    Verdict,
 )
 from cactuswalk.model import (
-    Job,
     Outcome,
     Refusal,
     RefusalCode,
@@ -32,13 +25,14 @@
     send_answer,
 )
 from cactuswalk.state.ending import begin_ending
+from cactuswalk.state.inquiries import job_state
 from cactuswalk.state.ledger import (
-    Place,
     Stage,
     Task,
     Tracked,
-    answer_of,
     end_task,
+    first_failed,
+    is_past_try,
     is_settled,
 )
 from cactuswalk.state.owner import Held, OwnerState, Phase
@@ -48,8 +42,6 @@
 __all__ = [
     "expire_ledger",
     "on_cancel",
-    "on_explain",
-    "on_query",
     "on_submit",
     "release_held",
 ]
@@ -61,8 +53,6 @@
 TOO_OLD = Refusal(
     RefusalCode.TOO_OLD, "it is older than the records that are kept of its time"
 )
-# Longer than a takeover, so that the next try finds an owner that knows.
-RETRY_AFTER_RECOVERY_MS = 5000
 
 
 def on_submit(state: OwnerState, sender: str, submit: Submit, now: float) -> None:
@@ -121,14 +111,14 @@
 def _is_new_try(tracked: Tracked, held: Held) -> bool:
     """Tell whether a resubmission follows a refusal, and may run now.
 
-    A copy of the very message that was refused may not: its caller has been
-    told that nothing ran and that nothing will.
+    The message that was refused may not, nor one that its entry sent before: the
+    caller has been told that nothing ran and that nothing will.
     """
     if tracked.answer is None or tracked.answer.outcome is not Outcome.NOT_RUN:
         return False
     if tracked.job.fingerprint != held.submit.job.fingerprint:
         return False
-    return tracked.waiters.get(held.sender) != held.submit.attempt
+    return not is_past_try(tracked, held.sender, held.submit.attempt)
 
 
 def _join(state: OwnerState, tracked: Tracked, held: Held, now: float) -> None:
@@ -136,11 +126,13 @@
     if tracked.job.fingerprint != submit.job.fingerprint:
         refuse(state, held.sender, submit, KEY_REUSED, Outcome.NOT_RUN, now)
         return
-    tracked.waiters[held.sender] = submit.attempt
     state.count("submit.joined")
-    if tracked.answer is not None:
-        keep(state, tracked)
-        send_answer(state, tracked.answer, held.sender, submit.attempt, now)
+    if not is_past_try(tracked, held.sender, submit.attempt):
+        tracked.waiters[held.sender] = submit.attempt
+    if tracked.answer is None:
+        return
+    keep(state, tracked)
+    send_answer(state, tracked.answer, held.sender, submit.attempt, now)
 
 
 def _is_stale(state: OwnerState, submit: Submit, now: float) -> bool:
@@ -237,7 +229,7 @@
                 _end_unknown(tracked, index, "records of a lost worker are missing")
             continue
         _restore_task(state, tracked, record)
-    failed = _first_failed(tracked)
+    failed = first_failed(tracked)
     if is_settled(tracked):
         give_answer(state, tracked, failed, now)
         return
@@ -283,20 +275,6 @@
     end_task(tracked, TaskResult(index, TaskOutcome.UNKNOWN, reason=reason))
 
 
-def _first_failed(tracked: Tracked) -> Refusal | None:
-    for task in tracked.tasks:
-        if task.result is None or task.result.outcome is TaskOutcome.DONE:
-            continue
-        return Refusal(
-            RefusalCode.RECORDS_LOST
-            if task.result.outcome is TaskOutcome.UNKNOWN
-            else RefusalCode.UPSTREAM_FAILED,
-            f"task {task.result.index}: {task.result.reason}",
-            RETRY_AFTER_RECOVERY_MS,
-        )
-    return None
-
-
 def on_cancel(state: OwnerState, sender: str, cancel: Cancel, now: float) -> None:
     """A caller wants a submission stopped."""
     tracked = find(state, cancel.submission)
@@ -304,7 +282,7 @@
         # It may still be on its way here: then it must not start any more.
         state.cancelled[cancel.submission] = now + state.timing.retention
         if state.phase is Phase.SERVING:
-            state.send(sender, job_state(state, Query(cancel.submission, "")))
+            state.send(sender, job_state(state, Query(cancel.submission, ""), sender))
         return
     if tracked.answer is None:
         refusal = Refusal(RefusalCode.CANCELLED, "its caller cancelled it")
@@ -313,67 +291,6 @@
         send_answer(state, tracked.answer, sender, tracked.waiters[sender], now)
 
 
-def on_query(state: OwnerState, sender: str, query: Query, now: float) -> None:
-    """An entry asks where a submission stands."""
-    if state.phase is Phase.RECOVERING:
-        return
-    state.send(sender, job_state(state, query))
-
-
-def on_explain(state: OwnerState, sender: str, explain: Explain, now: float) -> None:
-    """Say where a job could be placed now."""
-    found = state.scheduler.explain(explain.job, now)
-    verdicts = [Verdict(one.worker, one.fits, one.verdict) for one in found]
-    state.send(sender, Explained(explain.request, state.cell, verdicts))
-
-
-def job_state(state: OwnerState, query: Query) -> JobState:
-    """Return where a submission stands, from the ledger or from records."""
-    tracked = find(state, query.submission)
-    if tracked is None:
-        tracked = _from_records(state, query.submission)
-    if tracked is None:
-        return JobState(
-            *(query.submission, query.request),
-            *(False, 0, 0, 0, 0, None, query.attempt),
-        )
-    stages = [task.stage for task in tracked.tasks]
-    return JobState(
-        query.submission,
-        query.request,
-        True,
-        len(stages),
-        stages.count(Stage.QUEUED),
-        stages.count(Stage.SENT) + stages.count(Stage.WITNESSING),
-        stages.count(Stage.ENDED),
-        tracked.answer
-        and msgspec.structs.replace(tracked.answer, epoch=state.record.epoch),
-        query.attempt,
-    )
-
-
-def _from_records(state: OwnerState, submission: str) -> Tracked | None:
-    """Rebuild an entry of the ledger that nobody has resubmitted."""
-    records = state.recovered.of(submission)
-    if not records:
-        return None
-    total = max(record.total for record in records.values())
-    some = next(iter(records.values()))
-    job = Job(submission, some.fingerprint, "", "", [])
-    tracked = Tracked(job, 0.0, [Task() for _ in range(total)], 0.0)
-    for record in records.values():
-        if record.result is not None:
-            end_task(tracked, record.result)
-        elif record.state is TaskState.RUNNING:
-            tracked.tasks[record.index].stage = Stage.SENT
-            tracked.tasks[record.index].place = Place(
-                record.worker, record.incarnation, record.attempt, 0, 0.0
-            )
-    if total and is_settled(tracked):
-        tracked.answer = answer_of(tracked, _first_failed(tracked), True)
-    return tracked
-
-
 def expire_ledger(state: OwnerState, now: float) -> None:
     """End what is past its deadline, forget what has been kept long enough."""
     for name in list(state.open):
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -390,10 +390,24 @@
     Mutant(
         "a copy of a refused submission runs",
         f"{STATE}/submissions.py",
-        "return tracked.waiters.get(held.sender) != held.submit.attempt",
+        "return not is_past_try(tracked, held.sender, held.submit.attempt)",
         "return True",
         ANSWERS,
     ),
+    Mutant(
+        "an earlier try runs after a later one was refused",
+        f"{STATE}/ledger.py",
+        "return last is not None and 0 <= last - attempt < ATTEMPTS_OF_A_LIFE",
+        "return last == attempt",
+        ANSWERS,
+    ),
+    Mutant(
+        "a question that overtakes its submission gets an earlier refusal",
+        f"{STATE}/inquiries.py",
+        "if tracked is None or _is_ahead(tracked, query, sender):",
+        "if tracked is None:",
+        ANSWERS,
+    ),
     Mutant(
         "a damaged answer reaches the caller",
         f"{STATE}/waiting.py",
