An agent does not listen to another cell's owner

A host that is given to another cell is still on the roster of the first; when that is taken over, its new owner fences the host with an epoch, and an agent of the other cell stopped with invariant_violated (epoch 2 has two owners). Ruled out: incarnations (a fence names none). Now such messages are dropped and counted as agent.other_cell. The new scenario fails before and passes after; a mutant in tools/mutants_cells.py.

--- a/features/once_cells.feature
+++ b/features/once_cells.feature
@@ -18,6 +18,15 @@
     When 40 keys are submitted at the entry that knows both and then at the other
     Then every submission at either entry is answered and ran once
 
+  Scenario: A host changes its cell
+    A host is given to another cell, and its old cell is taken over before it is off
+    the roster there. The new owner fences it with its own epoch. Taken there, the
+    epoch would have two owners: agents of the other cell stop, or its owner steps
+    down, and its callers wait.
+    Given two cells of one service and an entry that knows only the first
+    When a host of the first cell starts in the second, and the first is taken over
+    Then the second cell has the owner and the epoch that it had
+
   Scenario: A cession takes effect though its reply is lost
     A cell cedes slots, the key-value service applies the swap and then goes away
     with its reply. The owner can't know. If it served the ceded keys meanwhile, the
--- a/features/steps/once_cells_steps.py
+++ b/features/steps/once_cells_steps.py
@@ -35,6 +35,32 @@
     context.bag = two_cells()
 
 
+@when("a host of the first cell starts in the second, and the first is taken over")
+def step_changes_cell(context):
+    bag = context.bag
+    context.owner = bag.owner(SECOND).name
+    context.epoch = bag.owner(SECOND).state.owner.record.epoch
+    first = bag.owner(CELL)
+    roster = first.state.owner.record.roster
+    host = next(one.worker for one in roster if one.worker != first.name)
+    bag.kill(host)
+    bag.add_agent(host, cell=SECOND)
+    bag.run(0.5)
+    bag.kill(first.name)
+    # The third host alone is no majority: the dead ones come back in the first cell.
+    bag.add_agent(first.name, cell=CELL)
+    bag.run(10.0)
+    assert bag.owner(CELL).state.owner.record.epoch > first.state.owner.record.epoch
+
+
+@then("the second cell has the owner and the epoch that it had")
+def step_same_second(context):
+    owner = context.bag.owner(SECOND)
+    assert owner.name == context.owner
+    assert owner.state.owner.record.epoch == context.epoch
+    assert violations(context.bag) == []
+
+
 @when("{count:d} keys are submitted at both entries")
 def step_submit_both(context, count):
     for _ in range(count):
--- a/src/cactuswalk/state/node.py
+++ b/src/cactuswalk/state/node.py
@@ -105,6 +105,12 @@
     NotOwner: candidates.on_not_owner,
     HandOver: candidates.on_hand_over,
 }
+# What passes within a cell; the others name the cell that they are about.
+_WITHIN_CELL = frozenset(
+    kind
+    for kind in (*_TO_AGENT, *_TO_OWNER, HeardReply, HandOver)
+    if "cell" in kind.__struct_fields__
+) - {AskShare, Ceded, Spare, Subscribe}
 
 
 def handle(node: Node, event: Event, now: float) -> list[Effect]:
@@ -168,6 +174,12 @@
 def _on_received(node: Node, event: Received, now: float) -> None:
     message = event.message
     kind = type(message)
+    if kind in _WITHIN_CELL and message.cell != node.cell:
+        # This host's address was another cell's until lately, and that cell's owner
+        # still speaks to it. Were its epoch taken, the owner of this cell would find
+        # a higher one than its own, and step down for nothing.
+        node.agent.effects.append(Count("agent.other_cell", 1))
+        return
     if kind in _TO_AGENT:
         _TO_AGENT[kind](node.agent, event.sender, message, now)
     elif kind in _TO_CANDIDATE:
--- a/tools/mutants_cells.py
+++ b/tools/mutants_cells.py
@@ -8,6 +8,13 @@
 CELLS = "once_cells.feature"
 
 CELL_MUTANTS = [
+    Mutant(
+        "an agent listens to the owner of another cell",
+        "src/cactuswalk/state/node.py",
+        "if kind in _WITHIN_CELL and message.cell != node.cell:",
+        "if False:",
+        "once_cells.feature",
+    ),
     Mutant(
         "an owner takes submissions that its record does not hold",
         "src/cactuswalk/state/submissions.py",
