--- a/tools/mutants_cells.py
+++ b/tools/mutants_cells.py
@@ -13,7 +13,7 @@
         "src/cactuswalk/state/node.py",
         "if kind in _WITHIN_CELL and message.cell != node.cell:",
         "if False:",
-        "once_cells.feature",
+        CELLS,
     ),
     Mutant(
         "an owner takes submissions that its record does not hold",
