--- a/features/once_directed_takeover.feature
+++ b/features/once_directed_takeover.feature
@@ -113,6 +113,14 @@
     Then the same owner answers again within 4 s of the mend
     And no promise was broken in the directed run
 
+  Scenario: An owner that hears nobody, and the service comes back late
+    The same cut, and nobody can take the cell over for six seconds. Meanwhile the
+    owner takes all others for lost; had it written that when the service came back,
+    the others could not take the cell over, and callers would wait for the mend.
+    Given a directed cell without work
+    When the owner hears nobody for 18 s and the service is down for the first 6 s
+    Then the requests of the last 4 s are answered before the mend
+
   Scenario: A takeover whose reply was lost
     The swap to the next epoch is written, the reply is lost. A candidate that took
     it for refused would leave the cell to an owner that doesn't know of it. Callers
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -14,6 +14,7 @@
     cell,
     code,
     copy_submits,
+    grow_old,
     isolate,
     others,
     outcome,
@@ -180,6 +181,7 @@
 @when("a job is submitted whose key was born {age:d} s ago")
 def step_old(context, age):
     bag = context.bag
+    grow_old(bag)
     born_ms = int(WALL_MS + (bag.now - age) * 1000)
     context.job = bag.job(born_ms=born_ms)
     context.handed = bag.submit("entry-0", context.job)
--- a/features/steps/once_directed_links_steps.py
+++ b/features/steps/once_directed_links_steps.py
@@ -53,3 +53,23 @@
     bag.run(2.0)
     assert {outcome(one) for one in handed} == {Outcome.ANSWERED}
     assert owner_name(bag) == context.owner
+
+
+@when(
+    "the owner hears nobody for {seconds:d} s and the service is down for the "
+    "first {down:d} s"
+)
+def step_deaf_late(context, seconds, down):
+    bag = context.bag
+    bag.key_value.down = True
+    bag.deafen(owner_name(bag))
+    bag.run(down)
+    bag.key_value.down = False
+    bag.run(seconds - down - 4.0)
+    context.handed = submit_for(bag, 4.0)
+
+
+@then("the requests of the last 4 s are answered before the mend")
+def step_answered_before(context):
+    context.bag.run(1.0)
+    assert {outcome(one) for one in context.handed} == {Outcome.ANSWERED}
--- a/features/support/cells.py
+++ b/features/support/cells.py
@@ -9,6 +9,7 @@
 from cactuswalk.model.holding import open_slots
 from cactuswalk.state.events import KeyRead
 from features.support.bag import CELL, Bag
+from features.support.directed import grow_old
 
 SECOND = "cell-2"
 
@@ -20,6 +21,7 @@
     bag.add_entry("entry-1", [CELL, SECOND])
     for cell in (CELL, SECOND):
         add_cell(bag, cell, agents)
+    grow_old(bag)
     return bag
 
 
--- a/features/support/directed.py
+++ b/features/support/directed.py
@@ -26,6 +26,18 @@
     return [one.worker for one in roster if one.worker != owner]
 
 
+def grow_old(bag: Bag) -> None:
+    """Take the cells for older than any key, so that they refuse none as new cells.
+
+    A cell that has just begun tells keys of before that they are too old, which
+    would hide whether anything else refuses them.
+    """
+    for process in bag.processes.values():
+        owner = getattr(process.state, "owner", None)
+        if owner is not None:
+            owner.known_since = float("-inf")
+
+
 def run_full(bag: Bag, agents: int, duration_ms: int, entry: str = "entry-0") -> Job:
     """Submit one job that takes every slot, and wait until all of it runs."""
     job = bag.job(tasks=agents * SLOTS, duration_ms=duration_ms)
