--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -123,12 +123,18 @@
     )
 
 
-@when("a refused job is tried again and the first try's question is answered late")
-def step_earlier_question(context):
+def submit_to_full_cell(context):
+    """Submit a job whose deadline passes before a slot is free."""
     bag = context.bag
     run_full(bag, AGENTS, 600, entry="entry-1")
     context.job = bag.job(tasks=1, duration_ms=500)
-    first = bag.submit("entry-0", context.job, 200)
+    return bag.submit("entry-0", context.job, 200)
+
+
+@when("a refused job is tried again and the first try's question is answered late")
+def step_earlier_question(context):
+    bag = context.bag
+    first = submit_to_full_cell(context)
     # Only as far as the entry: the owner may refuse it with its first word.
     bag.run(0.0)
     entry = bag.processes["tcp://entry-0"]
@@ -147,9 +153,7 @@
 @when("a refused job is tried again and the question overtakes the submission")
 def step_overtaking_question(context):
     bag = context.bag
-    run_full(bag, AGENTS, 600, entry="entry-1")
-    context.job = bag.job(tasks=1, duration_ms=500)
-    first = bag.submit("entry-0", context.job, 200)
+    first = submit_to_full_cell(context)
     bag.run(1.0)
     assert outcome(first) is Outcome.NOT_RUN, first.reply
     bag.fate = lambda sender, receiver, message: (
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -31,7 +31,7 @@
     CallerGone,
     CallerSubmitted,
 )
-from cactuswalk.state.moving import choose_cell, mint_well
+from cactuswalk.state.moving import choose_cell, is_served, mint_well
 from cactuswalk.state.waiting import send_submit
 
 __all__ = [
@@ -106,7 +106,7 @@
         return Refusal(RefusalCode.DEADLINE_PASSED, "the deadline has passed")
     if state.stopping:
         return Refusal(RefusalCode.STOPPING, "this entry is stopping", 0)
-    if choose_cell(state, job) is None:
+    if not is_served(state, job.service):
         return _refusal_without_cell(state, job)
     return None
 
--- a/src/cactuswalk/state/moving.py
+++ b/src/cactuswalk/state/moving.py
@@ -19,7 +19,7 @@
 from cactuswalk.state.roster import cell_key
 from cactuswalk.state.waiting import send_submit
 
-__all__ = ["choose_cell", "keep_moving", "mint_well", "on_not_held"]
+__all__ = ["choose_cell", "is_served", "keep_moving", "mint_well", "on_not_held"]
 
 # A cession is taken within two calls of the key-value service, some 10 ms; asked
 # more often, cells would be flooded while it is away.
@@ -34,6 +34,11 @@
 WELL = 2
 
 
+def is_served(state: EntryState, service: str) -> bool:
+    """Tell whether an owner has reported workers of a service: has it a cell?"""
+    return any(service in view.services for view in state.cells.values())
+
+
 def choose_cell(state: EntryState, job: Job) -> CellView | None:
     """Return the cell that holds a submission, or one that may know which does.
 
