--- /dev/null
+++ b/src/cactuswalk/commands/dispatch_entry.py
@@ -0,0 +1,27 @@
+"""The ``cactuswalk-dispatch-entry`` command."""
+
+from cactuswalk.commands.process import daemon_command
+from cactuswalk.platform.names import SETTINGS_VARIABLE
+from cactuswalk.runtime.dispatchentry import DispatchEntryProcess
+from cactuswalk.settings.dispatch import load_dispatch_entry
+
+__all__ = ["main"]
+
+HELP = """Run an entry on the platform.
+
+Takes jobs over HTTP, places their tasks on workers through the agents beside
+them, and answers when a job has ended. SIGTERM is a planned stop: what was taken
+is finished. Wrong settings are all reported at once, with exit status 2.
+
+Example: cactuswalk-dispatch-entry --settings examples/dispatch-entry.ini
+"""
+
+main = daemon_command(
+    "cactuswalk-dispatch-entry",
+    HELP,
+    lambda path: DispatchEntryProcess(load_dispatch_entry(path)),
+    variable=SETTINGS_VARIABLE,
+)
+
+if __name__ == "__main__":
+    main()
--- a/src/cactuswalk/commands/process.py
+++ b/src/cactuswalk/commands/process.py
@@ -15,10 +15,14 @@
 __all__ = ["daemon_command"]
 
 
-def daemon_command(name: str, help_text: str, make: Callable) -> click.Command:
+def daemon_command(
+    name: str, help_text: str, make: Callable, variable: str | None = None
+) -> click.Command:
     """Return the command of a daemon.
 
     :param make: given the path of the settings, returns the process object.
+    :param variable: of the environment, which names the settings if the option
+        doesn't.
     """
 
     @click.command(name, help=help_text)
@@ -27,6 +31,7 @@
         "--settings",
         "path",
         required=True,
+        envvar=variable,
         type=click.Path(exists=True, dir_okay=False),
         help="The INI file with this process's settings.",
     )
--- /dev/null
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -0,0 +1,67 @@
+"""What an agent keeps of the starts that it was given."""
+
+import enum
+
+import msgspec
+
+from cactuswalk.dispatch.messages import Ended, Start
+
+__all__ = ["EntryPeer", "Held", "HeldState"]
+
+
+class HeldState(enum.Enum):
+    """Where a start stands.
+
+    DOUBTFUL: the worker didn't answer; it may run, or begin to.
+    STOPPING: it is to be stopped; it may still run.
+    """
+
+    STARTING = "starting"
+    RUNNING = "running"
+    DOUBTFUL = "doubtful"
+    STOPPING = "stopping"
+
+
+class Held(msgspec.Struct):
+    """A start whose room is taken at the worker.
+
+    :param handle: the agent's own number for it.
+    :param gone_at: when it has ended for certain, if nothing is heard: the last
+        lease that the worker could have for it has passed. 0 until there is doubt.
+    :param call_under_way: a call of the worker on this start has no answer yet.
+    """
+
+    handle: int
+    entry: str
+    start: Start
+    run: int
+    state: HeldState
+    since: float
+    gone_at: float = 0.0
+    call_under_way: bool = False
+    asked_at: float = 0.0
+    percent: int = 0
+    percent_at: float = 0.0
+    tries: int = 0
+    reason: str = ""
+
+
+class EntryPeer(msgspec.Struct):
+    """An entry, as an agent knows it.
+
+    :param echoed: latest of the agent's own stamps, in milliseconds, that this
+        life of the entry has returned.
+    :param ends: by sequence, what it has not noted yet; with the time of the
+        last telling.
+    """
+
+    address: str
+    life: str = ""
+    echoed: int = -1
+    heard_at: float = 0.0
+    seen: int = 0
+    ends: dict[int, Ended] = msgspec.field(default_factory=dict)
+    told_at: dict[int, float] = msgspec.field(default_factory=dict)
+    reported_at: float = 0.0
+    dirty: bool = True
+    past_lives: set[str] = msgspec.field(default_factory=set)
--- /dev/null
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -0,0 +1,100 @@
+"""What an entry knows of one agent and its worker."""
+
+import msgspec
+
+from cactuswalk.dispatch.bounds import HEARD_SECONDS, lost_after
+from cactuswalk.dispatch.jobstate import TaskState
+from cactuswalk.dispatch.messages import Report, Start
+
+__all__ = ["AgentView", "Placed"]
+
+# A worker that declined for want of room is passed over until its next report, or
+# this long if that is lost.
+DECLINED_PAUSE_SECONDS = 0.03
+
+
+class Placed(msgspec.Struct):
+    """A start that has been sent, and whose end isn't known.
+
+    :param task: None once its job has ended; the start is then being stopped.
+    :param gone_at: when it has ended for certain; 0 while the agent is heard.
+    """
+
+    start: Start
+    task: TaskState | None
+    sent_at: float
+    first_sent_at: float
+    gone_at: float = 0.0
+    stop_sent_at: float = 0.0
+
+
+class AgentView(msgspec.Struct):
+    """An agent as its reports tell of it.
+
+    :param heard_at: when its latest report came. No stamp that is returned to it
+        is younger.
+    :param noted: sequences whose ends it has to be told were noted.
+    :param past_lives: of the agent; what they still say is out of date.
+    """
+
+    address: str
+    report: Report
+    heard_at: float
+    placed: dict[int, Placed] = msgspec.field(default_factory=dict)
+    noted: list[int] = msgspec.field(default_factory=list)
+    past_lives: set[str] = msgspec.field(default_factory=set)
+    passed_over_until: float = 0.0
+    unseen_cpu: int = 0
+    unseen_memory_mb: int = 0
+    unseen_gpu: int = 0
+    unseen: int = 0
+
+    def take(self, report: Report, now: float) -> None:
+        """Replace the report by a newer one of the same life."""
+        self.report = report
+        self.heard_at = now
+        self.passed_over_until = 0.0
+        self._count_unseen()
+
+    def add(self, placed: Placed) -> None:
+        """Reckon with a start that the agent has not reported yet."""
+        self.placed[placed.start.sequence] = placed
+        self._count(placed.start)
+
+    def is_open(self, now: float) -> bool:
+        """Return whether new tasks may be sent there."""
+        return (
+            self.report.open
+            and now - self.heard_at <= HEARD_SECONDS
+            and now >= self.passed_over_until
+            and not (self.report.trial and self.unseen)
+        )
+
+    def fits(self, cpu: int, memory_mb: int, gpu: int) -> bool:
+        """Return whether a task fits what is free, as far as is known."""
+        report = self.report
+        return (
+            cpu <= report.free_cpu - self.unseen_cpu
+            and memory_mb <= report.free_memory_mb - self.unseen_memory_mb
+            and gpu <= report.free_gpu - self.unseen_gpu
+        )
+
+    def pass_over(self, now: float) -> None:
+        """Leave it alone until it has reported again."""
+        self.passed_over_until = now + DECLINED_PAUSE_SECONDS
+
+    def silent_gone_at(self) -> float:
+        """Return when all that was placed here has ended, if it stays silent."""
+        return self.heard_at + lost_after()
+
+    def _count_unseen(self) -> None:
+        self.unseen_cpu = self.unseen_memory_mb = self.unseen_gpu = self.unseen = 0
+        for sequence, placed in self.placed.items():
+            if sequence > self.report.seen:
+                self._count(placed.start)
+
+    def _count(self, start: Start) -> None:
+        self.unseen += 1
+        self.unseen_cpu += start.cpu
+        self.unseen_memory_mb += start.memory_mb
+        self.unseen_gpu += start.gpu
--- /dev/null
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -0,0 +1,84 @@
+"""A job at the entry that answers for it."""
+
+import msgspec
+
+from cactuswalk.dispatch.job import JobRequest, Step, TaskKey
+from cactuswalk.dispatch.routing import Queue
+
+__all__ = ["JobState", "TaskState"]
+
+
+class TaskState(msgspec.Struct, eq=False):
+    """One task.
+
+    :param place: address of the agent that has it; empty while it waits.
+    :param failures: runs that ended as failed.
+    :param runs: number of its latest run.
+    :param avoid: agents where it failed or was lost.
+    """
+
+    job: "JobState"
+    key: TaskKey
+    step: Step
+    place: str = ""
+    sequence: int = 0
+    done: bool = False
+    failures: int = 0
+    runs: int = 0
+    avoid: set[str] = msgspec.field(default_factory=set)
+
+
+class JobState(msgspec.Struct, eq=False):
+    """One job, from its arrival to its answer.
+
+    :param waiters: callers' connections that wait for the answer.
+    :param expected: seconds that its longest chain of tasks is expected to run.
+    :param on_time_by: until then it is of full use to its caller.
+    :param late_by: until then it is of some use.
+    :param give_up_at: then its caller waits no more.
+    :param started: a task of it may have run.
+    """
+
+    request: JobRequest
+    queue: Queue
+    waiters: list[int]
+    arrived_at: float
+    expected: float
+    on_time_by: float
+    late_by: float
+    give_up_at: float
+    tasks: list[TaskState] = msgspec.field(default_factory=list)
+    waiting: list[TaskState] = msgspec.field(default_factory=list)
+    remaining: list[int] = msgspec.field(default_factory=list)
+    opened: set[int] = msgspec.field(default_factory=set)
+    started: bool = False
+    first_start_at: float = 0.0
+    lost_runs: int = 0
+    declined_runs: int = 0
+
+    @property
+    def latest_start(self) -> float:
+        """When it has to start to be on time."""
+        return self.on_time_by - self.expected
+
+    def open_steps(self) -> None:
+        """Let the tasks wait for a place whose earlier steps are all done."""
+        for number, step in enumerate(self.request.steps):
+            if number in self.opened:
+                continue
+            if any(self.remaining[earlier] for earlier in step.after):
+                continue
+            self.opened.add(number)
+            self.waiting.extend(task for task in self.tasks if task.key.step == number)
+
+
+def make_tasks(job: JobState) -> None:
+    """Give a new job its tasks, and open the steps that need no other."""
+    identifier = job.request.identifier
+    for number, step in enumerate(job.request.steps):
+        job.remaining.append(step.count)
+        job.tasks.extend(
+            TaskState(job, TaskKey(identifier, number, index), step)
+            for index in range(step.count)
+        )
+    job.open_steps()
--- /dev/null
+++ b/src/cactuswalk/dispatch/messages.py
@@ -0,0 +1,190 @@
+"""Messages between entries and agents, and among entries.
+
+Any of them may be lost, repeated or late. A task's start is known by the life of
+the entry that sent it and a sequence number that grows within that life.
+"""
+
+import enum
+
+import msgspec
+
+from cactuswalk.dispatch.job import TaskKey
+from cactuswalk.errors import MalformedMessageError
+
+__all__ = [
+    "ConfigurationAsk",
+    "ConfigurationCopy",
+    "Ended",
+    "EntryPulse",
+    "Envelope",
+    "Message",
+    "Pulse",
+    "Report",
+    "Start",
+    "Stop",
+    "TaskEnd",
+    "decode",
+    "encode",
+]
+
+
+class TaskEnd(enum.IntEnum):
+    """How a start ended at its agent.
+
+    DECLINED: it never ran. FAILED: it ran and failed. LOST: it ended with its
+    worker or its lease, or never began. STOPPED: as asked.
+    """
+
+    DONE = 0
+    FAILED = 1
+    STOPPED = 2
+    LOST = 3
+    DECLINED = 4
+
+
+class Report(msgspec.Struct, array_like=True, tag=1):
+    """An agent tells an entry of its worker.
+
+    :param life: of the agent's process.
+    :param entry_life: the receiver's, as the agent knows it.
+    :param stamp: the agent's clock in milliseconds, to be returned by a pulse.
+    :param seen: highest sequence of the receiver's starts that has arrived.
+    :param held: the receiver's starts that are under way, or whose end the
+        receiver has not noted yet.
+    :param worker: identifier of the worker's life; empty while there is none.
+    :param open: whether the worker takes new tasks.
+    :param trial: it takes one task at a time, to see whether it is sound again.
+    :param pace: its run times relative to the callers' estimates.
+    """
+
+    life: str
+    entry_life: str
+    stamp: int
+    seen: int
+    held: list[int]
+    worker: str
+    service: str
+    data_centre: str
+    labels: list[str]
+    open: bool
+    trial: bool
+    free_cpu: int
+    free_memory_mb: int
+    free_gpu: int
+    pace: float
+
+
+class Pulse(msgspec.Struct, array_like=True, tag=2):
+    """An entry lets an agent go on, and returns its stamp.
+
+    :param noted: sequences whose ends have been taken note of.
+    :param entries: addresses of all entries that the sender knows.
+    """
+
+    life: str
+    agent_life: str
+    stamp: int
+    noted: list[int]
+    entries: list[str]
+
+
+class Start(msgspec.Struct, array_like=True, tag=3):
+    """Start a task, once, if this arrives while its stamp is fresh."""
+
+    life: str
+    agent_life: str
+    stamp: int
+    sequence: int
+    worker: str
+    key: TaskKey
+    run: int
+    spec: str
+    cpu: int
+    memory_mb: int
+    gpu: int
+    estimate_ms: int
+
+
+class Stop(msgspec.Struct, array_like=True, tag=4):
+    """Stop what a start began; it ends in ``Ended`` in any case."""
+
+    life: str
+    sequence: int
+
+
+class Ended(msgspec.Struct, array_like=True, tag=5):
+    """A start has ended.
+
+    :param run: the number under which the worker knew it.
+    :param ran_ms: how long it ran; 0 where that is not known.
+    """
+
+    entry_life: str
+    sequence: int
+    end: TaskEnd
+    run: int
+    ran_ms: int
+    reason: str
+
+
+class EntryPulse(msgspec.Struct, array_like=True, tag=6):
+    """An entry tells another that it is there, and what it knows."""
+
+    life: str
+    version: int
+    entries: list[str]
+
+
+class ConfigurationAsk(msgspec.Struct, array_like=True, tag=7):
+    """Ask another entry for its configuration."""
+
+    version: int
+
+
+class ConfigurationCopy(msgspec.Struct, array_like=True, tag=8):
+    """The configuration as the platform holds it."""
+
+    version: int
+    value: bytes
+
+
+Message = (
+    Report
+    | Pulse
+    | Start
+    | Stop
+    | Ended
+    | EntryPulse
+    | ConfigurationAsk
+    | ConfigurationCopy
+)
+
+
+class Envelope(msgspec.Struct, array_like=True):
+    """One frame: the sender's address, and its messages in order."""
+
+    sender: str
+    messages: list[Message]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(Envelope)
+
+
+def encode(envelope: Envelope) -> bytes:
+    """Return the frame for an envelope."""
+    return _encoder.encode(envelope)
+
+
+def decode(frame: bytes) -> Envelope:
+    """Return the envelope in a frame.
+
+    :raises MalformedMessageError: if the frame is no envelope of this version.
+    """
+    try:
+        return _decoder.decode(frame)
+    except msgspec.MsgspecError as error:
+        raise MalformedMessageError(
+            f"a frame of {len(frame)} bytes is no envelope: {error}",
+            "Run the same version of Cactuswalk on both hosts.",
+        ) from error
--- /dev/null
+++ b/src/cactuswalk/dispatch/placement.py
@@ -0,0 +1,112 @@
+"""Where a task runs.
+
+Load pattern: workers differ by half in speed, some turn several times slower for
+seconds, and the last task of a wide job decides when its caller is answered.
+Sent to any worker with room, most wide jobs would have a task on the worst one.
+
+A task goes where it is expected to end first. Workers of the entry's own data
+centre go first among equals: what crosses data centres is paid for, and two
+entries that choose the same worker decline each other.
+"""
+
+import statistics
+
+from cactuswalk.dispatch.agentview import AgentView
+from cactuswalk.dispatch.job import Step
+from cactuswalk.dispatch.jobstate import TaskState
+
+__all__ = ["Chooser", "relative_paces"]
+
+# A worker elsewhere has to be this much faster to be chosen before one in the own
+# data centre. Workers differ by 0.8 to 1.25.
+REMOTE_FACTOR = 1.15
+
+# Slower than this, relative to the others, a worker is not used while a task can
+# wait: a job is on time within 1.6 times its run time.
+SLOW_FACTOR = 2.0
+
+# A worker that is slow gets no more than one task from an entry, by which it is
+# seen to have recovered.
+PROBE_TASKS = 1
+
+
+def relative_paces(views: list[AgentView]) -> dict[str, float]:
+    """Return each worker's run times relative to the middle one's."""
+    if not views:
+        return {}
+    middle = statistics.median(view.report.pace for view in views) or 1.0
+    return {view.address: view.report.pace / middle for view in views}
+
+
+class Chooser:
+    """Chooses workers for the tasks of one turn.
+
+    :param views: agents that are heard and open.
+    :param data_centre: the entry's own.
+    :param far_factor: by which a task takes longer away from its data's rack.
+    """
+
+    def __init__(
+        self,
+        views: list[AgentView],
+        paces: dict[str, float],
+        data_centre: str,
+        far_factor: float,
+    ) -> None:
+        self.paces = paces
+        self.data_centre = data_centre
+        self.far_factor = far_factor
+        self.views = sorted(views, key=self._cost)
+
+    def _cost(self, view: AgentView) -> float:
+        pace = self.paces[view.address]
+        near = view.report.data_centre == self.data_centre
+        return pace if near else pace * REMOTE_FACTOR
+
+    def choose(self, task: TaskState, service: str) -> AgentView | None:
+        """Return the agent that is to have a task, or None if it has to wait."""
+        best = None
+        best_cost = 0.0
+        for view in self.views:
+            if not self._may(view, task, service):
+                continue
+            cost = self._cost(view)
+            if task.step.rack and task.step.rack not in view.report.labels:
+                cost *= self.far_factor
+            if view.address in task.avoid:
+                cost *= SLOW_FACTOR
+            if best is None or cost < best_cost:
+                best, best_cost = view, cost
+            if not task.step.rack and not task.avoid:
+                break
+        return best
+
+    def _may(self, view: AgentView, task: TaskState, service: str) -> bool:
+        step = task.step
+        if view.report.service != service:
+            return False
+        if not view.fits(step.cpu, step.memory_mb, step.gpu):
+            return False
+        if step.label and step.label not in view.report.labels:
+            return False
+        if view.report.trial and view.placed:
+            return False
+        if self.paces[view.address] > SLOW_FACTOR and len(view.placed) >= PROBE_TASKS:
+            return False
+        return not step.per_worker or _count(view, task) < step.per_worker
+
+
+def _count(view: AgentView, task: TaskState) -> int:
+    return sum(
+        placed.start.key.job == task.key.job and placed.start.key.step == task.key.step
+        for placed in view.placed.values()
+    )
+
+
+def could_ever_fit(views: list[AgentView], step: Step, service: str) -> bool:
+    """Return whether some known worker of the service has the step's label."""
+    return any(
+        view.report.service == service
+        and (not step.label or step.label in view.report.labels)
+        for view in views
+    )
--- /dev/null
+++ b/src/cactuswalk/platform/metadata.py
@@ -0,0 +1,229 @@
+"""Calls of the platform's metadata store, one try each."""
+
+import asyncio
+import base64
+
+import aiohttp
+import msgspec
+
+from cactuswalk.platform.errors import (
+    CallFailedError,
+    CallRefusedError,
+    HistoryCompactedError,
+    LeaseLapsedError,
+)
+
+__all__ = ["Item", "ItemChange", "MetadataStore", "Watched"]
+
+CONNECTIONS = 4
+
+# An answer takes 4 ms; a store that is sixty times slower is still heard.
+CALL_SECONDS = 1.0
+# Past the time that a watch may wait, its answer has to travel.
+WATCH_SLACK_SECONDS = 1.0
+
+
+class Item(msgspec.Struct):
+    """A key of the store; ``revision`` is of its last change."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class ItemChange(msgspec.Struct):
+    """A key's change; ``value`` is None for a key that is gone."""
+
+    key: str
+    value: bytes | None
+    revision: int
+
+
+class Watched(msgspec.Struct):
+    """What a watch has brought: all changes up to ``revision``."""
+
+    revision: int
+    changes: list[ItemChange]
+
+
+class EventBody(msgspec.Struct):
+    """An item or a change on the wire; ``value`` is base64."""
+
+    key: str
+    revision: int
+    value: str = ""
+    deleted: bool = False
+
+
+class ReplyBody(msgspec.Struct):
+    """What the store's answers hold; ``as_of`` is the store's own revision."""
+
+    as_of: int = 0
+    revision: int = 0
+    lease: int = 0
+    ttl_ms: int = 0
+    key: str = ""
+    value: str = ""
+    has_more: bool = False
+    items: list[EventBody] = []
+    events: list[EventBody] = []
+
+
+_decoder = msgspec.json.Decoder(ReplyBody)
+
+
+class MetadataStore:
+    """The connections of one process to the store.
+
+    Each call raises ``CallFailedError`` if it had no usable answer (it may then
+    have taken effect) and ``CallRefusedError`` if the store refused it.
+
+    :param address: ``ip:port``.
+    """
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.session: aiohttp.ClientSession | None = None
+
+    async def read(self, key: str) -> tuple[int, Item | None]:
+        """Return the store's revision, and a key if it exists."""
+        status, reply = await self._call("GET", "/v1/kv-key", {"key": key})
+        if status == 404:
+            return reply.as_of, None
+        return reply.as_of, Item(key, _unpack(reply.value), reply.revision)
+
+    async def list(self, prefix: str, stale: bool = False) -> tuple[int, list[Item]]:
+        """Return the store's revision, and all keys that begin with a prefix.
+
+        :param stale: take an answer that may be seconds old, at a tenth.
+        """
+        items: list[Item] = []
+        query = {"path_prefix": prefix}
+        if stale:
+            query["serializable"] = "1"
+        revision = 0
+        while True:
+            _, reply = await self._call("GET", "/v1/kv-range", query)
+            # Pages are no snapshot: changes between them come with a watch that
+            # begins at the first page's revision.
+            revision = revision or reply.as_of
+            items.extend(
+                Item(item.key, _unpack(item.value), item.revision)
+                for item in reply.items
+            )
+            if not reply.has_more or not reply.items:
+                return revision, items
+            query["after"] = reply.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait_seconds: float) -> Watched:
+        """Return the changes after a revision, or none if the wait passes.
+
+        :raises HistoryCompactedError: if the store has dropped some of them.
+        """
+        query = {
+            "path_prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_seconds * 1000)),
+        }
+        within = wait_seconds + WATCH_SLACK_SECONDS
+        status, reply = await self._call("GET", "/v1/kv-watch", query, within=within)
+        if status == 410:
+            raise HistoryCompactedError(
+                f"the changes of {prefix!r} after {after} are gone",
+                "Read the keys again.",
+            )
+        changes = [
+            ItemChange(
+                event.key,
+                None if event.deleted else _unpack(event.value),
+                event.revision,
+            )
+            for event in reply.events
+        ]
+        return Watched(max(reply.as_of, after), changes)
+
+    async def put(self, key: str, value: bytes, lease: int) -> None:
+        """Write a key whatever it holds.
+
+        :raises LeaseLapsedError: if there is no such lease.
+        """
+        put = {"key": key, "value": base64.b64encode(value).decode(), "lease": lease}
+        body = {"expected_revision": [], "puts": [put], "remove": []}
+        status, _ = await self._call("POST", "/v1/kv-txn", body=body)
+        if status == 404:
+            raise _lapsed(lease)
+
+    async def grant(self, seconds: float) -> int:
+        """Grant a lease, and return its number."""
+        body = {"ttl_ms": int(seconds * 1000)}
+        _, reply = await self._call("POST", "/v1/kv-lease", body=body)
+        return reply.lease
+
+    async def renew(self, lease: int) -> None:
+        """Renew a lease.
+
+        :raises LeaseLapsedError: if it has ended.
+        """
+        status, _ = await self._call("POST", f"/v1/kv-keep/{lease}")
+        if status == 404:
+            raise _lapsed(lease)
+
+    async def end(self, lease: int) -> None:
+        """End a lease; its keys go with it."""
+        await self._call("DELETE", f"/v1/kv-lease-end/{lease}")
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: dict | None = None,
+        within: float = CALL_SECONDS,
+    ) -> tuple[int, ReplyBody]:
+        if self.session is None:
+            connector = aiohttp.TCPConnector(limit=CONNECTIONS)
+            self.session = aiohttp.ClientSession(connector=connector)
+        data = None if body is None else msgspec.json.encode(body)
+        headers = {"Content-Type": "application/json"} if data else None
+        url = f"http://{self.address}{path}"
+        try:
+            async with asyncio.timeout(within):
+                async with self.session.request(
+                    method, url, params=query, data=data, headers=headers
+                ) as response:
+                    text = await response.read()
+        except (aiohttp.ClientError, OSError) as error:
+            sent = not isinstance(error, aiohttp.ClientConnectorError)
+            timed_out = isinstance(error, TimeoutError)
+            raise CallFailedError(f"{path} failed: {error!r}", sent, timed_out) from (
+                error
+            )
+        return response.status, _read(path, response.status, text)
+
+
+# Answers that say something about the key, the lease or the history asked for.
+MEANINGFUL = frozenset({200, 404, 410, 412})
+
+
+def _read(path: str, status: int, text: bytes) -> ReplyBody:
+    if status not in MEANINGFUL:
+        # 429 and 503 promise that nothing was done; others are not foreseen.
+        raise CallRefusedError(f"{path} ended in {status}", status, 0)
+    try:
+        return _decoder.decode(text) if text else ReplyBody()
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise CallFailedError(f"{path}: no JSON of the store", sent=True) from error
+
+
+def _unpack(value: str) -> bytes:
+    return base64.b64decode(value)
+
+
+def _lapsed(lease: int) -> LeaseLapsedError:
+    return LeaseLapsedError(f"the lease {lease} has ended", "Grant another one.")
--- /dev/null
+++ b/src/cactuswalk/platform/names.py
@@ -0,0 +1,30 @@
+"""The platform's names for what this product calls otherwise."""
+
+from cactuswalk.dispatch.job import TaskKey
+
+__all__ = ["CONFIGURATION_KEY", "SETTINGS_VARIABLE", "task_key", "task_name"]
+
+# Names the file with a process's settings.
+SETTINGS_VARIABLE = "CACTUSWALK_BOOT"
+
+# Where the operator's newest configuration lies in the store.
+CONFIGURATION_KEY = "op/config"
+
+# The second part of a task's name numbers a job's repetitions; without any, 0.
+FIRST_REPETITION = "0"
+
+
+def task_name(key: TaskKey) -> str:
+    """Return a task's name as workers know it."""
+    return f"{key.job}.{FIRST_REPETITION}.{key.step}.{key.index}"
+
+
+def task_key(name: str) -> TaskKey | None:
+    """Return the task of a name, or None if it isn't of this product's making."""
+    parts = name.split(".")
+    if len(parts) != 4 or parts[1] != FIRST_REPETITION:
+        return None
+    try:
+        return TaskKey(parts[0], int(parts[2]), int(parts[3]))
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/cactuswalk/platform/worker.py
@@ -0,0 +1,215 @@
+"""Calls of the worker on the same host."""
+
+import asyncio
+import collections.abc
+
+import aiohttp
+import msgspec
+
+from cactuswalk.dispatch.agentevents import (
+    AgentEvent,
+    EndedRow,
+    Looked,
+    LookFailed,
+    RunEnd,
+    RunningRow,
+    StartAnswered,
+    StartVerdict,
+    StopAnswered,
+)
+from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
+from cactuswalk.dispatch.effects import LookAtWorker, StartTask, StopTask
+from cactuswalk.platform.names import task_key, task_name
+
+__all__ = ["WorkerClient"]
+
+START_PATH = "/v1/run-start"
+STOP_PATH = "/v1/run-stop"
+LOOK_PATH = "/v1/hold"
+
+# A call for another life of the worker is refused.
+LIFE_HEADER = "X-Expected-Instance"
+OTHER_LIFE = 421
+
+# Starts side by side; one more connection is for looks. New ones are paid for.
+CONNECTIONS = 6
+# The worker may close an idle connection; until then it is kept.
+KEEP_SECONDS = 300.0
+
+REFUSALS = {
+    "old": StartVerdict.SUPERSEDED,
+    "fence": StartVerdict.FENCED,
+    "late": StartVerdict.LATE,
+    "room": StartVerdict.NO_ROOM,
+}
+
+# A gang's ends ("broken", "alone") count as lapsed: the run is over, not by its
+# own fault.
+ENDS = {"done": RunEnd.DONE, "failed": RunEnd.FAILED, "stopped": RunEnd.STOPPED}
+
+
+class Reply(msgspec.Struct):
+    """What the worker's answers hold; ``clock_ms`` is its steady clock."""
+
+    clock_ms: float | None = None
+    reason: str = ""
+    running: list[list] = []
+    finished: list[list] = []
+
+
+_decoder = msgspec.json.Decoder(Reply)
+
+
+class CallLostError(Exception):
+    """A call had no usable answer.
+
+    :param refused: nobody listens at the address; nothing has been sent.
+    """
+
+    def __init__(self, refused: bool) -> None:
+        super().__init__()
+        self.refused = refused
+
+
+class WorkerClient:
+    """The connections to one worker's address.
+
+    :param address: ``ip:port``.
+    :param clock: the agent's, in seconds.
+    """
+
+    def __init__(
+        self, address: str, clock: collections.abc.Callable[[], float]
+    ) -> None:
+        self.address = address
+        self.clock = clock
+        self.session: aiohttp.ClientSession | None = None
+        # By worker, its clock less the agent's, in milliseconds.
+        self.offsets: dict[str, float] = {}
+
+    async def start(self, effect: StartTask) -> AgentEvent:
+        """Start a task."""
+        body = {
+            "task": task_name(effect.key),
+            "run": effect.run,
+            "spec": effect.spec,
+            "deadline_ms": self._deadline(effect.worker, effect.lease_seconds),
+            "fencing_token": effect.token,
+        }
+        try:
+            status, reply = await self._call(
+                START_PATH, effect.worker, body, CALL_TIMEOUT_SECONDS
+            )
+        except CallLostError as error:
+            verdict = StartVerdict.GONE if error.refused else StartVerdict.UNKNOWN
+            return StartAnswered(effect.worker, effect.handle, verdict)
+        verdict = _verdict(status, reply.reason)
+        return StartAnswered(effect.worker, effect.handle, verdict)
+
+    async def stop(self, effect: StopTask) -> AgentEvent:
+        """Stop a run, or forbid it."""
+        body = {
+            "task": task_name(effect.key),
+            "run": effect.run,
+            "fencing_token": effect.token,
+        }
+        try:
+            status, _ = await self._call(
+                STOP_PATH, effect.worker, body, CALL_TIMEOUT_SECONDS
+            )
+        except CallLostError:
+            return StopAnswered(effect.worker, effect.handle, False)
+        return StopAnswered(effect.worker, effect.handle, status == 200)
+
+    async def look(self, effect: LookAtWorker) -> AgentEvent:
+        """Renew the lease and list what runs and what has ended."""
+        sent_at = self.clock()
+        body = {
+            "fencing_token": effect.token,
+            "last_seen": effect.noted,
+            "wait_ms": effect.wait_ms,
+        }
+        if effect.lease_seconds and effect.worker in self.offsets:
+            body["deadline_ms"] = self._deadline(effect.worker, effect.lease_seconds)
+        within = CALL_TIMEOUT_SECONDS + effect.wait_ms / 1000
+        try:
+            status, reply = await self._call(LOOK_PATH, effect.worker, body, within)
+        except CallLostError as error:
+            return LookFailed(effect.worker, False, error.refused)
+        if status != 200:
+            fenced = reply.reason == "fence"
+            return LookFailed(effect.worker, fenced, status == OTHER_LIFE)
+        return Looked(
+            effect.worker,
+            sent_at,
+            [_running(row) for row in reply.running],
+            [_ended(row) for row in reply.finished],
+        )
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self.session is not None:
+            await self.session.close()
+            self.session = None
+
+    def _deadline(self, worker: str, seconds: float) -> int:
+        """Return when a lease ends on the worker's clock."""
+        return int(self.clock() * 1000 + self.offsets.get(worker, 0.0) + seconds * 1000)
+
+    async def _call(
+        self, path: str, worker: str, body: dict, within: float
+    ) -> tuple[int, Reply]:
+        if self.session is None:
+            connector = aiohttp.TCPConnector(
+                limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
+            )
+            self.session = aiohttp.ClientSession(connector=connector)
+        url = f"http://{self.address}{path}"
+        headers = {LIFE_HEADER: worker, "Content-Type": "application/json"}
+        try:
+            async with asyncio.timeout(within):
+                async with self.session.post(
+                    url, data=msgspec.json.encode(body), headers=headers
+                ) as response:
+                    data = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            refused = isinstance(error.os_error, ConnectionRefusedError)
+            raise CallLostError(refused) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise CallLostError(False) from error
+        reply = _read(data)
+        if reply.clock_ms is not None and response.status != OTHER_LIFE:
+            # The clock was read before the answer arrived, so that a lease
+            # reckoned from here ends early rather than late.
+            self.offsets[worker] = reply.clock_ms - self.clock() * 1000
+        return response.status, reply
+
+
+def _read(data: bytes) -> Reply:
+    if not data:
+        return Reply()
+    try:
+        return _decoder.decode(data)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise CallLostError(False) from error
+
+
+def _verdict(status: int, reason: str) -> StartVerdict:
+    if status == 200:
+        return StartVerdict.STARTED
+    if status == 409:
+        return REFUSALS.get(reason, StartVerdict.INVALID)
+    if status in (429, 503):
+        return StartVerdict.UNHEALTHY
+    if status == OTHER_LIFE:
+        return StartVerdict.GONE
+    return StartVerdict.INVALID if status == 400 else StartVerdict.UNKNOWN
+
+
+def _running(row: list) -> RunningRow:
+    return RunningRow(task_key(row[0]), row[0], row[1], row[3])
+
+
+def _ended(row: list) -> EndedRow:
+    number, name, run, how, _ = row
+    return EndedRow(number, task_key(name), run, ENDS.get(how, RunEnd.LAPSED))
--- a/src/cactuswalk/runtime/application.py
+++ b/src/cactuswalk/runtime/application.py
@@ -35,6 +35,9 @@
     :param metrics: has ``count(name, by)`` and ``gauge(name, value)``.
     :param may_leave: tells whether a process that is to stop may take nothing new
         from now on; until then it only says so, and serves on.
+    :param clock: seconds that never go back.
+    :param tick: makes the reducer's event for the passing of time; ``received``
+        and ``stop_requested`` make theirs.
     """
 
     def __init__(
@@ -45,7 +48,15 @@
         write_log: Callable[..., None],
         metrics,
         may_leave: Callable[[float], bool] = lambda now: True,
+        clock: Callable[[], float] = time.monotonic,
+        tick: Callable[[], object] = Tick,
+        received: Callable[[str, object], object] = Received,
+        stop_requested: Callable[[], object] = StopRequested,
     ) -> None:
+        self.clock = clock
+        self.make_tick = tick
+        self.make_received = received
+        self.make_stop_requested = stop_requested
         self.name = name
         self.reduce = reduce
         self.is_stopped = is_stopped
@@ -79,7 +90,7 @@
         """Give the reducer an event, and perform what it wants done."""
         if self.failure is not None:
             return
-        now = time.monotonic()
+        now = self.clock()
         try:
             effects = self.reduce(event, now)
         except InvariantError as error:
@@ -96,7 +107,7 @@
 
     def receive(self, sender: str, message) -> None:
         """Give the reducer a message from another process."""
-        self.feed(Received(sender, message))
+        self.feed(self.make_received(sender, message))
 
     def spawn(self, work: Awaitable[None]) -> None:
         """Run something in the background; it ends with the application."""
@@ -145,9 +156,9 @@
 
     def _keep_stopping(self) -> bool:
         """Go on with a planned stop; return whether it is complete."""
-        if not self.told_to_stop and self.may_leave(time.monotonic()):
+        if not self.told_to_stop and self.may_leave(self.clock()):
             self.told_to_stop = True
-            self.feed(StopRequested())
+            self.feed(self.make_stop_requested())
         return self.told_to_stop and self.is_stopped()
 
     async def _tick(self) -> None:
@@ -155,10 +166,10 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             self.transport.poll()
-            self.feed(Tick())
+            self.feed(self.make_tick())
             ticks += 1
             if ticks % IDLE_LOOK_TICKS == 0:
-                self.transport.close_idle(time.monotonic())
+                self.transport.close_idle(self.clock())
             if self.stopping and self._keep_stopping():
                 self.ended.set()
                 return
--- /dev/null
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -0,0 +1,160 @@
+"""What dispatch entries and agents have in common: log, metrics, messages, HTTP."""
+
+import time
+from collections.abc import Callable
+
+from aiohttp import web
+
+from cactuswalk.dispatch import messages
+from cactuswalk.dispatch.effects import Observe, Say, SendMessage
+from cactuswalk.platform.metadata import MetadataStore
+from cactuswalk.runtime.application import Application
+from cactuswalk.runtime.exposition import Exposition
+from cactuswalk.runtime.logs import open_logs
+from cactuswalk.runtime.metrics import make_metrics
+from cactuswalk.runtime.transport import Transport
+from cactuswalk.settings.dispatch import (
+    DispatchAgentSettings,
+    DispatchEntrySettings,
+    Endpoint,
+    message_url,
+)
+from cactuswalk.state.effects import Log, Part
+
+__all__ = ["DispatchHost", "now"]
+
+# A connection between processes that shows no sign of life for so long is
+# replaced: a lease must not end for it (bounds.ENTRY_LEASE_SECONDS is 0.5).
+HEARTBEAT_MS = 300
+
+# A request that is longer than this before its body is no caller of ours.
+MAXIMUM_HEADER_BYTES = 16_384
+
+# Idle connections of callers are kept; the balancer's clients come back on them.
+KEEP_SECONDS = 75.0
+
+
+def now() -> float:
+    """Return seconds that go on while the host is suspended.
+
+    A host that was suspended must find its leases ended when it wakes; the
+    monotonic clock would not have moved.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class DispatchHost:
+    """The parts of a process that its role does not change.
+
+    :param reduce: the role's reducer.
+    :param is_stopped: whether a planned stop is complete.
+    :param part: named at the beginning of each log line.
+    :param received: makes the reducer's event of a message; ``tick`` and
+        ``stop_requested`` make theirs.
+    """
+
+    def __init__(
+        self,
+        settings: DispatchAgentSettings | DispatchEntrySettings,
+        part: Part,
+        reduce: Callable,
+        is_stopped: Callable[[], bool],
+        received: Callable,
+        tick: Callable,
+        stop_requested: Callable,
+    ) -> None:
+        self.settings = settings
+        self.part = part
+        self.log = open_logs(settings.logs, settings.name)
+        self.metrics = make_metrics(settings.statsd)
+        self.exposition = Exposition()
+        self.store = MetadataStore(str(settings.store))
+        self.application = Application(
+            settings.name,
+            reduce,
+            is_stopped,
+            self._write_log,
+            self.metrics,
+            clock=now,
+            tick=tick,
+            received=received,
+            stop_requested=stop_requested,
+        )
+        self.transport = Transport(
+            message_url(settings.messages),
+            self.application.receive,
+            lambda name, by: self.exposition.count(name, by),
+            codec=messages,
+            heartbeat_ms=HEARTBEAT_MS,
+            clock=now,
+        )
+        self.application.transport = self.transport
+        self.application.performers |= {
+            SendMessage: self._send,
+            Say: self._say,
+            Observe: self.exposition.observe,
+        }
+
+    def serve(self, address: Endpoint, handler: Callable) -> None:
+        """Have an address served for as long as the application runs."""
+        runner = web.ServerRunner(
+            web.Server(
+                handler,
+                access_log=None,
+                handler_cancellation=True,
+                auto_decompress=False,
+                max_field_size=MAXIMUM_HEADER_BYTES,
+                max_line_size=MAXIMUM_HEADER_BYTES,
+                keepalive_timeout=KEEP_SECONDS,
+            )
+        )
+
+        async def start() -> None:
+            await runner.setup()
+            await web.TCPSite(
+                runner, address.host, address.port, backlog=LISTEN_BACKLOG
+            ).start()
+
+        self.application.add_hook(start, runner.cleanup)
+
+    def open_messages(self) -> None:
+        """Have messages taken and sent for as long as the application runs."""
+
+        async def start() -> None:
+            self.transport.open()
+
+        async def stop() -> None:
+            self.transport.close()
+
+        self.application.add_hook(start, stop)
+
+    def open_store(self) -> None:
+        """Have the store's connections and the log closed at the end."""
+
+        async def start() -> None:
+            self._say(Say("starts", {"address": self.transport.address}))
+
+        async def stop() -> None:
+            await self.store.close()
+            self._say(Say("has stopped", {}))
+            self.metrics.close()
+            self.log.close()
+
+        self.application.add_hook(start, stop)
+
+    def say(self, sentence: str, **fields: object) -> None:
+        """Write a log line of this process."""
+        self._say(Say(sentence, fields))
+
+    def _send(self, effect: SendMessage) -> None:
+        self.transport.send(effect.address, effect.message, now())
+
+    def _say(self, effect: Say) -> None:
+        self.log.say(self.part, effect.sentence, effect.fields, effect.level)
+
+    def _write_log(self, effect: Log, level: str = "info") -> None:
+        self.log.write(effect, level)
+
+
+# Connections that may wait to be accepted: a full queue drops them for seconds.
+LISTEN_BACKLOG = 1_024
--- /dev/null
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -0,0 +1,98 @@
+"""The process of a dispatch agent."""
+
+import secrets
+import signal
+import time
+from collections.abc import Awaitable
+
+from cactuswalk.dispatch.agent import AgentState
+from cactuswalk.dispatch.agentevents import (
+    EntriesRead,
+    Received,
+    StopRequested,
+    Tick,
+)
+from cactuswalk.dispatch.effects import AskEntries, LookAtWorker, StartTask, StopTask
+from cactuswalk.platform.announcements import AnnouncementEdge
+from cactuswalk.platform.errors import PlatformError
+from cactuswalk.platform.worker import WorkerClient
+from cactuswalk.runtime.dispatch import DispatchHost, now
+from cactuswalk.runtime.following import ENTRIES_PREFIX
+from cactuswalk.settings.dispatch import DispatchAgentSettings
+from cactuswalk.state.effects import Part
+
+__all__ = ["DispatchAgentProcess"]
+
+# A stopping agent leaves this long before it would be killed.
+STOP_MARGIN_SECONDS = 0.7
+
+
+class DispatchAgentProcess:
+    """Runs the agent beside one worker."""
+
+    def __init__(self, settings: DispatchAgentSettings) -> None:
+        self.settings = settings
+        # Only an earlier life of this agent has given the worker a token, and the
+        # time of day was earlier then; a clock that was set back shows at the
+        # worker, which refuses (AgentState raises the token).
+        token = int(time.time() * 1000)
+        self.state = AgentState(secrets.token_hex(4), token, settings.seeds)
+        self.host = DispatchHost(
+            settings,
+            Part.AGENT,
+            self.state.reduce,
+            self.is_stopped,
+            Received,
+            Tick,
+            StopRequested,
+        )
+        self.application = self.host.application
+        self.worker = WorkerClient(str(settings.worker), now)
+        self.stop_by = 0.0
+        self.application.performers |= {
+            StartTask: lambda effect: self._call(self.worker.start(effect)),
+            StopTask: lambda effect: self._call(self.worker.stop(effect)),
+            LookAtWorker: lambda effect: self._call(self.worker.look(effect)),
+            AskEntries: lambda effect: self._call(self._ask_entries()),
+        }
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        signal.signal(signal.SIGHUP, lambda *_: self.host.say("settings have changed"))
+        self.host.open_store()
+        edge = AnnouncementEdge(
+            self.settings.service, self.application.feed, self._warn
+        )
+        self.host.serve(self.settings.announcements, edge.handle)
+        self.host.open_messages()
+        self.host.serve(self.settings.metrics, self.host.exposition.handler())
+        self.application.add_hook(_nothing, self.worker.close)
+        await self.application.run()
+
+    def is_stopped(self) -> bool:
+        """Return whether everything is finished, or time is up."""
+        if not self.stop_by:
+            grace = self.settings.grace_seconds
+            self.stop_by = now() + grace - STOP_MARGIN_SECONDS
+        return self.state.is_idle or now() >= self.stop_by
+
+    def _call(self, work: Awaitable) -> None:
+        self.application.spawn(self._feed_result(work))
+
+    async def _feed_result(self, work: Awaitable) -> None:
+        self.application.feed(await work)
+
+    async def _ask_entries(self) -> EntriesRead:
+        try:
+            _, items = await self.host.store.list(ENTRIES_PREFIX, stale=True)
+        except PlatformError as error:
+            self.host.say("can't learn of entries", reason=str(error))
+            return EntriesRead(None)
+        return EntriesRead([item.value.decode() for item in items])
+
+    def _warn(self, error: PlatformError) -> None:
+        self.host.say("a heartbeat can't be used", reason=error.message)
+
+
+async def _nothing() -> None:
+    """Start nothing."""
--- /dev/null
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -0,0 +1,213 @@
+"""The process of a dispatch entry."""
+
+import asyncio
+import itertools
+import random
+import secrets
+import signal
+
+from cactuswalk.dispatch.effects import Answer
+from cactuswalk.dispatch.entry import EntryState
+from cactuswalk.dispatch.entryevents import (
+    ConfigurationRead,
+    EntriesListed,
+    JobArrived,
+    JobCancelled,
+    Received,
+    StopRequested,
+    Tick,
+    WaiterLeft,
+)
+from cactuswalk.dispatch.job import JobRequest
+from cactuswalk.dispatch.messages import ConfigurationAsk, ConfigurationCopy
+from cactuswalk.dispatch.routing import Queue, Queues
+from cactuswalk.platform.callers import CallerEdge, JobAnswer, readiness_handler
+from cactuswalk.platform.configuration import (
+    UnreadableConfigurationError,
+    read_configuration,
+)
+from cactuswalk.platform.metadata import ItemChange
+from cactuswalk.platform.names import CONFIGURATION_KEY
+from cactuswalk.runtime.dispatch import DispatchHost, now
+from cactuswalk.runtime.following import (
+    ENTRIES_PREFIX,
+    Patience,
+    Registration,
+    follow,
+)
+from cactuswalk.settings.dispatch import DispatchEntrySettings, message_url
+from cactuswalk.state.effects import Part
+
+__all__ = ["DispatchEntryProcess"]
+
+# A watch that waits is a call like others; and a connection that went silent for
+# good is noticed no sooner than this. A change has two seconds to be in force.
+CONFIGURATION_WAIT_SECONDS = 1.2
+ENTRIES_WAIT_SECONDS = 4.0
+
+# The balancer asks once a second and turns away after two misses; a stopping
+# entry that leaves sooner would break connections that are still given to it.
+BALANCER_SECONDS = 3.0
+STOP_MARGIN_SECONDS = 0.5
+
+
+class DispatchEntryProcess:
+    """Runs an entry: the door that callers' requests come in by."""
+
+    def __init__(self, settings: DispatchEntrySettings) -> None:
+        self.settings = settings
+        address = message_url(settings.messages)
+        self.state = EntryState(
+            address,
+            secrets.token_hex(4),
+            settings.data_centre,
+            settings.seeds,
+            settings.far_factor,
+            settings.grace_seconds,
+        )
+        self.host = DispatchHost(
+            settings,
+            Part.ENTRY,
+            self.state.reduce,
+            self.is_stopped,
+            self._received,
+            Tick,
+            StopRequested,
+        )
+        self.application = self.host.application
+        self.application.performers[Answer] = self._answer
+        self.registration = Registration(self.host.store, settings.name, address)
+        self.waiters: dict[int, asyncio.Future] = {}
+        self.numbers = itertools.count(1)
+        self.configuration = b""
+        self.addresses: dict[str, str] = {}
+        self.stopped_at = 0.0
+
+    async def run(self) -> None:
+        """Run until a planned stop is complete."""
+        signal.signal(signal.SIGHUP, lambda *_: self.host.say("settings have changed"))
+        self.host.open_store()
+        self.host.serve(self.settings.callers, CallerEdge(self).handle)
+        ready = readiness_handler(lambda: self.state.is_ready(now()))
+        self.host.serve(self.settings.readiness, ready)
+        self.host.serve(self.settings.metrics, self.host.exposition.handler())
+        self.host.open_messages()
+        self.application.add_hook(self._follow_store, self.registration.remove)
+        await self.application.run()
+
+    def is_stopped(self) -> bool:
+        """Return whether every caller is answered and the balancer has noticed."""
+        if not self.stopped_at:
+            self.stopped_at = now()
+        waited = now() - self.stopped_at
+        if waited >= self.settings.grace_seconds - STOP_MARGIN_SECONDS:
+            return True
+        return waited >= BALANCER_SECONDS and not self.waiters
+
+    # What the callers' edge asks for.
+
+    def queues(self) -> Queues | None:
+        """Return the queues in force."""
+        return self.state.queues
+
+    def queued(self, queue: Queue) -> int:
+        """Return how many jobs of a queue wait here."""
+        return self.state.queued_jobs(queue.name)
+
+    def is_stopping(self) -> bool:
+        """Return whether connections are to be given up."""
+        return self.state.stop_at > 0
+
+    def cancel(self, job: str) -> bool:
+        """Cancel a job; return whether it was known."""
+        known = job in self.state.jobs
+        self.application.feed(JobCancelled(job))
+        return known
+
+    async def submit(
+        self, queue: Queue, request: JobRequest, wait_seconds: float
+    ) -> JobAnswer:
+        """Wait for the end of a job."""
+        waiter = next(self.numbers)
+        future = asyncio.get_running_loop().create_future()
+        self.waiters[waiter] = future
+        try:
+            self.application.feed(JobArrived(waiter, queue, request, wait_seconds))
+            return await future
+        except asyncio.CancelledError:
+            self.application.feed(WaiterLeft(waiter, request.identifier))
+            raise
+        finally:
+            del self.waiters[waiter]
+
+    def _answer(self, effect: Answer) -> None:
+        future = self.waiters.get(effect.waiter)
+        if future is not None and not future.done():
+            future.set_result(
+                JobAnswer(effect.verdict, effect.reason, effect.retry_after)
+            )
+
+    # The store, and other entries' copies of it.
+
+    async def _follow_store(self) -> None:
+        generator = random.Random(secrets.randbits(64))
+
+        def patience(what: str) -> Patience:
+            return Patience(what, now, self.host.say, generator)
+
+        store = self.host.store
+        self.application.spawn(
+            follow(
+                store,
+                CONFIGURATION_KEY,
+                CONFIGURATION_WAIT_SECONDS,
+                self._take_configuration,
+                patience("configuration"),
+            )
+        )
+        self.application.spawn(
+            follow(
+                store,
+                ENTRIES_PREFIX,
+                ENTRIES_WAIT_SECONDS,
+                self._take_entries,
+                patience("entries"),
+            )
+        )
+        self.application.spawn(self.registration.keep(patience("registration")))
+
+    def _take_configuration(self, changes: list[ItemChange], whole: bool) -> None:
+        for change in changes:
+            if change.key == CONFIGURATION_KEY and change.value is not None:
+                self._use_configuration(change.value)
+
+    def _use_configuration(self, value: bytes) -> None:
+        try:
+            queues = read_configuration(value)
+        except UnreadableConfigurationError as error:
+            self.host.say("a configuration can't be read", reason=error.message)
+            return
+        known = self.state.queues
+        if known is None or queues.version > known.version:
+            self.configuration = value
+            self.application.feed(ConfigurationRead(queues))
+
+    def _take_entries(self, changes: list[ItemChange], whole: bool) -> None:
+        if whole:
+            self.addresses.clear()
+        for change in changes:
+            if change.value is None:
+                self.addresses.pop(change.key, None)
+            else:
+                self.addresses[change.key] = change.value.decode(errors="replace")
+        self.registration.check(set(self.addresses))
+        self.application.feed(EntriesListed(list(self.addresses.values())))
+
+    def _received(self, sender: str, message) -> Received:
+        """Hand configurations over here; all other messages are the reducer's."""
+        if isinstance(message, ConfigurationAsk) and self.configuration:
+            copy = ConfigurationCopy(self.state.queues.version, self.configuration)
+            self.host.transport.send(sender, copy, now())
+        elif isinstance(message, ConfigurationCopy):
+            self._use_configuration(message.value)
+        return Received(sender, message)
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -10,8 +10,8 @@
 
 import zmq
 
+from cactuswalk import messages
 from cactuswalk.errors import CactuswalkError, MalformedMessageError
-from cactuswalk.messages import Envelope, Message, decode, encode
 from cactuswalk.runtime.keys import KEY_SEPARATOR, Keys
 
 __all__ = ["Transport", "TransportError"]
@@ -53,7 +53,7 @@
 
     def __init__(self, socket: zmq.Socket, now: float) -> None:
         self.socket = socket
-        self.waiting: list[Message] = []
+        self.waiting: list[object] = []
         self.used_at = now
         self.since = now
 
@@ -67,21 +67,32 @@
     :param keys: CURVE key pair and the allowed public keys, None for none.
     :param listen: where it listens if that is another address of this host, as
         behind a switch that translates addresses.
+    :param codec: a module with ``Envelope``, ``encode`` and ``decode``.
+    :param heartbeat_ms: after half of it without a sign of life a connection is
+        tried, after all of it replaced; 0 for never. Without it a connection that
+        went silent for good swallows what is sent until the peer is restarted.
+    :param clock: the one that ``now`` is read from.
     """
 
     def __init__(
         self,
         address: str,
-        on_message: Callable[[str, Message], None],
+        on_message: Callable[[str, object], None],
         count: Callable[[str, int], None],
         keys: Keys | None = None,
         listen: str = "",
+        codec=messages,
+        heartbeat_ms: int = 0,
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self.clock = clock
         self.address = address
         self.listen = endpoint_of(listen or address)
         self.on_message = on_message
         self.count = count
         self.keys = keys
+        self.codec = codec
+        self.heartbeat_ms = heartbeat_ms
         self.context = zmq.Context()
         self.peers: dict[str, Peer] = {}
         self.dirty: set[str] = set()
@@ -98,6 +109,7 @@
         self.inbound = self.context.socket(zmq.PULL)
         self.inbound.set_hwm(HIGH_WATER_MARK)
         self.inbound.linger = 0
+        self._set_heartbeat(self.inbound)
         if self.keys is not None:
             self.keys.protect_server(self.context, self.inbound, self.count)
         try:
@@ -122,7 +134,7 @@
         self.dirty.clear()
         self.context.term()
 
-    def send(self, address: str, message: Message, now: float) -> None:
+    def send(self, address: str, message: object, now: float) -> None:
         """Have a message leave with this turn's frame for its receiver."""
         peer = self.peers.get(address)
         if peer is None:
@@ -143,7 +155,7 @@
             self._flush_peer(address, self.peers[address])
 
     def _flush_peer(self, address: str, peer: Peer) -> None:
-        frame = encode(Envelope(self.address, peer.waiting))
+        frame = self.codec.encode(self.codec.Envelope(self.address, peer.waiting))
         try:
             peer.socket.send(frame, zmq.DONTWAIT, copy=False)
         except zmq.Again:
@@ -160,7 +172,7 @@
         takes a round trip or more. What waits longer is for a process that is
         gone, and would be refused as stale by the next one at its address.
         """
-        if time.monotonic() - peer.since > HELD_FOR:
+        if self.clock() - peer.since > HELD_FOR:
             self.count("transport.dropped", len(peer.waiting))
             peer.waiting = []
             return
@@ -195,6 +207,7 @@
         socket.immediate = 1
         socket.reconnect_ivl = RECONNECT_MS
         socket.reconnect_ivl_max = RECONNECT_MAXIMUM_MS
+        self._set_heartbeat(socket)
         if self.keys is not None and not self.keys.protect_client(socket, address):
             socket.close()
             self.count("transport.key_refused", 1)
@@ -202,6 +215,13 @@
         socket.connect(endpoint_of(address))
         return socket
 
+    def _set_heartbeat(self, socket: zmq.Socket) -> None:
+        if not self.heartbeat_ms:
+            return
+        socket.setsockopt(zmq.HEARTBEAT_IVL, self.heartbeat_ms // 2)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, self.heartbeat_ms // 2)
+        socket.setsockopt(zmq.CONNECT_TIMEOUT, self.heartbeat_ms)
+
     def _on_readable(self) -> None:
         if self.inbound is None or self.inbound.closed:
             return
@@ -217,7 +237,7 @@
     def _take(self, frame: bytes) -> None:
         self.count("transport.frames_received", 1)
         try:
-            envelope = decode(frame)
+            envelope = self.codec.decode(frame)
         except MalformedMessageError:
             self.count("transport.malformed", 1)
             return
--- /dev/null
+++ b/src/cactuswalk/settings/dispatch.py
@@ -0,0 +1,177 @@
+"""Settings of ``cactuswalk-dispatch-entry`` and ``cactuswalk-dispatch-agent``.
+
+On a platform that fills in a template, deploy/entry.ini and deploy/agent.ini are
+those templates.
+"""
+
+from pathlib import Path
+
+import msgspec
+
+from cactuswalk.settings.converters import each, name, number, text
+from cactuswalk.settings.reader import Reader, RejectedValueError
+from cactuswalk.settings.shared import (
+    LogSettings,
+    StatsdSettings,
+    read_logs,
+    read_statsd,
+)
+
+__all__ = [
+    "DispatchAgentSettings",
+    "DispatchEntrySettings",
+    "Endpoint",
+    "load_dispatch_agent",
+    "load_dispatch_entry",
+]
+
+MOST_SECONDS = 86_400
+MOST_FACTOR = 100.0
+
+
+class Endpoint(msgspec.Struct, frozen=True):
+    """An IP number and a port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        """Return it as it is written."""
+        return f"{self.host}:{self.port}"
+
+
+class DispatchEntrySettings(msgspec.Struct):
+    """All that an entry is told at its start.
+
+    :param messages: where other processes send messages.
+    :param seeds: message addresses of some entries.
+    :param far_factor: by which a task takes longer away from its data's rack.
+    """
+
+    name: str
+    data_centre: str
+    callers: Endpoint
+    readiness: Endpoint
+    metrics: Endpoint
+    messages: Endpoint
+    seeds: list[str]
+    store: Endpoint
+    grace_seconds: float
+    far_factor: float
+    statsd: StatsdSettings | None
+    logs: LogSettings
+
+
+class DispatchAgentSettings(msgspec.Struct):
+    """All that an agent is told at its start.
+
+    :param announcements: where the worker on this host sends its heartbeats.
+    :param worker: where that worker takes calls.
+    :param service: the one that it belongs to.
+    """
+
+    name: str
+    data_centre: str
+    announcements: Endpoint
+    metrics: Endpoint
+    messages: Endpoint
+    seeds: list[str]
+    store: Endpoint
+    worker: Endpoint
+    service: str
+    grace_seconds: float
+    statsd: StatsdSettings | None
+    logs: LogSettings
+
+
+def load_dispatch_entry(path: str | Path) -> DispatchEntrySettings:
+    """Read the settings of an entry.
+
+    :raises InvalidSettingsError: with every mistake in the file.
+    """
+    reader = Reader(path)
+    settings = DispatchEntrySettings(
+        name=reader.get("process", "name", name),
+        data_centre=reader.get("process", "data_centre", name),
+        callers=reader.get("callers", "address", endpoint),
+        readiness=reader.get("readiness", "address", endpoint),
+        metrics=reader.get("metrics", "address", endpoint),
+        messages=_read_messages(reader),
+        seeds=_read_seeds(reader),
+        store=reader.get("store", "address", endpoint),
+        grace_seconds=reader.get("bounds", "grace_seconds", decimal(1, MOST_SECONDS)),
+        far_factor=reader.get("bounds", "far_factor", decimal(1, MOST_FACTOR), 1.0),
+        statsd=read_statsd(reader),
+        logs=read_logs(reader),
+    )
+    reader.finish()
+    return settings
+
+
+def load_dispatch_agent(path: str | Path) -> DispatchAgentSettings:
+    """Read the settings of an agent.
+
+    :raises InvalidSettingsError: with every mistake in the file.
+    """
+    reader = Reader(path)
+    settings = DispatchAgentSettings(
+        name=reader.get("process", "name", name),
+        data_centre=reader.get("process", "data_centre", name),
+        announcements=reader.get("announcements", "address", endpoint),
+        metrics=reader.get("metrics", "address", endpoint),
+        messages=_read_messages(reader),
+        seeds=_read_seeds(reader),
+        store=reader.get("store", "address", endpoint),
+        worker=reader.get("worker", "address", endpoint),
+        service=reader.get("worker", "service", text),
+        grace_seconds=reader.get("bounds", "grace_seconds", decimal(1, MOST_SECONDS)),
+        statsd=read_statsd(reader),
+        logs=read_logs(reader),
+    )
+    reader.finish()
+    return settings
+
+
+def endpoint(written: str) -> Endpoint:
+    """Take ``ip:port``."""
+    host, _, port = written.rpartition(":")
+    if not host or not port.isdigit():
+        raise RejectedValueError(
+            "is no address", "Write IP:PORT, such as 10.1.0.4:8161."
+        )
+    return Endpoint(host, int(port))
+
+
+def decimal(lowest: float, highest: float):
+    """Return a converter of numbers within two bounds."""
+
+    def convert(written: str) -> float:
+        remedy = f"Give a number from {lowest} to {highest}."
+        try:
+            value = float(written)
+        except ValueError:
+            raise RejectedValueError("is no number", remedy) from None
+        if not lowest <= value <= highest:
+            raise RejectedValueError("is out of bounds", remedy)
+        return value
+
+    return convert
+
+
+def _read_messages(reader: Reader) -> Endpoint:
+    """Read where messages arrive: the first of the ports that are free for it."""
+    host = reader.get("messages", "host", text, "")
+    ports = reader.get("messages", "ports", each(number(1, 65_535)), [0])
+    return Endpoint(host, ports[0])
+
+
+def _read_seeds(reader: Reader) -> list[str]:
+    """Read some entries' addresses; their message port is the same as this one's."""
+    seeds = reader.get("messages", "seeds", each(endpoint), [])
+    port = _read_messages(reader).port
+    return [message_url(Endpoint(seed.host, port)) for seed in seeds]
+
+
+def message_url(address: Endpoint) -> str:
+    """Return the address that other processes send messages to."""
+    return f"tcp://{address}"
