--- /dev/null
+++ b/features/support/fleet.py
@@ -0,0 +1,443 @@
+"""Entries, agents and workers on a virtual clock, with a network that can fail.
+
+It connects the real reducers by a heap of timed events; it judges what a caller
+and a worker would see, above all whether two runs of a task overlap.
+"""
+
+import heapq
+import itertools
+import random
+
+from cactuswalk.dispatch.agent import AgentState
+from cactuswalk.dispatch.agentevents import (
+    Announced,
+    EndedRow,
+    EntriesRead,
+    LookFailed,
+    Looked,
+    RunEnd,
+    RunningRow,
+    StartAnswered,
+    StartVerdict,
+    StopAnswered,
+)
+from cactuswalk.dispatch.agentevents import Received as AgentReceived
+from cactuswalk.dispatch.agentevents import StopRequested as AgentStopRequested
+from cactuswalk.dispatch.agentevents import Tick as AgentTick
+from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
+from cactuswalk.dispatch.effects import (
+    Answer,
+    AskEntries,
+    LookAtWorker,
+    Say,
+    SendMessage,
+    StartTask,
+    StopTask,
+)
+from cactuswalk.dispatch.entry import EntryState
+from cactuswalk.dispatch.entryevents import (
+    ConfigurationRead,
+    JobArrived,
+    Received,
+    StopRequested,
+    Tick,
+    WaiterLeft,
+)
+from cactuswalk.dispatch.job import JobRequest, Step, Worker
+from cactuswalk.dispatch.routing import Queue, Queues
+
+TICK = 0.05
+MESSAGE_SECONDS = 0.0006
+CALL_SECONDS = 0.001
+HEARTBEAT_SECONDS = 1.5
+MAXIMUM_LEASE_SECONDS = 1.0
+STOP_SECONDS = 0.03
+
+SERVICE = "plans"
+
+
+def queue(name="checks", priority=0, attempts=4, stretch=1.6, allowance_ms=60):
+    return Queue(name, "h", f"/{name}/", SERVICE, priority, attempts, stretch,
+                 allowance_ms)
+
+
+class Run:
+    """A run at a worker."""
+
+    def __init__(self, key, run, began, seconds, fails):
+        self.key = key
+        self.run = run
+        self.began = began
+        self.ends_at = began + seconds
+        self.seconds = seconds
+        self.fails = fails
+
+
+class SimulatedWorker:
+    """A worker with a lease on what it runs, and faults that can be switched on.
+
+    :ivar pace: run times are so many times longer.
+    :ivar fails: every run fails within a millisecond.
+    :ivar stalls: runs make no progress.
+    :ivar deaf: share of calls without an answer; ``late`` ones are carried out
+        that many seconds later, others never.
+    """
+
+    def __init__(self, fleet, name, cpu, data_centre, generator):
+        self.fleet = fleet
+        self.name = name
+        self.cpu = cpu
+        self.data_centre = data_centre
+        self.generator = generator
+        self.life = 1
+        self.up = True
+        self.cut = False
+        self.pace = 1.0
+        self.fails = False
+        self.stalls = False
+        self.deaf = 0.0
+        self.late = 0.0
+        self.draining = False
+        self.sequence = 0
+        self.reset()
+
+    def reset(self):
+        self.runs = {}
+        self.ended = []
+        self.number = 0
+        self.highest = {}
+        self.lease_until = -1.0
+        self.token = 0
+
+    @property
+    def identifier(self):
+        return f"{self.name}-{self.life}"
+
+    def announcement(self):
+        self.sequence += 1
+        return Worker(self.identifier, SERVICE, self.data_centre, ("a",), self.cpu,
+                      65_536, 0, self.draining, 0, self.sequence)
+
+    def crash(self):
+        for run in self.runs.values():
+            self.fleet.run_over(run)
+        self.life += 1
+        self.reset()
+
+    def advance(self, now):
+        """Let the runs end that have ended by now, or whose lease has."""
+        for run in sorted(self.runs.values(), key=lambda run: run.ends_at):
+            end = min(run.ends_at, self.lease_until)
+            if end <= now:
+                how = RunEnd.LAPSED
+                if run.ends_at <= self.lease_until:
+                    how = RunEnd.FAILED if run.fails else RunEnd.DONE
+                self.finish(run, how, end)
+
+    def finish(self, run, how, at):
+        del self.runs[run.key]
+        self.number += 1
+        self.ended.append(EndedRow(self.number, run.key, run.run, how))
+        self.highest[run.key] = max(run.run, self.highest.get(run.key, 0))
+        self.fleet.run_over(run, at)
+
+    def start(self, effect, sent_at, now):
+        self.advance(now)
+        if effect.worker != self.identifier:
+            return StartVerdict.GONE
+        if effect.token < self.token:
+            return StartVerdict.FENCED
+        self.token = effect.token
+        deadline = sent_at + min(effect.lease_seconds, MAXIMUM_LEASE_SECONDS)
+        if deadline <= now:
+            return StartVerdict.LATE
+        self.lease_until = max(self.lease_until, deadline)
+        key = effect.key
+        if key in self.runs and self.runs[key].run == effect.run:
+            return StartVerdict.STARTED
+        if effect.run <= self.highest.get(key, 0):
+            return StartVerdict.SUPERSEDED
+        cpu, seconds = self.fleet.size_of(key)
+        if sum(self.fleet.size_of(other)[0] for other in self.runs) + cpu > self.cpu:
+            self.fleet.overloads += 1
+            return StartVerdict.NO_ROOM
+        took = 0.001 if self.fails else seconds * self.pace
+        if self.stalls:
+            took = 1e9
+        run = Run(key, effect.run, now, took, self.fails)
+        self.runs[key] = run
+        self.fleet.run_began(run, self)
+        return StartVerdict.STARTED
+
+    def stop(self, effect, now):
+        self.advance(now)
+        if effect.worker != self.identifier:
+            return False
+        self.highest[effect.key] = max(effect.run, self.highest.get(effect.key, 0))
+        run = self.runs.get(effect.key)
+        if run is not None and run.run <= effect.run:
+            self.finish(run, RunEnd.STOPPED, now)
+        return True
+
+    def renew(self, effect, sent_at, now):
+        self.advance(now)
+        if effect.lease_seconds and effect.worker == self.identifier:
+            until = sent_at + min(effect.lease_seconds, MAXIMUM_LEASE_SECONDS)
+            self.lease_until = max(self.lease_until, until)
+        self.ended = [row for row in self.ended if row.number > effect.noted]
+
+    def rows(self, now):
+        running = [
+            RunningRow(run.key, "", run.run,
+                       min(99, int(100 * (now - run.began) / run.seconds)))
+            for run in self.runs.values()
+        ]
+        return running, list(self.ended)
+
+
+class Fleet:
+    """The processes, their clock, and what has been seen of them."""
+
+    def __init__(self, entries=2, workers=4, seed=1, cpu=32_000, queues=None,
+                 centres=None):
+        self.generator = random.Random(seed)
+        self.now = 0.0
+        self.events = []
+        self.serial = itertools.count()
+        self.queues = queues or [queue()]
+        self.centres = centres or entries
+        self.states = {}
+        self.dead = set()
+        self.frozen = {}
+        self.cuts = set()
+        self.lives = itertools.count(1)
+        self.sizes = {}
+        self.live_runs = {}
+        self.overlaps = []
+        self.overloads = 0
+        self.starts = []
+        self.answers = {}
+        self.lines = []
+        self.arrivals = {}
+        self.waiter = itertools.count(1)
+        self.entry_names = [f"e{number}" for number in range(entries)]
+        self.workers = {}
+        for number, name in enumerate(self.entry_names):
+            self.start_entry(name, f"d{number % self.centres}")
+        for number in range(workers):
+            self.add_worker(f"a{number}", cpu, f"d{number % self.centres}")
+        self.run(1.0)
+
+    # Processes.
+
+    def start_entry(self, name, data_centre):
+        self.dead.discard(name)
+        state = EntryState(name, f"l{next(self.lives)}", data_centre,
+                           list(self.entry_names), 1.5, 6.0)
+        self.states[name] = state
+        self.feed(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
+        self.at(0.0, lambda: self.tick(name, state))
+
+    def add_worker(self, name, cpu, data_centre):
+        self.workers[name] = SimulatedWorker(
+            self, name, cpu, data_centre, random.Random(self.generator.random())
+        )
+        self.start_agent(name)
+        self.at(0.0, lambda: self.heartbeat(name))
+
+    def start_agent(self, name):
+        self.dead.discard(name)
+        state = AgentState(f"l{next(self.lives)}", int(self.now * 1000) + 1,
+                           list(self.entry_names))
+        self.states[name] = state
+        self.at(0.0, lambda: self.tick(name, state))
+
+    def kill(self, name):
+        self.dead.add(name)
+
+    def freeze(self, name, seconds):
+        """Stop a process; what comes meanwhile is handled when it wakes."""
+        self.frozen[name] = self.now + seconds
+
+    def tick(self, name, state):
+        if self.states.get(name) is not state or name in self.dead:
+            return
+        self.feed(name, AgentTick() if name in self.workers else Tick())
+        self.at(TICK, lambda: self.tick(name, state))
+
+    def heartbeat(self, name):
+        worker = self.workers[name]
+        if worker.up and name not in self.dead:
+            self.feed(name, Announced(worker.announcement()))
+            self.at(HEARTBEAT_SECONDS, lambda: self.heartbeat(name))
+        else:
+            self.at(0.1, lambda: self.heartbeat(name))
+
+    # Time.
+
+    def at(self, delay, action):
+        heapq.heappush(self.events, (self.now + delay, next(self.serial), action))
+
+    def run(self, seconds):
+        until = self.now + seconds
+        while self.events and self.events[0][0] <= until:
+            self.now, _, action = heapq.heappop(self.events)
+            action()
+        self.now = until
+
+    def feed(self, name, event):
+        state = self.states[name]
+        if name in self.dead:
+            return
+        wakes = self.frozen.get(name, 0.0)
+        if self.now < wakes:
+            self.at(wakes - self.now, lambda: self.feed_same(name, state, event))
+            return
+        for effect in state.reduce(event, self.now):
+            self.perform(name, state, effect)
+
+    def feed_same(self, name, state, event):
+        if self.states.get(name) is state:
+            self.feed(name, event)
+
+    # Effects.
+
+    def perform(self, name, state, effect):
+        if isinstance(effect, SendMessage):
+            self.send(name, effect.address, effect.message)
+        elif isinstance(effect, Answer):
+            self.answers[effect.waiter] = (self.now, effect)
+        elif isinstance(effect, (StartTask, StopTask, LookAtWorker)):
+            self.call(name, state, effect)
+        elif isinstance(effect, AskEntries):
+            self.at(0.005, lambda: self.feed_same(
+                name, state, EntriesRead(list(self.entry_names))))
+        elif isinstance(effect, Say):
+            self.lines.append((self.now, name, effect))
+
+    def send(self, sender, address, message):
+        if (sender, address) in self.cuts or address not in self.states:
+            return
+        state = self.states[address]
+        received = AgentReceived if address in self.workers else Received
+        delay = MESSAGE_SECONDS * self.generator.uniform(0.8, 1.5)
+        self.at(delay, lambda: self.feed_same(
+            address, state, received(sender, message)))
+
+    def call(self, name, state, effect):
+        worker = self.workers[name]
+        sent_at = self.now
+        lost = worker.generator.random() < worker.deaf
+        if not worker.up or worker.cut or lost:
+            if worker.up and lost and worker.late:
+                self.at(worker.late, lambda: self.carry_out(worker, effect, sent_at))
+            wait = getattr(effect, "wait_ms", 0) / 1000
+            self.at(CALL_TIMEOUT_SECONDS + wait, lambda: self.feed_same(
+                name, state, no_answer(effect)))
+            return
+        self.at(CALL_SECONDS / 2, lambda: self.arrive(
+            name, state, worker, effect, sent_at))
+
+    def arrive(self, name, state, worker, effect, sent_at):
+        event = self.carry_out(worker, effect, sent_at)
+        if event is not None:
+            self.at(CALL_SECONDS / 2, lambda: self.feed_same(name, state, event))
+            return
+        deadline = self.now + effect.wait_ms / 1000
+        self.wait_for_end(name, state, worker, effect, sent_at, deadline)
+
+    def carry_out(self, worker, effect, sent_at):
+        now = self.now
+        if isinstance(effect, StartTask):
+            verdict = worker.start(effect, sent_at, now)
+            return StartAnswered(effect.worker, effect.handle, verdict)
+        if isinstance(effect, StopTask):
+            return StopAnswered(effect.worker, effect.handle, worker.stop(effect, now))
+        if effect.worker != worker.identifier:
+            return LookFailed(effect.worker, False, True)
+        if effect.token < worker.token:
+            return LookFailed(effect.worker, True, False)
+        worker.token = effect.token
+        worker.renew(effect, sent_at, now)
+        if effect.wait_ms and not worker.ended:
+            return None
+        return Looked(effect.worker, sent_at, *worker.rows(now))
+
+    def wait_for_end(self, name, state, worker, effect, sent_at, deadline):
+        worker.advance(self.now)
+        gone = effect.worker != worker.identifier
+        if gone or worker.ended or self.now >= deadline or worker.cut:
+            event = LookFailed(effect.worker, False, gone)
+            if not gone and not worker.cut:
+                event = Looked(effect.worker, sent_at, *worker.rows(self.now))
+            self.at(CALL_SECONDS / 2, lambda: self.feed_same(name, state, event))
+            return
+        ends = [run.ends_at for run in worker.runs.values()]
+        step = min([0.01, deadline - self.now, *(end - self.now for end in ends)])
+        self.at(max(step, 0.0002), lambda: self.wait_for_end(
+            name, state, worker, effect, sent_at, deadline))
+
+    # What is seen.
+
+    def size_of(self, key):
+        return self.sizes[key.job]
+
+    def run_began(self, run, worker):
+        self.starts.append((self.now, run.key, run.run, worker.name))
+        other = self.live_runs.get(run.key)
+        if other is not None:
+            other[1].advance(self.now)
+        if self.live_runs.get(run.key) is not None:
+            self.overlaps.append((self.now, run.key))
+        self.live_runs[run.key] = (run, worker)
+
+    def run_over(self, run, at=None):
+        live = self.live_runs.get(run.key)
+        if live is not None and live[0] is run:
+            del self.live_runs[run.key]
+
+    # Callers.
+
+    def submit(self, entry, identifier, tasks=1, cpu=3_000, seconds=0.2,
+               wait=5.0, queue_name=None, estimate=None):
+        """Hand a job in; return the waiter whose answer will be in ``answers``."""
+        waiter = next(self.waiter)
+        self.sizes[identifier] = (cpu, seconds)
+        estimate_ms = int((estimate or seconds) * 1000)
+        request = JobRequest(identifier, "spec", (Step(tasks, cpu, 64, 0, estimate_ms),))
+        chosen = next(
+            (item for item in self.queues if item.name == queue_name), self.queues[0]
+        )
+        self.arrivals[waiter] = (self.now, chosen, seconds, identifier)
+        self.feed(entry, JobArrived(waiter, chosen, request, wait))
+        return waiter
+
+    def leave(self, entry, waiter):
+        self.feed(entry, WaiterLeft(waiter, self.arrivals[waiter][3]))
+
+    def terminate(self, name):
+        event = AgentStopRequested() if name in self.workers else StopRequested()
+        self.feed(name, event)
+
+    def verdict(self, waiter):
+        return self.answers[waiter][1].verdict.value
+
+    def took(self, waiter):
+        return self.answers[waiter][0] - self.arrivals[waiter][0]
+
+    def in_aim(self, waiter):
+        """Return whether a job was done within its aim, by its true run time."""
+        if waiter not in self.answers or self.verdict(waiter) != "completed":
+            return False
+        _, chosen, seconds, _ = self.arrivals[waiter]
+        return self.took(waiter) <= chosen.stretch * seconds + (
+            chosen.allowance_ms / 1000
+        )
+
+
+def no_answer(effect):
+    if isinstance(effect, StartTask):
+        return StartAnswered(effect.worker, effect.handle, StartVerdict.UNKNOWN)
+    if isinstance(effect, StopTask):
+        return StopAnswered(effect.worker, effect.handle, False)
+    return LookFailed(effect.worker, False, False)
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -26,7 +26,6 @@
 from cactuswalk.dispatch.bounds import (
     CALL_TIMEOUT_SECONDS,
     ENTRY_LEASE_SECONDS,
-    PULSE_SECONDS,
     WORKER_LEASE_SECONDS,
     worker_lapse_seconds,
 )
@@ -51,8 +50,11 @@
 LOOK_WAIT_SECONDS = 0.15
 
 # Pause after a look that failed, so that a worker that refuses isn't called in a
-# tight loop.
-LOOK_PAUSE_SECONDS = 0.05
+# tight loop. Ends that come meanwhile are noticed that much later.
+LOOK_PAUSE_SECONDS = 0.01
+
+# A worker that answers no look for so long is given nothing new: three looks.
+UNREACHABLE_SECONDS = 0.3
 
 # An end that was not noted is told again; a pulse with the note comes each 0.1 s.
 TELL_AGAIN_SECONDS = 0.25
@@ -121,6 +123,7 @@
         self.look_under_way = False
         self.look_not_before = 0.0
         self.renewed_at = 0.0
+        self.answered_at = 0.0
         self.stopping = False
         self.last_pulse_at = 0.0
         self.asked_at = 0.0
@@ -181,9 +184,9 @@
             if worker.sequence < known.sequence:
                 self._say("an older heartbeat is ignored", sequence=worker.sequence)
                 return
+            self.worker = worker
             if worker.draining and not known.draining:
                 self._say("the worker drains", worker=worker.identifier)
-            self.worker = worker
             self.announced_at = now
             self._touch_entries()
             return
@@ -211,7 +214,7 @@
         self.runs.clear()
         self.noted_end = self.highest_end = 0
         self.look_under_way = False
-        self.look_not_before = now
+        self.look_not_before = self.answered_at = now
         self._look(now, 0)
 
     def _departed(self, event: Departed, now: float) -> None:
@@ -315,6 +318,7 @@
 
     def _decline(self, peer: EntryPeer, start: Start, reason: str, now: float) -> None:
         self._observe("declined", reason)
+        self._say("declines a start", job=start.key.job, reason=reason)
         ended = Ended(peer.life, start.sequence, TaskEnd.DECLINED, 0, 0, reason)
         self._tell(peer, ended, now)
 
@@ -491,30 +495,41 @@
         if not self._is_current(event.worker):
             return
         self.look_under_way = False
+        self.answered_at = now
         self.noted_end = self.highest_end
-        if not self.reachable:
-            self.reachable = True
+        if not (self.reachable and self.ready_to_start):
+            self.reachable = self.ready_to_start = True
             self._touch_entries()
-        if not self.ready_to_start:
-            self.ready_to_start = True
-            self._touch_entries()
-        running = {(row.key, row.run): row for row in event.running}
+        self._take_ends(event, now)
+        self._take_running(event, now)
+
+    def _take_ends(self, event: Looked, now: float) -> None:
+        by_run = {(held.start.key, held.run): held for held in self.held.values()}
         for row in event.ended:
             self.highest_end = max(self.highest_end, row.number)
-        ended = {(row.key, row.run): row for row in event.ended}
+            held = by_run.get((row.key, row.run))
+            if held is not None and held.handle in self.held:
+                self._run_ended(held, row.end, now)
+
+    def _take_running(self, event: Looked, now: float) -> None:
+        running = {(row.key, row.run): row for row in event.running}
         for held in list(self.held.values()):
-            name = (held.start.key, held.run)
-            if name in ended:
-                self._run_ended(held, ended[name].end, now)
-            elif name in running:
-                self._runs_on(held, running.pop(name).percent, now)
-            elif held.state is HeldState.STOPPING and not held.call_under_way:
-                if event.sent_at >= held.asked_at and held.gone_at:
-                    self._end(held, TaskEnd.STOPPED, 0, "never began", now)
-        known = {(held.start.key, held.run) for held in self.held.values()}
-        for name, row in running.items():
-            if name not in known:
-                self._stop_stranger(row.key, row.run)
+            row = running.pop((held.start.key, held.run), None)
+            if row is not None:
+                self._runs_on(held, row.percent, now)
+            elif self._never_began(held, event.sent_at):
+                self._end(held, TaskEnd.STOPPED, 0, "never began", now)
+        for row in running.values():
+            self._stop_stranger(row.key, row.run)
+
+    def _never_began(self, held: Held, looked_at: float) -> bool:
+        """Return whether a look without a run shows that it won't come.
+
+        Only one that was sent after a confirmed stop does: the worker refuses a
+        run that was stopped before it arrived.
+        """
+        stopped = held.state is HeldState.STOPPING and not held.call_under_way
+        return stopped and held.gone_at > 0 and looked_at >= held.asked_at
 
     def _stop_stranger(self, key, run: int) -> None:
         """Stop a run of an earlier life of this agent: no entry waits for it."""
@@ -564,13 +579,16 @@
         if not self._is_current(event.worker):
             return
         self.look_under_way = False
-        self.look_not_before = now + LOOK_PAUSE_SECONDS
         if event.gone:
             self._worker_gone("nobody listens at the worker's address", now)
             return
         if event.fenced:
             self._raise_token()
             return
+        # A single call that is lost must not hide the ends that come meanwhile.
+        self.look_not_before = now + LOOK_PAUSE_SECONDS
+        if now - self.answered_at < UNREACHABLE_SECONDS:
+            return
         if self.reachable:
             self.reachable = False
             self._say("the worker does not answer", worker=self.worker.identifier)
@@ -587,7 +605,7 @@
         del self.by_sequence[(held.entry, held.start.sequence)]
         self._touch_entries()
         self._observe("ended", end.name.lower())
-        if end is not TaskEnd.DONE:
+        if end not in (TaskEnd.DONE, TaskEnd.DECLINED):
             self._say(
                 "a run has ended",
                 job=held.start.key.job,
@@ -703,9 +721,8 @@
                 continue
             # Entries that share no work with this agent can wait a moment:
             # each change of room told to all would cost more than the work.
-            if not self._shares_work(peer) and (
-                now - peer.reported_at < SPARE_REPORT_SECONDS
-            ):
+            pause = SPARE_REPORT_SECONDS * len(self.entries)
+            if now - peer.reported_at < pause and not self._shares_work(peer):
                 continue
             peer.dirty = False
             peer.reported_at = now
@@ -736,6 +753,7 @@
             list(worker.labels) if worker else [],
             self.is_open() and may_try,
             trial,
+            worker.cpu if worker else 0,
             cpu,
             memory_mb,
             gpu,
@@ -754,8 +772,9 @@
 # A look after a stop: the end is listed within the worker's time for a stop.
 STOP_LOOK_WAIT_SECONDS = 0.06
 
-# How soon an entry that shares no work hears of a change of room.
-SPARE_REPORT_SECONDS = PULSE_SECONDS / 2
+# How soon an entry that shares no work hears of a change of room, for each entry
+# there is: the cost of telling them stays the same, however many they are.
+SPARE_REPORT_SECONDS = 0.005
 
 
 def _milliseconds(now: float) -> int:
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -79,6 +79,13 @@
             and gpu <= report.free_gpu - self.unseen_gpu
         )
 
+    def free_part(self) -> float:
+        """Return what is free, as a part of the worker's room."""
+        report = self.report
+        if report.cpu <= 0:
+            return 0.0
+        return (report.free_cpu - self.unseen_cpu) / report.cpu
+
     def pass_over(self, now: float) -> None:
         """Leave it alone until it has reported again."""
         self.passed_over_until = now + DECLINED_PAUSE_SECONDS
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -40,9 +40,10 @@
 # How long a worker takes to stop a task (platform's figure).
 STOP_SECONDS = 0.05
 
-# A call of a worker on the same host takes 1 to 2 ms; a hundred times that is no
-# longer its ordinary spread.
-CALL_TIMEOUT_SECONDS = 0.15
+# A call of a worker on the same host takes 1 to 2 ms, 10 when ten come at once. A
+# short task has 0.13 s to spare within its aim: a call that is lost has to be
+# noticed, forbidden and made elsewhere within that.
+CALL_TIMEOUT_SECONDS = 0.05
 
 # An agent that was not heard for this long gets nothing new: three reports.
 HEARD_SECONDS = 0.35
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -39,6 +39,7 @@
 )
 from cactuswalk.dispatch.ordering import (
     LATE_FACTOR,
+    SPARE_PART,
     Fate,
     chain_seconds,
     fate,
@@ -175,6 +176,7 @@
             [event.waiter],
             now,
             expected,
+            now + (aim - expected) * SPARE_PART,
             now + aim,
             now + aim * LATE_FACTOR,
             now + event.wait_seconds,
@@ -219,6 +221,7 @@
             aim=round(job.on_time_by - job.arrived_at, 4),
             lost=job.lost_runs,
             declined=job.declined_runs,
+            **_last_task(job),
             version=self.queues.version if self.queues else 0,
         )
         self._drop(job, now)
@@ -294,10 +297,11 @@
         job = task.job
         task.runs += 1
         task.place = view.address
+        task.placed_at = now
         task.sequence = self.next_sequence
         self.next_sequence += 1
-        if not job.started:
-            job.started = True
+        job.sent += 1
+        if not job.first_start_at:
             job.first_start_at = now
             self._observe("first_start_seconds", job.queue.name, now - job.arrived_at)
         start = Start(
@@ -400,6 +404,9 @@
             return
         task.place = ""
         job = task.job
+        job.sent -= 1
+        if end is not TaskEnd.DECLINED:
+            job.ran = True
         if end is TaskEnd.DONE:
             self._task_done(task, ran_ms, now)
             return
@@ -430,6 +437,9 @@
     def _task_done(self, task: TaskState, ran_ms: int, now: float) -> None:
         job = task.job
         task.done = True
+        task.held_seconds = now - task.placed_at
+        task.ran_ms = ran_ms
+        job.last_task = task
         self.estimates[job.queue.name].observe(
             task.step.estimate_ms, max(1, ran_ms) / 1000
         )
@@ -568,5 +578,19 @@
         self.effects.append(Observe(name, label, seconds))
 
 
+def _last_task(job: JobState) -> dict[str, object]:
+    """Return where the time of a job's last task went, for its log line."""
+    task = job.last_task
+    if task is None:
+        return {}
+    return {
+        "last_placed": round(task.placed_at - job.arrived_at, 4),
+        "last_held": round(task.held_seconds, 4),
+        "last_ran": task.ran_ms / 1000,
+        "last_run": task.runs,
+        "last_estimate": task.step.estimate_ms / 1000,
+    }
+
+
 # What is told to callers as the queue's length where no worker is known.
 MOST_QUEUED_SECONDS = 5.0
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -14,6 +14,9 @@
     :param place: address of the agent that has it; empty while it waits.
     :param failures: runs that ended as failed.
     :param runs: number of its latest run.
+    :param placed_at: when its latest start was sent.
+    :param held_seconds: from then until its end was heard.
+    :param ran_ms: of that, how long it ran as its agent saw it.
     :param avoid: agents where it failed or was lost.
     """
 
@@ -25,6 +28,9 @@
     done: bool = False
     failures: int = 0
     runs: int = 0
+    placed_at: float = 0.0
+    held_seconds: float = 0.0
+    ran_ms: int = 0
     avoid: set[str] = msgspec.field(default_factory=set)
 
 
@@ -33,10 +39,13 @@
 
     :param waiters: callers' connections that wait for the answer.
     :param expected: seconds that its longest chain of tasks is expected to run.
+    :param latest_start: when it should have started to be on time.
     :param on_time_by: until then it is of full use to its caller.
     :param late_by: until then it is of some use.
     :param give_up_at: then its caller waits no more.
-    :param started: a task of it may have run.
+    :param sent: starts that were sent and have not ended.
+    :param ran: a task of it has run, or may have.
+    :param first_start_at: when the first of its starts was sent.
     """
 
     request: JobRequest
@@ -44,6 +53,7 @@
     waiters: list[int]
     arrived_at: float
     expected: float
+    latest_start: float
     on_time_by: float
     late_by: float
     give_up_at: float
@@ -51,15 +61,17 @@
     waiting: list[TaskState] = msgspec.field(default_factory=list)
     remaining: list[int] = msgspec.field(default_factory=list)
     opened: set[int] = msgspec.field(default_factory=set)
-    started: bool = False
+    sent: int = 0
+    ran: bool = False
     first_start_at: float = 0.0
+    last_task: TaskState | None = None
     lost_runs: int = 0
     declined_runs: int = 0
 
     @property
-    def latest_start(self) -> float:
-        """When it has to start to be on time."""
-        return self.on_time_by - self.expected
+    def started(self) -> bool:
+        """Whether a task of it may have run, or may be about to."""
+        return self.ran or self.sent > 0
 
     def open_steps(self) -> None:
         """Let the tasks wait for a place whose earlier steps are all done."""
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -54,6 +54,8 @@
     :param worker: identifier of the worker's life; empty while there is none.
     :param open: whether the worker takes new tasks.
     :param trial: it takes one task at a time, to see whether it is sound again.
+    :param cpu: of the worker in all, in thousandths of a core.
+    :param free_cpu: what is left of it.
     :param pace: its run times relative to the callers' estimates.
     """
 
@@ -68,6 +70,7 @@
     labels: list[str]
     open: bool
     trial: bool
+    cpu: int
     free_cpu: int
     free_memory_mb: int
     free_gpu: int
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -4,10 +4,10 @@
 that have a seventh of a second to spare wait behind rebuilds that have more than
 one. Served in order of arrival, most of both are late and none is of full use.
 
-Jobs are served by the latest time at which they can start and still be on time.
-One that has missed it is refused at once while none of its tasks has started: the
-room goes to jobs that can still be on time, and the caller learns the truth when
-it can still act on it.
+Jobs are served by the latest time at which they should start to be on time. One
+that has missed it is refused at once while none of its tasks has started: the room
+goes to jobs that can still be on time, and the caller learns the truth when it can
+still act on it.
 """
 
 import enum
@@ -18,6 +18,7 @@
 
 __all__ = [
     "LATE_FACTOR",
+    "SPARE_PART",
     "Fate",
     "chain_seconds",
     "fate",
@@ -29,6 +30,11 @@
 # figure).
 LATE_FACTOR = 3.0
 
+# How much of the time that a job could spare it may spend waiting for room. Run
+# times are known to 40%, and workers differ by a quarter: of jobs that are started
+# at the last moment half are late, and have made the next ones late as well.
+SPARE_PART = 0.6
+
 # An answer has to be written and travel; after that the caller has left.
 ANSWER_MARGIN_SECONDS = 0.02
 
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -4,9 +4,12 @@
 seconds, and the last task of a wide job decides when its caller is answered.
 Sent to any worker with room, most wide jobs would have a task on the worst one.
 
-A task goes where it is expected to end first. Workers of the entry's own data
-centre go first among equals: what crosses data centres is paid for, and two
-entries that choose the same worker decline each other.
+Several entries share the workers, and each knows the others' starts a little late.
+If all of them choose the fastest worker that has room, they meet there and decline
+each other. So a task goes where most room is left, weighed by the worker's pace:
+a worker that is a quarter slower still ends a task well within its aim, and a wait
+of a tenth of a second doesn't. Workers of the entry's own data centre go first
+among equals: it shares them with few, and what crosses data centres is paid for.
 """
 
 import statistics
@@ -17,9 +20,13 @@
 
 __all__ = ["Chooser", "relative_paces"]
 
-# A worker elsewhere has to be this much faster to be chosen before one in the own
-# data centre. Workers differ by 0.8 to 1.25.
-REMOTE_FACTOR = 1.15
+# A worker elsewhere counts as this much slower.
+REMOTE_FACTOR = 1.3
+
+# What a full worker's room counts for: its cost is FULL_PART + 1 over FULL_PART
+# times an empty one's, as much as the slowest and the fastest sound worker differ
+# twice over.
+FULL_PART = 0.4
 
 # Slower than this, relative to the others, a worker is not used while a task can
 # wait: a job is on time within 1.6 times its run time.
@@ -56,37 +63,38 @@
         self.paces = paces
         self.data_centre = data_centre
         self.far_factor = far_factor
-        self.views = sorted(views, key=self._cost)
-
-    def _cost(self, view: AgentView) -> float:
-        pace = self.paces[view.address]
-        near = view.report.data_centre == self.data_centre
-        return pace if near else pace * REMOTE_FACTOR
+        self.views = views
 
     def choose(self, task: TaskState, service: str) -> AgentView | None:
         """Return the agent that is to have a task, or None if it has to wait."""
         best = None
         best_cost = 0.0
+        step = task.step
         for view in self.views:
+            if not view.fits(step.cpu, step.memory_mb, step.gpu):
+                continue
             if not self._may(view, task, service):
                 continue
-            cost = self._cost(view)
-            if task.step.rack and task.step.rack not in view.report.labels:
-                cost *= self.far_factor
-            if view.address in task.avoid:
-                cost *= SLOW_FACTOR
+            cost = self._cost(view, task)
             if best is None or cost < best_cost:
                 best, best_cost = view, cost
-            if not task.step.rack and not task.avoid:
-                break
         return best
 
+    def _cost(self, view: AgentView, task: TaskState) -> float:
+        cost = self.paces[view.address]
+        if view.report.data_centre != self.data_centre:
+            cost *= REMOTE_FACTOR
+        cost /= FULL_PART + view.free_part()
+        if task.step.rack and task.step.rack not in view.report.labels:
+            cost *= self.far_factor
+        if view.address in task.avoid:
+            cost *= SLOW_FACTOR
+        return cost
+
     def _may(self, view: AgentView, task: TaskState, service: str) -> bool:
         step = task.step
         if view.report.service != service:
             return False
-        if not view.fits(step.cpu, step.memory_mb, step.gpu):
-            return False
         if step.label and step.label not in view.report.labels:
             return False
         if view.report.trial and view.placed:
