A worker that turns slow is noticed by its tasks' progress, and they are moved

Cause: a worker that turns several times slower ends nothing for a while, so its ends tell of it last and every wide job has a task there. Now the agent foretells the pace from the progress of three tasks or more of two jobs, gives back what would take twice its estimate yet, and tells the entries. Aims are worked out by a step's longest task.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -57,8 +57,9 @@
 
 
 def queue(name="checks", priority=0, attempts=4, stretch=1.6, allowance_ms=60):
-    return Queue(name, "h", f"/{name}/", SERVICE, priority, attempts, stretch,
-                 allowance_ms)
+    return Queue(
+        name, "h", f"/{name}/", SERVICE, priority, attempts, stretch, allowance_ms
+    )
 
 
 class Run:
@@ -115,8 +116,18 @@
 
     def announcement(self):
         self.sequence += 1
-        return Worker(self.identifier, SERVICE, self.data_centre, ("a",), self.cpu,
-                      65_536, 0, self.draining, 0, self.sequence)
+        return Worker(
+            self.identifier,
+            SERVICE,
+            self.data_centre,
+            ("a",),
+            self.cpu,
+            65_536,
+            0,
+            self.draining,
+            0,
+            self.sequence,
+        )
 
     def crash(self):
         for run in self.runs.values():
@@ -188,8 +199,12 @@
 
     def rows(self, now):
         running = [
-            RunningRow(run.key, "", run.run,
-                       min(99, int(100 * (now - run.began) / run.seconds)))
+            RunningRow(
+                run.key,
+                "",
+                run.run,
+                min(99, int(100 * (now - run.began) / run.seconds)),
+            )
             for run in self.runs.values()
         ]
         return running, list(self.ended)
@@ -198,8 +213,9 @@
 class Fleet:
     """The processes, their clock, and what has been seen of them."""
 
-    def __init__(self, entries=2, workers=4, seed=1, cpu=32_000, queues=None,
-                 centres=None):
+    def __init__(
+        self, entries=2, workers=4, seed=1, cpu=32_000, queues=None, centres=None
+    ):
         self.generator = random.Random(seed)
         self.now = 0.0
         self.events = []
@@ -232,8 +248,9 @@
 
     def start_entry(self, name, data_centre):
         self.dead.discard(name)
-        state = EntryState(name, f"l{next(self.lives)}", data_centre,
-                           list(self.entry_names), 1.5, 6.0)
+        state = EntryState(
+            name, f"l{next(self.lives)}", data_centre, list(self.entry_names), 1.5, 6.0
+        )
         self.states[name] = state
         self.feed(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
         self.at(0.0, lambda: self.tick(name, state))
@@ -247,8 +264,9 @@
 
     def start_agent(self, name):
         self.dead.discard(name)
-        state = AgentState(f"l{next(self.lives)}", int(self.now * 1000) + 1,
-                           list(self.entry_names))
+        state = AgentState(
+            f"l{next(self.lives)}", int(self.now * 1000) + 1, list(self.entry_names)
+        )
         self.states[name] = state
         self.at(0.0, lambda: self.tick(name, state))
 
@@ -310,8 +328,12 @@
         elif isinstance(effect, (StartTask, StopTask, LookAtWorker)):
             self.call(name, state, effect)
         elif isinstance(effect, AskEntries):
-            self.at(0.005, lambda: self.feed_same(
-                name, state, EntriesRead(list(self.entry_names))))
+            self.at(
+                0.005,
+                lambda: self.feed_same(
+                    name, state, EntriesRead(list(self.entry_names))
+                ),
+            )
         elif isinstance(effect, Say):
             self.lines.append((self.now, name, effect))
 
@@ -321,8 +343,9 @@
         state = self.states[address]
         received = AgentReceived if address in self.workers else Received
         delay = MESSAGE_SECONDS * self.generator.uniform(0.8, 1.5)
-        self.at(delay, lambda: self.feed_same(
-            address, state, received(sender, message)))
+        self.at(
+            delay, lambda: self.feed_same(address, state, received(sender, message))
+        )
 
     def call(self, name, state, effect):
         worker = self.workers[name]
@@ -332,11 +355,14 @@
             if worker.up and lost and worker.late:
                 self.at(worker.late, lambda: self.carry_out(worker, effect, sent_at))
             wait = getattr(effect, "wait_ms", 0) / 1000
-            self.at(CALL_TIMEOUT_SECONDS + wait, lambda: self.feed_same(
-                name, state, no_answer(effect)))
+            self.at(
+                CALL_TIMEOUT_SECONDS + wait,
+                lambda: self.feed_same(name, state, no_answer(effect)),
+            )
             return
-        self.at(CALL_SECONDS / 2, lambda: self.arrive(
-            name, state, worker, effect, sent_at))
+        self.at(
+            CALL_SECONDS / 2, lambda: self.arrive(name, state, worker, effect, sent_at)
+        )
 
     def arrive(self, name, state, worker, effect, sent_at):
         event = self.carry_out(worker, effect, sent_at)
@@ -374,8 +400,10 @@
             return
         ends = [run.ends_at for run in worker.runs.values()]
         step = min([0.01, deadline - self.now, *(end - self.now for end in ends)])
-        self.at(max(step, 0.0002), lambda: self.wait_for_end(
-            name, state, worker, effect, sent_at, deadline))
+        self.at(
+            max(step, 0.0002),
+            lambda: self.wait_for_end(name, state, worker, effect, sent_at, deadline),
+        )
 
     # What is seen.
 
@@ -398,13 +426,24 @@
 
     # Callers.
 
-    def submit(self, entry, identifier, tasks=1, cpu=3_000, seconds=0.2,
-               wait=5.0, queue_name=None, estimate=None):
+    def submit(
+        self,
+        entry,
+        identifier,
+        tasks=1,
+        cpu=3_000,
+        seconds=0.2,
+        wait=5.0,
+        queue_name=None,
+        estimate=None,
+    ):
         """Hand a job in; return the waiter whose answer will be in ``answers``."""
         waiter = next(self.waiter)
         self.sizes[identifier] = (cpu, seconds)
         estimate_ms = int((estimate or seconds) * 1000)
-        request = JobRequest(identifier, "spec", (Step(tasks, cpu, 64, 0, estimate_ms),))
+        request = JobRequest(
+            identifier, "spec", (Step(tasks, cpu, 64, 0, estimate_ms),)
+        )
         chosen = next(
             (item for item in self.queues if item.name == queue_name), self.queues[0]
         )
--- /dev/null
+++ b/features/support/fleetscript.py
@@ -0,0 +1,241 @@
+"""Random days of a fleet: jobs come all the time, and everything can fail."""
+
+import random
+
+from features.support.fleet import SERVICE, TICK, Fleet, queue
+
+__all__ = ["RandomDay", "SERVICE"]
+
+JOB_GAP_SECONDS = 0.03
+FAULT_GAP_SECONDS = 0.4
+RESEND_SECONDS = 1.3
+LONGEST_WAIT_SECONDS = 4.0
+
+
+class RandomDay:
+    """Plays one seed.
+
+    :ivar unanswered: jobs whose caller was connected all the time and got nothing.
+    :ivar untrue: refusals that said "not run" of jobs that had run by then.
+    """
+
+    def __init__(self, seed, entries=3, workers=5):
+        self.generator = random.Random(seed)
+        queues = [queue("checks"), queue("lookups", stretch=2.0, attempts=2)]
+        self.fleet = Fleet(entries, workers, seed, queues=queues)
+        self.jobs = 0
+        self.calls = []
+        self.faults = []
+        self.ends_at = 0.0
+        self.unanswered = []
+        self.untrue = []
+
+    def play(self, seconds):
+        fleet = self.fleet
+        self.ends_at = fleet.now + seconds
+        fleet.at(0.0, self.next_job)
+        fleet.at(0.5, self.next_fault)
+        fleet.run(seconds)
+        self.heal()
+        fleet.run(LONGEST_WAIT_SECONDS + 8.0)
+        self.judge()
+
+    def next_job(self):
+        fleet, generator = self.fleet, self.generator
+        if fleet.now >= self.ends_at:
+            return
+        self.jobs += 1
+        self.submit(
+            f"{self.jobs:016x}",
+            generator.randint(1, 6),
+            generator.uniform(0.05, 1.2),
+            None,
+        )
+        fleet.at(generator.expovariate(1 / JOB_GAP_SECONDS), self.next_job)
+
+    def submit(self, identifier, tasks, seconds, avoid):
+        alive = [
+            name
+            for name in self.fleet.entry_names
+            if name not in self.fleet.dead and name != avoid
+        ]
+        if not alive:
+            return
+        entry = self.generator.choice(alive)
+        wait = self.generator.uniform(0.8, LONGEST_WAIT_SECONDS)
+        waiter = self.fleet.submit(
+            entry,
+            identifier,
+            tasks,
+            seconds=seconds,
+            wait=wait,
+            queue_name=self.generator.choice(("checks", "lookups")),
+        )
+        self.calls.append([waiter, entry, identifier, tasks, seconds, True])
+        if self.generator.random() < 0.05:
+            self.fleet.at(
+                self.generator.uniform(0.01, 0.5), lambda: self.leave(self.calls[-1])
+            )
+
+    def leave(self, call):
+        if call[5] and call[0] not in self.fleet.answers:
+            call[5] = False
+            self.fleet.leave(call[1], call[0])
+
+    def next_fault(self):
+        if self.fleet.now >= self.ends_at:
+            return
+        name = self.generator.choice(FAULTS)
+        self.faults.append((round(self.fleet.now, 3), name))
+        getattr(self, name)()
+        gap = self.generator.expovariate(1 / FAULT_GAP_SECONDS)
+        self.fleet.at(gap, self.next_fault)
+
+    # Faults.
+
+    def any_entry(self):
+        return self.generator.choice(self.fleet.entry_names)
+
+    def any_agent(self):
+        return self.generator.choice(list(self.fleet.workers))
+
+    def span(self):
+        return self.generator.uniform(0.2, 3.0)
+
+    def kill_entry(self):
+        fleet, name = self.fleet, self.any_entry()
+        if name in fleet.dead:
+            return
+        centre = fleet.states[name].data_centre
+        fleet.kill(name)
+        for call in self.calls:
+            if call[1] == name and call[5] and call[0] not in fleet.answers:
+                call[5] = False
+                self.resend(call)
+        fleet.at(self.span(), lambda: fleet.start_entry(name, centre))
+
+    def resend(self, call):
+        _, entry, identifier, tasks, seconds, _ = call
+        if self.fleet.now + RESEND_SECONDS < self.ends_at:
+            self.fleet.at(
+                RESEND_SECONDS, lambda: self.submit(identifier, tasks, seconds, entry)
+            )
+
+    def kill_agent(self):
+        fleet, name = self.fleet, self.any_agent()
+        if name not in fleet.dead:
+            fleet.kill(name)
+            fleet.at(self.span(), lambda: fleet.start_agent(name))
+
+    def kill_both(self):
+        self.kill_entry()
+        self.kill_agent()
+
+    def crash_worker(self):
+        self.fleet.workers[self.any_agent()].crash()
+
+    def freeze_entry(self):
+        self.fleet.freeze(self.any_entry(), self.span())
+
+    def freeze_agent(self):
+        self.fleet.freeze(self.any_agent(), self.span())
+
+    def cut_one_way(self):
+        pair = self.any_entry(), self.any_agent()
+        if self.generator.random() < 0.5:
+            pair = pair[::-1]
+        self.cut({pair})
+
+    def cut_entry(self):
+        entry = self.any_entry()
+        self.cut(
+            {(entry, agent) for agent in self.fleet.workers}
+            | {(agent, entry) for agent in self.fleet.workers}
+        )
+
+    def cut(self, pairs):
+        self.fleet.cuts |= pairs
+        self.fleet.at(self.span(), lambda: self.fleet.cuts.difference_update(pairs))
+
+    def cut_worker(self):
+        worker = self.fleet.workers[self.any_agent()]
+        worker.cut = True
+        self.fleet.at(self.span(), lambda: setattr(worker, "cut", False))
+
+    def lose_calls(self):
+        worker = self.fleet.workers[self.any_agent()]
+        worker.deaf, worker.late = 0.4, self.generator.choice((0.0, 0.3, 2.0))
+        self.fleet.at(self.span(), lambda: setattr(worker, "deaf", 0.0))
+
+    def slow_worker(self):
+        worker = self.fleet.workers[self.any_agent()]
+        worker.pace = 6.0
+        self.fleet.at(self.span(), lambda: setattr(worker, "pace", 1.0))
+
+    def fail_worker(self):
+        worker = self.fleet.workers[self.any_agent()]
+        worker.fails = True
+        self.fleet.at(self.span(), lambda: setattr(worker, "fails", False))
+
+    def drain_worker(self):
+        worker = self.fleet.workers[self.any_agent()]
+        worker.draining = True
+        self.fleet.at(self.span(), lambda: setattr(worker, "draining", False))
+
+    def heal(self):
+        fleet = self.fleet
+        fleet.cuts.clear()
+        for worker in fleet.workers.values():
+            worker.cut = worker.fails = worker.draining = False
+            worker.deaf, worker.pace = 0.0, 1.0
+
+    # Verdict.
+
+    def judge(self):
+        first_start = {}
+        for at, key, _, _ in self.fleet.starts:
+            first_start.setdefault(key.job, at)
+        said_run = {}
+        for waiter, _, identifier, *_, connected in self.calls:
+            answer = self.fleet.answers.get(waiter)
+            if answer is None:
+                if connected:
+                    self.unanswered.append(identifier)
+                continue
+            said_run.setdefault(identifier, []).append(answer)
+        tries = {}
+        for call in self.calls:
+            tries[call[2]] = tries.get(call[2], 0) + 1
+        for identifier, answers in said_run.items():
+            refused = [
+                at for at, effect in answers if effect.verdict.value == "not_run"
+            ]
+            if len(refused) == tries[identifier] and identifier in first_start:
+                self.untrue.append(identifier)
+
+    def summary(self):
+        fleet = self.fleet
+        return (
+            f"jobs {self.jobs}, answers {len(fleet.answers)}, "
+            f"starts {len(fleet.starts)}, overlaps {fleet.overlaps[:3]}, "
+            f"overloads {fleet.overloads}, "
+            f"unanswered {self.unanswered[:3]}, untrue {self.untrue[:3]}, "
+            f"faults {self.faults}"
+        )
+
+
+FAULTS = (
+    "kill_entry",
+    "kill_agent",
+    "kill_both",
+    "crash_worker",
+    "freeze_entry",
+    "freeze_agent",
+    "cut_one_way",
+    "cut_entry",
+    "cut_worker",
+    "lose_calls",
+    "slow_worker",
+    "fail_worker",
+    "drain_worker",
+)
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -41,7 +41,12 @@
 )
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import Ended, Pulse, Report, Start, Stop, TaskEnd
-from cactuswalk.dispatch.soundness import DRAG_FACTOR, Soundness
+from cactuswalk.dispatch.soundness import (
+    Progress,
+    Soundness,
+    foretold_pace,
+    should_move,
+)
 
 __all__ = ["AgentState"]
 
@@ -83,6 +88,11 @@
 # A running task whose progress stands still this long, beyond its estimate, is
 # stopped and told as lost. Progress comes with each look, at most 0.15 s apart.
 STALL_SECONDS = 0.6
+# Or this many times the twentieth part of its estimate, where that is longer.
+STALL_FACTOR = 3.0
+
+# A task that was moved twice stays where it is: it may be slow by itself.
+MOST_MOVED_RUN = 2
 
 # How many times a start that the worker refuses as superseded, fenced or late is
 # tried before it is declined.
@@ -521,6 +531,7 @@
                 self._end(held, TaskEnd.STOPPED, 0, "never began", now)
         for row in running.values():
             self._stop_stranger(row.key, row.run)
+        self._move_off_if_dragging(now)
 
     def _never_began(self, held: Held, looked_at: float) -> bool:
         """Return whether a look without a run shows that it won't come.
@@ -555,7 +566,22 @@
 
     def _stands_still(self, held: Held, now: float) -> bool:
         expected = held.start.estimate_ms / 1000 / 20
-        return now - held.percent_at > max(STALL_SECONDS, DRAG_FACTOR * expected)
+        return now - held.percent_at > max(STALL_SECONDS, STALL_FACTOR * expected)
+
+    def _move_off_if_dragging(self, now: float) -> None:
+        """Give tasks back that a worker which has turned slow would keep for long."""
+        running = [
+            held for held in self.held.values() if held.state is HeldState.RUNNING
+        ]
+        progress = [_progress(held, now) for held in running]
+        foretold = foretold_pace(progress)
+        if not self.soundness.begins_to_drag(foretold):
+            return
+        self._say("its worker drags", worker=self.worker.identifier, pace=foretold)
+        for held, task in zip(running, progress, strict=True):
+            if held.run % RUN_STEP <= MOST_MOVED_RUN and should_move(task):
+                self._stop(held, "its worker drags", now)
+        self._touch_entries()
 
     def _run_ended(self, held: Held, end: RunEnd, now: float) -> None:
         ran_ms = max(0.0, now - held.since) * 1000
@@ -777,5 +803,10 @@
 SPARE_REPORT_SECONDS = 0.005
 
 
+def _progress(held: Held, now: float) -> Progress:
+    start = held.start
+    return Progress(start.key.job, start.estimate_ms, now - held.since, held.percent)
+
+
 def _milliseconds(now: float) -> int:
     return int(now * 1000)
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -440,12 +440,14 @@
         task.held_seconds = now - task.placed_at
         task.ran_ms = ran_ms
         job.last_task = task
-        self.estimates[job.queue.name].observe(
-            task.step.estimate_ms, max(1, ran_ms) / 1000
-        )
+        job.longest_ms[task.key.step] = max(job.longest_ms[task.key.step], ran_ms)
         job.remaining[task.key.step] -= 1
         if job.remaining[task.key.step]:
             return
+        # The last of a step's tasks decides when its job is done, so that is what
+        # the estimate of a job's run time learns from.
+        longest = max(1, job.longest_ms[task.key.step]) / 1000
+        self.estimates[job.queue.name].observe(task.step.estimate_ms, longest)
         if any(job.remaining):
             job.open_steps()
             return
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -43,6 +43,7 @@
     :param on_time_by: until then it is of full use to its caller.
     :param late_by: until then it is of some use.
     :param give_up_at: then its caller waits no more.
+    :param longest_ms: by step, the run time of its longest task so far.
     :param sent: starts that were sent and have not ended.
     :param ran: a task of it has run, or may have.
     :param first_start_at: when the first of its starts was sent.
@@ -60,6 +61,7 @@
     tasks: list[TaskState] = msgspec.field(default_factory=list)
     waiting: list[TaskState] = msgspec.field(default_factory=list)
     remaining: list[int] = msgspec.field(default_factory=list)
+    longest_ms: list[int] = msgspec.field(default_factory=list)
     opened: set[int] = msgspec.field(default_factory=set)
     sent: int = 0
     ran: bool = False
@@ -89,6 +91,7 @@
     identifier = job.request.identifier
     for number, step in enumerate(job.request.steps):
         job.remaining.append(step.count)
+        job.longest_ms.append(0)
         job.tasks.extend(
             TaskState(job, TaskKey(identifier, number, index), step)
             for index in range(step.count)
--- a/src/cactuswalk/dispatch/soundness.py
+++ b/src/cactuswalk/dispatch/soundness.py
@@ -6,9 +6,11 @@
 one bad worker decides what most callers receive.
 """
 
+import statistics
+
 import msgspec
 
-__all__ = ["Soundness"]
+__all__ = ["Progress", "Soundness", "foretold_pace", "should_move"]
 
 # Weight of an end in the pace. Estimates are off by some 40%; over the last 16
 # ends that averages to 10%, which tells a worker that is four times slower.
@@ -28,9 +30,67 @@
 # Successes in a row that end a trial.
 SUCCESSES_TO_TRUST = 2
 
-# A running task counts as dragging when its progress foretells this many times
-# its estimate. Estimates are off by 40%, paces by 25%: 2.0 is within the spread.
+# A worker drags when the progress of what it runs foretells this many times the
+# run times that it has shown so far. Estimates are off by 40%, and three tasks of
+# two jobs average that to a quarter.
 DRAG_FACTOR = 3.0
+FEWEST_DRAGGING_TASKS = 3
+FEWEST_DRAGGING_JOBS = 2
+
+# A task that takes less than this part of its worker's pace tells that the worker
+# has recovered: a slow one gets one task at a time, and three of them must do.
+RECOVERED_PART = 0.5
+RECOVERY_GAIN = 0.5
+
+# Progress says little before a task has run for this long, in seconds.
+LEAST_PROGRESS_SECONDS = 0.1
+
+# A task is moved off a dragging worker if it would run there for this many times
+# its estimate yet: anywhere else it is done sooner, though it starts anew.
+MOVE_FACTOR = 2.0
+
+
+class Progress(msgspec.Struct):
+    """How far a running task is.
+
+    :param seconds: for which it has run.
+    :param percent: of its work that is done.
+    """
+
+    job: str
+    estimate_ms: int
+    seconds: float
+    percent: int
+
+    @property
+    def foretold_ms(self) -> float:
+        """How long it will have run in all, if it goes on like this."""
+        return self.seconds * 1000 * 100 / max(1, self.percent)
+
+
+def foretold_pace(tasks: list[Progress]) -> float:
+    """Return what the running tasks' progress says of a worker's pace.
+
+    A worker that turns several times slower ends nothing for a while, so that its
+    ends tell of it last. 0 where there is too little to go by: a single job may be
+    slow by itself, wherever it runs.
+    """
+    told = [
+        task
+        for task in tasks
+        if task.seconds >= LEAST_PROGRESS_SECONDS and task.estimate_ms > 0
+    ]
+    if len(told) < FEWEST_DRAGGING_TASKS:
+        return 0.0
+    if len({task.job for task in told}) < FEWEST_DRAGGING_JOBS:
+        return 0.0
+    return statistics.median(task.foretold_ms / task.estimate_ms for task in told)
+
+
+def should_move(task: Progress) -> bool:
+    """Return whether a task on a dragging worker is better begun elsewhere."""
+    left_ms = task.foretold_ms - task.seconds * 1000
+    return left_ms > MOVE_FACTOR * task.estimate_ms
 
 
 class Soundness(msgspec.Struct):
@@ -78,8 +138,21 @@
         if estimate_ms <= 0 or ran_ms <= 0:
             return
         self.ends += 1
+        ratio = ran_ms / estimate_ms
         gain = max(PACE_GAIN, 1 / (self.ends + PACE_PRIOR))
-        self.pace += gain * (ran_ms / estimate_ms - self.pace)
+        if ratio < self.pace * RECOVERED_PART:
+            gain = RECOVERY_GAIN
+        self.pace += gain * (ratio - self.pace)
+
+    def begins_to_drag(self, foretold: float) -> bool:
+        """Return whether progress foretells a worker far slower than it was.
+
+        Its pace is then taken for what is foretold, until ends show another.
+        """
+        if foretold <= DRAG_FACTOR * self.pace:
+            return False
+        self.pace = foretold
+        return True
 
     def may_try(self, now: float) -> bool:
         """Return whether a worker on trial may be given its next task."""
