An entry that an agent doesn't hear takes its starts back

Cause, found by the scenario 'An entry's words are lost while it hears everything': the link from entry to agent cut one way left starts for ever unseen at an agent that went on reporting room, and the job unanswered. Ruled out: the lease chain (nothing ran twice). Reports now say whether the agent hears the entry, and a start that is older by the agent's own clock than it would accept counts as declined.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -13,17 +13,17 @@
     Announced,
     EndedRow,
     EntriesRead,
-    LookFailed,
     Looked,
+    LookFailed,
+    Received as AgentReceived,
     RunEnd,
     RunningRow,
     StartAnswered,
     StartVerdict,
     StopAnswered,
+    StopRequested as AgentStopRequested,
+    Tick as AgentTick,
 )
-from cactuswalk.dispatch.agentevents import Received as AgentReceived
-from cactuswalk.dispatch.agentevents import StopRequested as AgentStopRequested
-from cactuswalk.dispatch.agentevents import Tick as AgentTick
 from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
 from cactuswalk.dispatch.effects import (
     Answer,
--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -2,7 +2,7 @@
 
 import random
 
-from features.support.fleet import SERVICE, TICK, Fleet, queue
+from features.support.fleet import SERVICE, Fleet, queue
 
 __all__ = ["RandomDay", "SERVICE"]
 
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -26,6 +26,7 @@
 from cactuswalk.dispatch.bounds import (
     CALL_TIMEOUT_SECONDS,
     ENTRY_LEASE_SECONDS,
+    UNHEARD_SECONDS,
     WORKER_LEASE_SECONDS,
     worker_lapse_seconds,
 )
@@ -284,6 +285,7 @@
             self._orphan(address, "its entry has started anew", now)
             peer = EntryPeer(address, life, past_lives=past_lives)
             self.entries[address] = peer
+            peer.dirty = True
         peer.heard_at = now
         return peer
 
@@ -773,6 +775,7 @@
             _milliseconds(now),
             peer.seen,
             held + list(peer.ends),
+            bool(peer.life) and now - peer.heard_at < UNHEARD_SECONDS,
             worker.identifier if worker else "",
             worker.service if worker else "",
             worker.data_centre if worker else "",
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
-from cactuswalk.dispatch.bounds import HEARD_SECONDS, lost_after
+from cactuswalk.dispatch.bounds import (
+    ENTRY_LEASE_SECONDS,
+    HEARD_SECONDS,
+    MARGIN_SECONDS,
+    lost_after,
+)
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.messages import Report, Start
 
@@ -65,6 +70,7 @@
         """Return whether new tasks may be sent there."""
         return (
             self.report.open
+            and self.report.hears
             and now - self.heard_at <= HEARD_SECONDS
             and now >= self.passed_over_until
             and not (self.report.trial and self.unseen)
@@ -90,6 +96,18 @@
         """Leave it alone until it has reported again."""
         self.passed_over_until = now + DECLINED_PAUSE_SECONDS
 
+    def never_arrives(self, placed: Placed) -> bool:
+        """Return whether a start that the agent has not seen is refused by now.
+
+        Where the link to the agent is cut and the one back is not, the agent's
+        reports show its clock going on without the start.
+        """
+        report = self.report
+        age_ms = report.stamp - placed.start.stamp
+        return placed.start.sequence > report.seen and (
+            age_ms > (ENTRY_LEASE_SECONDS + MARGIN_SECONDS) * 1000
+        )
+
     def silent_gone_at(self) -> float:
         """Return when all that was placed here has ended, if it stays silent."""
         return self.heard_at + lost_after()
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -11,9 +11,11 @@
     "CLOCK_DRIFT",
     "ENTRY_LEASE_SECONDS",
     "HEARD_SECONDS",
+    "MARGIN_SECONDS",
     "PULSE_SECONDS",
     "RESEND_SECONDS",
     "STOP_SECONDS",
+    "UNHEARD_SECONDS",
     "WORKER_LEASE_SECONDS",
     "lost_after",
     "orphan_ends_after",
@@ -48,6 +50,10 @@
 # An agent that was not heard for this long gets nothing new: three reports.
 HEARD_SECONDS = 0.35
 
+# An entry that was not heard for this long doesn't reach the agent: several pulses.
+# What it sends there would be lost, though it hears the agent well.
+UNHEARD_SECONDS = 1.0
+
 # The soonest a caller sends a job again after its connection broke (platform's
 # figure, 1,300 ms).
 RESEND_SECONDS = 1.3
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -374,6 +374,8 @@
                 continue
             if sequence <= view.report.seen and sequence not in held:
                 self._finish(view, placed, TaskEnd.LOST, 0, "never arrived", now)
+            elif view.never_arrives(placed):
+                self._finish(view, placed, TaskEnd.DECLINED, 0, "never arrived", now)
 
     def _take_end(self, sender: str, ended: Ended, now: float) -> None:
         view = self.views.get(sender)
@@ -532,7 +534,7 @@
         if placed.start.agent_life != view.report.life:
             return
         unseen = placed.start.sequence > view.report.seen
-        if unseen and now - placed.sent_at > SEND_AGAIN_SECONDS:
+        if unseen and view.report.hears and now - placed.sent_at > SEND_AGAIN_SECONDS:
             placed.sent_at = now
             placed.start.stamp = view.report.stamp
             self._send(view.address, placed.start)
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -51,6 +51,7 @@
     :param seen: highest sequence of the receiver's starts that has arrived.
     :param held: the receiver's starts that are under way, or whose end the
         receiver has not noted yet.
+    :param hears: whether the agent has heard the receiver lately.
     :param worker: identifier of the worker's life; empty while there is none.
     :param open: whether the worker takes new tasks.
     :param trial: it takes one task at a time, to see whether it is sound again.
@@ -64,6 +65,7 @@
     stamp: int
     seen: int
     held: list[int]
+    hears: bool
     worker: str
     service: str
     data_centre: str
