A report for each end, and for others' changes now and then; load and process features

Now only an entry's own ends bring a report at once; the rest waits 5 or 10 ms for each entry there is, and a size that found no room is not looked for again in that turn. A look notes ends and waits for the next in one call.

--- /dev/null
+++ b/features/dispatch_load.feature
@@ -0,0 +1,65 @@
+Feature: Whom the entries serve when there is not room for all
+
+  Scenario: A calm hour is served whole
+    Given 4 entries, 11 workers of three speeds, and the users' three kinds of job
+    When 8 seconds of the usual load are played
+    Then at least 99 of 100 lookups, checks and rebuilds are on time
+
+  Scenario: A burst is served without starving the wide lookups
+    For some seconds 1.6 times the usual load comes, about as much as the workers
+    can do. Short lookups of eight tasks have a seventh of a second to spare; behind
+    long rebuilds, or with one of their tasks lost in a race for room, they are late.
+    Given 4 entries, 11 workers of three speeds, and the users' three kinds of job
+    When 8 seconds of 1.6 times the load are played
+    Then at least 80 of 100 lookups, 92 of 100 checks and 92 of 100 rebuilds are on time
+
+  Scenario: Twice the load is refused in time, and the rest is served
+    Given 4 entries, 11 workers of three speeds, and the users' three kinds of job
+    When 8 seconds of 2.0 times the load are played
+    Then at least 50 of 100 lookups, 75 of 100 checks and 80 of 100 rebuilds are on time
+    And a refusal takes no longer than the time that the job could spare
+    And no refused job has run
+
+  Scenario: A worker that turns slow does not hold up every wide job
+    One worker of eleven turns six times slower while it says that it is well. Its
+    room is free for longest, and each wide job would have a task there.
+    Given 4 entries, 11 workers of three speeds, and the users' three kinds of job
+    When one worker is 6 times slower while 8 seconds of the usual load are played
+    Then at least 93 of 100 lookups, 97 of 100 checks and 90 of 100 rebuilds are on time
+
+  Scenario: A worker that fails everything gets hardly any work
+    Its failures take a millisecond, so that its room is always free.
+    Given a fleet of 2 entries and 4 workers
+    When a0's worker fails everything
+    And 100 jobs of 2 tasks of 0.2 seconds come to e0
+    And 5 seconds pass
+    Then a0 has started fewer than 40 tasks
+    And no job has failed
+
+  Scenario: A task that stands still is run elsewhere
+    Given a fleet of 1 entries and 2 workers
+    When a0's worker lets everything stand still
+    And a job of 4 tasks of 0.5 seconds comes to e0
+    And 6 seconds pass
+    Then the job is completed at e0
+
+  Scenario: A worker that drains gets nothing new
+    Given a fleet of 1 entries and 2 workers
+    When a0's worker drains
+    And 2 seconds pass
+    And 20 jobs of 2 tasks of 0.2 seconds come to e0
+    And 3 seconds pass
+    Then a0 has started fewer than 1 tasks
+    And all jobs are completed
+
+  Scenario: A caller who leaves has its tasks stopped
+    Given a fleet of 1 entries and 2 workers
+    When a job of 4 tasks of 3 seconds comes to e0
+    And its caller leaves after 0.3 seconds
+    And 0.3 seconds pass
+    Then nothing runs any more
+
+  Scenario: A task that fits no worker is refused at once
+    Given a fleet of 1 entries and 2 workers
+    When a job with a task of 64 cores comes to e0
+    Then it is refused as not run before any time has passed
--- /dev/null
+++ b/features/steps/dispatch_load_steps.py
@@ -0,0 +1,179 @@
+"""Steps on load and on workers that are unsound."""
+
+import random
+
+from behave import given, then, when
+
+from features.support.fleet import Fleet, queue
+
+# Rate a second, tasks and seconds of the users' kinds, at their usual load.
+KINDS = {
+    "lookups": (17.2, 8, 0.12),
+    "rebuilds": (3.12, 4, 1.8),
+    "checks": (50.0, 2, 0.4),
+}
+PACES = (0.8, 1.0, 1.25)
+SEED = 3
+
+
+@given("4 entries, 11 workers of three speeds, and the users' three kinds of job")
+def step_users(context):
+    queues = [queue("lookups", 0), queue("rebuilds", 2, 2), queue("checks", 1)]
+    context.fleet = Fleet(4, 11, SEED, queues=queues)
+    for number, worker in enumerate(context.fleet.workers.values()):
+        worker.cpu = 48_000 if number % 3 == 2 else 32_000
+        worker.pace = PACES[(number + 1 - number % 2) % 3]
+    context.by_kind = {name: [] for name in KINDS}
+
+
+class Load:
+    """Poisson arrivals of the three kinds, for some seconds."""
+
+    def __init__(self, fleet, by_kind, rate, seconds):
+        self.fleet = fleet
+        self.by_kind = by_kind
+        self.rate = rate
+        self.until = fleet.now + seconds
+        self.generator = random.Random(SEED)
+        self.number = 0
+        for name in KINDS:
+            self.next_arrival(name)
+
+    def next_arrival(self, name):
+        gap = self.generator.expovariate(KINDS[name][0] * self.rate)
+        self.fleet.at(gap, lambda: self.arrive(name))
+
+    def arrive(self, name):
+        if self.fleet.now >= self.until:
+            return
+        generator = self.generator
+        _, width, mean = KINDS[name]
+        self.number += 1
+        tasks = round(generator.lognormvariate(0, 0.4) * width)
+        seconds = mean * generator.lognormvariate(-0.08, 0.4)
+        waiter = self.fleet.submit(
+            generator.choice(self.fleet.entry_names),
+            f"{self.number:016x}",
+            max(1, min(4 * width, tasks)),
+            cpu=int(3100 * generator.lognormvariate(0, 0.2)),
+            seconds=seconds,
+            wait=5 * seconds + 2,
+            queue_name=name,
+            estimate=seconds * generator.lognormvariate(0, 0.35),
+        )
+        self.by_kind[name].append(waiter)
+        self.next_arrival(name)
+
+
+@when("{seconds:d} seconds of the usual load are played")
+def step_usual(context, seconds):
+    step_load(context, seconds, 1.0)
+
+
+@when("{seconds:d} seconds of {rate:g} times the load are played")
+def step_load(context, seconds, rate):
+    Load(context.fleet, context.by_kind, rate, seconds)
+    context.fleet.run(seconds + 12)
+
+
+@when(
+    "one worker is {pace:d} times slower while {seconds:d} seconds of the usual load"
+    " are played"
+)
+def step_slow(context, pace, seconds):
+    context.fleet.workers["a1"].pace = pace
+    step_load(context, seconds, 1.0)
+
+
+@when("{agent:w}'s worker fails everything")
+def step_fails(context, agent):
+    context.fleet.workers[agent].fails = True
+
+
+@when("{agent:w}'s worker lets everything stand still")
+def step_stalls(context, agent):
+    context.fleet.workers[agent].stalls = True
+
+
+@when("{agent:w}'s worker drains")
+def step_drains(context, agent):
+    context.fleet.workers[agent].draining = True
+
+
+@when("its caller leaves after {after:g} seconds")
+def step_leaves(context, after):
+    context.fleet.run(after)
+    assert context.fleet.live_runs
+    context.fleet.leave("e0", context.waiters["e0"])
+
+
+@when("a job with a task of {cores:d} cores comes to {entry}")
+def step_large(context, cores, entry):
+    context.waiter = context.fleet.submit(entry, "00000000000000aa", cpu=cores * 1000)
+
+
+@then("at least 99 of 100 lookups, checks and rebuilds are on time")
+def step_all_on_time(context):
+    check(context, lookups=99, checks=99, rebuilds=99)
+
+
+@then(
+    "at least {lookups:d} of 100 lookups, {checks:d} of 100 checks and"
+    " {rebuilds:d} of 100 rebuilds are on time"
+)
+def step_on_time(context, lookups, checks, rebuilds):
+    check(context, lookups=lookups, checks=checks, rebuilds=rebuilds)
+
+
+def check(context, **wanted):
+    shares = {
+        name: sum(map(context.fleet.in_aim, waiters)) / len(waiters)
+        for name, waiters in context.by_kind.items()
+    }
+    assert all(shares[name] >= part / 100 for name, part in wanted.items()), shares
+    assert not context.fleet.overlaps
+    assert not context.fleet.overloads
+
+
+@then("a refusal takes no longer than the time that the job could spare")
+def step_refused_in_time(context):
+    fleet = context.fleet
+    refused = [w for w in fleet.answers if fleet.verdict(w) == "not_run"]
+    assert refused, "nothing was refused"
+    for waiter in refused:
+        _, chosen, seconds, _ = fleet.arrivals[waiter]
+        aim = chosen.stretch * seconds * 2.5 + chosen.allowance_ms / 1000
+        assert fleet.took(waiter) < aim, (fleet.took(waiter), aim)
+        assert fleet.answers[waiter][1].retry_after >= 1
+
+
+@then("no refused job has run")
+def step_refusals_true(context):
+    fleet = context.fleet
+    ran = {key.job for _, key, _, _ in fleet.starts}
+    for waiter in fleet.answers:
+        if fleet.verdict(waiter) == "not_run":
+            assert fleet.arrivals[waiter][3] not in ran
+
+
+@then("{agent:w} has started fewer than {count:d} tasks")
+def step_few_starts(context, agent, count):
+    started = sum(name == agent for *_, name in context.fleet.starts)
+    assert started < count, started
+
+
+@then("no job has failed")
+def step_none_failed(context):
+    verdicts = [context.fleet.verdict(waiter) for waiter in context.waiters.values()]
+    assert "failed" not in verdicts, verdicts
+
+
+@then("nothing runs any more")
+def step_nothing_runs(context):
+    assert not context.fleet.live_runs
+
+
+@then("it is refused as not run before any time has passed")
+def step_refused_at_once(context):
+    assert context.fleet.verdict(context.waiter) == "not_run"
+    assert context.fleet.took(context.waiter) == 0.0
--- /dev/null
+++ b/features/steps/process_dispatch_steps.py
@@ -0,0 +1,230 @@
+"""Steps on the real processes."""
+
+import time
+
+from behave import given, then, when
+
+from tools.deployment import (
+    HOST,
+    Deployment,
+    call_json,
+    configuration,
+    job_body,
+)
+from tools.processes import wait_until
+
+SAME_JOB = "00000000000000bb"
+
+
+@given("a deployment of {entries:d} entries and {workers:d} workers")
+def step_deployment(context, entries, workers):
+    context.deployment = Deployment(entries, workers)
+    context.deployment.__enter__()
+    context.clean_ups = [lambda: context.deployment.__exit__(None, None, None)]
+    context.deployment.wait_ready()
+
+
+@when("a job of {tasks:d} tasks of {ms:d} ms is handed to entry {entry:d}")
+def step_job(context, tasks, ms, entry):
+    context.result = context.deployment.submit(entry, tasks, ms)
+
+
+@when("a job of {tasks:d} tasks of {ms:d} ms is under way at entry {entry:d}")
+def step_job_under_way(context, tasks, ms, entry):
+    deployment = context.deployment
+    context.tasks, context.ms = tasks, ms
+    before = runs_of(deployment)
+    context.pending = deployment.submit_later(entry, tasks, ms, identifier=SAME_JOB)
+    wait_until(lambda: runs_of(deployment) - before >= tasks, 5.0, "the job's tasks")
+
+
+def runs_of(deployment):
+    return sum(
+        line["what"] == "began"
+        for worker in range(deployment.workers)
+        for line in deployment.record(worker)
+    )
+
+
+@when("{name:S} is killed, and the job handed to entry {entry:d} after {s:g} seconds")
+def step_kill_and_resend(context, name, entry, s):
+    context.deployment[name].kill()
+    time.sleep(s)
+    context.result = context.deployment.submit(
+        entry, context.tasks, context.ms, identifier=SAME_JOB
+    )
+
+
+@when("{name:S} is killed and started again")
+def step_kill_and_start(context, name):
+    context.deployment[name].kill()
+    context.deployment[name].start()
+
+
+@when("{name:S} is told to stop")
+def step_terminate(context, name):
+    context.deployment[name].terminate()
+
+
+@when("the store is {mode:w} and a job is handed in")
+def step_store_fault(context, mode):
+    context.deployment.fault(mode)
+    time.sleep(0.3)
+    context.result = context.deployment.submit(0, 2, 100)
+
+
+@when("the store is well again and drops its history")
+def step_store_well(context):
+    context.deployment.fault("")
+    call_json(f"{context.deployment.store_url}/compact", {})
+
+
+@when("the store turns everyone away and {name:S} is started anew")
+def step_start_in_outage(context, name):
+    context.deployment[name].kill()
+    context.deployment.fault("busy")
+    context.deployment[name].start()
+
+
+@when("the queue moves to another path")
+def step_queue_moves(context):
+    body = configuration(5, path_prefix="/moved/")
+    context.deployment.write_configuration(body)
+
+
+@when("the key of entry 0 is revoked")
+def step_revoke(context):
+    key = "cactuswalk/entries/entry-0"
+    store = context.deployment.store_url
+    wait_until(lambda: key in keys_of(store), 5.0, "the entry's key")
+    call_json(f"{store}/revoke", {"key": key})
+    assert key not in keys_of(store)
+    context.key = key
+
+
+def keys_of(store):
+    return call_json(f"{store}/keys")[1]["keys"]
+
+
+@when("a body with {fault} is handed in")
+def step_bad_body(context, fault):
+    body = job_body(2, 100)
+    if fault == "no steps":
+        body["steps"] = []
+    elif fault == "a cycle":
+        body["steps"][0]["after"] = [0]
+    elif fault == "a long spec":
+        body["spec"] = "x" * 4001
+    elif fault == "no best effort":
+        del body["best_effort"]
+    elif fault == "a gang":
+        body["steps"][0]["gang"] = True
+    elif fault == "too large a task":
+        body["steps"][0]["cpu"] = 1_000_000
+    url = context.deployment.caller_url(0) + SAME_JOB
+    if fault == "no JSON":
+        body = "no object"
+    context.sent_at = time.monotonic()
+    context.result = call_json(url, body, host=HOST)
+
+
+@when("a job whose tasks always fail is handed in")
+def step_failing(context):
+    context.result = context.deployment.submit(0, 2, 50, fails=True)
+
+
+@then("it is answered with {status:d} and the state {state:w}")
+def step_answered(context, status, state):
+    assert context.result[0] == status, context.result
+    assert context.result[1] == {"state": state}, context.result
+
+
+@then("the job under way is answered with {status:d} and the state {state:w}")
+def step_pending_answered(context, status, state):
+    context.pending.join(20)
+    assert context.pending.result is not None, "the connection was cut off"
+    context.result = context.pending.result
+    step_answered(context, status, state)
+
+
+@then("the workers' records show {count:d} runs, none twice at once")
+def step_runs(context, count):
+    assert runs_of(context.deployment) == count
+    assert not context.deployment.overlaps()
+
+
+@then("the workers' records show no task twice at once")
+def step_no_overlap(context):
+    assert runs_of(context.deployment) > 0
+    assert not context.deployment.overlaps()
+
+
+@then("entry 1 counts 0 queued jobs, and has no queue elsewhere")
+def step_counts(context):
+    url = context.deployment.caller_url(1)
+    assert call_json(url, host=HOST)[:2] == (200, {"queued_count": 0})
+    assert call_json(url, host="other.example")[0] == 404
+
+
+@then("a queue's jobs of before are not known")
+def step_unknown(context):
+    url = context.deployment.caller_url(1) + SAME_JOB
+    assert call_json(url, host=HOST)[0] == 410
+    assert call_json(url, host=HOST, method="DELETE")[0] == 410
+
+
+@then("the metrics of entry 0 tell of the job")
+def step_metrics(context):
+    deployment = context.deployment
+    text = deployment.metrics(deployment.entry_host(0))
+    assert 'cactuswalk_answers_total{label="checks completed"} 1.0' in text, text
+    assert "cactuswalk_job_seconds_bucket" in text
+
+
+@then("the new path is served within {seconds:g} seconds and the old one gives 404")
+def step_moved(context, seconds):
+    deployment = context.deployment
+    url = f"http://{deployment.entry_host(0)}:{deployment.ports['callers']}"
+    wait_until(
+        lambda: call_json(f"{url}/moved/", host=HOST)[0] == 200, seconds, "the change"
+    )
+    assert call_json(f"{url}/checks/", host=HOST)[0] == 404
+
+
+@then("entry 1 serves the new path within {seconds:g} seconds")
+def step_entry_1(context, seconds):
+    deployment = context.deployment
+    url = f"http://{deployment.entry_host(1)}:{deployment.ports['callers']}"
+
+    def serves():
+        try:
+            return call_json(f"{url}/moved/", host=HOST)[0] == 200
+        except OSError:
+            return False
+
+    wait_until(serves, seconds, "the configuration from another entry")
+
+
+@then("it is back within {seconds:g} seconds")
+def step_key_back(context, seconds):
+    store = context.deployment.store_url
+    wait_until(lambda: context.key in keys_of(store), seconds, "the entry's key")
+
+
+@then("{name:S} ends with status {status:d}")
+def step_ends(context, name, status):
+    assert context.deployment[name].wait(10) == status
+
+
+@then("it is refused with {status:d} and the code {code:w}")
+def step_refused(context, status, code):
+    assert context.result[0] == status, context.result
+    assert context.result[1]["code"] == code, context.result
+    assert time.monotonic() - context.sent_at < 1.0, "the refusal was held back"
+    if status == 503:
+        assert int(context.result[2]["Retry-After"]) >= 1
+
+
+@then("nothing has run")
+def step_nothing_ran(context):
+    assert runs_of(context.deployment) == 0
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -65,8 +65,9 @@
 # An end that was not noted is told again; a pulse with the note comes each 0.1 s.
 TELL_AGAIN_SECONDS = 0.25
 
-# An entry that shares no work with this agent hears from it this often; often
-# enough to count as heard (``bounds.HEARD_SECONDS``).
+# Where nothing changes an entry hears from this agent so often: enough to count as
+# heard, should one report be lost (``bounds.HEARD_SECONDS``), and its leases need
+# fresh stamps.
 IDLE_REPORT_SECONDS = 0.1
 
 # An entry that was silent for this long is forgotten, unless the settings name it.
@@ -262,6 +263,7 @@
             return
         if pulse.agent_life == self.life:
             peer.echoed = max(peer.echoed, pulse.stamp)
+        peer.data_centre = pulse.data_centre
         for sequence in pulse.noted:
             peer.ends.pop(sequence, None)
             peer.told_at.pop(sequence, None)
@@ -330,7 +332,6 @@
 
     def _decline(self, peer: EntryPeer, start: Start, reason: str, now: float) -> None:
         self._observe("declined", reason)
-        self._say("declines a start", job=start.key.job, reason=reason)
         ended = Ended(peer.life, start.sequence, TaskEnd.DECLINED, 0, 0, reason)
         self._tell(peer, ended, now)
 
@@ -477,15 +478,15 @@
     def _look_if_due(self, now: float) -> None:
         if self.worker is None or self.look_under_way or now < self.look_not_before:
             return
-        wanted = not self.ready_to_start or self.highest_end > self.noted_end
-        if wanted:
-            self._look(now, 0)
-        elif self.held:
+        if self.held and self.ready_to_start:
+            # It notes the ends of the last one too, and waits for the next.
             stopping = any(
                 held.state is HeldState.STOPPING for held in self.held.values()
             )
             wait = STOP_LOOK_WAIT_SECONDS if stopping else LOOK_WAIT_SECONDS
             self._look(now, int(wait * 1000))
+        elif not self.ready_to_start or self.highest_end > self.noted_end:
+            self._look(now, 0)
 
     def _look(self, now: float, wait_ms: int) -> None:
         self.look_under_way = True
@@ -653,6 +654,7 @@
     def _tell(self, peer: EntryPeer, ended: Ended, now: float) -> None:
         peer.ends[ended.sequence] = ended
         peer.told_at[ended.sequence] = now
+        peer.urgent = True
         self.effects.append(SendMessage(peer.address, ended))
 
     # Time.
@@ -664,7 +666,7 @@
         self._check_worker(now)
         self._ask_entries(now)
         for peer in self.entries.values():
-            if now - peer.reported_at >= IDLE_REPORT_SECONDS - 0.001:
+            if now - peer.reported_at >= IDLE_REPORT_SECONDS:
                 peer.dirty = True
 
     def _expire_entries(self, now: float) -> None:
@@ -745,19 +747,19 @@
 
     def _report_if_dirty(self, now: float) -> None:
         for peer in self.entries.values():
-            if not peer.dirty:
+            if not (peer.urgent or peer.dirty):
                 continue
-            # Entries that share no work with this agent can wait a moment:
-            # each change of room told to all would cost more than the work.
-            pause = SPARE_REPORT_SECONDS * len(self.entries)
-            if now - peer.reported_at < pause and not self._shares_work(peer):
+            if not peer.urgent and now - peer.reported_at < self._pause(peer):
                 continue
-            peer.dirty = False
+            peer.dirty = peer.urgent = False
             peer.reported_at = now
             self.effects.append(SendMessage(peer.address, self._report(peer, now)))
 
-    def _shares_work(self, peer: EntryPeer) -> bool:
-        return any(held.entry == peer.address for held in self.held.values())
+    def _pause(self, peer: EntryPeer) -> float:
+        """Return how long an entry can wait to hear of others' work here."""
+        near = self.worker and peer.data_centre == self.worker.data_centre
+        pause = NEAR_REPORT_SECONDS if near else FAR_REPORT_SECONDS
+        return pause * len(self.entries)
 
     def _report(self, peer: EntryPeer, now: float) -> Report:
         held = [
@@ -801,9 +803,14 @@
 # A look after a stop: the end is listed within the worker's time for a stop.
 STOP_LOOK_WAIT_SECONDS = 0.06
 
-# How soon an entry that shares no work hears of a change of room, for each entry
-# there is: the cost of telling them stays the same, however many they are.
-SPARE_REPORT_SECONDS = 0.005
+# How soon an entry of the worker's data centre hears of a change that others made,
+# for each entry there is: the cost of telling them grows with their number alone.
+NEAR_REPORT_SECONDS = 0.005
+
+# Entries elsewhere come here only when their own workers are full, and a start that
+# finds no room brings a report back. On the fixture, four entries at 1.6 times the
+# usual load: 0.93 of the jobs on time; with 0.15 s instead of 0.04 it is 0.87.
+FAR_REPORT_SECONDS = 0.01
 
 
 def _progress(held: Held, now: float) -> Progress:
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -53,6 +53,8 @@
         life of the entry has returned.
     :param ends: by sequence, what it has not noted yet; with the time of the
         last telling.
+    :param dirty: something has changed since the last report; ``urgent``:
+        something that it waits for.
     """
 
     address: str
@@ -62,6 +64,8 @@
     seen: int = 0
     ends: dict[int, Ended] = msgspec.field(default_factory=dict)
     told_at: dict[int, float] = msgspec.field(default_factory=dict)
+    data_centre: str = ""
     reported_at: float = 0.0
     dirty: bool = True
+    urgent: bool = False
     past_lives: set[str] = msgspec.field(default_factory=set)
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -47,8 +47,8 @@
 # noticed, forbidden and made elsewhere within that.
 CALL_TIMEOUT_SECONDS = 0.05
 
-# An agent that was not heard for this long gets nothing new: three reports.
-HEARD_SECONDS = 0.35
+# An agent that was not heard for this long gets nothing new: two reports were lost.
+HEARD_SECONDS = 0.45
 
 # An entry that was not heard for this long doesn't reach the agent: several pulses.
 # What it sends there would be lost, though it hears the agent well.
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -46,7 +46,7 @@
     retry_after,
     serving_order,
 )
-from cactuswalk.dispatch.placement import Chooser, relative_paces
+from cactuswalk.dispatch.placement import Chooser, can_ever_run, relative_paces
 from cactuswalk.dispatch.routing import Queues
 
 __all__ = ["EntryState"]
@@ -159,6 +159,13 @@
         if self.stop_at and now + job.expected > self.stop_at - STOP_MARGIN_SECONDS:
             self._refuse_waiters(job, "this entry is about to stop")
             return
+        views = list(self.views.values())
+        if not all(
+            can_ever_run(views, step, event.queue.service)
+            for step in event.request.steps
+        ):
+            self._refuse_waiters(job, "no worker is large enough for a task")
+            return
         self.jobs[job.request.identifier] = job
         make_tasks(job)
         self._observe("jobs", event.queue.name)
@@ -549,7 +556,14 @@
         self.pulsed_at[view.address] = now
         noted, view.noted = view.noted, []
         known = [self.address, *self.entries]
-        pulse = Pulse(self.life, view.report.life, view.report.stamp, noted, known)
+        pulse = Pulse(
+            self.life,
+            view.report.life,
+            view.report.stamp,
+            self.data_centre,
+            noted,
+            known,
+        )
         self._send(view.address, pulse)
 
     def _pulse_entries(self, now: float) -> None:
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -82,6 +82,7 @@
 class Pulse(msgspec.Struct, array_like=True, tag=2):
     """An entry lets an agent go on, and returns its stamp.
 
+    :param data_centre: the sender's; it hears of changes there sooner.
     :param noted: sequences whose ends have been taken note of.
     :param entries: addresses of all entries that the sender knows.
     """
@@ -89,6 +90,7 @@
     life: str
     agent_life: str
     stamp: int
+    data_centre: str
     noted: list[int]
     entries: list[str]
 
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -12,13 +12,14 @@
 among equals: it shares them with few, and what crosses data centres is paid for.
 """
 
+import operator
 import statistics
 
 from cactuswalk.dispatch.agentview import AgentView
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import TaskState
 
-__all__ = ["Chooser", "relative_paces"]
+__all__ = ["Chooser", "can_ever_run", "relative_paces"]
 
 # A worker elsewhere counts as this much slower.
 REMOTE_FACTOR = 1.3
@@ -64,9 +65,24 @@
         self.data_centre = data_centre
         self.far_factor = far_factor
         self.views = views
+        # By service, the least size for which no worker had room. In a burst
+        # hundreds of tasks wait, and each turn would look for room for all of
+        # them at all workers: more time than serving what there is room for.
+        self.no_room: dict[str, tuple[int, int, int]] = {}
 
     def choose(self, task: TaskState, service: str) -> AgentView | None:
         """Return the agent that is to have a task, or None if it has to wait."""
+        step = task.step
+        size = (step.cpu, step.memory_mb, step.gpu)
+        least = self.no_room.get(service)
+        if least is not None and all(map(operator.ge, size, least)):
+            return None
+        best = self._cheapest(task, service)
+        if best is None and not (step.label or step.per_worker or task.avoid):
+            self.no_room[service] = size
+        return best
+
+    def _cheapest(self, task: TaskState, service: str) -> AgentView | None:
         best = None
         best_cost = 0.0
         step = task.step
@@ -111,10 +127,14 @@
     )
 
 
-def could_ever_fit(views: list[AgentView], step: Step, service: str) -> bool:
-    """Return whether some known worker of the service has the step's label."""
-    return any(
-        view.report.service == service
+def can_ever_run(views: list[AgentView], step: Step, service: str) -> bool:
+    """Return whether a known worker of a service is large enough for a task.
+
+    Where none of the service is known, one may yet come.
+    """
+    workers = [view for view in views if view.report.service == service]
+    return not workers or any(
+        view.report.cpu >= step.cpu
         and (not step.label or step.label in view.report.labels)
-        for view in views
+        for view in workers
     )
