--- a/features/dispatch_load.feature
+++ b/features/dispatch_load.feature
@@ -32,7 +32,7 @@
     Given a fleet of 2 entries and 4 workers
     When a0's worker fails everything
     And 100 jobs of 2 tasks of 0.2 seconds come to e0
-    And 5 seconds pass
+    And the fleet runs on for 5 seconds
     Then a0 has started fewer than 40 tasks
     And no job has failed
 
@@ -40,15 +40,15 @@
     Given a fleet of 1 entries and 2 workers
     When a0's worker lets everything stand still
     And a job of 4 tasks of 0.5 seconds comes to e0
-    And 6 seconds pass
+    And the fleet runs on for 6 seconds
     Then the job is completed at e0
 
   Scenario: A worker that drains gets nothing new
     Given a fleet of 1 entries and 2 workers
     When a0's worker drains
-    And 2 seconds pass
+    And the fleet runs on for 2 seconds
     And 20 jobs of 2 tasks of 0.2 seconds come to e0
-    And 3 seconds pass
+    And the fleet runs on for 3 seconds
     Then a0 has started fewer than 1 tasks
     And all jobs are completed
 
@@ -56,7 +56,7 @@
     Given a fleet of 1 entries and 2 workers
     When a job of 4 tasks of 3 seconds comes to e0
     And its caller leaves after 0.3 seconds
-    And 0.3 seconds pass
+    And the fleet runs on for 0.3 seconds
     Then nothing runs any more
 
   Scenario: A task that fits no worker is refused at once
--- a/features/dispatch_once.feature
+++ b/features/dispatch_once.feature
@@ -29,7 +29,7 @@
     Given a fleet of 2 entries and 4 workers
     When a job of 4 tasks of 1 seconds comes to e0
     And e0 freezes for 3 seconds after 0.2 seconds
-    And 8 seconds pass
+    And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
     And every task was started twice
@@ -41,7 +41,7 @@
     Given a fleet of 1 entries and 2 workers
     When a job of 4 tasks of 2 seconds comes to e0
     And the link from a0 to e0 is cut after 0.3 seconds
-    And 9 seconds pass
+    And the fleet runs on for 9 seconds
     Then no task has run twice at once
     And the job is completed at e0
 
@@ -49,7 +49,7 @@
     Given a fleet of 1 entries and 2 workers
     When a job of 4 tasks of 2 seconds comes to e0
     And the link from e0 to a0 is cut after 0.3 seconds
-    And 9 seconds pass
+    And the fleet runs on for 9 seconds
     Then no task has run twice at once
     And the job is completed at e0
 
@@ -57,7 +57,7 @@
     Given a fleet of 1 entries and 2 workers
     When a job of 6 tasks of 2 seconds comes to e0
     And a0 freezes for 4 seconds after 0.3 seconds
-    And 9 seconds pass
+    And the fleet runs on for 9 seconds
     Then no task has run twice at once
     And the job is completed at e0
 
@@ -67,7 +67,7 @@
     When a job of 6 tasks of 2 seconds comes to e0
     And a0 is killed after 0.5 seconds
     And a0 is started again 0.1 second later
-    And 8 seconds pass
+    And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
 
@@ -77,7 +77,7 @@
     Given a fleet of 1 entries and 3 workers
     When a0 answers 60 of 100 calls not and carries them out 2 seconds later
     And 20 jobs of 2 tasks of 0.3 seconds come to e0
-    And 8 seconds pass
+    And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And all jobs are completed
 
@@ -85,7 +85,7 @@
     Given a fleet of 1 entries and 2 workers
     When a job of 6 tasks of 2 seconds comes to e0
     And a0's worker is cut off after 0.3 seconds
-    And 9 seconds pass
+    And the fleet runs on for 9 seconds
     Then no task has run twice at once
     And the job is completed at e0
 
@@ -96,7 +96,7 @@
     When a0's worker crashes and comes back
     And a job of 4 tasks of 1 seconds comes to e0
     And a heartbeat of the earlier life arrives after 0.3 seconds
-    And 5 seconds pass
+    And the fleet runs on for 5 seconds
     Then the job is completed at e0
     And every task was started once
 
@@ -113,7 +113,7 @@
     And a job of 2 tasks of 2 seconds comes to e0
     Then the job is refused as not run at e0
     When a job of 2 tasks of 0.3 seconds comes to e0
-    And 2 seconds pass
+    And the fleet runs on for 2 seconds
     Then the job is completed at e0
 
   Scenario: The bounds end the first try before the second may begin
--- a/features/steps/dispatch_once_steps.py
+++ b/features/steps/dispatch_once_steps.py
@@ -108,7 +108,7 @@
     context.fleet.feed("a0", Announced(context.old_heartbeat))
 
 
-@when("{seconds:g} seconds pass")
+@when("the fleet runs on for {seconds:g} seconds")
 def step_pass(context, seconds):
     context.fleet.run(seconds)
 
