--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -32,7 +32,7 @@
     StopRequested,
     Tick,
 )
-from cactuswalk.dispatch.agentheld import Held, HeldState
+from cactuswalk.dispatch.agentheld import HeldState
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.agentworker import (
     announced,
@@ -86,7 +86,7 @@
 
 def _expire_held(state: AgentState, now: float) -> None:
     for held in list(state.held.values()):
-        if held.gone_at and now >= held.gone_at and _is_lapsed(state, held, now):
+        if held.gone_at and now >= held.gone_at and _is_lapsed(state, now):
             state.end(held, TaskEnd.LOST, 0, "its lease has passed", now)
         elif (
             held.state in (HeldState.STOPPING, HeldState.DOUBTFUL)
@@ -96,7 +96,7 @@
             call_stop(state, held, now)
 
 
-def _is_lapsed(state: AgentState, held: Held, now: float) -> bool:
+def _is_lapsed(state: AgentState, now: float) -> bool:
     """Return whether no call can have kept a run alive until now.
 
     A worker that answers looks keeps renewing, and lists what it runs; so
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -48,7 +48,6 @@
         self.renewed_at = 0.0
         self.answered_at = 0.0
         self.stopping = False
-        self.last_pulse_at = 0.0
         self.asked_at = 0.0
         self.effects: list[Effect] = []
 
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -32,7 +32,6 @@
     _meet_entry(state, sender, now)
     for address in pulse.entries:
         _meet_entry(state, address, now, heard=False)
-    state.versions[sender] = pulse.version
     own = state.queues.version if state.queues else 0
     if pulse.version > own:
         state.send(sender, ConfigurationAsk(own))
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -51,7 +51,6 @@
         self.views: dict[str, AgentView] = {}
         self.entries: dict[str, float] = dict.fromkeys(self.seeds, 0.0)
         self.listed: set[str] = set()
-        self.versions: dict[str, int] = {}
         self.estimates: dict[str, DurationEstimate] = {}
         self.next_sequence = 1
         self.stop_at = 0.0
