Tasks of an agent that has started anew run again at once, not half a second later

The new life's report set the end of the old leases to 0.51 s after itself, past the 1.11 s after the old life was last heard.

Ruled out: a silent agent's bound itself (needed: mutant); the worker's look.

Change: the earlier of both bounds counts; and an agent that says it is open has looked at its worker under its own token and found no run of an earlier life (it opens only then, and renews nothing before), so what the earlier life held has ended for certain. Reports are ordered by stamp, not by a set of past lives, which would have shut out an agent for good whose earlier life's report came late.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -12,3 +12,8 @@
       | waiting for a worker's lease                   |
       | orphaning the tasks of an entry's earlier life |
       | a stop before a doubtful start is given up     |
+      | stopping what an earlier life of an agent ran  |
+
+  Scenario: Without its age, a late report of an earlier life is believed
+    When the order of an agent's reports is taken away
+    Then a late report of an earlier life ends what runs
--- /dev/null
+++ b/features/dispatch_recovery.feature
@@ -0,0 +1,50 @@
+Feature: After a failure, tasks run again as soon as that is safe
+
+  Scenario: A host is powered off and comes back half a second later
+    Its worker comes back under another name, so everything that ran there is known
+    to have ended. To wait for the leases of the agent's first life would cost each
+    caller another half a second, and make short tasks late.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 20 tasks of 0.5 seconds comes to e0
+    And the host of a0 is powered off after 0.2 seconds
+    And the host of a0 comes back 0.4 seconds later
+    And the fleet runs on for 4 seconds
+    Then no task has run twice at once
+    And e0 completes the job within 1.4 seconds
+
+  Scenario: An agent that comes back stops what its earlier life ran
+    The worker has run on. The new life looks at it and stops what it finds before it
+    says that it is open; from there on nothing of the earlier life can run. The worker
+    is heard 0.5 s after the kill.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 20 tasks of 0.5 seconds comes to e0
+    And a0 is killed after 0.05 seconds
+    And a0 is started again 0.1 second later
+    And the fleet runs on for 4 seconds
+    Then no task has run twice at once
+    And e0 completes the job within 1.2 seconds
+
+  Scenario: An agent that comes back late doesn't lengthen the wait
+    The leases of its first life end 1.1 s after it was heard last, whenever the
+    next one comes.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 20 tasks of 0.5 seconds comes to e0
+    And a0 is killed after 0.2 seconds
+    And a0's worker is cut off after 0 seconds
+    And a0 is started again 1 second later
+    And the fleet runs on for 4 seconds
+    Then no task has run twice at once
+    And e0 completes the job within 2.1 seconds
+
+  Scenario: A report of an agent's earlier life arrives after its new life was met
+    It was held up on its way. Taken for news, it would have the tasks of the present
+    life run elsewhere while they still run there.
+    Given a fleet of 1 entries and 2 workers
+    When the host of a0 is powered off after 0.1 seconds
+    And the host of a0 comes back 0.2 seconds later
+    And the fleet runs on for 2 seconds
+    And a job of 20 tasks of 1 seconds comes to e0
+    And an open report of a0's earlier life arrives after 0.3 seconds
+    And the fleet runs on for 4 seconds
+    Then no task has run twice at once
+    And every task was started once
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -2,6 +2,7 @@
 
 from unittest import mock
 
+import msgspec
 from behave import then, when
 
 from cactuswalk.dispatch import (
@@ -11,12 +12,16 @@
     agentview,
     agentworker,
 )
+from cactuswalk.dispatch.entryevents import Received
 from cactuswalk.dispatch.messages import TaskEnd
+from features.support.fleet import Fleet
 from features.support.fleetscript import RandomDay
 
+take_running = agentworker._take_running
+
 MOST_SEEDS = 40
 DAY_SECONDS = 10
-NEVER = 1e9
+JOB = "00000000000000aa"
 
 
 def without(safeguard):
@@ -37,9 +42,24 @@
         ]
     if safeguard == "a stop before a doubtful start is given up":
         return [mock.patch.object(agentcalls, "_doubt", give_up_doubtful)]
+    if safeguard == "stopping what an earlier life of an agent ran":
+        return [mock.patch.object(agentworker, "_take_running", ignore_strangers)]
+    if safeguard == "the order of an agent's reports":
+        return [
+            mock.patch.object(
+                agentview.AgentView, "is_out_of_date", lambda *arguments: False
+            )
+        ]
     raise ValueError(safeguard)
 
 
+def ignore_strangers(state, event, now):
+    """Take what runs for an earlier life for something that never ran."""
+    known = {(held.start.key, held.run) for held in state.held.values()}
+    event.running[:] = [row for row in event.running if (row.key, row.run) in known]
+    return take_running(state, event, now)
+
+
 def give_up_doubtful(state, held, now):
     """Take a start without an answer for one that never began."""
     state.end(held, TaskEnd.DECLINED, 0, "no answer", now)
@@ -53,6 +73,22 @@
     context.clean_ups = [patch.stop for patch in patches]
 
 
+@then("a late report of an earlier life ends what runs")
+def step_believed(context):
+    fleet = Fleet(1, 2)
+    view = fleet.states["e0"].views["a0"]
+    report = msgspec.structs.replace(view.report, open=True)
+    fleet.kill("a0")
+    fleet.workers["a0"].crash()
+    fleet.start_agent("a0")
+    fleet.run(2.0)
+    fleet.submit("e0", JOB, 20, seconds=1.0)
+    fleet.run(0.3)
+    fleet.feed("e0", Received("a0", report))
+    fleet.run(4.0)
+    assert len(fleet.starts) > 20, "each task was started once"
+
+
 @then("a random day breaks a promise")
 def step_breaks(context):
     for seed in range(MOST_SEEDS):
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -39,7 +39,6 @@
     :param heard_at: when its latest report came. No stamp that is returned to it
         is younger.
     :param noted: sequences whose ends it has to be told were noted.
-    :param past_lives: of the agent; what they still say is out of date.
     """
 
     address: str
@@ -47,7 +46,6 @@
     heard_at: float
     placed: dict[int, Placed] = msgspec.field(default_factory=dict)
     noted: list[int] = msgspec.field(default_factory=list)
-    past_lives: set[str] = msgspec.field(default_factory=set)
     passed_over_until: float = 0.0
     unseen_cpu: int = 0
     unseen_memory_mb: int = 0
@@ -61,6 +59,17 @@
         self.passed_over_until = 0.0
         self._count_unseen()
 
+    def is_out_of_date(self, report: Report, now: float) -> bool:
+        """Return whether a report is older than the one that is known.
+
+        Stamps grow for as long as the agent's host is up, from one life of the
+        agent to the next. After the host was started anew they are lower; the
+        earlier life has been silent by then.
+        """
+        if report.stamp >= self.report.stamp:
+            return False
+        return report.life == self.report.life or now - self.heard_at < lost_after()
+
     def add(self, placed: Placed) -> None:
         """Reckon with a start that the agent has not reported yet."""
         self.placed[placed.start.sequence] = placed
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -128,7 +128,10 @@
     state.look_under_way = True
     # A worker that doesn't answer is looked at without a renewal: its runs
     # could never be told for ended if calls that it may get kept them alive.
-    lease = WORKER_LEASE_SECONDS if state.reachable else 0.0
+    # Nor is what an earlier life of this agent has left there renewed, of which
+    # only the first look tells.
+    renews = state.reachable and state.ready_to_start
+    lease = WORKER_LEASE_SECONDS if renews else 0.0
     if lease:
         state.renewed_at = now
     state.effects.append(
@@ -148,11 +151,13 @@
     state.look_under_way = False
     state.answered_at = now
     state.noted_end = state.highest_end
-    if not (state.reachable and state.ready_to_start):
-        state.reachable = state.ready_to_start = True
-        state.touch_entries()
     _take_ends(state, event, now)
-    _take_running(state, event, now)
+    strangers = _take_running(state, event, now)
+    ready = state.ready_to_start or not strangers
+    if not state.reachable or ready != state.ready_to_start:
+        state.reachable = True
+        state.ready_to_start = ready
+        state.touch_entries()
 
 
 def _take_ends(state: AgentState, event: Looked, now: float) -> None:
@@ -164,7 +169,8 @@
             _run_ended(state, held, row.end, now)
 
 
-def _take_running(state: AgentState, event: Looked, now: float) -> None:
+def _take_running(state: AgentState, event: Looked, now: float) -> int:
+    """Take what runs; return how many runs of it are nobody's."""
     running = {(row.key, row.run): row for row in event.running}
     for held in list(state.held.values()):
         row = running.pop((held.start.key, held.run), None)
@@ -175,6 +181,7 @@
     for row in running.values():
         _stop_stranger(state, row.key, row.run)
     _move_off_if_dragging(state, now)
+    return len(running)
 
 
 def _never_began(state: AgentState, held: Held, looked_at: float) -> bool:
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -46,12 +46,10 @@
         view = state.views[sender] = AgentView(sender, report, now)
         state.say("meets an agent", agent=sender, worker=report.worker)
         _pulse(state, view, now)
-    if report.life in view.past_lives:
+    if view.is_out_of_date(report, now):
         return
     if report.life != view.report.life:
         _agent_restarted(state, view, now)
-    elif report.stamp < view.report.stamp:
-        return
     if report.open != view.report.open or report.trial != view.report.trial:
         state.say(
             "a worker's standing changes",
@@ -62,6 +60,8 @@
             pace=report.pace,
         )
     view.take(report, now)
+    if report.open:
+        _end_what_earlier_lives_ran(state, view, now)
     if report.entry_life == state.life:
         _reconcile(state, view, now)
     state.place_wanted = True
@@ -70,12 +70,28 @@
 def _agent_restarted(state: EntryState, view: AgentView, now: float) -> None:
     """Reckon with an agent's new life: the old one's runs lapse soon."""
     state.say("an agent has started anew", agent=view.address)
+    gone_at = min(now + worker_lapse_seconds(), view.silent_gone_at())
     for placed in view.placed.values():
-        placed.gone_at = placed.gone_at or now + worker_lapse_seconds()
-    view.past_lives.add(view.report.life)
+        placed.gone_at = placed.gone_at or gone_at
     view.noted.clear()
 
 
+def _end_what_earlier_lives_ran(state: EntryState, view: AgentView, now: float) -> None:
+    """Run the tasks of an agent's earlier life elsewhere.
+
+    The present one is open, so it has looked at its worker, which takes no order
+    of an earlier life since then, and nothing of theirs runs there. After a power
+    cut of half a second this is half a second sooner than their leases end.
+    """
+    for placed in list(view.placed.values()):
+        start = placed.start
+        ended = start.agent_life != view.report.life
+        # A report that the network held up may be of an earlier life itself.
+        if ended and start.stamp < view.report.stamp:
+            reason = "its agent has started anew"
+            finish(state, view, placed, TaskEnd.LOST, 0, reason, now)
+
+
 def _reconcile(state: EntryState, view: AgentView, now: float) -> None:
     """Find starts that never arrived: later ones have, and it holds nothing."""
     held = set(view.report.held)
