make demo plays the platform's programs too, through faults

Four acts of twelve jobs each on two entries and three workers against our own stand-ins: calm, a silent store, a killed agent, a killed entry whose callers come back.

--- a/Makefile
+++ b/Makefile
@@ -31,6 +31,7 @@
 	rm -rf build .ruff_cache .hypothesis
 
 demo: $(VENV)/.ready
+	$(PYTHON) -m tools.demo_dispatch
 	$(PYTHON) -m tools.demo
 
 slopes: $(VENV)/.ready
