One codec for frames, one list of a log line's own fields

dispatch/messages.py and messages/codec.py encoded and decoded in the same way; operator_trace.py repeated the fields of runtime/logs.py. No change in behaviour.

--- a/src/cactuswalk/commands/operator_trace.py
+++ b/src/cactuswalk/commands/operator_trace.py
@@ -9,23 +9,12 @@
 
 from cactuswalk.commands.operator_context import reports_errors
 from cactuswalk.errors import CactuswalkError
+from cactuswalk.logfields import LINE_FIELDS
 
 __all__ = ["trace"]
 
 # Fields that each line has, whatever it tells.
-COMMON_FIELDS = frozenset(
-    {
-        "level",
-        "message",
-        "message_type",
-        "part",
-        "process",
-        "task_level",
-        "task_uuid",
-        "timestamp",
-        "job",
-    }
-)
+COMMON_FIELDS = LINE_FIELDS | {"job"}
 
 
 class NotTracedError(CactuswalkError):
--- a/src/cactuswalk/messages/codec.py
+++ b/src/cactuswalk/messages/codec.py
@@ -1,13 +1,8 @@
-"""Encode batches of messages as MessagePack, and check what comes back.
-
-A frame between two processes is one ``Envelope``: everything that one turn of
-the sender's loop had for one receiver. Sending a frame costs far more than
-encoding one more message into it.
-"""
+"""The messages of the cells' programs, as they travel in frames."""
 
 import msgspec
 
-from cactuswalk.errors import MalformedMessageError
+from cactuswalk.frames import FrameCodec
 from cactuswalk.messages import cell, configuration, submission
 
 __all__ = ["Envelope", "Message", "decode", "encode"]
@@ -58,24 +53,6 @@
     messages: list[Message]
 
 
-_encoder = msgspec.msgpack.Encoder()
-_decoder = msgspec.msgpack.Decoder(Envelope)
-
-
-def encode(envelope: Envelope) -> bytes:
-    """Return the frame for an envelope."""
-    return _encoder.encode(envelope)
-
-
-def decode(frame: bytes) -> Envelope:
-    """Return the envelope in a frame.
-
-    :raises MalformedMessageError: if the frame is no envelope of this version.
-    """
-    try:
-        return _decoder.decode(frame)
-    except msgspec.MsgspecError as error:
-        raise MalformedMessageError(
-            f"a frame of {len(frame)} bytes is no envelope: {error}",
-            "Run the same version of Cactuswalk on both hosts.",
-        ) from error
+_codec = FrameCodec(Envelope)
+encode = _codec.encode
+decode = _codec.decode
--- a/src/cactuswalk/runtime/logs.py
+++ b/src/cactuswalk/runtime/logs.py
@@ -19,6 +19,7 @@
 import eliot
 
 from cactuswalk.errors import SettingsError
+from cactuswalk.logfields import LINE_FIELDS
 from cactuswalk.settings import LogSettings
 from cactuswalk.state.effects import Log, Part
 
@@ -28,19 +29,6 @@
 
 MESSAGE_TYPE = "cactuswalk"
 
-# Fields that each line has of its own; one of an effect must not replace them.
-RESERVED_FIELDS = frozenset(
-    {
-        "level",
-        "message",
-        "message_type",
-        "part",
-        "process",
-        "task_level",
-        "task_uuid",
-        "timestamp",
-    }
-)
 
 # eliot's encoder takes 64-bit numbers; another one would lose its whole line.
 LARGEST_INTEGER = (1 << 63) - 1
@@ -101,7 +89,8 @@
         if LEVELS[level] < self.level:
             return
         own = {
-            f"{name}_" if name in RESERVED_FIELDS else name: (
+            # A field of an effect must not replace one of the line itself.
+            f"{name}_" if name in LINE_FIELDS else name: (
                 value if type(value) is str else _plain(value)
             )
             for name, value in (fields or {}).items()
