--- a/features/once_cells.feature
+++ b/features/once_cells.feature
@@ -54,6 +54,14 @@
     Then no submission ran twice and no key falls to two cells
     And every slot of the service is held once for new keys
 
+  Scenario: Only keys that are yet to be born are ceded
+    Keys that are born already may have run here. Entries' clocks differ; a key that
+    one of them has just given out, by the clock furthest ahead, must stay as well.
+    The receiving cell refuses such keys as too old, so that no reply shows the fault.
+    Given two cells of one service and an entry that knows only the first
+    When a third cell asks for its share
+    Then the ceded keys are born later than the clock furthest ahead says now
+
   Scenario: A cell cedes what a clock ahead of its own gave it
     A cell's owner has a clock that is a minute behind. It cedes slots to a third
     cell, by its clock from a moment before it got them: those keys stayed with the
--- a/features/once_directed_takeover.feature
+++ b/features/once_directed_takeover.feature
@@ -11,6 +11,13 @@
     Then the directed job is told unknown and nothing of it starts again
     And no promise was broken in the directed run
 
+  Scenario: A successor serves nobody before it has fenced more than half
+    The old owner may be confirmed by members that the successor has not reached.
+    Owners that hear nobody fall silent, which hides the fault in a run; the rule is
+    asked by itself.
+    Then a successor of five members that has fenced two may not serve, however late
+    And one that has fenced three may, once the old owner's word is old
+
   Scenario: A new owner dies before its own records are backed up
     An owner sleeps and is replaced; its successor's host dies soon after. What had
     run there was known to nobody else yet. A caller who comes back would find it
--- a/features/steps/once_cells_steps.py
+++ b/features/steps/once_cells_steps.py
@@ -175,6 +175,27 @@
         context.bag.run(10.0)
 
 
+@when("a third cell asks for its share")
+def step_third_asks(context):
+    context.cessions = []
+
+    def note(process):
+        owner = process.state.owner
+        now_ms = context.bag.now * 1000 + WALL_MS
+        margin_ms = owner.timing.clock_margin * 1000
+        context.cessions.append((owner.sharing.cession.from_ms, now_ms, margin_ms))
+
+    at_cession(context, note)
+    add_cell(context.bag, "cell-3")
+
+
+@then("the ceded keys are born later than the clock furthest ahead says now")
+def step_unborn(context):
+    assert context.cessions, "nothing was ceded"
+    for from_ms, now_ms, margin_ms in context.cessions:
+        assert from_ms > now_ms + margin_ms, (from_ms, now_ms, margin_ms)
+
+
 @when("a cell whose clock is a minute behind is asked for its share")
 def step_clock_behind(context):
     bag = context.bag
--- a/features/steps/once_directed_takeover_steps.py
+++ b/features/steps/once_directed_takeover_steps.py
@@ -1,11 +1,15 @@
 """Steps for failures around a takeover, brought about on purpose."""
 
+from types import SimpleNamespace
+
 import msgspec
 from behave import given, then, when
 
 from cactuswalk.errors import CactuswalkError
 from cactuswalk.messages import Adopt, HandOver, Pong
 from cactuswalk.model import CellRecord
+from cactuswalk.model.cell import Member
+from cactuswalk.state import recovery
 from cactuswalk.state.effects import SwapKey
 from cactuswalk.state.events import KeyRead, KeySwapped, SwapOutcome
 from cactuswalk.state.roster import cell_key
@@ -343,3 +347,31 @@
     bag.run(SETTLE_S)
     bag.add_agent(name)
     bag.run(SETTLE_S)
+
+
+def may_serve(fenced, now):
+    """Ask the rule for a successor that has fenced so many of five members."""
+    roster = [Member(f"w{n}", f"i{n}", f"tcp://h{n}") for n in range(5)]
+    state = SimpleNamespace(
+        earlier=SimpleNamespace(roster=roster, owner=roster[4], backed_up=False),
+        replaced=set(),
+        peers={
+            member.incarnation: SimpleNamespace(fenced=number < fenced)
+            for number, member in enumerate(roster)
+        },
+        old_owner_until=10.0,
+        fenced_at=0.0,
+        timing=SimpleNamespace(confirm=1.0),
+    )
+    return recovery._may_serve(state, now)
+
+
+@then("a successor of five members that has fenced two may not serve, however late")
+def step_two_of_five(context):
+    assert not any(may_serve(2, now) for now in (9.0, 11.0, 1000.0))
+
+
+@then("one that has fenced three may, once the old owner's word is old")
+def step_three_of_five(context):
+    assert not may_serve(3, 9.0)
+    assert may_serve(3, 1000.0)
