A stopping entry answers whom it lets in, and is gone within its grace

Cause: after the planned stop was complete the entry took its key out of the store before it closed its callers' address.

Ruled out: a handler that raises (none in the logs but the cancelling at the end).

Change: the callers' address is opened last and closed first; what comes after the end is refused as not run; giving the key up has 0.2 s, and what is still being answered 0.2 s in place of the library's minute.

--- a/features/process_dispatch.feature
+++ b/features/process_dispatch.feature
@@ -85,3 +85,12 @@
     Given a deployment of 1 entries and 2 workers
     When a job whose tasks always fail is handed in
     Then it is answered with 200 and the state failed
+
+  Scenario: Jobs that come until the last moment of a planned stop
+    The balancer may send callers to a stopping entry, where too few others are left.
+    While it takes its key out of a store that is silent it still listens: a job that
+    was taken then never ended, and the process had to be killed.
+    Given a deployment of 2 entries and 2 workers
+    When the store falls silent and jobs come to entry 0 until it has stopped
+    Then each of them was done, refused as not run, or found nobody
+    And it has stopped within its grace of 6 seconds
--- a/features/steps/process_dispatch_steps.py
+++ b/features/steps/process_dispatch_steps.py
@@ -231,3 +231,34 @@
 @then("nothing has run")
 def step_nothing_ran(context):
     assert runs_of(context.deployment) == 0
+
+
+@when("the store falls silent and jobs come to entry {entry:d} until it has stopped")
+def step_until_stopped(context, entry):
+    deployment = context.deployment
+    process = deployment[f"entry-{entry}"]
+    deployment.fault("silent")
+    process.terminate()
+    began = time.monotonic()
+    context.statuses = []
+    while process.alive:
+        sent_at = time.monotonic()
+        pending = deployment.submit_later(entry, 1, 300)
+        pending.join()
+        found_nobody = pending.result is None and time.monotonic() - sent_at < 0.1
+        if not found_nobody:
+            context.statuses.append(pending.result[0] if pending.result else 0)
+        # So that the process is met at different moments of its looks.
+        time.sleep(0.11)
+    context.stopped_after = time.monotonic() - began
+
+
+@then("each of them was done, refused as not run, or found nobody")
+def step_none_dropped(context):
+    assert len(context.statuses) >= 6, context.statuses
+    assert set(context.statuses) <= {200, 503}, context.statuses
+
+
+@then("it has stopped within its grace of {seconds:g} seconds")
+def step_in_grace(context, seconds):
+    assert context.stopped_after < seconds, context.stopped_after
--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -36,6 +36,10 @@
 # Idle connections of callers are kept; the balancer's clients come back on them.
 KEEP_SECONDS = 75.0
 
+# What is still being answered when a process ends has this long: the library's own
+# minute let a stopping process be killed.
+CLOSE_SECONDS = 0.2
+
 
 def now() -> float:
     """Return seconds that go on while the host is suspended.
@@ -117,7 +121,8 @@
                 max_field_size=MAXIMUM_HEADER_BYTES,
                 max_line_size=MAXIMUM_HEADER_BYTES,
                 keepalive_timeout=KEEP_SECONDS,
-            )
+            ),
+            shutdown_timeout=CLOSE_SECONDS,
         )
 
         async def start() -> None:
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -21,7 +21,7 @@
     WaiterLeft,
 )
 from cactuswalk.dispatch.entrystate import EntryState
-from cactuswalk.dispatch.job import JobRequest
+from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.messages import ConfigurationAsk, ConfigurationCopy
 from cactuswalk.dispatch.routing import Queue, Queues
 from cactuswalk.platform.callers import CallerEdge, JobAnswer, readiness_handler
@@ -52,6 +52,9 @@
 # entry that leaves sooner would break connections that are still given to it.
 BALANCER_SECONDS = 3.0
 
+# A key that isn't given up goes with its lease; the process has to be gone by then.
+LEAVE_SECONDS = 0.2
+
 # An entry that starts meets its first agents within a tenth of a second or two. The
 # balancer is answered then: told otherwise, it comes back a second later.
 READY_PATIENCE_SECONDS = 0.3
@@ -97,17 +100,19 @@
         self.configuration = b""
         self.addresses: dict[str, str] = {}
         self.stopped_at = 0.0
+        self.is_closed = False
 
     async def run(self) -> None:
         """Run until a planned stop is complete."""
         signal.signal(signal.SIGHUP, lambda *_: self.host.say("settings have changed"))
         self.host.open_store()
-        self.host.serve(self.settings.callers, CallerEdge(self).handle)
         ready = readiness_handler(self._becomes_ready)
         self.host.serve(self.settings.readiness, ready, self.listener)
         self.host.serve(self.settings.metrics, self.host.exposition.handler())
         self.host.open_messages()
-        self.application.add_hook(self._follow_store, self.registration.remove)
+        self.application.add_hook(self._follow_store, self._leave_store)
+        # Started last and stopped first: a caller who is let in is answered.
+        self.host.serve(self.settings.callers, CallerEdge(self).handle)
         await self.application.run()
 
     def is_stopped(self) -> bool:
@@ -115,9 +120,11 @@
         if not self.stopped_at:
             self.stopped_at = now()
         waited = now() - self.stopped_at
-        if waited >= self.settings.grace_seconds - STOP_MARGIN_SECONDS:
-            return True
-        return waited >= BALANCER_SECONDS and not self.waiters
+        out_of_time = waited >= self.settings.grace_seconds - STOP_MARGIN_SECONDS
+        self.is_closed = out_of_time or (
+            waited >= BALANCER_SECONDS and not self.waiters
+        )
+        return self.is_closed
 
     async def _becomes_ready(self) -> bool:
         """Return whether this entry is ready, or will be in a moment."""
@@ -152,6 +159,9 @@
         self, queue: Queue, request: JobRequest, wait_seconds: float
     ) -> JobAnswer:
         """Wait for the end of a job."""
+        if self.is_closed:
+            # Nothing is judged or told any more, so that it would never end.
+            return JobAnswer(JobVerdict.NOT_RUN, "this entry has stopped", 1.0)
         waiter = next(self.numbers)
         future = asyncio.get_running_loop().create_future()
         self.waiters[waiter] = future
@@ -200,6 +210,14 @@
         )
         self.application.spawn(self.registration.keep(patience("registration")))
 
+    async def _leave_store(self) -> None:
+        """Give the key up; a store that doesn't answer takes it back by itself."""
+        try:
+            async with asyncio.timeout(LEAVE_SECONDS):
+                await self.registration.remove()
+        except TimeoutError:
+            self.host.say("leaves its key to the store: no answer")
+
     def _take_configuration(self, changes: list[ItemChange], whole: bool) -> None:
         for change in changes:
             if change.key == CONFIGURATION_KEY and change.value is not None:
