--- a/features/dispatch_explaining.feature
+++ b/features/dispatch_explaining.feature
@@ -14,6 +14,7 @@
     of the configuration can each be found under the job's id or the process's name.
     Given the logs of random days 100 to 104, and a new configuration after each
     Then each refused or unfinished job has its line, with the reason
+    And each refusal for want of room tells what room was known, and how old that was
     And each run that did not end well has its line
     And each further run of a task has its line
     And each life of a worker that ran tasks has its line
--- a/features/steps/dispatch_lines_steps.py
+++ b/features/steps/dispatch_lines_steps.py
@@ -82,6 +82,19 @@
     assert found > 20, found
 
 
+@then("each refusal for want of room tells what room was known, and how old that was")
+def step_room(context):
+    refused = [
+        fields
+        for observed in context.days
+        for _, sentence, fields in observed.said
+        if sentence == "a job is answered" and fields["reason"] == "no room in time"
+    ]
+    assert len(refused) > 20, len(refused)
+    names = {"open_workers", "free_cpu", "most_free_cpu", "oldest_report"}
+    assert all(names <= fields.keys() for fields in refused)
+
+
 @then("each run that did not end well has its line")
 def step_ends(context):
     found = 0
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -108,6 +108,7 @@
         lost=job.lost_runs,
         declined=job.declined_runs,
         **_last_task(job),
+        **_room_seen(state, job, verdict, now),
         version=state.queues.version if state.queues else 0,
     )
     _drop(state, job, now)
@@ -132,6 +133,30 @@
     state.place_wanted = True
 
 
+def _room_seen(
+    state: EntryState, job: JobState, verdict: JobVerdict, now: float
+) -> dict[str, object]:
+    """Return what this entry knew of the workers when it refused a job."""
+    if verdict is not JobVerdict.NOT_RUN:
+        return {}
+    views = [
+        view
+        for view in state.views.values()
+        if view.report.service == job.queue.service
+    ]
+    open_views = [view for view in views if view.is_open(now)]
+    return {
+        "workers": len(views),
+        "open_workers": len(open_views),
+        "free_cpu": sum(view.report.free_cpu - view.unseen_cpu for view in open_views),
+        "most_free_cpu": max((view.report.free_cpu for view in open_views), default=0),
+        "oldest_report": round(
+            max((now - view.heard_at for view in views), default=0.0), 3
+        ),
+        "waiting_jobs": sum(bool(other.waiting) for other in state.jobs.values()),
+    }
+
+
 def _last_task(job: JobState) -> dict[str, object]:
     """Return where the time of a job's last task went, for its log line."""
     task = job.last_task
