A worker that turns slow under long tasks is noticed by their speed lately

What its tasks had done before hid it: their run time as a whole foretold no more than three times their estimates.

Ruled out: the bound of three tasks of two jobs (there were more); lost looks.

Change: a run's speed is measured anew each half second, and foretells what is left.

Before and after: the scenario 'A worker turns slow while it runs long tasks' failed on the old code, and holds.

--- a/features/dispatch_recovery.feature
+++ b/features/dispatch_recovery.feature
@@ -67,3 +67,12 @@
     And a job of 11 tasks of 0.3 seconds, each declined 5 times, comes to e0
     And the fleet runs on for 5 seconds
     Then e0 completes the job within 1 seconds
+
+  Scenario: A worker turns slow while it runs long tasks
+    What they had done by then hides it: by the whole of their run time they look well
+    for seconds. A caller of a task of a third of a second waited 3.5 s on such a day.
+    Given a fleet of 1 entries and 2 workers
+    When both workers are busy with tasks of 2.5 seconds, of five jobs
+    And a0's worker turns 8 times slower after 1 seconds
+    And the fleet runs on for 1.2 seconds
+    Then a0 has noticed that its worker drags
--- a/features/steps/dispatch_recovery_steps.py
+++ b/features/steps/dispatch_recovery_steps.py
@@ -68,3 +68,27 @@
     assert context.fleet.verdict(waiter) == "completed", context.fleet.verdict(waiter)
     took = context.fleet.took(waiter)
     assert took <= seconds, f"it took {took:.2f} s"
+
+
+@when("both workers are busy with tasks of {seconds:g} seconds, of five jobs")
+def step_busy(context, seconds):
+    for number in range(5):
+        context.fleet.submit("e0", f"{number + 1:016x}", 4, seconds=seconds, wait=30.0)
+
+
+@when("{agent:w}'s worker turns {factor:g} times slower after {after:g} seconds")
+def step_turns_slow(context, agent, factor, after):
+    fleet = context.fleet
+    fleet.run(after)
+    worker = fleet.workers[agent]
+    worker.pace = factor
+    for run in worker.runs.values():
+        run.turn_slow(fleet.now, factor)
+
+
+@then("{agent:w} has noticed that its worker drags")
+def step_noticed(context, agent):
+    lines = [
+        effect.sentence for _, name, effect in context.fleet.lines if name == agent
+    ]
+    assert "its worker drags" in lines, lines
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -73,6 +73,20 @@
         self.ends_at = began + seconds
         self.seconds = seconds
         self.fails = fails
+        self.slow_at = None
+        self.slow_factor = 1.0
+
+    def turn_slow(self, now, factor):
+        """Do the rest so many times slower."""
+        self.slow_at, self.slow_factor = now, factor
+        self.ends_at = now + (self.ends_at - now) * factor
+
+    def percent(self, now):
+        """Return how much of it is done."""
+        worked = now - self.began
+        if self.slow_at is not None:
+            worked = self.slow_at - self.began + (now - self.slow_at) / self.slow_factor
+        return min(99, int(100 * worked / self.seconds))
 
 
 class SimulatedWorker:
@@ -204,7 +218,7 @@
                 run.key,
                 "",
                 run.run,
-                min(99, int(100 * (now - run.began) / run.seconds)),
+                run.percent(now),
             )
             for run in self.runs.values()
         ]
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -29,6 +29,8 @@
     :param gone_at: when it has ended for certain, if nothing is heard: the last
         lease that the worker could have for it has passed. 0 until there is doubt.
     :param call_under_way: a call of the worker on this start has no answer yet.
+    :param speed_from: since when its speed is being measured, and at what percent;
+        ``speed`` is the last one, in percent a second, 0 before there is one.
     """
 
     handle: int
@@ -42,6 +44,8 @@
     asked_at: float = 0.0
     percent: int = 0
     percent_at: float = 0.0
+    speed_from: tuple[float, int] = (0.0, 0)
+    speed: float = 0.0
     tries: int = 0
     reason: str = ""
 
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -30,6 +30,7 @@
     Progress,
     Soundness,
     foretold_pace,
+    lately,
     should_move,
 )
 
@@ -52,6 +53,9 @@
 # Or this many times the twentieth part of its estimate, where that is longer.
 STALL_FACTOR = 3.0
 
+# A run's speed is taken anew this often: a tenth of a second more than three looks.
+SPEED_SECONDS = 0.5
+
 # A look after a stop: the end is listed within the worker's time for a stop.
 STOP_LOOK_WAIT_SECONDS = 0.06
 
@@ -210,6 +214,7 @@
     if held.state is HeldState.DOUBTFUL:
         held.state = HeldState.RUNNING
         held.since = held.percent_at = now
+    _measure_speed(held, percent, now)
     if percent != held.percent:
         held.percent = percent
         held.percent_at = now
@@ -221,6 +226,16 @@
         state.touch_entries()
 
 
+def _measure_speed(held: Held, percent: int, now: float) -> None:
+    """Measure how fast a run goes on lately, whatever it did before."""
+    began, from_percent = held.speed_from
+    if began < held.since:
+        held.speed_from = (held.since, 0)
+    elif now - began >= SPEED_SECONDS:
+        held.speed = lately(percent - from_percent, now - began)
+        held.speed_from = (now, percent)
+
+
 def _stands_still(state: AgentState, held: Held, now: float) -> bool:
     expected = held.start.estimate_ms / 1000 / 20
     return now - held.percent_at > max(STALL_SECONDS, STALL_FACTOR * expected)
@@ -285,4 +300,5 @@
 
 def _progress(held: Held, now: float) -> Progress:
     start = held.start
-    return Progress(start.key.job, start.estimate_ms, now - held.since, held.percent)
+    ran = now - held.since
+    return Progress(start.key.job, start.estimate_ms, ran, held.percent, held.speed)
--- a/src/cactuswalk/dispatch/soundness.py
+++ b/src/cactuswalk/dispatch/soundness.py
@@ -10,7 +10,7 @@
 
 import msgspec
 
-__all__ = ["Progress", "Soundness", "foretold_pace", "should_move"]
+__all__ = ["Progress", "Soundness", "foretold_pace", "lately", "should_move"]
 
 # Weight of an end in the pace. Estimates are off by some 40%; over the last 16
 # ends that averages to 10%, which tells a worker that is four times slower.
@@ -59,25 +59,42 @@
 
     :param seconds: for which it has run.
     :param percent: of its work that is done.
+    :param speed: lately, in percent a second; 0 where that is not known yet.
     """
 
     job: str
     estimate_ms: int
     seconds: float
     percent: int
+    speed: float = 0.0
 
     @property
-    def foretold_ms(self) -> float:
-        """How long it will have run in all, if it goes on like this."""
-        return self.seconds * 1000 * 100 / max(1, self.percent)
+    def whole_ms(self) -> float:
+        """How long all of it would take, at the speed that it has lately."""
+        speed = self.speed or max(1, self.percent) / self.seconds
+        return 100 / speed * 1000
+
+    @property
+    def left_ms(self) -> float:
+        """How long it will run yet, at the speed that it has lately."""
+        return self.whole_ms * (100 - self.percent) / 100
+
+
+def lately(percent: int, seconds: float) -> float:
+    """Return the speed of a run that went on by so much, in percent a second.
+
+    Whole percents are listed, so that up to one more may have been done.
+    """
+    return (percent + 1) / seconds
 
 
 def foretold_pace(tasks: list[Progress]) -> float:
     """Return what the running tasks' progress says of a worker's pace.
 
     A worker that turns several times slower ends nothing for a while, so that its
-    ends tell of it last. 0 where there is too little to go by: a single job may be
-    slow by itself, wherever it runs.
+    ends tell of it last; and what its tasks had done before would hide it for seconds,
+    so that their speed counts which they have lately. 0 where there is too little to
+    go by: a single job may be slow by itself, wherever it runs.
     """
     told = [
         task
@@ -88,15 +105,14 @@
         return 0.0
     if len({task.job for task in told}) < FEWEST_DRAGGING_JOBS:
         return 0.0
-    return statistics.median(task.foretold_ms / task.estimate_ms for task in told)
+    return statistics.median(task.whole_ms / task.estimate_ms for task in told)
 
 
 def should_move(task: Progress) -> bool:
     """Return whether a task on a dragging worker is better begun elsewhere."""
     if task.seconds < LEAST_PROGRESS_SECONDS:
         return False
-    left_ms = task.foretold_ms - task.seconds * 1000
-    return left_ms > MOVE_FACTOR * task.estimate_ms
+    return task.left_ms > MOVE_FACTOR * task.estimate_ms
 
 
 class Soundness(msgspec.Struct):
