A task that fills a worker has its place while urgent jobs come; progress in its own module

Found in the last read: with a tenth of each worker kept free, a less urgent task larger than nine tenths of every worker would be refused each time though workers stand empty.

--- a/features/dispatch_load.feature
+++ b/features/dispatch_load.feature
@@ -27,6 +27,13 @@
     When checks alone fill the workers for 4 seconds
     Then at least 97 of 100 parts of the workers are in use most of the time
 
+  Scenario: A task that fills a worker alone has its place while urgent jobs come
+    With a part of each worker kept free it would fit none, and be refused each time
+    though workers stand empty.
+    Given 4 entries, 11 workers of three speeds, and the users' three kinds of job
+    When lookups come and a check needs 31 cores of a worker of 32
+    Then the check is completed
+
   Scenario: A worker that turns slow does not hold up every wide job
     One worker of eleven turns six times slower while it says that it is well. Its
     room is free for longest, and each wide job would have a task there.
--- a/features/steps/dispatch_load_steps.py
+++ b/features/steps/dispatch_load_steps.py
@@ -44,6 +44,26 @@
     context.usual = statistics.median(parts[len(parts) // 2 :])
 
 
+@when("lookups come and a check needs {cores:d} cores of a worker of 32")
+def step_large_check(context, cores):
+    fleet = context.fleet
+    for worker in fleet.workers.values():
+        worker.cpu = 32_000
+    fleet.run(2.0)
+    for number in range(20):
+        fleet.submit("e0", f"{number + 1:016x}", 2, seconds=0.1, queue_name="lookups")
+        fleet.run(0.05)
+    context.check = fleet.submit(
+        "e0", "00000000000000cc", 1, cores * 1000, 0.4, queue_name="checks"
+    )
+    fleet.run(3.0)
+
+
+@then("the check is completed")
+def step_check_completed(context):
+    assert context.fleet.verdict(context.check) == "completed"
+
+
 @then("at least {part:d} of 100 parts of the workers are in use most of the time")
 def step_usual_use(context, part):
     assert context.usual >= part / 100, context.usual
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -101,6 +101,10 @@
             return 0.0
         return (report.free_cpu - self.unseen_cpu) / report.cpu
 
+    def is_empty(self) -> bool:
+        """Return whether nothing runs there, as far as is known."""
+        return self.report.free_cpu >= self.report.cpu and not self.unseen
+
     def pass_over(self, now: float) -> None:
         """Leave it alone until it has reported again."""
         self.passed_over_until = now + DECLINED_PAUSE_SECONDS
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -4,7 +4,6 @@
     forget_worker,
     lose_all,
     raise_token,
-    stop,
     worker_gone,
 )
 from cactuswalk.dispatch.agentevents import (
@@ -15,6 +14,7 @@
     RunEnd,
 )
 from cactuswalk.dispatch.agentheld import Held, HeldState
+from cactuswalk.dispatch.agentprogress import move_off_if_dragging, runs_on
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import (
     WORKER_LEASE_SECONDS,
@@ -27,11 +27,7 @@
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import TaskEnd
 from cactuswalk.dispatch.soundness import (
-    Progress,
     Soundness,
-    foretold_pace,
-    lately,
-    should_move,
 )
 
 __all__ = ["announced", "departed", "look_failed", "look_if_due", "looked"]
@@ -47,15 +43,6 @@
 # A worker that answers no look for so long is given nothing new: three looks.
 UNREACHABLE_SECONDS = 0.3
 
-# A running task whose progress stands still this long, beyond its estimate, is
-# stopped and told as lost. Progress comes with each look, at most 0.15 s apart.
-STALL_SECONDS = 0.6
-# Or this many times the twentieth part of its estimate, where that is longer.
-STALL_FACTOR = 3.0
-
-# A run's speed is taken anew this often: a tenth of a second more than three looks.
-SPEED_SECONDS = 0.5
-
 # A look after a stop: the end is listed within the worker's time for a stop.
 STOP_LOOK_WAIT_SECONDS = 0.06
 
@@ -182,12 +169,12 @@
     for held in list(state.held.values()):
         row = running.pop((held.start.key, held.run), None)
         if row is not None:
-            _runs_on(state, held, row.percent, now)
+            runs_on(state, held, row.percent, now)
         elif _never_began(state, held, event.sent_at):
             state.end(held, TaskEnd.STOPPED, 0, "never began", now)
     for row in running.values():
         _stop_stranger(state, row.key, row.run)
-    _move_off_if_dragging(state, now)
+    move_off_if_dragging(state, now)
     return len(running)
 
 
@@ -210,52 +197,6 @@
     state.effects.append(StopTask(state.worker.identifier, 0, key, run, state.token))
 
 
-def _runs_on(state: AgentState, held: Held, percent: int, now: float) -> None:
-    if held.state is HeldState.DOUBTFUL:
-        held.state = HeldState.RUNNING
-        held.since = held.percent_at = now
-    _measure_speed(held, percent, now)
-    if percent != held.percent:
-        held.percent = percent
-        held.percent_at = now
-    if held.state is HeldState.RUNNING and _stands_still(state, held, now):
-        state.say("a task stands still", job=held.start.key.job, percent=percent)
-        if state.soundness.stalled(now):
-            state.say("puts the worker on trial", reason="a task stands still")
-        stop(state, held, "it stood still", now)
-        state.touch_entries()
-
-
-def _measure_speed(held: Held, percent: int, now: float) -> None:
-    """Measure how fast a run goes on lately, whatever it did before."""
-    began, from_percent = held.speed_from
-    if began < held.since:
-        held.speed_from = (held.since, 0)
-    elif now - began >= SPEED_SECONDS:
-        held.speed = lately(percent - from_percent, now - began)
-        held.speed_from = (now, percent)
-
-
-def _stands_still(state: AgentState, held: Held, now: float) -> bool:
-    expected = held.start.estimate_ms / 1000 / 20
-    return now - held.percent_at > max(STALL_SECONDS, STALL_FACTOR * expected)
-
-
-def _move_off_if_dragging(state: AgentState, now: float) -> None:
-    """Give tasks back that a worker which has turned slow would keep for long."""
-    running = [held for held in state.held.values() if held.state is HeldState.RUNNING]
-    progress = [_progress(held, now) for held in running]
-    foretold = foretold_pace(progress)
-    if state.soundness.begins_to_drag(foretold):
-        state.say("its worker drags", worker=state.worker.identifier, pace=foretold)
-        state.touch_entries()
-    if not state.soundness.drags:
-        return
-    for held, task in zip(running, progress, strict=True):
-        if held.start.may_move and should_move(task):
-            stop(state, held, "its worker drags", now)
-
-
 def _run_ended(state: AgentState, held: Held, end: RunEnd, now: float) -> None:
     ran_ms = max(0.0, now - held.since) * 1000
     if end is RunEnd.DONE:
@@ -296,9 +237,3 @@
         state.touch_entries()
     for held in state.held.values():
         held.gone_at = held.gone_at or now + worker_lapse_seconds()
-
-
-def _progress(held: Held, now: float) -> Progress:
-    start = held.start
-    ran = now - held.since
-    return Progress(start.key.job, start.estimate_ms, ran, held.percent, held.speed)
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -105,7 +105,9 @@
         step = task.step
         kept = KEPT_PART if self._leaves_room(task, service) else 0.0
         for view in self.views:
-            cpu = step.cpu + int(kept * view.report.cpu)
+            # A task that fills a worker alone would otherwise never have a place.
+            left_free = 0 if view.is_empty() else int(kept * view.report.cpu)
+            cpu = step.cpu + left_free
             if not view.fits(cpu, step.memory_mb, step.gpu):
                 continue
             if not self._may(view, task, service):
