--- a/features/steps/dispatch_load_steps.py
+++ b/features/steps/dispatch_load_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.support.fleetload import Load, users_fleet
+from features.support.fleetload import SEED, Load, users_fleet
 
 # One seed's shares lie some 0.03 about the mean.
 SEEDS = range(3, 11)
@@ -17,22 +17,18 @@
 
 @when("{seconds:d} seconds of the usual load are played")
 def step_usual(context, seconds):
-    step_load(context, seconds, 1.0)
+    context.loads = [play(context.fleet, 1.0, seconds)]
 
 
-@when("{seconds:d} seconds of {rate:g} times the load are played")
-def step_load(context, seconds, rate):
-    context.load = Load(context.fleet, rate, seconds)
-    context.fleet.run(seconds + 12)
+def play(fleet, rate, seconds, seed=SEED):
+    load = Load(fleet, rate, seconds, seed)
+    fleet.run(seconds + 12)
+    return load
 
 
 @when("{seconds:d} seconds of {rate:g} times the load are played, with each of 8 seeds")
 def step_load_seeds(context, seconds, rate):
-    context.loads = []
-    for seed in SEEDS:
-        fleet = users_fleet(seed)
-        context.loads.append(Load(fleet, rate, seconds, seed))
-        fleet.run(seconds + 12)
+    context.loads = [play(users_fleet(seed), rate, seconds, seed) for seed in SEEDS]
 
 
 @when("checks alone fill the workers for {seconds:d} seconds")
@@ -86,7 +82,7 @@
 )
 def step_slow(context, pace, seconds):
     context.fleet.workers["a1"].pace = pace
-    step_load(context, seconds, 1.0)
+    step_usual(context, seconds)
 
 
 @when("{agent:w}'s worker fails everything")
@@ -130,13 +126,13 @@
 
 
 def check(context, **wanted):
-    loads = getattr(context, "loads", None) or [context.load]
-    for load in loads:
+    for load in context.loads:
         assert not load.fleet.overlaps
         assert not load.fleet.overloads
     for name, part in wanted.items():
-        done, all = map(sum, zip(*(load.counts()[name] for load in loads), strict=True))
-        assert done >= all * part / 100, (name, done / all)
+        counts = [load.counts()[name] for load in context.loads]
+        done, came = map(sum, zip(*counts, strict=True))
+        assert done >= came * part / 100, (name, done / came)
 
 
 @then("a refusal takes no longer than the time that the job could spare")
--- a/features/steps/dispatch_measures_steps.py
+++ b/features/steps/dispatch_measures_steps.py
@@ -9,6 +9,7 @@
 from click.testing import CliRunner
 
 from tools import ablation, where_lost
+from tools.sourcechange import ROOT
 
 
 @then("each mechanism can be taken away, and changes what it names")
@@ -17,10 +18,10 @@
         with tempfile.TemporaryDirectory() as name:
             copied = Path(name) / mechanism.path
             copied.parent.mkdir(parents=True)
-            shutil.copy(ablation.ROOT / mechanism.path, copied)
-            ablation.take_away(mechanism, Path(name))
+            shutil.copy(ROOT / mechanism.path, copied)
+            mechanism.apply(Path(name))
             text = copied.read_text()
-        assert text != (ablation.ROOT / mechanism.path).read_text(), mechanism.name
+        assert text != (ROOT / mechanism.path).read_text(), mechanism.name
         compile(text, mechanism.path, "exec")
 
 
--- a/features/steps/dispatch_unanswered_steps.py
+++ b/features/steps/dispatch_unanswered_steps.py
@@ -2,7 +2,7 @@
 
 from behave import then, when
 
-from features.steps.dispatch_load_steps import step_load
+from features.steps.dispatch_load_steps import step_usual
 from features.steps.dispatch_once_steps import step_job
 
 
@@ -11,13 +11,7 @@
     " {seconds:g} seconds comes"
 )
 def step_answers_lost(context, lost, tasks, seconds):
-    workers = context.fleet.workers.values()
-    for worker in workers:
-        worker.mute = 1.0
-    step_job(context, tasks, seconds, "e0")
-    context.fleet.run(lost)
-    for worker in workers:
-        worker.mute = 0.0
+    hand_in_while(context, lost, tasks, seconds, mute=1.0)
 
 
 @when(
@@ -25,13 +19,21 @@
     " {tasks:d} tasks of {seconds:g} seconds comes"
 )
 def step_starts_late(context, late, lost, tasks, seconds):
-    workers = context.fleet.workers.values()
-    for worker in workers:
-        worker.deaf, worker.late = 1.0, late
+    hand_in_while(context, lost, tasks, seconds, deaf=1.0, late=late)
+
+
+def hand_in_while(context, lost, tasks, seconds, **faults):
+    """Hand a job in to workers with faults, and mend these after so many seconds."""
+    harm(context, faults)
     step_job(context, tasks, seconds, "e0")
     context.fleet.run(lost)
-    for worker in workers:
-        worker.deaf = 0.0
+    harm(context, dict.fromkeys(faults, 0.0))
+
+
+def harm(context, faults):
+    for worker in context.fleet.workers.values():
+        for name, value in faults.items():
+            setattr(worker, name, value)
 
 
 @when(
@@ -39,9 +41,8 @@
     " {seconds:d} seconds of the usual load"
 )
 def step_calls_late(context, part, late, seconds):
-    for worker in context.fleet.workers.values():
-        worker.deaf, worker.late = part / 100, late
-    step_load(context, seconds, 1.0)
+    harm(context, {"deaf": part / 100, "late": late})
+    step_usual(context, seconds)
 
 
 @when(
@@ -51,7 +52,7 @@
 def step_some_mute(context, count, part, seconds):
     for worker in list(context.fleet.workers.values())[:count]:
         worker.mute = part / 100
-    step_load(context, seconds, 1.0)
+    step_usual(context, seconds)
 
 
 @then('each task\'s agent has said "{sentence}"')
--- a/features/steps/once_directed_mutants_steps.py
+++ b/features/steps/once_directed_mutants_steps.py
@@ -2,7 +2,8 @@
 
 from behave import then, when
 
-from tools.mutants import MUTANTS, ROOT, StaleMutantError, broken_text
+from tools.mutants import MUTANTS
+from tools.sourcechange import ROOT, StaleChangeError
 
 
 @when("each mutant's text is looked for in the source")
@@ -10,8 +11,8 @@
     context.stale = []
     for mutant in MUTANTS:
         try:
-            broken_text(mutant)
-        except StaleMutantError as error:
+            mutant.changed_text()
+        except StaleChangeError as error:
             context.stale.append(error.show())
 
 
--- a/features/support/fleetload.py
+++ b/features/support/fleetload.py
@@ -4,7 +4,7 @@
 
 from features.support.fleet import Fleet, queue
 
-__all__ = ["KINDS", "Load", "users_fleet"]
+__all__ = ["KINDS", "SEED", "WORTH", "Load", "users_fleet"]
 
 # Rate a second, tasks and seconds of the users' kinds, at their usual load.
 KINDS = {
@@ -12,6 +12,8 @@
     "rebuilds": (3.12, 4, 1.8),
     "checks": (50.0, 2, 0.4),
 }
+# What a job of each kind is worth to its caller (the users' figures).
+WORTH = {"lookups": 0.0291, "rebuilds": 0.16, "checks": 0.01}
 PACES = (0.8, 1.0, 1.25)
 SEED = 3
 
@@ -46,7 +48,7 @@
             self.next_arrival(name)
 
     def counts(self):
-        """Return, by kind, how many jobs were done within their aim, and all."""
+        """Return, by kind, how many jobs were done within their aim, of how many."""
         return {
             name: (sum(map(self.fleet.in_aim, waiters)), len(waiters))
             for name, waiters in self.by_kind.items()
@@ -54,7 +56,7 @@
 
     def shares(self):
         """Return the share of each kind that was done within its aim."""
-        return {name: done / all for name, (done, all) in self.counts().items()}
+        return {name: done / came for name, (done, came) in self.counts().items()}
 
     def next_arrival(self, name):
         gap = self.generator.expovariate(KINDS[name][0] * self.rate)
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -9,7 +9,6 @@
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import (
     ENTRY_LEASE_SECONDS,
-    UNHEARD_SECONDS,
 )
 from cactuswalk.dispatch.effects import (
     AskEntries,
@@ -242,7 +241,7 @@
         _milliseconds(now),
         peer.seen,
         held + list(peer.ends),
-        bool(peer.life) and now - peer.heard_at < UNHEARD_SECONDS,
+        bool(peer.life) and peer.is_heard(now),
         worker.identifier if worker else "",
         worker.service if worker else "",
         worker.data_centre if worker else "",
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cactuswalk.dispatch.bounds import UNHEARD_SECONDS
 from cactuswalk.dispatch.messages import Ended, Start
 
 __all__ = ["EntryPeer", "Held", "HeldState"]
@@ -49,6 +50,11 @@
     tries: int = 0
     reason: str = ""
 
+    def names(self) -> dict[str, object]:
+        """Return the fields that name its run in a log line."""
+        key = self.start.key
+        return {"job": key.job, "step": key.step, "index": key.index, "run": self.run}
+
 
 class EntryPeer(msgspec.Struct):
     """An entry, as an agent knows it.
@@ -73,3 +79,7 @@
     dirty: bool = True
     urgent: bool = False
     past_lives: set[str] = msgspec.field(default_factory=set)
+
+    def is_heard(self, now: float) -> bool:
+        """Return whether it has been heard lately, and is likely to hear."""
+        return now - self.heard_at < UNHEARD_SECONDS
--- a/src/cactuswalk/dispatch/agentprogress.py
+++ b/src/cactuswalk/dispatch/agentprogress.py
@@ -27,10 +27,7 @@
     if held.state is HeldState.DOUBTFUL:
         state.say(
             "a start without an answer runs on",
-            job=held.start.key.job,
-            step=held.start.key.step,
-            index=held.start.key.index,
-            run=held.run,
+            **held.names(),
             waited=round(now - held.since, 3),
         )
         held.state = HeldState.RUNNING
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -3,7 +3,6 @@
 import math
 
 from cactuswalk.dispatch.agentheld import EntryPeer, Held
-from cactuswalk.dispatch.bounds import UNHEARD_SECONDS
 from cactuswalk.dispatch.effects import (
     Effect,
     Observe,
@@ -64,8 +63,7 @@
         hold a planned stop up until the process is about to be killed.
         """
         return not self.held and not any(
-            peer.ends and now - peer.heard_at < UNHEARD_SECONDS
-            for peer in self.entries.values()
+            peer.ends and peer.is_heard(now) for peer in self.entries.values()
         )
 
     def room(self) -> tuple[int, int, int]:
@@ -127,10 +125,7 @@
         if end not in (TaskEnd.DONE, TaskEnd.DECLINED):
             self.say(
                 "a run has ended",
-                job=held.start.key.job,
-                step=held.start.key.step,
-                index=held.start.key.index,
-                run=held.run,
+                **held.names(),
                 end=end.name.lower(),
                 reason=reason,
                 ran_ms=ran_ms,
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -199,10 +199,7 @@
     """Have the worker refuse a start without an answer, should it arrive yet."""
     state.say(
         "forbids a start without an answer",
-        job=held.start.key.job,
-        step=held.start.key.step,
-        index=held.start.key.index,
-        run=held.run,
+        **held.names(),
         reason=reason,
         waited=round(now - held.since, 3),
     )
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -70,7 +70,7 @@
     )
 
 
-def fate(job: JobState, now: float, meets_workers: bool = False) -> Fate:
+def fate(job: JobState, now: float, meets_workers: bool) -> Fate:
     """Return whether a job goes on, is refused, or is given up.
 
     :param meets_workers: the workers are being met, so that room may come at once
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -94,18 +94,18 @@
         step = task.step
         size = (step.cpu, step.memory_mb, step.gpu)
         leaves_room = self._leaves_room(task, service)
-        trusted_only = self._wants_trusted(task, service)
         least = self.no_room.get((service, leaves_room))
         if least is not None and all(map(operator.ge, size, least)):
             return None
-        best = self._cheapest(task, service, leaves_room, trusted_only)
+        best = self._cheapest(task, service, leaves_room)
         if best is None and not (step.label or step.per_worker or task.avoid):
             self.no_room[service, leaves_room] = size
         return best
 
     def _cheapest(
-        self, task: TaskState, service: str, leaves_room: bool, trusted_only: bool
+        self, task: TaskState, service: str, leaves_room: bool
     ) -> AgentView | None:
+        trusted_only = self._wants_trusted(task, service)
         best = None
         best_cost = 0.0
         step = task.step
--- a/src/cactuswalk/runtime/exposition.py
+++ b/src/cactuswalk/runtime/exposition.py
@@ -100,13 +100,13 @@
         """Return the handler of the metrics address."""
 
         async def handle(request: BaseRequest) -> Response:
-            from prometheus_client import CollectorRegistry, generate_latest
-            from prometheus_client.exposition import CONTENT_TYPE_LATEST
+            from prometheus_client.exposition import (
+                CONTENT_TYPE_LATEST,
+                generate_latest,
+            )
 
-            registry = CollectorRegistry()
-            registry.register(self)
             return Response(
-                body=generate_latest(registry),
+                body=generate_latest(self),
                 headers={"Content-Type": CONTENT_TYPE_LATEST},
             )
 
--- a/src/cactuswalk/runtime/serving.py
+++ b/src/cactuswalk/runtime/serving.py
@@ -13,7 +13,7 @@
 from aiohttp.web_response import Response
 from aiohttp.web_server import Server
 
-from cactuswalk.runtime.listening import LISTEN_BACKLOG
+from cactuswalk.runtime.listening import LISTEN_BACKLOG, listen
 
 __all__ = ["BaseRequest", "Handler", "HttpService", "Response"]
 
@@ -57,23 +57,14 @@
             max_line_size=MAXIMUM_HEADER_BYTES,
             keepalive_timeout=KEEP_SECONDS,
         )
-        loop = asyncio.get_running_loop()
-        if self.listener is not None:
-            self.listening = await loop.create_server(
-                self.server, sock=self.listener, backlog=LISTEN_BACKLOG
-            )
-        else:
-            self.listening = await loop.create_server(
-                self.server,
-                self.address.host,
-                self.address.port,
-                backlog=LISTEN_BACKLOG,
-            )
+        self.listening = await asyncio.get_running_loop().create_server(
+            self.server,
+            sock=self.listener or listen(self.address),
+            backlog=LISTEN_BACKLOG,
+        )
 
     async def stop(self) -> None:
         """Take no more connections, and close those that there are."""
-        if self.listening is None:
-            return
         self.listening.close()
         # What was accepted in this turn begins to be handled before it is closed.
         await asyncio.sleep(0)
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -20,142 +20,126 @@
 import click
 import msgspec
 
-from cactuswalk.errors import CactuswalkError
+from tools.sourcechange import ROOT, SourceChange
 
 __all__ = ["MECHANISMS", "main"]
 
-ROOT = Path(__file__).resolve().parent.parent
 DISPATCH = "src/cactuswalk/dispatch"
 
 # Below this many hundredths a difference of two means of five seeds is chance.
 CHANCE = 1.0
 
 
-class StaleMechanismError(CactuswalkError):
-    """A mechanism's text is not in the source any more."""
-
-    code = "stale_mechanism"
-
-
-class Mechanism(msgspec.Struct):
-    """A decision, and the change of one file that takes it away."""
-
-    name: str
-    path: str
-    old: str
-    new: str
-
-
 MECHANISMS = [
-    Mechanism(
+    SourceChange(
         "room kept for the most urgent kind",
         f"{DISPATCH}/placement.py",
         "KEPT_PART = 0.1",
         "KEPT_PART = 0.0",
     ),
-    Mechanism(
+    SourceChange(
         "refusal when the latest start has passed",
         f"{DISPATCH}/ordering.py",
         "SPARE_PART = 0.4",
         "SPARE_PART = 50.0",
     ),
-    Mechanism(
+    SourceChange(
         "priorities in the order of serving",
         f"{DISPATCH}/ordering.py",
         "key=lambda job: (job.queue.priority, not job.started",
         "key=lambda job: (not job.started",
     ),
-    Mechanism(
+    SourceChange(
         "jobs that have begun go first",
         f"{DISPATCH}/ordering.py",
         "(job.queue.priority, not job.started, job.latest_start)",
         "(job.queue.priority, job.latest_start)",
     ),
-    Mechanism(
+    SourceChange(
         "trial of a worker that fails",
         f"{DISPATCH}/soundness.py",
         "FAILURES_TO_TRIAL = 3",
         "FAILURES_TO_TRIAL = 1_000_000",
     ),
-    Mechanism(
+    SourceChange(
         "the last attempt only where it is trusted",
         f"{DISPATCH}/placement.py",
         "if not task.failures or",
         "if True or not task.failures or",
     ),
-    Mechanism(
+    SourceChange(
         "tasks given back by a worker that drags",
         f"{DISPATCH}/soundness.py",
         "DRAG_FACTOR = 3.0",
         "DRAG_FACTOR = 1e9",
     ),
-    Mechanism(
+    SourceChange(
         "few tasks for a slow worker",
         f"{DISPATCH}/placement.py",
         "if self.paces[view.address] > SLOW_FACTOR and",
         "if False and",
     ),
-    Mechanism(
+    SourceChange(
         "faster workers first",
         f"{DISPATCH}/placement.py",
         "cost = self.paces[view.address]",
         "cost = 1.0",
     ),
-    Mechanism(
+    SourceChange(
         "emptier workers first",
         f"{DISPATCH}/placement.py",
         "FULL_PART = 0.4",
         "FULL_PART = 1e6",
     ),
-    Mechanism(
+    SourceChange(
         "workers of the own data centre first",
         f"{DISPATCH}/placement.py",
         "REMOTE_FACTOR = 1.3",
         "REMOTE_FACTOR = 1.0",
     ),
-    Mechanism(
+    SourceChange(
         "tasks that stand still are stopped",
         f"{DISPATCH}/agentprogress.py",
         "STALL_SECONDS = 0.6",
         "STALL_SECONDS = 1e9",
     ),
-    Mechanism(
+    SourceChange(
         "a pause after a decline",
         f"{DISPATCH}/agentview.py",
         "DECLINED_PAUSE_SECONDS = 0.03",
         "DECLINED_PAUSE_SECONDS = 0.0",
     ),
-    Mechanism(
+    SourceChange(
         "a check of starts without an answer",
         f"{DISPATCH}/agentcalls.py",
         "if held.state is not HeldState.STARTING:\n        call_stop",
         "if True:\n        held.state = HeldState.DOUBTFUL\n        call_stop",
     ),
-    Mechanism(
+    SourceChange(
         "a check after a doubtful start was stopped",
         f"{DISPATCH}/agentcalls.py",
         "state.check_wanted |= held.state is HeldState.DOUBTFUL",
         "pass",
     ),
-    Mechanism(
+    SourceChange(
         "short looks after one without an answer",
         f"{DISPATCH}/agentlooks.py",
         "UNSURE_SECONDS = 1.0",
         "UNSURE_SECONDS = 0.0",
     ),
-    Mechanism(
+    SourceChange(
         "calls given up after 30 ms, not 50",
         f"{DISPATCH}/bounds.py",
         "CALL_TIMEOUT_SECONDS = 0.03",
         "CALL_TIMEOUT_SECONDS = 0.05",
     ),
-    Mechanism(
+    SourceChange(
         "estimates that begin with the first declaration",
         f"{DISPATCH}/entryjobs.py",
         "DurationEstimate.of_a_kind(declared_ms)",
         "DurationEstimate()",
     ),
-    Mechanism(
+    SourceChange(
         "estimates that learn from ends",
         f"{DISPATCH}/entryplacing.py",
         "    state.estimates[job.queue.name].observe(task.step.estimate_ms, longest)\n",
@@ -164,28 +148,13 @@
 ]
 
 
-def take_away(mechanism: Mechanism, directory: Path) -> None:
-    """Change the sources in a directory so that a mechanism is gone.
-
-    :raises StaleMechanismError: if its text isn't there exactly once.
-    """
-    path = directory / mechanism.path
-    text = path.read_text()
-    if text.count(mechanism.old) != 1:
-        raise StaleMechanismError(
-            f"'{mechanism.name}' is not in {mechanism.path}",
-            "Give the mechanism the text that stands there now.",
-        )
-    path.write_text(text.replace(mechanism.old, mechanism.new))
-
-
-def played(mechanism: Mechanism | None, seeds: int) -> dict[str, list[float]]:
+def played(mechanism: SourceChange | None, seeds: int) -> dict[str, list[float]]:
     """Return the worth on time by pattern and seed, without a mechanism."""
     with tempfile.TemporaryDirectory() as name:
         directory = Path(name)
         shutil.copytree(ROOT / "src", directory / "src")
         if mechanism is not None:
-            take_away(mechanism, directory)
+            mechanism.apply(directory)
         command = [sys.executable, "-m", "tools.ablation_play", "--seeds", str(seeds)]
         environment = os.environ | {"PYTHONPATH": f"{directory / 'src'}:{ROOT}"}
         done = subprocess.run(
@@ -204,7 +173,7 @@
     return f"**{shown}**" if abs(mean) >= max(CHANCE, spread) else shown
 
 
-def find(name: str) -> Mechanism:
+def find(name: str) -> SourceChange:
     """Return a mechanism by its name."""
     for mechanism in MECHANISMS:
         if mechanism.name == name:
@@ -225,7 +194,7 @@
 def main(seeds: int, parallel: int, copy: tuple[str, str] | None) -> None:
     """Print what each decision adds to the worth on time."""
     if copy:
-        take_away(find(copy[0]), Path(copy[1]))
+        find(copy[0]).apply(Path(copy[1]))
         return
     with ThreadPoolExecutor(parallel) as pool:
         results = list(pool.map(lambda one: played(one, seeds), [None, *MECHANISMS]))
--- a/tools/ablation_play.py
+++ b/tools/ablation_play.py
@@ -10,7 +10,7 @@
 import click
 import msgspec
 
-from features.support.fleetload import KINDS, Load, users_fleet
+from features.support.fleetload import KINDS, WORTH, Load, users_fleet
 
 __all__ = ["PATTERNS", "main"]
 
@@ -19,9 +19,6 @@
 # The longest jobs that come last have ended by then.
 AFTER_SECONDS = 12
 
-# What a job of each kind is worth to its caller (the users' figures).
-WORTH = {"lookups": 0.0291, "rebuilds": 0.16, "checks": 0.01}
-
 
 class Pattern(msgspec.Struct):
     """Arrivals at a rate, on a fleet with a fault.
--- a/tools/ideal_queue.py
+++ b/tools/ideal_queue.py
@@ -17,7 +17,7 @@
 import msgspec
 from matplotlib.figure import Figure
 
-from features.support.fleetload import KINDS, Load, users_fleet
+from features.support.fleetload import KINDS, WORTH, Load, users_fleet
 
 __all__ = ["main"]
 
@@ -27,9 +27,6 @@
 # The longest jobs that come last have ended by then.
 AFTER_SECONDS = 12
 
-# What a job of each kind is worth to its caller (the users' figures).
-WORTH = {"lookups": 0.00485, "rebuilds": 0.0267, "checks": 0.00167}
-
 STRETCH = 1.6
 ALLOWANCE_SECONDS = 0.06
 SIZE_INCHES = (8, 4.5)
--- a/tools/mutant.py
+++ b/tools/mutant.py
@@ -1,18 +1,14 @@
 """What a mutant is: one safeguard of the source, taken away."""
 
-import msgspec
+from tools.sourcechange import SourceChange
 
 __all__ = ["Mutant"]
 
 
-class Mutant(msgspec.Struct):
+class Mutant(SourceChange):
     """One safeguard taken away.
 
     :param feature: the one that is to notice, a path below ``features``.
     """
 
-    name: str
-    path: str
-    old: str
-    new: str
     feature: str
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -17,11 +17,10 @@
 import click
 import msgspec
 
-from cactuswalk.errors import CactuswalkError
 from tools.mutant import Mutant
 from tools.mutants_cells import CELL_MUTANTS
+from tools.sourcechange import ROOT, StaleChangeError
 
-ROOT = Path(__file__).resolve().parent.parent
 STATE = "src/cactuswalk/state"
 GATE = "once_gate.feature"
 TAKEOVER = "once_directed_takeover.feature"
@@ -439,33 +438,11 @@
 ]
 
 
-class StaleMutantError(CactuswalkError):
-    """A mutant's text no longer stands in the source exactly once."""
-
-    code = "stale_mutant"
-
-
-def broken_text(mutant: Mutant, root: Path = ROOT) -> str:
-    """Return the text of the mutant's file with its safeguard taken away.
-
-    :raises StaleMutantError: if the safeguard isn't found. Passed over, the
-        mutant would be tried on unchanged source and would prove nothing.
-    """
-    text = (root / mutant.path).read_text(encoding="utf-8")
-    found = text.count(mutant.old)
-    if found != 1:
-        raise StaleMutantError(
-            f"{mutant.name}: its text stands {found} times in {mutant.path}",
-            "Bring the mutant's text up to date in tools/mutants.py.",
-        )
-    return text.replace(mutant.old, mutant.new)
-
-
 def try_mutant(mutant: Mutant) -> Tried:
     """Run the mutant's feature in a copy, and say what noticed it."""
     try:
-        text = broken_text(mutant)
-    except StaleMutantError as error:
+        text = mutant.changed_text()
+    except StaleChangeError as error:
         return Tried(mutant, "STALE", error.message)
     with tempfile.TemporaryDirectory(prefix="mutant-") as directory:
         copy = Path(directory)
