--- a/features/dispatch_unanswered.feature
+++ b/features/dispatch_unanswered.feature
@@ -34,3 +34,14 @@
     Given 4 entries, 11 workers of three speeds, and the users' three kinds of job
     When 5 workers lose 14 of 100 answers during 8 seconds of the usual load
     Then at least 95 of 100 lookups, 95 of 100 checks and 95 of 100 rebuilds are on time
+
+  Scenario: Neither a start nor its stop is answered, and the start is late
+    A caller leaves while its start is under way. The worker answers neither the start
+    nor the stop, though it answers looks, and carries the start out a third of a second
+    later. Taken for one that never began, it would run beside what was given its room
+    meanwhile: a worker that doesn't guard its room gets more than it holds.
+    Given a fleet of 1 entries and 1 workers
+    When a job of 10 tasks of 0.5 seconds comes, whose starts are 0.3 seconds late
+    And its caller leaves 0.01 seconds later
+    And 0.2 seconds later e0 gets another one of 10 tasks of 0.5 seconds
+    Then no worker has been given more than it holds
--- a/features/steps/dispatch_unanswered_steps.py
+++ b/features/steps/dispatch_unanswered_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then, when
 
+from cactuswalk.dispatch.effects import StartTask, StopTask
 from features.steps.dispatch_load_steps import step_usual
 from features.steps.dispatch_once_steps import step_job
 
@@ -63,3 +64,40 @@
         if effect.sentence == sentence
     }
     assert said == set(range(context.tasks)), said
+
+
+@when(
+    "a job of {tasks:d} tasks of {seconds:g} seconds comes, whose starts are {late:g}"
+    " seconds late"
+)
+def step_starts_and_stops_late(context, tasks, seconds, late):
+    fleet = context.fleet
+    for name, worker in fleet.workers.items():
+        worker.loses, worker.late = (StartTask, StopTask), late
+        # A look was lost a moment ago as well, so that many short ones follow.
+        fleet.states[name].unanswered_look_at = fleet.now
+    step_job(context, tasks, seconds, "e0")
+
+
+@when(
+    "{after:g} seconds later {entry:w} gets another one of {tasks:d} tasks of"
+    " {seconds:g} seconds"
+)
+def step_job_later(context, after, entry, tasks, seconds):
+    context.fleet.run(after)
+    for worker in context.fleet.workers.values():
+        worker.loses = ()
+    context.fleet.submit(entry, f"{1:016x}", tasks, seconds=seconds, wait=10.0)
+    context.fleet.run(3.0)
+
+
+@when("its caller leaves {after:g} seconds later")
+def step_leaves(context, after):
+    context.fleet.run(after)
+    context.fleet.leave("e0", context.waiters["e0"])
+
+
+@then("no worker has been given more than it holds")
+def step_no_overload(context):
+    assert not context.fleet.overloads
+    assert not context.fleet.overlaps
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -4,6 +4,7 @@
 and a worker would see, above all whether two runs of a task overlap.
 """
 
+import collections
 import heapq
 import itertools
 import random
@@ -102,6 +103,7 @@
     :ivar deaf: share of calls without an answer; ``late`` ones are carried out
         that many seconds later, others never.
     :ivar mute: share of starts and stops that are carried out without an answer.
+    :ivar loses: types of calls that are all treated as ``deaf`` says.
     """
 
     def __init__(self, fleet, name, cpu, data_centre, generator):
@@ -119,6 +121,7 @@
         self.deaf = 0.0
         self.late = 0.0
         self.mute = 0.0
+        self.loses = ()
         self.draining = False
         self.sequence = 0
         self.reset()
@@ -235,7 +238,14 @@
     """The processes, their clock, and what has been seen of them."""
 
     def __init__(
-        self, entries=2, workers=4, seed=1, cpu=32_000, queues=None, centres=None
+        self,
+        entries=2,
+        workers=4,
+        seed=1,
+        cpu=32_000,
+        queues=None,
+        centres=None,
+        seeds=None,
     ):
         self.generator = random.Random(seed)
         self.now = 0.0
@@ -262,6 +272,11 @@
         self.arrivals = {}
         self.waiter = itertools.count(1)
         self.entry_names = [f"e{number}" for number in range(entries)]
+        # What the settings name, and what the store lists.
+        self.seeds = seeds or self.entry_names
+        self.listed_names = self.entry_names
+        # Messages by sender and type.
+        self.sent = collections.Counter()
         self.workers = {}
         for number, name in enumerate(self.entry_names):
             self.start_entry(name, f"d{number % self.centres}")
@@ -274,7 +289,7 @@
     def start_entry(self, name, data_centre):
         self.dead.discard(name)
         state = EntryState(
-            name, f"l{next(self.lives)}", data_centre, list(self.entry_names), 1.5, 6.0
+            name, f"l{next(self.lives)}", data_centre, list(self.seeds), 1.5, 6.0
         )
         self.states[name] = state
         self.feed(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
@@ -292,13 +307,20 @@
         state = AgentState(
             f"l{next(self.lives)}",
             int(self.now * 1000) + 1,
-            list(self.entry_names),
+            list(self.seeds),
             name,
             self.workers[name].data_centre,
         )
         self.states[name] = state
         self.at(0.0, lambda: self.tick(name, state))
 
+    def living(self):
+        """Return the names of the entries that are up."""
+        return [name for name in self.entry_names if name not in self.dead]
+
+    def centre_names(self):
+        return sorted({worker.data_centre for worker in self.workers.values()})
+
     def kill(self, name):
         self.dead.add(name)
 
@@ -366,7 +388,7 @@
                     EntriesRead(
                         [
                             Member(entry, self.states[entry].data_centre)
-                            for entry in self.entry_names
+                            for entry in self.listed_names
                         ]
                     ),
                 ),
@@ -375,6 +397,7 @@
             self.lines.append((self.now, name, effect))
 
     def send(self, sender, address, message):
+        self.sent[sender, type(message).__name__] += 1
         if (sender, address) in self.cuts or address not in self.states:
             return
         state = self.states[address]
@@ -391,7 +414,9 @@
     def call(self, name, state, effect):
         worker = self.workers[name]
         sent_at = self.now
-        lost = worker.generator.random() < worker.deaf
+        lost = worker.generator.random() < worker.deaf or isinstance(
+            effect, worker.loses
+        )
         if not worker.up or worker.cut or lost:
             if worker.up and lost and worker.late:
                 self.at(worker.late, lambda: self.carry_out(worker, effect, sent_at))
--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -19,10 +19,10 @@
     :ivar untrue: refusals that said "not run" of jobs that had run by then.
     """
 
-    def __init__(self, seed, entries=3, workers=5):
+    def __init__(self, seed, entries=3, workers=5, centres=None):
         self.generator = random.Random(seed)
         queues = [queue("checks"), queue("lookups", stretch=2.0, attempts=2)]
-        self.fleet = Fleet(entries, workers, seed, queues=queues)
+        self.fleet = Fleet(entries, workers, seed, queues=queues, centres=centres)
         self.jobs = 0
         self.calls = []
         self.faults = []
@@ -213,6 +213,11 @@
             if len(refused) == tries[identifier] and identifier in first_start:
                 self.untrue.append(identifier)
 
+    def is_broken(self):
+        """Return whether the day has broken a promise."""
+        fleet = self.fleet
+        return bool(fleet.overlaps or fleet.overloads or self.unanswered or self.untrue)
+
     def summary(self):
         fleet = self.fleet
         return (
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -176,6 +176,7 @@
     # From here a look that is sent shows it ended, or shows nothing of it.
     held.gone_at = held.gone_at or now + worker_lapse_seconds()
     held.asked_at = now
+    held.stop_confirmed = True
     state.check_wanted |= held.state is HeldState.DOUBTFUL
     held.state = HeldState.STOPPING
     state.look_not_before = now
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -31,6 +31,7 @@
     :param gone_at: when it has ended for certain, if nothing is heard: the last
         lease that the worker could have for it has passed. 0 until there is doubt.
     :param call_under_way: a call of the worker on this start has no answer yet.
+    :param stop_confirmed: the worker has confirmed its stop.
     :param speed_from: since when its speed is being measured, and at what percent;
         ``speed`` is the last one, in percent a second, 0 before there is one.
     """
@@ -43,6 +44,7 @@
     since: float
     gone_at: float = 0.0
     call_under_way: bool = False
+    stop_confirmed: bool = False
     asked_at: float = 0.0
     percent: int = 0
     percent_at: float = 0.0
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -153,10 +153,11 @@
     """Return whether a look without a run shows that it won't come.
 
     Only one that was sent after a confirmed stop does: the worker refuses a
-    run that was stopped before it arrived.
+    run that was stopped before it arrived. A stop without an answer may be lost, and
+    the start be carried out yet, in room that others have been given by then.
     """
     stopped = held.state is HeldState.STOPPING and not held.call_under_way
-    return stopped and held.gone_at > 0 and looked_at >= held.asked_at
+    return stopped and held.stop_confirmed and looked_at >= held.asked_at
 
 
 def _stop_stranger(state: AgentState, key, run: int) -> None:
