--- a/src/cactuswalk/commands/dispatch_agent.py
+++ b/src/cactuswalk/commands/dispatch_agent.py
@@ -20,9 +20,9 @@
     from cactuswalk.settings.dispatch import load_dispatch_agent
 
     settings = load_dispatch_agent(path)
-    # A worker whose heartbeat finds nobody pauses twice as long each time: after a
-    # power cut it was heard 0.5 s after its agent had come. A connection that waits
-    # for what loads meanwhile is answered as soon as that is done.
+    # A worker whose heartbeat finds nobody pauses twice as long each time, and would
+    # be heard long after its agent has come. A connection that waits for what loads
+    # meanwhile is answered as soon as that is done.
     listener = listen(settings.announcements)
 
     with lean_loading():
--- a/src/cactuswalk/commands/process.py
+++ b/src/cactuswalk/commands/process.py
@@ -66,9 +66,7 @@
     """Import a process's modules without what it never needs.
 
     For daemons that speak plain HTTP alone: nothing that is loaded here, or after,
-    trusts an authority. After a power cut callers wait for exactly this. On a host of
-    0.6 cores it took half a second; without the garbage collector, the authorities
-    and the decisions of the cells it is a third less.
+    trusts an authority. After a power cut callers wait for exactly this.
     """
     os.environ[AUTHORITIES_VARIABLE] = os.devnull
     gc.disable()
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -24,8 +24,7 @@
 NEAR_REPORT_SECONDS = 0.005
 
 # Entries elsewhere come here only when their own workers are full, and a start that
-# finds no room brings a report back. On the fixture, four entries at 1.6 times the
-# usual load: 0.93 of the jobs on time; with 0.15 s instead of 0.04 it is 0.87.
+# finds no room brings a report back.
 FAR_REPORT_SECONDS = 0.01
 
 
--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -21,9 +21,7 @@
 STOP_LOOK_WAIT_SECONDS = 0.06
 
 # After a look without an answer the next ones wait only so long, in seconds, for a
-# while: what the next lost answer hides is noticed within 50 ms, not 180. On the
-# virtual clock, with 6% of the calls unanswered, five seeds: the worth on time is 0.83
-# without this and 0.94 with it.
+# while: what the next lost answer hides is noticed before a short task is late.
 UNSURE_LOOK_WAIT_SECONDS = 0.02
 UNSURE_SECONDS = 1.0
 
@@ -57,9 +55,8 @@
     """Look at the worker beside a look that waits, and don't wait.
 
     A start without an answer is settled by what a look shows that was sent after
-    it. The one that waits would show it up to 0.15 s later. On the virtual clock, five
-    seeds: with 6% of the calls unanswered the worth on time is 0.033 higher so; with
-    14% of five workers' answers lost 15 of 8,224 tasks are begun twice, for 610.
+    it. The one that waits would show it too late for a short task, and tasks whose
+    answer alone was lost would be stopped and begun anew.
     """
     if not state.check_wanted or state.check_under_way or state.worker is None:
         return
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -44,8 +44,7 @@
 
 # A call of a worker on the same host takes 1 to 2 ms, 10 when ten come at once. A
 # short task has 0.13 s to spare within its aim: a call that is lost has to be
-# noticed, forbidden and made elsewhere within that. On the virtual clock, with 6% of
-# the calls unanswered, three seeds: 0.82 of the lookups on time, for 0.72 with 50 ms.
+# noticed, forbidden and made elsewhere within that.
 CALL_TIMEOUT_SECONDS = 0.03
 
 # An agent that was not heard for this long gets nothing new: two reports were lost.
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -89,7 +89,7 @@
 
     The present one is open, so it has looked at its worker, which takes no order
     of an earlier life since then, and nothing of theirs runs there. After a power
-    cut of half a second this is half a second sooner than their leases end.
+    cut this is sooner than their leases end.
     """
     for placed in list(view.placed.values()):
         start = placed.start
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -20,13 +20,12 @@
 # A stopping process answers what is left this long before it is killed.
 STOP_MARGIN_SECONDS = 0.7
 
-# Jobs of a priority are expected for so long after one has come. At ten a second, as
-# today's urgent ones come at their rarest, a pause of this length is not chance.
+# Jobs of a priority are expected for so long after one has come: a pause between two
+# of them shouldn't have others take the room that the next one needs.
 URGENT_SECONDS = 1.0
 
-# Processes that were powered on together meet within so long of the first. After a
-# power cut an entry was up 0.25 s before its agents, and in that time refused checks
-# that had 0.3 s to spare.
+# Processes that were powered on together meet within so long of the first. An entry
+# that is up before its agents would refuse jobs that have the time to wait for them.
 MEETING_SECONDS = 0.3
 
 # What is told to callers as the queue's length where no worker is known.
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -29,9 +29,7 @@
 # How much of the time that a job could spare it may spend waiting for room. Run
 # times are known to 40%, and workers differ by a quarter: of jobs that are started
 # at the last moment half are late, and have made the next ones late as well. Long
-# queues of one priority also leave the next no room at all. On the virtual clock, at
-# twice the usual load, eight seeds: worth 0.77 of all, for 0.73 with 0.6; rebuilds
-# 0.74 on time for 0.63, checks 0.69 for 0.68. At 1.3 and 1.6 times no difference.
+# queues of one priority also leave the next no room at all.
 SPARE_PART = 0.4
 
 # An answer has to be written and travel; after that the caller has left.
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -38,11 +38,8 @@
 # wait: a job is on time within 1.6 times its run time.
 SLOW_FACTOR = 2.0
 
-# What tasks that are less urgent leave free of each worker's room. On the fixture, at
-# 1.6 and 2.0 times the usual load: 0.92 and 0.89 of the lookups on time for 0.72 and
-# 0.51 without it, the worst kind 0.86 and 0.67, the worth of all 0.89 and 0.75 for
-# 0.86 and 0.68. Half of it does half of that, half as much again costs the rebuilds
-# more than the lookups gain.
+# What tasks that are less urgent leave free of each worker's room: with more of it the
+# long tasks lose more than the short ones gain.
 KEPT_PART = 0.1
 
 # A worker that is slow gets no more than one task from an entry, by which it is
--- a/src/cactuswalk/dispatch/soundness.py
+++ b/src/cactuswalk/dispatch/soundness.py
@@ -19,9 +19,9 @@
 # Below this many ends a pace says little, and is drawn towards 1.
 PACE_PRIOR = 4
 
-# Failures in a row, of different jobs, after which a worker is on trial. A job
-# that can never be done fails everywhere; 5% of the jobs are the most that were
-# seen, so that three in a row come by chance once in 8,000 ends.
+# Failures in a row, of different jobs, after which a worker is on trial. A job that can
+# never be done fails everywhere; where a few of a hundred are such, three in a row are
+# rarely chance.
 FAILURES_TO_TRIAL = 3
 
 # A worker on trial gets a task this often, so that the trial costs little.
@@ -36,8 +36,8 @@
 DRAG_FACTOR = 3.0
 FEWEST_DRAGGING_TASKS = 3
 # Where callers' estimates are twice too long all paces are low, and what still runs
-# at any moment is the longer part of the tasks: by the pace alone sound workers were
-# taken for slow seven times in a day of 13,000 tasks.
+# at any moment is the longer part of the tasks: by the pace alone sound workers would
+# be taken for slow.
 LEAST_PACE = 0.8
 FEWEST_DRAGGING_JOBS = 2
 
--- a/src/cactuswalk/platform/callers.py
+++ b/src/cactuswalk/platform/callers.py
@@ -20,7 +20,7 @@
 
 # How long the caller waits, in milliseconds.
 DEADLINE_HEADER = "X-Deadline-Ms"
-# Where a caller doesn't say: the longest that callers were seen to wait.
+# Where a caller doesn't say: longer than callers usually wait.
 DEFAULT_WAIT_SECONDS = 6.0
 
 STATES = {JobVerdict.COMPLETED: "completed", JobVerdict.FAILED: "failed"}
--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -172,8 +172,7 @@
             connector = aiohttp.TCPConnector(
                 limit=CONNECTIONS, keepalive_timeout=KEEP_SECONDS
             )
-            # Neither cookies nor a time-out of its own: each is paid for in a
-            # third of a millisecond, some sixty times a second.
+            # Neither cookies nor a time-out of its own: each costs time in every call.
             self.session = aiohttp.ClientSession(
                 connector=connector,
                 cookie_jar=aiohttp.DummyCookieJar(),
--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -24,8 +24,8 @@
 __all__ = ["DispatchHost", "now"]
 
 # How often a connection between processes is tried, where TCP itself would take
-# minutes to tell that it went silent. More often costs more than it saves: with
-# 150 ms the tries of 54 agents and 8 entries were as many as their messages.
+# minutes to tell that it went silent. More often, the tries would be as many as the
+# messages.
 HEARTBEAT_MS = 500
 
 
--- a/src/cactuswalk/runtime/exposition.py
+++ b/src/cactuswalk/runtime/exposition.py
@@ -1,9 +1,7 @@
 """Counters and histograms, served as text in the common exposition format.
 
 They are kept as plain numbers, and the library that writes the format is loaded when
-they are first asked for: it is a twentieth of the memory of a process that mostly
-isn't, and a tenth of the time until it serves (1.6 of 30 MB, 0.05 of 0.5 s of
-processor time, medians of five loads).
+they are first asked for: most processes never are, and start sooner without it.
 """
 
 import bisect
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -23,7 +23,7 @@
 # owner stops using a worker.
 RECONNECT_MS = 100
 # A process that comes back is met this much later at worst, by its first words to
-# those that had given it up: 0.45 s were seen with 500.
+# those that had given it up.
 RECONNECT_MAXIMUM_MS = 200
 # Connections to peers that nothing was sent to for this long are closed, so
 # that replaced hosts don't leave sockets behind.
@@ -36,8 +36,8 @@
 HELD_FOR = 0.5
 # How long frames that were handed to ZeroMQ may take to leave at the end.
 LINGER_MS = 200
-# A peer that doesn't connect is tried again after this, doubled each time: with a part
-# of the hosts gone, tries at a fixed pace took more time than all that was delivered.
+# A peer that doesn't connect is tried again after this, doubled each time. With a part
+# of the hosts gone, tries at a fixed pace would leave the living ones little time.
 RETRY_AFTER = 0.005
 RETRY_AFTER_AT_MOST = 0.04
 
@@ -234,7 +234,8 @@
         if self.inbound is None or self.inbound.closed:
             return
         for _ in range(FRAMES_A_TURN):
-            # Asking costs a tenth of an exception for each frame that isn't there.
+            # Asked first, since an exception at the end of each turn costs more than
+            # the frames that most turns bring.
             if not self.inbound.get(zmq.EVENTS) & zmq.POLLIN:
                 return
             self._take(self.inbound.recv(zmq.DONTWAIT))
--- a/src/cactuswalk/state/answered.py
+++ b/src/cactuswalk/state/answered.py
@@ -11,9 +11,8 @@
 
 __all__ = ["ANSWERED_BYTES", "Answered", "answered_of", "pack", "unpack"]
 
-# What an answered submission takes besides its packed bytes: its name, its places in
-# a dictionary and two queues, two moments (246 bytes by tracemalloc, 4,000 answers of
-# one task, Python 3.11; the dictionary takes more just after it has grown).
+# What an answered submission takes besides its packed bytes: its name, its places in a
+# dictionary and two queues, two moments.
 ANSWERED_BYTES = 300
 
 _encoder = msgspec.msgpack.Encoder()
--- a/src/cactuswalk/state/retention.py
+++ b/src/cactuswalk/state/retention.py
@@ -10,9 +10,8 @@
 
 __all__ = ["RecordBook", "newer"]
 
-# What a record takes besides its body: 584 bytes measured with tracemalloc for
-# submissions of one task (20,000 records, Python 3.11), 420 for those of 20; and
-# what a body's own object takes.
+# What a record takes besides its body, of a submission of one task: those of many
+# share a part of it. What a body's own object takes is in it.
 RECORD_BYTES = 620
 
 # Expiries of forgotten submissions that may pile up before they are cleared, so
