--- a/features/dispatch_membership.feature
+++ b/features/dispatch_membership.feature
@@ -56,6 +56,19 @@
     When data centre d1 gets 1.9 times what its workers can do for 4 seconds
     Then at least 95 of 100 jobs are on time
 
+  Scenario: A data centre that has lost all its workers is served elsewhere
+    Its entries hear no agent any more. Told as not ready, they would be given no callers
+    by the balancer; without any agent, refuse those who come.
+    Given a fleet of 15 entries in 3 data centres and 12 workers
+    When the fleet runs on for 6 seconds
+    And the agents of data centre d0 are killed
+    And the fleet runs on for 3 seconds
+    Then the entries of data centre d0 are ready
+    When the entries of data centre d0 get half of what the others' workers can do
+    And the fleet runs on for 20 seconds
+    Then at least 95 of 100 jobs are on time
+    And the entries of data centre d0 are ready
+
   Scenario: Entries that come back meet their own agents again
     Given a fleet of 15 entries in 3 data centres and 12 workers
     When the entries of data centre d0 are killed
--- a/features/steps/dispatch_membership_steps.py
+++ b/features/steps/dispatch_membership_steps.py
@@ -57,6 +57,15 @@
     play(context, context.fleet.centre_names(), rate, seconds)
 
 
+@when(
+    "the entries of data centre {centre:w} get half of what the others' workers can do"
+)
+def step_load_elsewhere(context, centre):
+    others = [name for name in context.fleet.centre_names() if name != centre]
+    elsewhere = sum(room(context.fleet, name) for name in others)
+    play(context, [centre], 0.5 * elsewhere / room(context.fleet, centre), 4)
+
+
 def play(context, centres, rate, seconds):
     """Hand jobs in at a steady pace, at the living entries of data centres by turns."""
     fleet = context.fleet
@@ -111,6 +120,21 @@
             context.fleet.start_entry(name, centre)
 
 
+@when("the agents of data centre {centre:w} are killed")
+def step_kill_agents(context, centre):
+    for name, worker in context.fleet.workers.items():
+        if worker.data_centre == centre:
+            context.fleet.kill(name)
+
+
+@then("the entries of data centre {centre:w} are ready")
+def step_ready(context, centre):
+    fleet = context.fleet
+    for name in fleet.entry_names:
+        if centre_of(fleet, name) == centre:
+            assert fleet.states[name].is_ready(fleet.now), name
+
+
 @when("all entries are killed")
 def step_kill_all(context):
     for name in context.fleet.entry_names:
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -5,7 +5,7 @@
 from cactuswalk.dispatch.ordering import serving_order
 from cactuswalk.dispatch.overflow import agents_to_offer, whom_to_ask
 
-__all__ = ["room_asked", "room_offered", "seek_room", "stop_wanting"]
+__all__ = ["room_asked", "room_offered", "seek_agents", "seek_room", "stop_wanting"]
 
 # Agents that lend their room are spoken to for so long after the last offer or start.
 WANTED_SECONDS = 2.0
@@ -16,17 +16,33 @@
 
 def seek_room(state: EntryState, now: float) -> None:
     """Ask other entries for agents that have room, if jobs wait for some here."""
-    if now < state.search.due_at or len(state.wanted) >= MOST_WANTED:
-        return
     waiting = [job for job in state.jobs.values() if job.waiting]
-    if not waiting:
-        return
-    addresses = whom_to_ask(state.entries, state.data_centre, state.search.turn, now)
+    if waiting and _may_ask(state, now):
+        first = serving_order(waiting)[0]
+        step = first.waiting[0].step
+        service = first.queue.service
+        _ask(state, RoomAsk(service, step.cpu, step.memory_mb, step.gpu), now)
+
+
+def seek_agents(state: EntryState, now: float) -> None:
+    """Ask other entries for any agents, if none is heard here.
+
+    Where a data centre has no agents, or has lost them all, its entries would be taken
+    out of rotation though they could serve their callers elsewhere.
+    """
+    if not state.hears_agents(now) and _may_ask(state, now):
+        _ask(state, RoomAsk("", 0, 0, 0), now)
+
+
+def _may_ask(state: EntryState, now: float) -> bool:
+    return now >= state.search.due_at and len(state.wanted) < MOST_WANTED
+
+
+def _ask(state: EntryState, ask: RoomAsk, now: float) -> None:
+    turn = state.search.turn
+    addresses = whom_to_ask(state.entries, state.data_centre, turn, now)
     if not addresses:
         return
-    first = serving_order(waiting)[0]
-    step = first.waiting[0].step
-    ask = RoomAsk(first.queue.service, step.cpu, step.memory_mb, step.gpu)
     state.search.begin(now)
     for address in addresses:
         state.observe("room_asked")
@@ -60,7 +76,12 @@
 
 
 def stop_wanting(state: EntryState, now: float) -> None:
-    """Let go of agents whose room has not been used for a while."""
+    """Let go of agents whose room has not been used for a while.
+
+    Where no agent is at home they stay: without them there would be nobody.
+    """
+    if not any(view.report.home for view in state.views.values()):
+        return
     for address, until in list(state.wanted.items()):
         view = state.views.get(address)
         if view is not None and view.placed:
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -84,8 +84,10 @@
 
     def is_ready(self, now: float) -> bool:
         """Return whether new callers should come to this entry."""
-        if self.queues is None or self.stop_at:
-            return False
+        return self.queues is not None and not self.stop_at and self.hears_agents(now)
+
+    def hears_agents(self, now: float) -> bool:
+        """Return whether any agent has been heard lately."""
         return any(
             now - view.heard_at < READY_HEARD_SECONDS for view in self.views.values()
         )
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -186,7 +186,8 @@
 class RoomAsk(msgspec.Struct, array_like=True, tag=10):
     """An entry whose agents are full asks another for agents that have room.
 
-    The sizes are those of the task that waits.
+    :param service: empty for agents of any, by one that hears none.
+    :param cpu: of the task that waits, like the other sizes; 0 if none does.
     """
 
     service: str
--- a/src/cactuswalk/dispatch/overflow.py
+++ b/src/cactuswalk/dispatch/overflow.py
@@ -89,7 +89,7 @@
         view
         for view in views
         if view.report.home
-        and view.report.service == ask.service
+        and ask.service in ("", view.report.service)
         and view.is_open(now)
         and not view.report.trial
         and view.fits(ask.cpu, ask.memory_mb, ask.gpu)
