--- a/src/cactuswalk/dispatch/agentmembers.py
+++ b/src/cactuswalk/dispatch/agentmembers.py
@@ -50,6 +50,8 @@
         if now - peer.heard_at > SILENT_SECONDS
     }
     home = home_entries(_directory(state, now), state.data_centre, state.name, silent)
+    if set(home) != {peer.address for peer in state.entries.values() if peer.home}:
+        state.say("works with other entries", entries=home, silent=len(silent))
     for address in home:
         if address not in state.entries:
             state.entries[address] = EntryPeer(address, heard_at=now)
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -50,7 +50,9 @@
     view = state.views.get(sender)
     if view is None:
         view = state.views[sender] = AgentView(sender, report, now)
-        state.say("meets an agent", agent=sender, worker=report.worker)
+        state.say(
+            "meets an agent", agent=sender, worker=report.worker, home=report.home
+        )
         _pulse(state, view, now)
     if view.is_out_of_date(report, now):
         return
