--- a/features/dispatch_membership.feature
+++ b/features/dispatch_membership.feature
@@ -9,6 +9,16 @@
     And each worker is known to 7 entries
     And an agent sends at most 40 messages a second, and an entry at most 110
 
+  Scenario: An agent that starts before its worker finds the entries of its data centre
+    After a power cut agents are up before their workers are. An entry that took the
+    data centre of an agent from its worker would tell it of entries elsewhere. It would
+    leave it at that, since the agent has confirmed the list.
+    Given a fleet of 35 entries in 5 data centres and 20 workers
+    When the fleet runs on for 3 seconds
+    And all agents are started again, 2 seconds before their workers
+    And the fleet runs on for 8 seconds
+    Then each agent reports to 7 entries, all of them in its data centre
+
   Scenario: Where a data centre has few entries, agents work with some elsewhere
     Given a fleet of 10 entries in 5 data centres and 20 workers
     When the fleet runs on for 4 seconds
--- a/features/steps/dispatch_membership_steps.py
+++ b/features/steps/dispatch_membership_steps.py
@@ -135,6 +135,18 @@
             assert fleet.states[name].is_ready(fleet.now), name
 
 
+@when("all agents are started again, {seconds:g} seconds before their workers")
+def step_agents_first(context, seconds):
+    fleet = context.fleet
+    for name, worker in fleet.workers.items():
+        worker.crash()
+        worker.up = False
+        fleet.start_agent(name)
+    fleet.run(seconds)
+    for worker in fleet.workers.values():
+        worker.up = True
+
+
 @when("all entries are killed")
 def step_kill_all(context):
     for name in context.fleet.entry_names:
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -199,7 +199,7 @@
         bool(peer.life) and peer.is_heard(now),
         worker.identifier if worker else "",
         worker.service if worker else "",
-        worker.data_centre if worker else "",
+        worker.data_centre if worker else state.data_centre,
         list(worker.labels) if worker else [],
         state.is_open() and may_try,
         trial,
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -7,17 +7,27 @@
 
 __all__ = ["room_asked", "room_offered", "seek_agents", "seek_room", "stop_wanting"]
 
+# A job that has just come is not worth a question: the home agents free room all the
+# time, and what is borrowed costs messages for seconds.
+SEEK_AFTER_SECONDS = 0.015
+
 # Agents that lend their room are spoken to for so long after the last offer or start.
-WANTED_SECONDS = 2.0
+WANTED_SECONDS = 1.0
 
 # Of those, at most so many at a time: each costs as much as one that is at home.
-MOST_WANTED = 24
+MOST_WANTED = 10
 
 
 def seek_room(state: EntryState, now: float) -> None:
     """Ask other entries for agents that have room, if jobs wait for some here."""
-    waiting = [job for job in state.jobs.values() if job.waiting]
-    if waiting and _may_ask(state, now):
+    if not _may_ask(state, now):
+        return
+    waiting = [
+        job
+        for job in state.jobs.values()
+        if job.waiting and now - job.arrived_at >= SEEK_AFTER_SECONDS
+    ]
+    if waiting:
         first = serving_order(waiting)[0]
         step = first.waiting[0].step
         service = first.queue.service
--- a/src/cactuswalk/dispatch/overflow.py
+++ b/src/cactuswalk/dispatch/overflow.py
@@ -25,7 +25,7 @@
 HEARD_SECONDS = 5.0
 
 # Addresses in an offer.
-MOST_OFFERED = 6
+MOST_OFFERED = 4
 
 # Between two questions, in seconds: while answers help, and at most.
 LEAST_PAUSE_SECONDS = 0.03
