--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -41,6 +41,9 @@
     :param heard_at: when its latest report came. No stamp that is returned to it
         is younger.
     :param noted: sequences whose ends it has to be told were noted.
+    :param free_cpu: what its report left free, less what was sent there since, in
+        thousandths of a core; memory and accelerators likewise.
+    :param unseen: starts that its report doesn't tell of yet.
     :param told_at: when it was sent the list of entries last.
     """
 
@@ -50,20 +53,18 @@
     placed: dict[int, Placed] = msgspec.field(default_factory=dict)
     noted: list[int] = msgspec.field(default_factory=list)
     passed_over_until: float = 0.0
-    unseen_cpu: int = 0
-    unseen_memory_mb: int = 0
-    unseen_gpu: int = 0
+    free_cpu: int = 0
+    free_memory_mb: int = 0
+    free_gpu: int = 0
     unseen: int = 0
     told_at: float = -math.inf
 
+    def __post_init__(self) -> None:
+        self._reckon_room()
+
     def room(self) -> tuple[int, int, int]:
-        """Return what is free, less what was sent there since the report."""
-        report = self.report
-        return (
-            self.free_cpu,
-            report.free_memory_mb - self.unseen_memory_mb,
-            report.free_gpu - self.unseen_gpu,
-        )
+        """Return what is free: thousandths of a core, megabytes, accelerators."""
+        return self.free_cpu, self.free_memory_mb, self.free_gpu
 
     def take(self, report: Report, now: float) -> bool:
         """Replace the report by a newer one; return whether more may go there now."""
@@ -72,7 +73,7 @@
         self.report = report
         self.heard_at = now
         self.passed_over_until = 0.0
-        self._count_unseen()
+        self._reckon_room()
         if not self.is_open(now):
             return False
         has_more = any(map(operator.gt, self.room(), room))
@@ -92,7 +93,7 @@
     def add(self, placed: Placed) -> None:
         """Reckon with a start that the agent has not reported yet."""
         self.placed[placed.start.sequence] = placed
-        self._count(placed.start)
+        self._take_room(placed.start)
 
     def is_open(self, now: float) -> bool:
         """Return whether new tasks may be sent there."""
@@ -104,15 +105,13 @@
             and not (self.report.trial and self.unseen)
         )
 
-    @property
-    def free_cpu(self) -> int:
-        """What is free, less what was sent there since; thousandths of a core."""
-        return self.report.free_cpu - self.unseen_cpu
-
     def fits(self, cpu: int, memory_mb: int, gpu: int) -> bool:
         """Return whether a task fits what is free, as far as is known."""
-        free_cpu, free_memory_mb, free_gpu = self.room()
-        return cpu <= free_cpu and memory_mb <= free_memory_mb and gpu <= free_gpu
+        return (
+            cpu <= self.free_cpu
+            and memory_mb <= self.free_memory_mb
+            and gpu <= self.free_gpu
+        )
 
     def free_part(self) -> float:
         """Return what is free, as a part of the worker's room."""
@@ -144,14 +143,18 @@
         """Return when all that was placed here has ended, if it stays silent."""
         return self.heard_at + lost_after()
 
-    def _count_unseen(self) -> None:
-        self.unseen_cpu = self.unseen_memory_mb = self.unseen_gpu = self.unseen = 0
+    def _reckon_room(self) -> None:
+        report = self.report
+        self.free_cpu = report.free_cpu
+        self.free_memory_mb = report.free_memory_mb
+        self.free_gpu = report.free_gpu
+        self.unseen = 0
         for sequence, placed in self.placed.items():
-            if sequence > self.report.seen:
-                self._count(placed.start)
+            if sequence > report.seen:
+                self._take_room(placed.start)
 
-    def _count(self, start: Start) -> None:
+    def _take_room(self, start: Start) -> None:
         self.unseen += 1
-        self.unseen_cpu += start.cpu
-        self.unseen_memory_mb += start.memory_mb
-        self.unseen_gpu += start.gpu
+        self.free_cpu -= start.cpu
+        self.free_memory_mb -= start.memory_mb
+        self.free_gpu -= start.gpu
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -30,10 +30,18 @@
         for view in state.views.values()
         if view.report.worker and now - view.heard_at < READY_HEARD_SECONDS
     ]
-    paces = relative_paces(heard)
     views = [view for view in heard if view.is_open(now)]
+    # While all are full, most turns bring room for none of the tasks that wait.
+    least = min(task.step.cpu for job in waiting for task in job.waiting)
+    if all(view.free_cpu < least for view in views):
+        return
     chooser = Chooser(
-        heard, views, paces, state.data_centre, state.far_factor, state.urgent(now)
+        heard,
+        views,
+        relative_paces(heard),
+        state.data_centre,
+        state.far_factor,
+        state.urgent(now),
     )
     for job in serving_order(waiting):
         _place_job(state, job, chooser, now)
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -108,6 +108,8 @@
         step = task.step
         for view in self.views:
             cpu = step.cpu
+            if cpu > view.free_cpu:
+                continue
             # A task that fills a worker alone would otherwise never have a place.
             if leaves_room and not view.is_empty():
                 cpu += int(KEPT_PART * view.report.cpu)
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -41,6 +41,9 @@
 RETRY_AFTER = 0.005
 RETRY_AFTER_AT_MOST = 0.04
 
+# A plain number: the library's own flags are slow to compare.
+READABLE = int(zmq.POLLIN)
+
 
 class TransportError(CactuswalkError):
     """The process can't listen at its address."""
@@ -236,7 +239,7 @@
         for _ in range(FRAMES_A_TURN):
             # Asked first, since an exception at the end of each turn costs more than
             # the frames that most turns bring.
-            if not self.inbound.get(zmq.EVENTS) & zmq.POLLIN:
+            if not self.inbound.get(zmq.EVENTS) & READABLE:
                 return
             self._take(self.inbound.recv(zmq.DONTWAIT))
         # More may wait, and the descriptor won't say so again.
