--- a/tools/soak_dispatch.py
+++ b/tools/soak_dispatch.py
@@ -18,11 +18,18 @@
 @click.command()
 @click.option("--first", default=1000, show_default=True, help="First seed.")
 @click.option("--days", default=100, show_default=True, help="Seeds to play.")
-def main(first: int, days: int) -> None:
+@click.option("--entries", default=3, show_default=True, help="Entries.")
+@click.option("--workers", default=5, show_default=True, help="Workers.")
+@click.option(
+    "--centres",
+    default=0,
+    help="Data centres; each entry has one of its own if this is not given.",
+)
+def main(first: int, days: int, entries: int, workers: int, centres: int) -> None:
     """Play days with fresh seeds; one seed repeats exactly."""
     failed = 0
     for seed in range(first, first + days):
-        day = RandomDay(seed)
+        day = RandomDay(seed, entries, workers, centres or None)
         day.play(DAY_SECONDS)
         if day.is_broken():
             failed += 1
