--- a/features/dispatch_starting.feature
+++ b/features/dispatch_starting.feature
@@ -13,6 +13,12 @@
       | cactuswalk.runtime.dispatchagent  | cactuswalk.platform.store      |
       | cactuswalk.runtime.dispatchentry  | cactuswalk.decisions.scheduler |
       | cactuswalk.runtime.dispatchentry  | cactuswalk.platform.store      |
+      | cactuswalk.runtime.dispatchagent  | cactuswalk.state               |
+      | cactuswalk.runtime.dispatchagent  | cactuswalk.messages            |
+      | cactuswalk.runtime.dispatchagent  | cactuswalk.model               |
+      | cactuswalk.runtime.dispatchentry  | cactuswalk.state               |
+      | cactuswalk.runtime.dispatchentry  | cactuswalk.messages            |
+      | cactuswalk.runtime.dispatchentry  | cactuswalk.model               |
       | cactuswalk.runtime.dispatchagent  | prometheus_client              |
       | cactuswalk.runtime.dispatchagent  | aiohttp.web_app                |
       | cactuswalk.runtime.dispatchentry  | prometheus_client              |
--- a/src/cactuswalk/runtime/agent.py
+++ b/src/cactuswalk/runtime/agent.py
@@ -8,7 +8,6 @@
 from cactuswalk.http.server import HttpServer
 from cactuswalk.http.upstream import UpstreamClient
 from cactuswalk.model import Member
-from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.host import Host
 from cactuswalk.settings import AgentSettings
 from cactuswalk.state.effects import CallUpstream, SteerUpstream, StopUpstream
@@ -38,12 +37,9 @@
         self.settings = settings
         self.host = Host(settings.worker, settings)
         self.node = self._make_node()
-        self.application = Application(
-            settings.worker,
+        self.application = self.host.make_application(
             lambda event, now: handle(self.node, event, now),
             lambda: self.node.stopped,
-            self.host.log.write,
-            self.host.metrics,
         )
         self.host.attach(self.application, AGENT_RATE, AGENT_BURST)
         self.upstream = UpstreamClient()
--- a/src/cactuswalk/runtime/application.py
+++ b/src/cactuswalk/runtime/application.py
@@ -10,9 +10,8 @@
 from collections.abc import Awaitable, Callable
 
 from cactuswalk.errors import InvariantError
+from cactuswalk.observations import Count, Gauge, Log, Part
 from cactuswalk.runtime.signals import STOP_SIGNALS
-from cactuswalk.state.effects import Count, Effect, Gauge, Log, Part, Send
-from cactuswalk.state.events import Event, Received, StopRequested, Tick
 
 __all__ = ["Application", "Hook"]
 
@@ -32,25 +31,25 @@
     :param is_stopped: tells whether a planned stop is complete.
     :param write_log: takes each ``Log`` effect.
     :param metrics: has ``count(name, by)`` and ``gauge(name, value)``.
+    :param tick: makes the reducer's event for the passing of time; ``received``
+        and ``stop_requested`` make theirs.
     :param may_leave: tells whether a process that is to stop may take nothing new
         from now on; until then it only says so, and serves on.
     :param clock: seconds that never go back.
-    :param tick: makes the reducer's event for the passing of time; ``received``
-        and ``stop_requested`` make theirs.
     """
 
     def __init__(
         self,
         name: str,
-        reduce: Callable[[Event, float], list[Effect]],
+        reduce: Callable[[object, float], list[object]],
         is_stopped: Callable[[], bool],
         write_log: Callable[..., None],
         metrics,
+        tick: Callable[[], object],
+        received: Callable[[str, object], object],
+        stop_requested: Callable[[], object],
         may_leave: Callable[[float], bool] = lambda now: True,
         clock: Callable[[], float] = time.monotonic,
-        tick: Callable[[], object] = Tick,
-        received: Callable[[str, object], object] = Received,
-        stop_requested: Callable[[], object] = StopRequested,
     ) -> None:
         self.clock = clock
         self.make_tick = tick
@@ -85,7 +84,7 @@
         """Have a subsystem started with the application, and ended with it."""
         self.hooks.append((start, stop))
 
-    def feed(self, event: Event) -> None:
+    def feed(self, event: object) -> None:
         """Give the reducer an event, and perform what it wants done."""
         if self.failure is not None:
             return
@@ -96,10 +95,7 @@
             self._fail(error)
             return
         for effect in effects:
-            if isinstance(effect, Send):
-                self.transport.send(effect.address, effect.message, now)
-            else:
-                self.performers[type(effect)](effect)
+            self.performers[type(effect)](effect)
         if self.transport.dirty and not self.flush_scheduled:
             self.flush_scheduled = True
             asyncio.get_running_loop().call_soon(self._flush)
--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -6,6 +6,7 @@
 
 from cactuswalk.dispatch import messages
 from cactuswalk.dispatch.effects import Observe, Say, SendMessage
+from cactuswalk.observations import Log, Part
 from cactuswalk.platform.metadata import MetadataStore
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.exposition import Exposition
@@ -19,7 +20,6 @@
     Endpoint,
     message_url,
 )
-from cactuswalk.state.effects import Log, Part
 
 __all__ = ["DispatchHost", "now"]
 
--- a/src/cactuswalk/runtime/dispatchagent.py
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -16,13 +16,13 @@
 )
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.effects import AskEntries, LookAtWorker, StartTask, StopTask
+from cactuswalk.observations import Part
 from cactuswalk.platform.announcements import AnnouncementEdge
 from cactuswalk.platform.errors import PlatformError
 from cactuswalk.platform.worker import WorkerClient
 from cactuswalk.runtime.dispatch import DispatchHost, now
 from cactuswalk.runtime.following import ENTRIES_PREFIX, read_member
 from cactuswalk.settings.dispatch import DispatchAgentSettings
-from cactuswalk.state.effects import Part
 
 __all__ = ["DispatchAgentProcess"]
 
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -25,6 +25,7 @@
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import ConfigurationAsk, ConfigurationCopy
 from cactuswalk.dispatch.routing import Queue, Queues
+from cactuswalk.observations import Part
 from cactuswalk.platform.callers import CallerEdge, JobAnswer, readiness_handler
 from cactuswalk.platform.configuration import (
     UnreadableConfigurationError,
@@ -41,7 +42,6 @@
     read_member,
 )
 from cactuswalk.settings.dispatch import DispatchEntrySettings, message_url
-from cactuswalk.state.effects import Part
 
 __all__ = ["DispatchEntryProcess"]
 
--- a/src/cactuswalk/runtime/entry.py
+++ b/src/cactuswalk/runtime/entry.py
@@ -14,7 +14,6 @@
 from cactuswalk.http.server import HttpServer
 from cactuswalk.messages import ConfigurationUpdate, JobState
 from cactuswalk.model.configuration import JobTemplate
-from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.host import Host
 from cactuswalk.runtime.operators import OperatorsDesk
 from cactuswalk.settings import EntrySettings
@@ -41,12 +40,9 @@
         self.serial = itertools.count(1)
         self.leaving = Leaving()
         self.state = self._make_state()
-        self.application = Application(
-            settings.name,
+        self.application = self.host.make_application(
             lambda event, now: handle_entry(self.state, event, now),
             self._is_stopped,
-            self.host.log.write,
-            self.host.metrics,
             self._may_leave,
         )
         self.host.attach(self.application, ENTRY_RATE, ENTRY_BURST)
--- a/src/cactuswalk/runtime/host.py
+++ b/src/cactuswalk/runtime/host.py
@@ -4,6 +4,7 @@
 import secrets
 from collections.abc import Callable
 
+from cactuswalk import messages
 from cactuswalk.platform.keyvalue import KeyValueStore, open_store
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.keys import Keys, address_with_key
@@ -12,6 +13,8 @@
 from cactuswalk.runtime.metrics import make_metrics
 from cactuswalk.runtime.transport import Transport
 from cactuswalk.settings import AgentSettings, EntrySettings
+from cactuswalk.state.effects import Effect, Send
+from cactuswalk.state.events import Event, Received, StopRequested, Tick
 
 __all__ = ["Host"]
 
@@ -37,6 +40,25 @@
         self.store: KeyValueStore | None = None
         self.port: KeyValuePort | None = None
 
+    def make_application(
+        self,
+        reduce: Callable[[Event, float], list[Effect]],
+        is_stopped: Callable[[], bool],
+        may_leave: Callable[[float], bool] = lambda now: True,
+    ) -> Application:
+        """Return the application object of a reducer over this engine's events."""
+        return Application(
+            self.name,
+            reduce,
+            is_stopped,
+            self.log.write,
+            self.metrics,
+            Tick,
+            Received,
+            StopRequested,
+            may_leave,
+        )
+
     def attach(self, application: Application, rate: float, burst: float) -> None:
         """Let an application own these parts.
 
@@ -51,8 +73,10 @@
             self.metrics.count,
             keys,
             self.settings.listen,
+            codec=messages,
         )
         application.transport = self.transport
+        application.performers[Send] = self._send
 
         async def open_transport() -> None:
             self.transport.open()
@@ -66,6 +90,10 @@
         application.add_hook(open_transport, close_transport)
         application.add_hook(open_store_and_port, self._close_store)
 
+    def _send(self, effect: Send) -> None:
+        now = self.application.clock()
+        self.transport.send(effect.address, effect.message, now)
+
     def fork_generator(self) -> random.Random:
         """Return a generator of its own for a part that draws on its own."""
         return random.Random(self.generator.getrandbits(64))
--- a/src/cactuswalk/runtime/logs.py
+++ b/src/cactuswalk/runtime/logs.py
@@ -20,8 +20,8 @@
 
 from cactuswalk.errors import SettingsError
 from cactuswalk.logfields import LINE_FIELDS
+from cactuswalk.observations import Log, Part
 from cactuswalk.settings import LogSettings
-from cactuswalk.state.effects import Log, Part
 
 __all__ = ["Logs", "open_logs"]
 
--- a/src/cactuswalk/runtime/operators.py
+++ b/src/cactuswalk/runtime/operators.py
@@ -10,9 +10,10 @@
 from cactuswalk.model import Job, TaskSpec
 from cactuswalk.model.configuration import JobTemplate
 from cactuswalk.model.holding import SLOT_COUNT, open_slots
+from cactuswalk.observations import Log, Part
 from cactuswalk.runtime.application import Application
 from cactuswalk.state.configuration import InForce, add_up
-from cactuswalk.state.effects import Log, Part, ReplyExplanation
+from cactuswalk.state.effects import ReplyExplanation
 from cactuswalk.state.entry import EntryState
 from cactuswalk.state.events import ConfigurationChanged, OperatorAsked
 from cactuswalk.state.listening import is_silent
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -10,7 +10,6 @@
 
 import zmq
 
-from cactuswalk import messages
 from cactuswalk.errors import CactuswalkError, MalformedMessageError
 from cactuswalk.runtime.keys import KEY_SEPARATOR, Keys
 
@@ -89,7 +88,8 @@
         count: Callable[[str, int], None],
         keys: Keys | None = None,
         listen: str = "",
-        codec=messages,
+        *,
+        codec,
         heartbeat_ms: int = 0,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
--- a/src/cactuswalk/state/effects.py
+++ b/src/cactuswalk/state/effects.py
@@ -1,12 +1,11 @@
 """Effects: what a reducer wants done, as data; the runtime does it."""
 
-import enum
-
 import msgspec
 
 from cactuswalk.decisions.guard import GuardAction
 from cactuswalk.messages import Explained, JobState, Message
 from cactuswalk.model import Outcome, Refusal, TaskResult, TaskSpec
+from cactuswalk.observations import Count, Gauge, Log, Part
 
 __all__ = [
     "CallUpstream",
@@ -26,17 +25,6 @@
 ]
 
 
-class Part(enum.StrEnum):
-    """The parts that write log lines; each line opens with its part."""
-
-    ENTRY = "entry"
-    OWNER = "owner"
-    AGENT = "agent"
-    CELL = "cell"
-    CONFIGURATION = "configuration"
-    PROCESS = "process"
-
-
 class Send(msgspec.Struct, array_like=True):
     """Send a message to a process, by its address."""
 
@@ -121,28 +109,6 @@
     write_id: str
 
 
-class Log(msgspec.Struct):
-    """A log line: one short sentence, and the values that led to it."""
-
-    part: Part
-    sentence: str
-    fields: dict[str, object]
-
-
-class Count(msgspec.Struct):
-    """Add to a counter."""
-
-    name: str
-    by: int = 1
-
-
-class Gauge(msgspec.Struct):
-    """Set a gauge."""
-
-    name: str
-    value: float
-
-
 Effect = (
     Send
     | CallUpstream
--- a/tools/slopes_process.py
+++ b/tools/slopes_process.py
@@ -5,6 +5,7 @@
 
 import psutil
 
+from cactuswalk import messages
 from cactuswalk.messages import Cancel
 from cactuswalk.runtime.transport import Transport
 from tools.capacity import IDLE_AGENTS
@@ -45,8 +46,10 @@
     """Return the processor time of all threads for the frames."""
     addresses = [f"tcp://127.0.0.1:{port}" for port in free_ports(2)]
     received = asyncio.Semaphore(0)
-    receiver = Transport(addresses[0], lambda *_: received.release(), _ignore)
-    sender = Transport(addresses[1], lambda *_: None, _ignore)
+    receiver = Transport(
+        addresses[0], lambda *_: received.release(), _ignore, codec=messages
+    )
+    sender = Transport(addresses[1], lambda *_: None, _ignore, codec=messages)
     receiver.open()
     sender.open()
     try:
