--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -167,3 +167,4 @@
         if not view.placed and now - view.heard_at > most:
             state.say("forgets a silent agent", agent=address)
             del state.views[address]
+            state.pulsed_at.pop(address, None)
