--- a/features/dispatch_membership.feature
+++ b/features/dispatch_membership.feature
@@ -24,7 +24,7 @@
     When the fleet runs on for 4 seconds
     Then each agent reports to 8 entries, 2 of them in its data centre
 
-  Scenario: A data centre that gets more than it can serve borrows room elsewhere
+  Scenario: A data centre that gets more than it can serve overflows to others
     Callers of one data centre come with half as much again as its workers can do.
     Those of the two others stand idle. The entries there know of no room, and would
     refuse a third of their callers.
@@ -48,7 +48,7 @@
     And every data centre gets 2.0 times what its workers can do for 5 seconds
     Then an entry asks for room at most 8 times a second
 
-  Scenario: Room that was borrowed is let go of when it isn't needed any more
+  Scenario: Agents elsewhere are let go of when their room isn't needed any more
     Given a fleet of 15 entries in 3 data centres and 12 workers
     When the fleet runs on for 6 seconds
     And data centre d0 gets 1.5 times what its workers can do for 2 seconds
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -24,7 +24,7 @@
     job_cancelled,
     waiter_left,
 )
-from cactuswalk.dispatch.entryoverflow import seek_agents, seek_room, stop_wanting
+from cactuswalk.dispatch.entryoverflow import release_overflow, seek_agents, seek_room
 from cactuswalk.dispatch.entrypeers import (
     configuration_read,
     entries_listed,
@@ -70,7 +70,7 @@
     if now - state.entries_pulsed_at >= ENTRY_PULSE_SECONDS:
         pulse_next_entries(state, now)
     seek_agents(state, now)
-    stop_wanting(state, now)
+    release_overflow(state, now)
     forget(state, now)
     state.place_wanted = True
 
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -168,11 +168,11 @@
 def _pulse_period(state: EntryState, view: AgentView) -> float:
     """Return how often an agent hears from this entry.
 
-    One that is not at home here, and whose room is not wanted, is left to forget it.
+    One that is not at home here, and is not used for overflow, is left to forget it.
     """
     if view.placed or view.noted:
         return PULSE_SECONDS
-    if view.report.home or view.address in state.wanted:
+    if view.report.home or view.address in state.overflow_until:
         return IDLE_PULSE_SECONDS
     return math.inf
 
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -1,21 +1,21 @@
-"""An entry's search for room at agents that are not at home here."""
+"""What an entry does to use the room of agents that are not at home here."""
 
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.messages import Pulse, RoomAsk, RoomOffer
 from cactuswalk.dispatch.ordering import serving_order
 from cactuswalk.dispatch.overflow import agents_to_offer, whom_to_ask
 
-__all__ = ["room_asked", "room_offered", "seek_agents", "seek_room", "stop_wanting"]
+__all__ = ["room_asked", "room_offered", "seek_agents", "seek_room", "release_overflow"]
 
 # A job that has just come is not worth a question: the home agents free room all the
-# time, and what is borrowed costs messages for seconds.
+# time, and an overflow agent costs messages for a second or more.
 SEEK_AFTER_SECONDS = 0.015
 
-# Agents that lend their room are spoken to for so long after the last offer or start.
-WANTED_SECONDS = 1.0
+# Overflow agents are spoken to for so long after the last offer or start.
+OVERFLOW_SECONDS = 1.0
 
 # Of those, at most so many at a time: each costs as much as one that is at home.
-MOST_WANTED = 10
+MOST_OVERFLOW_AGENTS = 10
 
 
 def seek_room(state: EntryState, now: float) -> None:
@@ -45,7 +45,9 @@
 
 
 def _may_ask(state: EntryState, now: float) -> bool:
-    return now >= state.search.due_at and len(state.wanted) < MOST_WANTED
+    return (
+        now >= state.search.due_at and len(state.overflow_until) < MOST_OVERFLOW_AGENTS
+    )
 
 
 def _ask(state: EntryState, ask: RoomAsk, now: float) -> None:
@@ -74,27 +76,32 @@
     """Speak to the agents that another entry has offered."""
     new = [address for address in offer.agents if address not in state.views]
     for address in offer.agents:
-        state.wanted[address] = now + WANTED_SECONDS
+        state.overflow_until[address] = now + OVERFLOW_SECONDS
     if not new:
         return
     state.search.has_helped()
     state.observe("room_offered")
-    state.say("borrows room", entry=sender, agents=len(new), wanted=len(state.wanted))
+    state.say(
+        "uses agents for overflow",
+        entry=sender,
+        new=len(new),
+        agents=len(state.overflow_until),
+    )
     for address in new:
         greeting = Pulse(state.life, "", 0, state.data_centre, [], None, 0)
         state.send(address, greeting)
 
 
-def stop_wanting(state: EntryState, now: float) -> None:
+def release_overflow(state: EntryState, now: float) -> None:
     """Let go of agents whose room has not been used for a while.
 
     Where no agent is at home they stay: without them there would be nobody.
     """
     if not any(view.report.home for view in state.views.values()):
         return
-    for address, until in list(state.wanted.items()):
+    for address, until in list(state.overflow_until.items()):
         view = state.views.get(address)
         if view is not None and view.placed:
-            state.wanted[address] = now + WANTED_SECONDS
+            state.overflow_until[address] = now + OVERFLOW_SECONDS
         elif now > until:
-            del state.wanted[address]
+            del state.overflow_until[address]
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -37,9 +37,9 @@
 TELL_OF_SECONDS = 5.0
 
 # Agents that were silent for this long, with nothing placed there, are forgotten;
-# those that lent their room only are expected to fall silent.
+# those that were used for overflow are expected to fall silent.
 FORGET_AGENT_SECONDS = 10.0
-FORGET_LENDER_SECONDS = 3.0
+FORGET_OVERFLOW_SECONDS = 3.0
 
 # Entries that one speaks to in a round.
 ROUND_ENTRIES = 6
@@ -163,7 +163,7 @@
             state.say("forgets a silent entry", entry=address)
             del state.entries[address]
     for address, view in list(state.views.items()):
-        most = FORGET_AGENT_SECONDS if view.report.home else FORGET_LENDER_SECONDS
+        most = FORGET_AGENT_SECONDS if view.report.home else FORGET_OVERFLOW_SECONDS
         if not view.placed and now - view.heard_at > most:
             state.say("forgets a silent agent", agent=address)
             del state.views[address]
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -42,8 +42,8 @@
     :param grace_seconds: between the request to stop and a kill.
     :ivar listed: addresses of the entries that the store has.
     :ivar members: the entries that others are told of, in order.
-    :ivar wanted: until when agents that are not at home here are spoken to for their
-        room, by address.
+    :ivar overflow_until: until when agents that are not at home here are used for
+        their room, by address.
     """
 
     def __init__(
@@ -70,7 +70,7 @@
         self.members: list[Member] = []
         self.members_digest = 0
         self.members_version = 0
-        self.wanted: dict[str, float] = {}
+        self.overflow_until: dict[str, float] = {}
         self.search = RoomSearch()
         self.estimates: dict[str, DurationEstimate] = {}
         self.arrived_at: dict[tuple[str, int], float] = {}
