Evacuated data centres get no new tasks until they are taken back

Entries follow all of the operator's keys with the one watch they had for the configuration; what is evacuated, with the store's revision, passes among entries and with each pulse to agents, which refuse by themselves what an entry that the store turns away sends. Jobs that no worker is left for are refused at once.

--- a/features/process_dispatch.feature
+++ b/features/process_dispatch.feature
@@ -32,6 +32,19 @@
     When the store turns everyone away and entry-1 is started anew
     Then entry 1 serves the new path within 10 seconds
 
+  Scenario: A data centre is evacuated and taken back
+    Worker 1 alone is in that data centre, and the store has dropped its history when
+    the request is withdrawn: no change is seen, only that the key is there no more.
+    Given a deployment of 2 entries and 2 workers
+    When data centre centre-1 of the deployment is evacuated for 1 seconds
+    And a job of 6 tasks of 100 ms is handed to entry 1
+    Then it is answered with 200 and the state completed
+    And worker 1 has run nothing
+    When the store drops its history while centre-1 is taken back
+    And a job of 16 tasks of 100 ms is handed to entry 1
+    Then it is answered with 200 and the state completed
+    And worker 1 has run something
+
   Scenario: A key that was taken away from a living entry comes back
     The store removes the key under which others find an entry; its lease goes on
     being renewed, and no call shows it.
--- a/features/steps/dispatch_membership_steps.py
+++ b/features/steps/dispatch_membership_steps.py
@@ -6,12 +6,10 @@
 from behave import given, then, when
 
 from cactuswalk.dispatch import entryoverflow
+from features.support.centreload import centre_of, play, room
 from features.support.fleet import Fleet
 from features.support.fleetscript import RandomDay
 
-TASK_SECONDS = 0.4
-TASK_CPU = 5_000
-TASKS = 4
 DAY_SECONDS = 10
 
 
@@ -66,46 +64,6 @@
     play(context, [centre], 0.5 * elsewhere / room(context.fleet, centre), 4)
 
 
-def play(context, centres, rate, seconds):
-    """Hand jobs in at a steady pace, at the living entries of data centres by turns."""
-    fleet = context.fleet
-    context.sent_before = Counter(fleet.sent)
-    context.seconds = seconds
-    context.jobs = []
-    per_second = sum(room(fleet, centre) for centre in centres) * rate
-    per_second /= TASKS * TASK_CPU * TASK_SECONDS
-    entries = [name for name in fleet.living() if centre_of(fleet, name) in centres]
-    for number in range(int(per_second * seconds)):
-        entry = entries[number % len(entries)]
-        fleet.at(
-            number / per_second, lambda entry=entry, n=number: job(context, entry, n)
-        )
-    fleet.run(seconds)
-    context.sent_after = Counter(fleet.sent)
-    fleet.run(3.0)
-
-
-def job(context, entry, number):
-    context.jobs.append(
-        context.fleet.submit(
-            entry, f"{number:016x}", TASKS, TASK_CPU, TASK_SECONDS, wait=2.0
-        )
-    )
-
-
-def room(fleet, centre):
-    """Return the room of a data centre's workers, less what no task fits into."""
-    return sum(
-        worker.cpu // TASK_CPU * TASK_CPU
-        for worker in fleet.workers.values()
-        if worker.data_centre == centre
-    )
-
-
-def centre_of(fleet, name):
-    return fleet.states[name].data_centre
-
-
 @when("the entries of data centre {centre:w} are killed")
 def step_kill_centre(context, centre):
     for name in context.fleet.entry_names:
--- a/features/steps/process_dispatch_steps.py
+++ b/features/steps/process_dispatch_steps.py
@@ -73,6 +73,32 @@
     call_json(f"{context.deployment.store_url}/compact", {})
 
 
+@when("data centre {centre:S} of the deployment is evacuated for {seconds:g} seconds")
+def step_evacuate(context, centre, seconds):
+    context.deployment.evacuate(centre)
+    time.sleep(seconds)
+
+
+@when("the store drops its history while {centre:S} is taken back")
+def step_take_back(context, centre):
+    deployment = context.deployment
+    deployment.fault("reset")
+    deployment.take_back(centre)
+    call_json(f"{deployment.store_url}/compact", {})
+    deployment.fault("")
+    time.sleep(2.5)
+
+
+@then("worker {number:d} has run nothing")
+def step_worker_idle(context, number):
+    assert not context.deployment.started(number)
+
+
+@then("worker {number:d} has run something")
+def step_worker_used(context, number):
+    assert context.deployment.started(number)
+
+
 @when("the store turns everyone away and {name:S} is started anew")
 def step_start_in_outage(context, name):
     context.deployment[name].kill()
--- /dev/null
+++ b/features/support/evacuationday.py
@@ -0,0 +1,69 @@
+"""Random days on which data centres are evacuated, among all other faults."""
+
+import random
+
+from features.support.fleetscript import RandomDay
+
+__all__ = ["EvacuationDay"]
+
+# How long a start may come after the request: processes that are frozen or cut off
+# take up to three seconds to hear of it.
+LATEST_START_SECONDS = 4.0
+
+GAP_SECONDS = 1.5
+LONGEST_SECONDS = 6.0
+
+
+class EvacuationDay(RandomDay):
+    """Plays one seed.
+
+    :ivar late_starts: starts in a data centre that had been evacuated for too long.
+    """
+
+    def __init__(self, seed, entries=4, workers=6, centres=3):
+        super().__init__(seed, entries, workers, centres)
+        self.operator = random.Random(f"operator {seed}")
+        self.spans = []
+        self.late_starts = []
+
+    def play(self, seconds):
+        self.fleet.at(0.3, self.next_request)
+        super().play(seconds)
+
+    def next_request(self):
+        fleet = self.fleet
+        if fleet.now >= self.ends_at:
+            return
+        free = set(fleet.centre_names()) - fleet.evacuated
+        if free:
+            self.evacuate(self.operator.choice(sorted(free)))
+        away = self.operator.randint(0, len(fleet.entry_names) - 1)
+        fleet.without_store = set(self.operator.sample(fleet.entry_names, away))
+        for name in fleet.living():
+            fleet.read_store(name)
+        gap = self.operator.expovariate(1 / GAP_SECONDS)
+        fleet.at(gap, self.next_request)
+
+    def evacuate(self, centre):
+        fleet = self.fleet
+        fleet.evacuate(centre)
+        began = fleet.now
+
+        def take_back():
+            self.spans.append((centre, began, fleet.now))
+            fleet.take_back(centre)
+
+        fleet.at(self.operator.uniform(0.1, LONGEST_SECONDS), take_back)
+
+    def judge(self):
+        super().judge()
+        for at, key, _, worker in self.fleet.starts:
+            centre = self.fleet.workers[worker].data_centre
+            for evacuated, began, ended in self.spans:
+                late = began + LATEST_START_SECONDS < at < ended
+                if evacuated == centre and late:
+                    self.late_starts.append((at, key, worker, began))
+
+    def is_broken(self):
+        """Return whether the day has broken a promise."""
+        return super().is_broken() or bool(self.late_starts)
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -38,6 +38,7 @@
 )
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
+    EvacuationsRead,
     JobArrived,
     Received,
     StopRequested,
@@ -45,6 +46,7 @@
     WaiterLeft,
 )
 from cactuswalk.dispatch.entrystate import EntryState
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.job import JobRequest, Step, Worker
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.routing import Queue, Queues
@@ -53,6 +55,7 @@
 MESSAGE_SECONDS = 0.0006
 CALL_SECONDS = 0.001
 HEARTBEAT_SECONDS = 1.5
+STORE_SECONDS = 0.005
 MAXIMUM_LEASE_SECONDS = 1.0
 STOP_SECONDS = 0.03
 
@@ -275,6 +278,10 @@
         # What the settings name, and what the store lists.
         self.seeds = seeds or self.entry_names
         self.listed_names = self.entry_names
+        # What the store holds of evacuations, and the entries that can't reach it.
+        self.evacuated = set()
+        self.store_revision = 1
+        self.without_store = set()
         # Messages by sender and type.
         self.sent = collections.Counter()
         self.workers = {}
@@ -294,6 +301,32 @@
         self.states[name] = state
         self.feed(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
         self.at(0.0, lambda: self.tick(name, state))
+        if self.store_revision > 1:
+            self.read_store(name)
+
+    def evacuate(self, centre):
+        """Have a data centre evacuated; entries that reach the store learn of it."""
+        self.evacuated.add(centre)
+        self.write_store()
+
+    def take_back(self, centre):
+        self.evacuated.discard(centre)
+        self.write_store()
+
+    def write_store(self):
+        self.store_revision += 1
+        for name in self.living():
+            self.read_store(name)
+
+    def read_store(self, name):
+        """Have an entry read the store, if it can, as it is now."""
+        if name in self.without_store:
+            return
+        known = Evacuations(self.store_revision, tuple(sorted(self.evacuated)))
+        state = self.states[name]
+        self.at(
+            STORE_SECONDS, lambda: self.feed_same(name, state, EvacuationsRead(known))
+        )
 
     def add_worker(self, name, cpu, data_centre):
         self.workers[name] = SimulatedWorker(
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -45,6 +45,7 @@
         return
     if pulse.agent_life == state.life:
         peer.echoed = max(peer.echoed, pulse.stamp)
+    state.take_evacuations(pulse.evacuations, sender)
     peer.data_centre = pulse.data_centre
     for sequence in pulse.noted:
         peer.ends.pop(sequence, None)
@@ -106,6 +107,8 @@
         return "meant for an earlier life of this agent"
     if _milliseconds(now) - start.stamp > ENTRY_LEASE_SECONDS * 1000:
         return "too long on its way"
+    if state.is_evacuated():
+        return "its data centre is evacuated"
     if not state.is_open() or start.worker != state.worker.identifier:
         return "the worker takes nothing"
     if state.soundness.is_doubtful and not state.may_try(now):
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -9,6 +9,7 @@
     Say,
     SendMessage,
 )
+from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED, Evacuations
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import Ended, TaskEnd
 from cactuswalk.dispatch.soundness import (
@@ -40,6 +41,7 @@
         self.entries: dict[str, EntryPeer] = {}
         self.stored: dict[str, str] = {}
         self.refresh_at = 0.0
+        self.evacuations = NOTHING_EVACUATED
         self.worker: Worker | None = None
         self.candidate: Worker | None = None
         self.announced_at = 0.0
@@ -93,9 +95,33 @@
             and self.reachable
             and self.ready_to_start
             and not self.worker.draining
+            and not self.is_evacuated()
             and not self.stopping
         )
 
+    def is_evacuated(self) -> bool:
+        """Return whether the data centre's workers are to get no new tasks."""
+        return self.data_centre in self.evacuations.data_centres
+
+    def take_evacuations(self, evacuations: Evacuations, entry: str) -> None:
+        """Take or refuse tasks by newer evacuations from now on.
+
+        :param entry: who told of them.
+        """
+        if not evacuations.is_newer_than(self.evacuations):
+            return
+        was_evacuated = self.is_evacuated()
+        self.evacuations = evacuations
+        if self.is_evacuated() == was_evacuated:
+            return
+        self.say(
+            "its data centre is taken back" if was_evacuated else "is evacuated",
+            revision=evacuations.revision,
+            entry=entry,
+            held=len(self.held),
+        )
+        self.touch_entries()
+
     def may_try(self, now: float) -> bool:
         """Return whether an unsound worker may be given a task to see how it does."""
         if self.soundness.on_trial and self.held:
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -11,6 +11,7 @@
     ConfigurationRead,
     EntriesListed,
     EntryEvent,
+    EvacuationsRead,
     JobArrived,
     JobCancelled,
     Received,
@@ -23,11 +24,13 @@
     job_arrived,
     job_cancelled,
     waiter_left,
+    why_never,
 )
 from cactuswalk.dispatch.entryoverflow import release_overflow, seek_agents, seek_room
 from cactuswalk.dispatch.entrypeers import (
     configuration_read,
     entries_listed,
+    evacuations_read,
     forget,
     pulse_next_entries,
 )
@@ -77,6 +80,7 @@
 
 def _judge_jobs(state: EntryState, now: float) -> None:
     meets_workers = state.meets_workers(now)
+    _refuse_evacuated(state, now)
     for job in list(state.jobs.values()):
         verdict = fate(job, now, meets_workers)
         if state.stop_at and now > state.stop_at - STOP_MARGIN_SECONDS:
@@ -87,6 +91,16 @@
             answer(state, job, JobVerdict.UNFINISHED, "out of time", now)
 
 
+def _refuse_evacuated(state: EntryState, now: float) -> None:
+    """Refuse jobs that wait for workers which are evacuated by now."""
+    if not state.evacuations.data_centres:
+        return
+    for job in list(state.jobs.values()):
+        reason = "" if job.started else why_never(state, job.request, job.queue)
+        if reason:
+            answer(state, job, JobVerdict.NOT_RUN, reason, now)
+
+
 HANDLERS = {
     JobArrived: job_arrived,
     WaiterLeft: waiter_left,
@@ -94,6 +108,7 @@
     Received: received,
     ConfigurationRead: configuration_read,
     EntriesListed: entries_listed,
+    EvacuationsRead: evacuations_read,
     StopRequested: _stop_requested,
     Tick: _tick,
 }
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -193,6 +193,7 @@
         noted,
         members,
         state.members_version,
+        state.evacuations,
     )
     state.send(view.address, pulse)
 
--- a/src/cactuswalk/dispatch/entryevents.py
+++ b/src/cactuswalk/dispatch/entryevents.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Message
@@ -11,6 +12,7 @@
     "ConfigurationRead",
     "EntriesListed",
     "EntryEvent",
+    "EvacuationsRead",
     "JobArrived",
     "JobCancelled",
     "Received",
@@ -65,6 +67,12 @@
     members: list[Member]
 
 
+class EvacuationsRead(msgspec.Struct):
+    """The evacuations as the platform has them now."""
+
+    evacuations: Evacuations
+
+
 class StopRequested(msgspec.Struct):
     """This process is to end."""
 
@@ -80,6 +88,7 @@
     | Received
     | ConfigurationRead
     | EntriesListed
+    | EvacuationsRead
     | StopRequested
     | Tick
 )
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -8,16 +8,17 @@
     WaiterLeft,
 )
 from cactuswalk.dispatch.entrystate import STOP_MARGIN_SECONDS, EntryState
-from cactuswalk.dispatch.job import JobVerdict
+from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
 from cactuswalk.dispatch.ordering import (
     SPARE_PART,
     chain_seconds,
     retry_after,
 )
-from cactuswalk.dispatch.placement import can_ever_run
+from cactuswalk.dispatch.placement import can_ever_run, can_run_now
+from cactuswalk.dispatch.routing import Queue
 
-__all__ = ["answer", "job_arrived", "job_cancelled", "waiter_left"]
+__all__ = ["answer", "job_arrived", "job_cancelled", "waiter_left", "why_never"]
 
 
 def job_arrived(state: EntryState, event: JobArrived, now: float) -> None:
@@ -31,11 +32,9 @@
     if state.stop_at and job.on_time_by > state.stop_at - STOP_MARGIN_SECONDS:
         _refuse_waiters(state, job, "this entry is about to stop")
         return
-    views = list(state.views.values())
-    if not all(
-        can_ever_run(views, step, event.queue.service) for step in event.request.steps
-    ):
-        _refuse_waiters(state, job, "no worker is large enough for a task")
+    reason = why_never(state, event.request, event.queue)
+    if reason:
+        _refuse_waiters(state, job, reason)
         return
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
@@ -44,6 +43,19 @@
     state.place_wanted = True
 
 
+def why_never(state: EntryState, request: JobRequest, queue: Queue) -> str:
+    """Return why no known worker can run a job, or an empty text."""
+    steps, service = request.steps, queue.service
+    known = list(state.views.values())
+    if not all(can_ever_run(known, step, service) for step in steps):
+        return "no worker is large enough for a task"
+    usable = state.usable_views()
+    of_service = [view for view in known if view.report.service == service]
+    if of_service and not all(can_run_now(usable, step, service) for step in steps):
+        return "the workers that could run it are evacuated"
+    return ""
+
+
 def _make_job(state: EntryState, event: JobArrived, now: float) -> JobState:
     queue = event.queue
     estimate = state.estimates.get(queue.name)
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -35,12 +35,12 @@
 
 
 def seek_agents(state: EntryState, now: float) -> None:
-    """Ask other entries for any agents, if none is heard here.
+    """Ask other entries for any agents, if none that may get tasks is heard here.
 
-    Where a data centre has no agents, or has lost them all, its entries would be taken
-    out of rotation though they could serve their callers elsewhere.
+    Where a data centre has no agents, has lost them all or is evacuated, its entries
+    would turn callers away though these can be served elsewhere.
     """
-    if not state.hears_agents(now) and _may_ask(state, now):
+    if not state.hears_usable_agents(now) and _may_ask(state, now):
         _ask(state, RoomAsk("", 0, 0, 0), now)
 
 
@@ -66,7 +66,7 @@
     if any(job.waiting for job in state.jobs.values()):
         return
     search = state.search
-    agents = agents_to_offer(state.views.values(), ask, search.offer_turn, now)
+    agents = agents_to_offer(state.usable_views(), ask, search.offer_turn, now)
     search.offer_turn += len(agents)
     if agents:
         state.send(sender, RoomOffer(agents))
@@ -88,16 +88,18 @@
         agents=len(state.overflow_until),
     )
     for address in new:
-        greeting = Pulse(state.life, "", 0, state.data_centre, [], None, 0)
+        greeting = Pulse(
+            state.life, "", 0, state.data_centre, [], None, 0, state.evacuations
+        )
         state.send(address, greeting)
 
 
 def release_overflow(state: EntryState, now: float) -> None:
     """Let go of agents whose room has not been used for a while.
 
-    Where no agent is at home they stay: without them there would be nobody.
+    Where no agent at home may get tasks they stay: without them there would be nobody.
     """
-    if not any(view.report.home for view in state.views.values()):
+    if not any(view.report.home for view in state.usable_views()):
         return
     for address, until in list(state.overflow_until.items()):
         view = state.views.get(address)
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -10,9 +10,11 @@
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
     EntriesListed,
+    EvacuationsRead,
 )
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.entrystate import EntryState
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.membership import Member, digest
 from cactuswalk.dispatch.messages import (
     ConfigurationAsk,
@@ -23,6 +25,7 @@
 __all__ = [
     "configuration_read",
     "entries_listed",
+    "evacuations_read",
     "forget",
     "pulse_next_entries",
     "take_entry_pulse",
@@ -56,6 +59,7 @@
     entry.heard_at = now
     entry.data_centre = pulse.data_centre
     entry.free_cpu = pulse.free_cpu
+    _take_evacuations(state, pulse.evacuations, sender, now)
     own = state.queues.version if state.queues else 0
     if pulse.version > own:
         state.send(sender, ConfigurationAsk(own))
@@ -117,6 +121,32 @@
     pulse_entries(state, list(state.entries), now)
 
 
+def evacuations_read(state: EntryState, event: EvacuationsRead, now: float) -> None:
+    """Take the evacuations as the store has them."""
+    _take_evacuations(state, event.evacuations, "the store", now)
+
+
+def _take_evacuations(
+    state: EntryState, evacuations: Evacuations, source: str, now: float
+) -> None:
+    """Place by newer evacuations from now on, and tell all other entries at once."""
+    if not evacuations.is_newer_than(state.evacuations):
+        return
+    was = state.evacuations
+    state.evacuations = evacuations
+    state.place_wanted = True
+    if evacuations.data_centres != was.data_centres:
+        state.observe("evacuations_changed")
+        state.say(
+            "the evacuated data centres change",
+            evacuated=list(evacuations.data_centres),
+            was=list(was.data_centres),
+            revision=evacuations.revision,
+            source=source,
+        )
+    pulse_entries(state, list(state.entries), now)
+
+
 def entries_listed(state: EntryState, event: EntriesListed, now: float) -> None:
     """Take up the entries that the store lists."""
     state.listed = {member.address for member in event.members} - {state.address}
@@ -150,6 +180,7 @@
         state.data_centre,
         state.members_digest,
         state.free_cpu(now),
+        state.evacuations,
     )
     for address in addresses:
         state.send(address, pulse)
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -27,7 +27,7 @@
         return
     heard = [
         view
-        for view in state.views.values()
+        for view in state.usable_views()
         if view.report.worker and now - view.heard_at < READY_HEARD_SECONDS
     ]
     views = [view for view in heard if view.is_open(now)]
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -6,6 +6,7 @@
 from cactuswalk.dispatch.agentview import AgentView, Placed
 from cactuswalk.dispatch.effects import Effect, Observe, Say, SendMessage
 from cactuswalk.dispatch.entryknown import KnownEntry
+from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED
 from cactuswalk.dispatch.jobstate import JobState
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Stop
@@ -62,6 +63,7 @@
         self.far_factor = far_factor
         self.grace_seconds = grace_seconds
         self.queues: Queues | None = None
+        self.evacuations = NOTHING_EVACUATED
         self.jobs: dict[str, JobState] = {}
         self.views: dict[str, AgentView] = {}
         self.entries = {seed: KnownEntry(-math.inf) for seed in self.seeds}
@@ -92,11 +94,28 @@
             now - view.heard_at < READY_HEARD_SECONDS for view in self.views.values()
         )
 
+    def usable_views(self) -> list[AgentView]:
+        """Return the agents whose data centres are not evacuated."""
+        evacuated = self.evacuations.data_centres
+        if not evacuated:
+            return list(self.views.values())
+        return [
+            view
+            for view in self.views.values()
+            if view.report.data_centre not in evacuated
+        ]
+
+    def hears_usable_agents(self, now: float) -> bool:
+        """Return whether an agent that may get tasks has been heard lately."""
+        return any(
+            now - view.heard_at < READY_HEARD_SECONDS for view in self.usable_views()
+        )
+
     def free_cpu(self, now: float) -> int:
         """Return what the home agents have free, in thousandths of a core."""
         return sum(
             max(0, view.free_cpu)
-            for view in self.views.values()
+            for view in self.usable_views()
             if view.report.home and view.is_open(now)
         )
 
@@ -120,11 +139,10 @@
 
     def queued_seconds(self) -> float:
         """Return what waits for room, in seconds of all workers' time."""
-        capacity = sum(view.report.free_cpu for view in self.views.values())
+        views = self.usable_views()
+        capacity = sum(view.report.free_cpu for view in views)
         capacity += sum(
-            placed.start.cpu
-            for view in self.views.values()
-            for placed in view.placed.values()
+            placed.start.cpu for view in views for placed in view.placed.values()
         )
         waiting = sum(
             task.step.cpu * job.expected
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.job import TaskKey
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.frames import FrameCodec
@@ -95,6 +96,7 @@
     :param noted: sequences whose ends have been taken note of.
     :param members: entries that the agent may work with; None if it has been told.
     :param members_version: of those; grows within a life of the sender.
+    :param evacuations: the newest that the sender knows of.
     """
 
     life: str
@@ -104,6 +106,7 @@
     noted: list[int]
     members: list[Member] | None
     members_version: int
+    evacuations: Evacuations
 
 
 class Start(msgspec.Struct, array_like=True, tag=3):
@@ -155,6 +158,7 @@
     :param version: of its configuration.
     :param members: digest of the entries that it knows, itself among them.
     :param free_cpu: what its home agents have free, in thousandths of a core.
+    :param evacuations: the newest that the sender knows of.
     """
 
     life: str
@@ -162,6 +166,7 @@
     data_centre: str
     members: int
     free_cpu: int
+    evacuations: Evacuations
 
 
 class ConfigurationAsk(msgspec.Struct, array_like=True, tag=7):
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -24,7 +24,7 @@
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import TaskState
 
-__all__ = ["Chooser", "can_ever_run", "relative_paces"]
+__all__ = ["Chooser", "can_ever_run", "can_run_now", "relative_paces"]
 
 # A worker elsewhere counts as this much slower.
 REMOTE_FACTOR = 1.3
@@ -182,7 +182,12 @@
     Where none of the service is known, one may yet come.
     """
     workers = [view for view in views if view.report.service == service]
-    return not workers or any(is_large_enough(view, step, service) for view in workers)
+    return not workers or can_run_now(workers, step, service)
+
+
+def can_run_now(views: list[AgentView], step: Step, service: str) -> bool:
+    """Return whether one of these workers is large enough for a task."""
+    return any(is_large_enough(view, step, service) for view in views)
 
 
 def is_large_enough(view: AgentView, step: Step, service: str) -> bool:
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -13,6 +13,7 @@
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
     EntriesListed,
+    EvacuationsRead,
     JobArrived,
     JobCancelled,
     Received,
@@ -21,6 +22,7 @@
     WaiterLeft,
 )
 from cactuswalk.dispatch.entrystate import EntryState
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import ConfigurationAsk, ConfigurationCopy
@@ -31,13 +33,17 @@
     UnreadableConfigurationError,
     read_configuration,
 )
-from cactuswalk.platform.metadata import ItemChange
-from cactuswalk.platform.names import CONFIGURATION_KEY
+from cactuswalk.platform.names import (
+    CONFIGURATION_KEY,
+    OPERATORS_PREFIX,
+    evacuated_data_centre,
+)
 from cactuswalk.runtime.dispatch import DispatchHost, now
 from cactuswalk.runtime.following import (
     ENTRIES_PREFIX,
     Patience,
     Registration,
+    Update,
     follow,
     read_member,
 )
@@ -47,7 +53,7 @@
 
 # A watch that waits is a call like others; and a connection that went silent for
 # good is noticed no sooner than this. A change has two seconds to be in force.
-CONFIGURATION_WAIT_SECONDS = 1.2
+OPERATORS_WAIT_SECONDS = 1.2
 ENTRIES_WAIT_SECONDS = 4.0
 
 # The balancer asks once a second and turns away after two misses; a stopping
@@ -102,6 +108,7 @@
         self.numbers = itertools.count(1)
         self.configuration = b""
         self.members: dict[str, Member] = {}
+        self.evacuated: set[str] = set()
         self.stopped_at = 0.0
         self.is_closed = False
 
@@ -196,9 +203,9 @@
         self.application.spawn(
             follow(
                 store,
-                CONFIGURATION_KEY,
-                CONFIGURATION_WAIT_SECONDS,
-                self._take_configuration,
+                OPERATORS_PREFIX,
+                OPERATORS_WAIT_SECONDS,
+                self._take_operators_keys,
                 patience("configuration"),
             )
         )
@@ -221,10 +228,28 @@
         except TimeoutError:
             self.host.say("leaves its key to the store: no answer")
 
-    def _take_configuration(self, changes: list[ItemChange], whole: bool) -> None:
-        for change in changes:
+    def _take_operators_keys(self, update: Update) -> None:
+        """Take the configuration and the evacuations, which lie side by side."""
+        for change in update.changes:
             if change.key == CONFIGURATION_KEY and change.value is not None:
                 self._use_configuration(change.value)
+        self._take_evacuations(update)
+
+    def _take_evacuations(self, update: Update) -> None:
+        was = frozenset(self.evacuated)
+        if update.whole:
+            self.evacuated.clear()
+        for change in update.changes:
+            data_centre = evacuated_data_centre(change.key)
+            if data_centre is None:
+                continue
+            if change.value is None:
+                self.evacuated.discard(data_centre)
+            else:
+                self.evacuated.add(data_centre)
+        if update.whole or self.evacuated != was:
+            evacuations = Evacuations(update.revision, tuple(sorted(self.evacuated)))
+            self.application.feed(EvacuationsRead(evacuations))
 
     def _use_configuration(self, value: bytes) -> None:
         try:
@@ -237,10 +262,10 @@
             self.configuration = value
             self.application.feed(ConfigurationRead(queues))
 
-    def _take_entries(self, changes: list[ItemChange], whole: bool) -> None:
-        if whole:
+    def _take_entries(self, update: Update) -> None:
+        if update.whole:
             self.members.clear()
-        for change in changes:
+        for change in update.changes:
             self.members.pop(change.key, None)
             if change.value is None:
                 continue
--- a/src/cactuswalk/runtime/following.py
+++ b/src/cactuswalk/runtime/following.py
@@ -20,7 +20,7 @@
 )
 from cactuswalk.platform.metadata import ItemChange, MetadataStore
 
-__all__ = ["ENTRIES_PREFIX", "Registration", "follow", "read_member"]
+__all__ = ["ENTRIES_PREFIX", "Registration", "Update", "follow", "read_member"]
 
 # Entries write their addresses below it.
 ENTRIES_PREFIX = "cactuswalk/entries/"
@@ -34,6 +34,18 @@
 LONGEST_WAIT_SECONDS = 1.0
 
 
+class Update(msgspec.Struct):
+    """What has come about under a prefix of the store.
+
+    :param revision: of the store when this was all that had changed.
+    :param whole: these are all keys that there are; any other one is gone.
+    """
+
+    revision: int
+    changes: list[ItemChange]
+    whole: bool
+
+
 class Patience:
     """Says once that the store is away, waits, and says that it is back."""
 
@@ -69,13 +81,13 @@
     store: MetadataStore,
     prefix: str,
     wait_seconds: float,
-    take: Callable[[list[ItemChange], bool], None],
+    take: Callable[[Update], None],
     patience: Patience,
 ) -> None:
     """Give ``take`` all changes under a prefix, for ever.
 
     The first time, and whenever the store has dropped the history in between,
-    it gets the whole list, and True: keys that aren't in it are gone.
+    it gets the whole list.
     """
     revision: int | None = None
     while True:
@@ -86,12 +98,12 @@
                 whole = [
                     ItemChange(item.key, item.value, item.revision) for item in items
                 ]
-                take(whole, True)
+                take(Update(revision, whole, True))
             else:
                 watched = await store.watch(prefix, revision, wait_seconds)
                 revision = watched.revision
                 if watched.changes:
-                    take(watched.changes, False)
+                    take(Update(revision, watched.changes, False))
         except HistoryCompactedError:
             revision = None
             continue
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -211,11 +211,24 @@
         url = f"http://{self.worker_host(worker)}:{self.ports['app']}/record"
         return call_json(url)[1]["record"]
 
-    def started(self) -> list[str]:
-        """Return the task of each run that the workers' stand-ins have begun."""
+    def evacuate(self, data_centre: str) -> None:
+        """Have a data centre evacuated."""
+        put = {"key": f"op/evacuate/{data_centre}", "value": "{}"}
+        call_json(f"{self.store_url}/put", put)
+
+    def take_back(self, data_centre: str) -> None:
+        """End the evacuation of a data centre."""
+        key = {"key": f"op/evacuate/{data_centre}"}
+        call_json(f"{self.store_url}/revoke", key)
+
+    def started(self, *workers: int) -> list[str]:
+        """Return the task of each run that workers' stand-ins have begun.
+
+        :param workers: numbers of those to look at; all of them by default.
+        """
         return [
             line["task"]
-            for worker in range(self.workers)
+            for worker in workers or range(self.workers)
             for line in self.record(worker)
             if line["what"] == "began"
         ]
