A list of entries chosen for another data centre than the agent's is sent again

Cause: an agent confirms a list by its version alone, so that one which was chosen before its data centre was known, or for a wrong one, stood until an entry came or went. Besides: the configuration's version, the jobs that wait and the time after which an entry is forgotten are reckoned in one place each; the directory is built again when a pulse brings something, not at each of some twenty a second.

--- a/features/dispatch_membership.feature
+++ b/features/dispatch_membership.feature
@@ -19,6 +19,15 @@
     And the fleet runs on for 8 seconds
     Then each agent reports to 7 entries, all of them in its data centre
 
+  Scenario: An agent whose data centre was taken for another one is told anew
+    It has confirmed a list that was chosen for another data centre, and would work with
+    entries there until one comes or goes.
+    Given a fleet of 35 entries in 5 data centres and 20 workers
+    When the fleet runs on for 3 seconds
+    And e0 has taken the data centre of a0 for d3
+    And the fleet runs on for 1 seconds
+    Then e0 has told a0 of the entries of data centre d0
+
   Scenario: Where a data centre has few entries, agents work with some elsewhere
     Given a fleet of 10 entries in 5 data centres and 20 workers
     When the fleet runs on for 4 seconds
--- a/features/steps/dispatch_membership_steps.py
+++ b/features/steps/dispatch_membership_steps.py
@@ -3,9 +3,11 @@
 from collections import Counter
 from unittest import mock
 
+import msgspec
 from behave import given, then, when
 
 from cactuswalk.dispatch import entryoverflow
+from cactuswalk.dispatch.entryevents import Received
 from features.support.centreload import centre_of, play, room
 from features.support.fleet import Fleet
 from features.support.fleetscript import RandomDay
@@ -105,6 +107,33 @@
         worker.up = True
 
 
+@when("{entry:w} has taken the data centre of {agent:w} for {centre:w}")
+def step_mistaken(context, entry, agent, centre):
+    fleet = context.fleet
+    state = fleet.states[entry]
+    view = state.views[agent]
+    told = fleet.states[agent].entries[entry].members
+    for _ in range(100):
+        report = msgspec.structs.replace(
+            view.report, data_centre=centre, members_seen=0
+        )
+        fleet.feed(entry, Received(agent, report))
+        fleet.run(0.01)
+        if fleet.states[agent].entries[entry].members != told:
+            return
+    raise AssertionError("no other list was told")
+
+
+@then("{entry:w} has told {agent:w} of the entries of data centre {centre:w}")
+def step_told(context, entry, agent, centre):
+    fleet = context.fleet
+    members = fleet.states[agent].entries[entry].members
+    near = [member for member in members if member.data_centre == centre]
+    assert members
+    own = [name for name in fleet.entry_names if centre_of(fleet, name) == centre]
+    assert len(near) == len(own), members
+
+
 @when("all entries are killed")
 def step_kill_all(context):
     for name in context.fleet.entry_names:
--- a/src/cactuswalk/dispatch/agentmembers.py
+++ b/src/cactuswalk/dispatch/agentmembers.py
@@ -4,16 +4,11 @@
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.effects import AskEntries
-from cactuswalk.dispatch.membership import home_entries
+from cactuswalk.dispatch.membership import FORGET_ENTRY_SECONDS, home_entries
 from cactuswalk.dispatch.messages import Pulse
 
 __all__ = ["ask_entries", "entries_read", "refresh_peers", "take_members"]
 
-# What an entry told of the others is forgotten when it has been silent for so long.
-# Until then it is the way back to entries that all ended at the same moment while
-# the store was away.
-FORGET_ENTRY_SECONDS = 20.0
-
 # A home entry that has not been heard for so long gets a substitute: three pulses.
 SILENT_SECONDS = 1.5
 
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -45,6 +45,7 @@
         thousandths of a core; memory and accelerators likewise.
     :param unseen: starts that its report doesn't tell of yet.
     :param told_at: when it was sent the list of entries last.
+    :param told_for: the data centre that this list was chosen for.
     """
 
     address: str
@@ -58,6 +59,7 @@
     free_gpu: int = 0
     unseen: int = 0
     told_at: float = -math.inf
+    told_for: str = ""
 
     def __post_init__(self) -> None:
         self._reckon_room()
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -183,8 +183,8 @@
     members = None
     if _wants_members(state, view, now):
         view.told_at = now
-        centre = view.report.data_centre
-        members = worth_telling(state.members, centre, view.address)
+        view.told_for = view.report.data_centre
+        members = worth_telling(state.members, view.told_for, view.address)
     pulse = Pulse(
         state.life,
         view.report.life,
@@ -199,11 +199,18 @@
 
 
 def _wants_members(state: EntryState, view: AgentView, now: float) -> bool:
-    """Return whether an agent has not confirmed the present list of entries."""
+    """Return whether an agent has not confirmed the present list of entries.
+
+    A list that was chosen for another data centre than the agent's would keep it away
+    from its own entries for as long as no entry comes or goes.
+    """
     report = view.report
-    if report.entry_life == state.life and report.members_seen == state.members_version:
-        return False
-    return now - view.told_at >= TELL_MEMBERS_SECONDS
+    confirmed = (
+        report.entry_life == state.life
+        and report.members_seen == state.members_version
+        and report.data_centre == view.told_for
+    )
+    return not confirmed and now - view.told_at >= TELL_MEMBERS_SECONDS
 
 
 TAKERS = {
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -125,7 +125,7 @@
         declined=job.declined_runs,
         **_last_task(job),
         **_room_seen(state, job, verdict, now),
-        version=state.queues.version if state.queues else 0,
+        version=state.version,
     )
     _drop(state, job, now)
 
@@ -169,7 +169,7 @@
         "oldest_report": round(
             max((now - view.heard_at for view in views), default=0.0), 3
         ),
-        "waiting_jobs": sum(bool(other.waiting) for other in state.jobs.values()),
+        "waiting_jobs": len(state.waiting_jobs()),
     }
 
 
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -24,8 +24,8 @@
         return
     waiting = [
         job
-        for job in state.jobs.values()
-        if job.waiting and now - job.arrived_at >= SEEK_AFTER_SECONDS
+        for job in state.waiting_jobs()
+        if now - job.arrived_at >= SEEK_AFTER_SECONDS
     ]
     if waiting:
         first = serving_order(waiting)[0]
@@ -63,7 +63,7 @@
 
 def room_asked(state: EntryState, sender: str, ask: RoomAsk, now: float) -> None:
     """Offer another entry agents that have room, unless jobs wait for it here."""
-    if any(job.waiting for job in state.jobs.values()):
+    if state.waiting_jobs():
         return
     search = state.search
     agents = agents_to_offer(state.usable_views(), ask, search.offer_turn, now)
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -15,7 +15,7 @@
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.evacuation import Evacuations
-from cactuswalk.dispatch.membership import Member, digest
+from cactuswalk.dispatch.membership import FORGET_ENTRY_SECONDS, Member, digest
 from cactuswalk.dispatch.messages import (
     ConfigurationAsk,
     EntryPulse,
@@ -32,9 +32,6 @@
     "take_members",
 ]
 
-# Entries that are neither listed nor heard for this long are forgotten.
-FORGET_ENTRY_SECONDS = 20.0
-
 # Others are told of an entry only so long after it was heard itself. Without a bound
 # two entries would for ever tell each other of a third that is gone for good.
 TELL_OF_SECONDS = 5.0
@@ -55,15 +52,16 @@
     state: EntryState, sender: str, pulse: EntryPulse, now: float
 ) -> None:
     """Take what another entry knows."""
+    member = Member(sender, pulse.data_centre)
     entry = _meet_entry(state, sender, now)
     entry.heard_at = now
     entry.data_centre = pulse.data_centre
     entry.free_cpu = pulse.free_cpu
     _take_evacuations(state, pulse.evacuations, sender, now)
-    own = state.queues.version if state.queues else 0
-    if pulse.version > own:
-        state.send(sender, ConfigurationAsk(own))
-    refresh_members(state, now)
+    if pulse.version > state.version:
+        state.send(sender, ConfigurationAsk(state.version))
+    if member not in state.members:
+        refresh_members(state, now)
     if pulse.members != state.members_digest:
         _tell_members(state, sender, entry, now)
 
@@ -71,10 +69,9 @@
 def take_members(state: EntryState, sender: str, message: Members, now: float) -> None:
     """Take the entries that another one knows."""
     for member in message.members:
-        if member.address == state.address:
-            continue
-        entry = _meet_entry(state, member.address, now)
-        entry.data_centre = entry.data_centre or member.data_centre
+        if member.address != state.address:
+            entry = _meet_entry(state, member.address, now)
+            entry.data_centre = entry.data_centre or member.data_centre
     refresh_members(state, now)
 
 
@@ -113,10 +110,10 @@
 
 def configuration_read(state: EntryState, event: ConfigurationRead, now: float) -> None:
     """Put a configuration in force if it is newer."""
-    own = state.queues.version if state.queues else 0
-    if event.queues.version <= own:
+    version = event.queues.version
+    if version <= state.version:
         return
-    state.say("a configuration is in force", version=event.queues.version, was=own)
+    state.say("a configuration is in force", version=version, was=state.version)
     state.queues = event.queues
     pulse_entries(state, list(state.entries), now)
 
@@ -173,10 +170,9 @@
 
 def pulse_entries(state: EntryState, addresses: list[str], now: float) -> None:
     """Tell some of the other entries what this one knows."""
-    version = state.queues.version if state.queues else 0
     pulse = EntryPulse(
         state.life,
-        version,
+        state.version,
         state.data_centre,
         state.members_digest,
         state.free_cpu(now),
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -22,7 +22,7 @@
 
 def place(state: EntryState, now: float) -> None:
     """Send tasks that wait to the workers that have room."""
-    waiting = [job for job in state.jobs.values() if job.waiting]
+    waiting = state.waiting_jobs()
     if not waiting:
         return
     heard = [
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -84,6 +84,15 @@
         self.met_open_at = math.inf
         self.effects: list[Effect] = []
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force; 0 while there is none."""
+        return self.queues.version if self.queues else 0
+
+    def waiting_jobs(self) -> list[JobState]:
+        """Return the jobs of which a task waits for a place."""
+        return [job for job in self.jobs.values() if job.waiting]
+
     def is_ready(self, now: float) -> bool:
         """Return whether new callers should come to this entry."""
         return self.queues is not None and not self.stop_at and self.hears_agents(now)
--- a/src/cactuswalk/dispatch/membership.py
+++ b/src/cactuswalk/dispatch/membership.py
@@ -19,6 +19,7 @@
 
 __all__ = [
     "ENOUGH_NEAR",
+    "FORGET_ENTRY_SECONDS",
     "MOST_HOME",
     "Member",
     "digest",
@@ -34,6 +35,12 @@
 ENOUGH_NEAR = 4
 
 
+# An entry that nobody names is forgotten when it has been silent for so long. Until
+# then what it told of others is the way back to entries that all ended at the same
+# moment while the store was away.
+FORGET_ENTRY_SECONDS = 20.0
+
+
 class Member(msgspec.Struct, array_like=True, frozen=True, order=True):
     """An entry, as others are told of it.
 
