Leaving workers take what ends in time, and give back what can't end there

Now a report tells within how long a worker's tasks have to end; the least time that a draining worker names, which nobody read, decides, for as long as the platform allows starts on one that drains (drain_ms, a new setting, less a second).

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -56,6 +56,8 @@
 CALL_SECONDS = 0.001
 HEARTBEAT_SECONDS = 1.5
 STORE_SECONDS = 0.005
+GRACE_SECONDS = 6.0
+DRAIN_SECONDS = 1.0
 MAXIMUM_LEASE_SECONDS = 1.0
 STOP_SECONDS = 0.03
 
@@ -126,6 +128,7 @@
         self.mute = 0.0
         self.loses = ()
         self.draining = False
+        self.leaves_in_ms = 0
         self.sequence = 0
         self.reset()
 
@@ -152,7 +155,7 @@
             65_536,
             0,
             self.draining,
-            0,
+            self.leaves_in_ms,
             self.sequence,
         )
 
@@ -296,7 +299,12 @@
     def start_entry(self, name, data_centre):
         self.dead.discard(name)
         state = EntryState(
-            name, f"l{next(self.lives)}", data_centre, list(self.seeds), 1.5, 6.0
+            name,
+            f"l{next(self.lives)}",
+            data_centre,
+            list(self.seeds),
+            1.5,
+            GRACE_SECONDS,
         )
         self.states[name] = state
         self.feed(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
@@ -343,6 +351,8 @@
             list(self.seeds),
             name,
             self.workers[name].data_centre,
+            GRACE_SECONDS,
+            DRAIN_SECONDS,
         )
         self.states[name] = state
         self.at(0.0, lambda: self.tick(name, state))
@@ -370,11 +380,15 @@
     def heartbeat(self, name):
         worker = self.workers[name]
         if worker.up and name not in self.dead:
-            self.feed(name, Announced(worker.announcement()))
+            self.announce(name)
             self.at(HEARTBEAT_SECONDS, lambda: self.heartbeat(name))
         else:
             self.at(0.1, lambda: self.heartbeat(name))
 
+    def announce(self, name):
+        """Have a worker send a heartbeat at once."""
+        self.feed(name, Announced(self.workers[name].announcement()))
+
     # Time.
 
     def at(self, delay, action):
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -31,6 +31,7 @@
     Tick,
 )
 from cactuswalk.dispatch.agentheld import HeldState
+from cactuswalk.dispatch.agentleaving import close_if_idle, stop_requested
 from cactuswalk.dispatch.agentlooks import check_if_wanted, look_if_due
 from cactuswalk.dispatch.agentmembers import (
     ask_entries,
@@ -82,6 +83,7 @@
     _check_worker(state, now)
     refresh_peers(state, now)
     ask_entries(state, now)
+    close_if_idle(state, now)
     working = {held.entry for held in state.held.values()}
     for peer in state.entries.values():
         pause = PULSE_SECONDS if peer.address in working else IDLE_REPORT_SECONDS
@@ -117,12 +119,6 @@
         worker_gone(state, "neither heartbeats nor answers", now)
 
 
-def _stop_requested(state: AgentState, _: StopRequested, now: float) -> None:
-    state.stopping = True
-    state.say("takes no more tasks: it is to stop", held=len(state.held))
-    state.touch_entries()
-
-
 HANDLERS = {
     Announced: announced,
     Departed: departed,
@@ -132,6 +128,6 @@
     Looked: looked,
     LookFailed: look_failed,
     EntriesRead: entries_read,
-    StopRequested: _stop_requested,
+    StopRequested: stop_requested,
     Tick: _tick,
 }
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -1,5 +1,7 @@
 """What passes between an agent and the entries."""
 
+import math
+
 from cactuswalk.dispatch.agentcalls import call_start, stop
 from cactuswalk.dispatch.agentevents import Received
 from cactuswalk.dispatch.agentheld import EntryPeer, Held, HeldState
@@ -7,6 +9,7 @@
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS
 from cactuswalk.dispatch.effects import SendMessage
+from cactuswalk.dispatch.leaving import ends_in_time
 from cactuswalk.dispatch.messages import Ended, Pulse, Report, Start, Stop, TaskEnd
 
 __all__ = [
@@ -109,8 +112,10 @@
         return "too long on its way"
     if state.is_evacuated():
         return "its data centre is evacuated"
-    if not state.is_open() or start.worker != state.worker.identifier:
+    if not state.is_open(now) or start.worker != state.worker.identifier:
         return "the worker takes nothing"
+    if not ends_in_time(_expected_ms(state, start), state.seconds_left(now) * 1000):
+        return "the worker leaves too soon"
     if state.soundness.is_doubtful and not state.may_try(now):
         return "the worker is on trial"
     cpu, memory_mb, gpu = state.room()
@@ -119,6 +124,10 @@
     return ""
 
 
+def _expected_ms(state: AgentState, start: Start) -> float:
+    return start.estimate_ms * state.soundness.pace
+
+
 def _decline(
     state: AgentState, peer: EntryPeer, start: Start, reason: str, now: float
 ) -> None:
@@ -193,6 +202,7 @@
     worker = state.worker
     trial = state.soundness.is_doubtful
     may_try = not trial or state.may_try(now)
+    left = state.seconds_left(now)
     return Report(
         state.life,
         peer.life,
@@ -204,7 +214,7 @@
         worker.service if worker else "",
         worker.data_centre if worker else state.data_centre,
         list(worker.labels) if worker else [],
-        state.is_open() and may_try,
+        state.is_open(now) and may_try,
         trial,
         worker.cpu if worker else 0,
         cpu,
@@ -213,6 +223,7 @@
         round(state.soundness.pace, 3),
         peer.members_version,
         peer.home,
+        0 if left == math.inf else max(1, int(left * 1000)),
     )
 
 
--- a/src/cactuswalk/dispatch/agentprogress.py
+++ b/src/cactuswalk/dispatch/agentprogress.py
@@ -10,7 +10,7 @@
     should_move,
 )
 
-__all__ = ["move_off_if_dragging", "runs_on"]
+__all__ = ["move_off_if_dragging", "progress", "runs_on"]
 
 # A running task whose progress stands still this long, beyond its estimate, is
 # stopped and told as lost. Progress comes with each look, at most 0.15 s apart.
@@ -63,19 +63,20 @@
 def move_off_if_dragging(state: AgentState, now: float) -> None:
     """Give tasks back that a worker which has turned slow would keep for long."""
     running = [held for held in state.held.values() if held.state is HeldState.RUNNING]
-    progress = [_progress(held, now) for held in running]
-    foretold = foretold_pace(progress)
+    tasks = [progress(held, now) for held in running]
+    foretold = foretold_pace(tasks)
     if state.soundness.begins_to_drag(foretold):
         state.say("its worker drags", worker=state.worker.identifier, pace=foretold)
         state.touch_entries()
     if not state.soundness.drags:
         return
-    for held, task in zip(running, progress, strict=True):
+    for held, task in zip(running, tasks, strict=True):
         if held.start.may_move and should_move(task):
             stop(state, held, "its worker drags", now)
 
 
-def _progress(held: Held, now: float) -> Progress:
+def progress(held: Held, now: float) -> Progress:
+    """Return how far a run is."""
     start = held.start
     ran = now - held.since
     return Progress(start.key.job, start.estimate_ms, ran, held.percent, held.speed)
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -18,6 +18,9 @@
 
 __all__ = ["AgentState"]
 
+# What entries send before they hear that an agent is closed arrives within so long.
+CLOSED_SECONDS = 0.1
+
 
 class AgentState:
     """All that one agent knows.
@@ -26,18 +29,37 @@
     :param token: greater than that of any earlier life, as far as is known.
     :param seeds: addresses of entries from the settings.
     :param name: of the process, by which its home entries are chosen.
+    :param grace_seconds: between the request to stop and a kill.
+    :param drain_seconds: how long a draining worker may be given tasks.
     :ivar entries: those that it reports to.
+    :ivar leaves_at: no sooner than then a draining worker leaves.
+    :ivar drained_at: from then on a draining worker is given nothing.
+    :ivar closes_at: from then on this agent, which is to stop, takes nothing; it ends
+        by ``stop_by``.
     :ivar stored: data centre of each entry that the store listed, by address.
     """
 
     def __init__(
-        self, life: str, token: int, seeds: list[str], name: str, data_centre: str
+        self,
+        life: str,
+        token: int,
+        seeds: list[str],
+        name: str,
+        data_centre: str,
+        grace_seconds: float,
+        drain_seconds: float,
     ) -> None:
         self.life = life
         self.token = token
         self.seeds = list(seeds)
         self.name = name
         self.data_centre = data_centre
+        self.grace_seconds = grace_seconds
+        self.drain_seconds = drain_seconds
+        self.leaves_at = math.inf
+        self.drained_at = math.inf
+        self.closes_at = math.inf
+        self.stop_by = math.inf
         self.entries: dict[str, EntryPeer] = {}
         self.stored: dict[str, str] = {}
         self.refresh_at = 0.0
@@ -71,9 +93,12 @@
         """Return whether nothing is held, and every end is noted by who can note it.
 
         An entry that is gone for good notes nothing any more: waiting for it would
-        hold a planned stop up until the process is about to be killed.
+        hold a planned stop up until the process is about to be killed. What was sent
+        before the entries heard that this agent is closed may still be on its way.
         """
-        return not self.held and not any(
+        if self.held or (self.stopping and now < self.closes_at + CLOSED_SECONDS):
+            return False
+        return not any(
             peer.ends and peer.is_heard(now) for peer in self.entries.values()
         )
 
@@ -88,17 +113,36 @@
             self.worker.gpu - sum(start.gpu for start in starts),
         )
 
-    def is_open(self) -> bool:
-        """Return whether the worker may be given tasks."""
+    def is_open(self, now: float) -> bool:
+        """Return whether the worker may be given tasks, those that end in time."""
         return (
             self.worker is not None
             and self.reachable
             and self.ready_to_start
-            and not self.worker.draining
             and not self.is_evacuated()
-            and not self.stopping
+            and self.seconds_left(now) > 0
         )
 
+    def seconds_left(self, now: float) -> float:
+        """Return within how long new tasks have to end; infinite if nobody leaves."""
+        left = math.inf
+        if self.worker is not None and self.worker.draining:
+            left = self.leaves_at - now if now < self.drained_at else 0.0
+        if self.stopping:
+            left = min(left, self.closes_at - now)
+        return max(0.0, left)
+
+    def lost_at(self) -> float:
+        """Return when what runs is lost, at the earliest; infinite if nobody leaves."""
+        leaves_at = math.inf
+        if (
+            self.worker is not None
+            and self.worker.draining
+            and self.worker.leaves_in_ms
+        ):
+            leaves_at = self.leaves_at
+        return min(leaves_at, self.stop_by)
+
     def is_evacuated(self) -> bool:
         """Return whether the data centre's workers are to get no new tasks."""
         return self.data_centre in self.evacuations.data_centres
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -17,6 +17,7 @@
     RunEnd,
 )
 from cactuswalk.dispatch.agentheld import Held, HeldState
+from cactuswalk.dispatch.agentleaving import give_back_what_can_not_end
 from cactuswalk.dispatch.agentlooks import look
 from cactuswalk.dispatch.agentprogress import move_off_if_dragging, runs_on
 from cactuswalk.dispatch.agentstate import AgentState
@@ -53,8 +54,8 @@
             state.say("an older heartbeat is ignored", sequence=worker.sequence)
             return
         state.worker = worker
-        if worker.draining and not known.draining:
-            state.say("the worker drains", worker=worker.identifier)
+        if worker.draining:
+            _drains(state, known.draining, now)
         state.announced_at = now
         state.touch_entries()
         return
@@ -69,6 +70,20 @@
     )
 
 
+def _drains(state: AgentState, known: bool, now: float) -> None:
+    """Take note of how much time is left to a draining worker."""
+    state.leaves_at = now + state.worker.leaves_in_ms / 1000
+    if known:
+        return
+    state.drained_at = now + state.drain_seconds
+    state.say(
+        "the worker drains",
+        worker=state.worker.identifier,
+        leaves_in_ms=state.worker.leaves_in_ms,
+        held=len(state.held),
+    )
+
+
 def _meet(state: AgentState, worker: Worker, now: float) -> None:
     """Begin with another life of the worker: whatever ran before has ended."""
     previous = state.worker.identifier if state.worker else ""
@@ -77,6 +92,9 @@
     state.worker = worker
     state.candidate = None
     state.announced_at = now
+    # One that drains already may have been doing so for long.
+    state.leaves_at = now + worker.leaves_in_ms / 1000
+    state.drained_at = now
     state.reachable = True
     state.ready_to_start = False
     state.soundness = Soundness()
@@ -146,6 +164,7 @@
     for row in running.values():
         _stop_stranger(state, row.key, row.run)
     move_off_if_dragging(state, now)
+    give_back_what_can_not_end(state, now)
     return len(running)
 
 
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -66,6 +66,7 @@
     :param members_seen: version of the receiver's members that has arrived.
     :param home: the receiver is one of the entries that this agent works with; any
         other is reported to only while it speaks to the agent.
+    :param leaves_in_ms: tasks are taken that end within so long; 0 if any are.
     """
 
     life: str
@@ -87,6 +88,7 @@
     pace: float
     members_seen: int
     home: bool
+    leaves_in_ms: int
 
 
 class Pulse(msgspec.Struct, array_like=True, tag=2):
--- a/src/cactuswalk/dispatch/overflow.py
+++ b/src/cactuswalk/dispatch/overflow.py
@@ -92,6 +92,7 @@
         and ask.service in ("", view.report.service)
         and view.is_open(now)
         and not view.report.trial
+        and not view.report.leaves_in_ms
         and view.fits(ask.cpu, ask.memory_mb, ask.gpu)
     ]
     roomy.sort(key=lambda view: -view.free_cpu)
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -23,6 +23,7 @@
 from cactuswalk.dispatch.agentview import AgentView
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import TaskState
+from cactuswalk.dispatch.leaving import ends_in_time
 
 __all__ = ["Chooser", "can_ever_run", "can_run_now", "relative_paces"]
 
@@ -159,6 +160,9 @@
             return False
         if view.report.trial and view.placed:
             return False
+        left_ms = view.report.leaves_in_ms
+        if left_ms and not ends_in_time(step.estimate_ms * view.report.pace, left_ms):
+            return False
         if self.paces[view.address] > SLOW_FACTOR and len(view.placed) >= PROBE_TASKS:
             return False
         return not step.per_worker or _count(view, task) < step.per_worker
--- a/src/cactuswalk/dispatch/soundness.py
+++ b/src/cactuswalk/dispatch/soundness.py
@@ -10,7 +10,14 @@
 
 import msgspec
 
-__all__ = ["Progress", "Soundness", "foretold_pace", "lately", "should_move"]
+__all__ = [
+    "LEAST_PROGRESS_SECONDS",
+    "Progress",
+    "Soundness",
+    "foretold_pace",
+    "lately",
+    "should_move",
+]
 
 # Weight of an end in the pace. Estimates are off by some 40%; over the last 16
 # ends that averages to 10%, which tells a worker that is four times slower.
--- a/src/cactuswalk/runtime/dispatchagent.py
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -26,8 +26,9 @@
 
 __all__ = ["DispatchAgentProcess"]
 
-# A stopping agent leaves this long before it would be killed.
-STOP_MARGIN_SECONDS = 0.7
+# A draining worker is given nothing for so long before that has to have ended: an
+# entry's start and the call to the worker are on their way.
+DRAIN_MARGIN_SECONDS = 1.0
 
 
 class DispatchAgentProcess:
@@ -51,6 +52,8 @@
             settings.seeds,
             settings.name,
             settings.data_centre,
+            settings.grace_seconds,
+            settings.drain_seconds - DRAIN_MARGIN_SECONDS,
         )
         self.host = DispatchHost(
             settings,
@@ -63,7 +66,6 @@
         )
         self.application = self.host.application
         self.worker = WorkerClient(str(settings.worker), now)
-        self.stop_by = 0.0
         self.application.performers |= {
             StartTask: lambda effect: self._call(self.worker.start(effect)),
             StopTask: lambda effect: self._call(self.worker.stop(effect)),
@@ -86,10 +88,7 @@
 
     def is_stopped(self) -> bool:
         """Return whether everything is finished, or time is up."""
-        if not self.stop_by:
-            grace = self.settings.grace_seconds
-            self.stop_by = now() + grace - STOP_MARGIN_SECONDS
-        return self.state.is_idle(now()) or now() >= self.stop_by
+        return self.state.is_idle(now()) or now() >= self.state.stop_by
 
     async def _begin(self) -> None:
         """Look for the entries at once, not when the first tick comes 50 ms later."""
--- a/src/cactuswalk/settings/dispatch.py
+++ b/src/cactuswalk/settings/dispatch.py
@@ -26,6 +26,7 @@
 ]
 
 MOST_SECONDS = 86_400
+MOST_DRAIN_MS = 600_000
 MOST_FACTOR = 100.0
 
 
@@ -75,11 +76,13 @@
     :param announcements: where the worker on this host sends its heartbeats.
     :param worker: where that worker takes calls.
     :param service: the one that it belongs to.
+    :param drain_seconds: how long after it was heard to drain it may be given tasks.
     """
 
     announcements: Endpoint
     worker: Endpoint
     service: str
+    drain_seconds: float
 
 
 def load_dispatch_entry(path: str | Path) -> DispatchEntrySettings:
@@ -108,6 +111,8 @@
         announcements=reader.get("announcements", "address", endpoint),
         worker=reader.get("worker", "address", endpoint),
         service=reader.get("worker", "service", text),
+        drain_seconds=reader.get("bounds", "drain_ms", decimal(0, MOST_DRAIN_MS), 0.0)
+        / 1000,
         **_read_common(reader),
     )
     reader.finish()
