Evacuation in fleets of many entries: callers wait for workers elsewhere, no storm of pulses

Seen in reading the change, each with a scenario that failed before: an entry whose known workers are all evacuated refused what came until it had found others, though other data centres were there; it looked for them with the next tick, and the first agent that it met there had nothing placed until something else came. A list that changes nothing had every entry tell all others, once for each revision read. Besides: the margin of planned stops stands once, and a second request to stop doesn't begin the time anew.

--- a/features/dispatch_evacuation.feature
+++ b/features/dispatch_evacuation.feature
@@ -91,6 +91,24 @@
     Then at least 95 of 100 jobs are on time
     And nothing has started in data centre d0 later than 0.5 seconds after that
 
+  Scenario: Callers who come at that moment wait until workers elsewhere are found
+    Nobody is left of the workers that their entry knows. Refused at once, they would
+    be told that nobody is left at all.
+    Given a fleet of 15 entries in 3 data centres and 12 workers
+    When the fleet runs on for 6 seconds
+    And data centre d0 is evacuated
+    And the fleet runs on for 0.006 seconds
+    And a job of 50 ms comes to e0, which can wait for 36 ms
+    Then that job is done within 1 seconds
+
+  Scenario: A list that changes nothing is no news
+    Entries that read the store anew, each at another revision, would each have every
+    entry tell all others.
+    Given a fleet of 15 entries in 3 data centres and 12 workers
+    When the fleet runs on for 6 seconds
+    And every entry reads the store anew, each at another revision
+    Then no entry tells more than 25 others within 0.3 seconds
+
   Scenario Outline: Random days with evacuations among all other faults
     Entries and agents die, freeze and are cut off while data centres are evacuated and
     taken back, by an operator whose store not every entry reaches.
--- a/features/steps/dispatch_evacuation_steps.py
+++ b/features/steps/dispatch_evacuation_steps.py
@@ -1,5 +1,6 @@
 """Steps on data centres that are evacuated and taken back."""
 
+from collections import Counter
 from unittest import mock
 
 from behave import given, then, when
@@ -94,6 +95,11 @@
     context.waiters = [context.fleet.submit(entry, f"{3:016x}", tasks)]
 
 
+@when("a job of {ms:d} ms comes to {entry:w}, which can wait for 36 ms")
+def step_short_job(context, ms, entry):
+    context.waiters = [context.fleet.submit(entry, FIRST_JOB, seconds=ms / 1000)]
+
+
 @then("that job is refused as not run within {seconds:g} seconds")
 def step_refused(context, seconds):
     fleet = context.fleet
@@ -104,6 +110,33 @@
     assert not [start for start in fleet.starts if start[1].job == f"{2:016x}"]
 
 
+@when("every entry reads the store anew, each at another revision")
+def step_read_anew(context):
+    fleet = context.fleet
+    context.sent_before = Counter(fleet.sent)
+    for name in fleet.living():
+        fleet.store_revision += 1
+        fleet.read_store(name)
+
+
+@then("no entry tells more than {count:d} others within {seconds:g} seconds")
+def step_told(context, count, seconds):
+    fleet = context.fleet
+    fleet.run(seconds)
+    for name in fleet.entry_names:
+        key = (name, "EntryPulse")
+        told = fleet.sent[key] - context.sent_before[key]
+        assert told <= count, (name, told)
+
+
+@then("that job is done within {seconds:g} seconds")
+def step_served(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds)
+    [waiter] = context.waiters
+    assert fleet.verdict(waiter) == "completed", fleet.answers[waiter]
+
+
 @then(
     "nothing has started in data centre {centre:w} later than {seconds:g} seconds"
     " after that"
--- a/src/cactuswalk/dispatch/agentleaving.py
+++ b/src/cactuswalk/dispatch/agentleaving.py
@@ -7,20 +7,20 @@
 from cactuswalk.dispatch.agentheld import Held, HeldState
 from cactuswalk.dispatch.agentprogress import progress
 from cactuswalk.dispatch.agentstate import AgentState
+from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.leaving import can_not_end
 from cactuswalk.dispatch.soundness import LEAST_PROGRESS_SECONDS
 
 __all__ = ["close_if_idle", "give_back_what_can_not_end", "stop_requested"]
 
-# A stopping process has to be gone this long before it would be killed.
-STOP_MARGIN_SECONDS = 0.7
-
 
 def stop_requested(state: AgentState, _: StopRequested, now: float) -> None:
     """Begin to leave: the worker stays, and the agent's next life will have it.
 
     Until the last of what runs is expected to end, tasks that end sooner are taken.
     """
+    if state.stopping:
+        return
     state.stopping = True
     state.stop_by = now + state.grace_seconds - STOP_MARGIN_SECONDS
     last = max(
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -14,6 +14,7 @@
     "MARGIN_SECONDS",
     "PULSE_SECONDS",
     "RESEND_SECONDS",
+    "STOP_MARGIN_SECONDS",
     "STOP_SECONDS",
     "UNHEARD_SECONDS",
     "WORKER_LEASE_SECONDS",
@@ -47,6 +48,10 @@
 # noticed, forbidden and made elsewhere within that.
 CALL_TIMEOUT_SECONDS = 0.03
 
+# A stopping process has answered, or ended, what is left this long before it is
+# killed.
+STOP_MARGIN_SECONDS = 0.7
+
 # An agent that was not heard for this long gets nothing new: two reports were lost.
 HEARD_SECONDS = 0.5
 
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -5,6 +5,7 @@
 they no longer hear (``bounds``).
 """
 
+from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.effects import Effect
 from cactuswalk.dispatch.entryagents import expire_placed, pulse_agents, received
 from cactuswalk.dispatch.entryevents import (
@@ -35,7 +36,7 @@
     pulse_next_entries,
 )
 from cactuswalk.dispatch.entryplacing import place
-from cactuswalk.dispatch.entrystate import STOP_MARGIN_SECONDS, EntryState
+from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobVerdict
 from cactuswalk.dispatch.ordering import (
     Fate,
@@ -55,6 +56,7 @@
     if state.place_wanted:
         state.place_wanted = False
         place(state, now)
+        seek_agents(state, now)
         seek_room(state, now)
     effects, state.effects = state.effects, []
     return effects
@@ -72,7 +74,6 @@
     pulse_agents(state, now)
     if now - state.entries_pulsed_at >= ENTRY_PULSE_SECONDS:
         pulse_next_entries(state, now)
-    seek_agents(state, now)
     release_overflow(state, now)
     forget(state, now)
     state.place_wanted = True
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -49,6 +49,9 @@
 def _take_report(state: EntryState, sender: str, report: Report, now: float) -> None:
     view = state.views.get(sender)
     if view is None:
+        # Jobs may have waited for a first worker, and nothing else would come to have
+        # them placed before they are refused.
+        state.place_wanted |= not state.hears_usable_agents(now)
         view = state.views[sender] = AgentView(sender, report, now)
         state.say(
             "meets an agent", agent=sender, worker=report.worker, home=report.home
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -1,13 +1,14 @@
 """Jobs at the entry that answers for them, from arrival to answer."""
 
 from cactuswalk.decisions.estimation import DurationEstimate
+from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.effects import Answer
 from cactuswalk.dispatch.entryevents import (
     JobArrived,
     JobCancelled,
     WaiterLeft,
 )
-from cactuswalk.dispatch.entrystate import STOP_MARGIN_SECONDS, EntryState
+from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
 from cactuswalk.dispatch.ordering import (
@@ -49,11 +50,14 @@
     known = list(state.views.values())
     if not all(can_ever_run(known, step, service) for step in steps):
         return "no worker is large enough for a task"
-    usable = state.usable_views()
     of_service = [view for view in known if view.report.service == service]
-    if of_service and not all(can_run_now(usable, step, service) for step in steps):
-        return "the workers that could run it are evacuated"
-    return ""
+    usable = [view for view in state.usable_views() if view in of_service]
+    if not of_service or all(can_run_now(usable, step, service) for step in steps):
+        return ""
+    if not usable and state.knows_usable_data_centre():
+        # Its entries are being asked for agents.
+        return ""
+    return "the workers that could run it are evacuated"
 
 
 def _make_job(state: EntryState, event: JobArrived, now: float) -> JobState:
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -126,21 +126,22 @@
 def _take_evacuations(
     state: EntryState, evacuations: Evacuations, source: str, now: float
 ) -> None:
-    """Place by newer evacuations from now on, and tell all other entries at once."""
+    """Place by newer evacuations from now on, and tell others of a change at once."""
     if not evacuations.is_newer_than(state.evacuations):
         return
     was = state.evacuations
     state.evacuations = evacuations
+    if evacuations.data_centres == was.data_centres:
+        return
     state.place_wanted = True
-    if evacuations.data_centres != was.data_centres:
-        state.observe("evacuations_changed")
-        state.say(
-            "the evacuated data centres change",
-            evacuated=list(evacuations.data_centres),
-            was=list(was.data_centres),
-            revision=evacuations.revision,
-            source=source,
-        )
+    state.observe("evacuations_changed")
+    state.say(
+        "the evacuated data centres change",
+        evacuated=list(evacuations.data_centres),
+        was=list(was.data_centres),
+        revision=evacuations.revision,
+        source=source,
+    )
     pulse_entries(state, list(state.entries), now)
 
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -13,14 +13,11 @@
 from cactuswalk.dispatch.overflow import RoomSearch
 from cactuswalk.dispatch.routing import Queues
 
-__all__ = ["READY_HEARD_SECONDS", "STOP_MARGIN_SECONDS", "EntryState"]
+__all__ = ["READY_HEARD_SECONDS", "EntryState"]
 
 # An entry that hears no agent for this long can serve nobody: several reports.
 READY_HEARD_SECONDS = 1.0
 
-# A stopping process answers what is left this long before it is killed.
-STOP_MARGIN_SECONDS = 0.7
-
 # Jobs of a priority are expected for so long after one has come: a pause between two
 # of them shouldn't have others take the room that the next one needs.
 URGENT_SECONDS = 1.0
@@ -114,6 +111,12 @@
             if view.report.data_centre not in evacuated
         ]
 
+    def knows_usable_data_centre(self) -> bool:
+        """Return whether a data centre with entries is known that isn't evacuated."""
+        known = {entry.data_centre for entry in self.entries.values()}
+        known.add(self.data_centre)
+        return bool(known - {""} - set(self.evacuations.data_centres))
+
     def hears_usable_agents(self, now: float) -> bool:
         """Return whether an agent that may get tasks has been heard lately."""
         return any(
