What all entries are told alike is reckoned once a moment; reports in a module of their own

An agent summed its room anew for each of eight entries, and an entry listed its waiting jobs twice for each event that could have brought room.

--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -14,7 +14,6 @@
 from cactuswalk.dispatch.agententries import (
     expire_entries,
     received,
-    report_if_dirty,
     tell_again,
 )
 from cactuswalk.dispatch.agentevents import (
@@ -38,6 +37,7 @@
     entries_read,
     refresh_peers,
 )
+from cactuswalk.dispatch.agentreports import report_if_dirty
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.agentworker import (
     announced,
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -1,7 +1,5 @@
 """What passes between an agent and the entries."""
 
-import math
-
 from cactuswalk.dispatch.agentcalls import call_start, stop
 from cactuswalk.dispatch.agentevents import Received
 from cactuswalk.dispatch.agentheld import EntryPeer, Held, HeldState
@@ -10,26 +8,17 @@
 from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS
 from cactuswalk.dispatch.effects import SendMessage
 from cactuswalk.dispatch.leaving import ends_in_time
-from cactuswalk.dispatch.messages import Ended, Pulse, Report, Start, Stop, TaskEnd
+from cactuswalk.dispatch.messages import Ended, Pulse, Start, Stop, TaskEnd
 
 __all__ = [
     "expire_entries",
     "received",
-    "report_if_dirty",
     "tell_again",
 ]
 
 # An end that was not noted is told again; a pulse with the note comes each 0.1 s.
 TELL_AGAIN_SECONDS = 0.25
 
-# How soon an entry of the worker's data centre hears of a change that others made,
-# for each entry there is: the cost of telling them grows with their number alone.
-NEAR_REPORT_SECONDS = 0.005
-
-# Entries elsewhere come here only when their own workers are full, and a start that
-# finds no room brings a report back.
-FAR_REPORT_SECONDS = 0.01
-
 
 def received(state: AgentState, event: Received, now: float) -> None:
     """Take a message of an entry."""
@@ -173,59 +162,5 @@
                 state.effects.append(SendMessage(peer.address, peer.ends[sequence]))
 
 
-def report_if_dirty(state: AgentState, now: float) -> None:
-    """Tell the entries of this worker's room, each when it needs to know."""
-    for peer in state.entries.values():
-        if not (peer.urgent or peer.dirty):
-            continue
-        if not peer.urgent and now - peer.reported_at < _pause(state, peer):
-            continue
-        peer.dirty = peer.urgent = False
-        peer.reported_at = now
-        state.effects.append(SendMessage(peer.address, _report(state, peer, now)))
-
-
-def _pause(state: AgentState, peer: EntryPeer) -> float:
-    """Return how long an entry can wait to hear of others' work here."""
-    near = state.worker and peer.data_centre == state.worker.data_centre
-    pause = NEAR_REPORT_SECONDS if near else FAR_REPORT_SECONDS
-    return pause * len(state.entries)
-
-
-def _report(state: AgentState, peer: EntryPeer, now: float) -> Report:
-    held = [
-        held.start.sequence
-        for held in state.held.values()
-        if held.entry == peer.address
-    ]
-    cpu, memory_mb, gpu = state.room()
-    worker = state.worker
-    trial = state.soundness.is_doubtful
-    may_try = not trial or state.may_try(now)
-    left = state.seconds_left(now)
-    return Report(
-        state.life,
-        peer.life,
-        _milliseconds(now),
-        peer.seen,
-        held + list(peer.ends),
-        bool(peer.life) and peer.is_heard(now),
-        worker.identifier if worker else "",
-        worker.service if worker else "",
-        worker.data_centre if worker else state.data_centre,
-        list(worker.labels) if worker else [],
-        state.is_open(now) and may_try,
-        trial,
-        worker.cpu if worker else 0,
-        cpu,
-        memory_mb,
-        gpu,
-        round(state.soundness.pace, 3),
-        peer.members_version,
-        peer.home,
-        0 if left == math.inf else max(1, int(left * 1000)),
-    )
-
-
 def _milliseconds(now: float) -> int:
     return int(now * 1000)
--- /dev/null
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -0,0 +1,98 @@
+"""What an agent reports to the entries of its worker and of their starts there."""
+
+import copy
+import math
+
+from cactuswalk.dispatch.agentheld import EntryPeer
+from cactuswalk.dispatch.agentstate import AgentState
+from cactuswalk.dispatch.effects import SendMessage
+from cactuswalk.dispatch.messages import Report
+
+__all__ = ["report_if_dirty"]
+
+# How soon an entry of the worker's data centre hears of a change that others made,
+# for each entry there is: the cost of telling them grows with their number alone.
+NEAR_REPORT_SECONDS = 0.005
+
+# Entries elsewhere come here only when their own workers are full, and a start that
+# finds no room brings a report back.
+FAR_REPORT_SECONDS = 0.01
+
+
+def report_if_dirty(state: AgentState, now: float) -> None:
+    """Tell the entries of this worker's room, each when it needs to know."""
+    due = [
+        peer
+        for peer in state.entries.values()
+        if peer.urgent or (peer.dirty and _has_waited(state, peer, now))
+    ]
+    if not due:
+        return
+    general = _general_report(state, now)
+    held = _held_by_entry(state)
+    for peer in due:
+        peer.dirty = peer.urgent = False
+        peer.reported_at = now
+        report = _address(general, peer, held.get(peer.address, []), now)
+        state.effects.append(SendMessage(peer.address, report))
+
+
+def _has_waited(state: AgentState, peer: EntryPeer, now: float) -> bool:
+    return now - peer.reported_at >= _pause(state, peer)
+
+
+def _pause(state: AgentState, peer: EntryPeer) -> float:
+    """Return how long an entry can wait to hear of others' work here."""
+    near = state.worker and peer.data_centre == state.worker.data_centre
+    pause = NEAR_REPORT_SECONDS if near else FAR_REPORT_SECONDS
+    return pause * len(state.entries)
+
+
+def _held_by_entry(state: AgentState) -> dict[str, list[int]]:
+    held: dict[str, list[int]] = {}
+    for start in state.held.values():
+        held.setdefault(start.entry, []).append(start.start.sequence)
+    return held
+
+
+def _address(general: Report, peer: EntryPeer, held: list[int], now: float) -> Report:
+    """Return the report for one entry, with what it alone is told."""
+    report = copy.copy(general)
+    report.entry_life = peer.life
+    report.seen = peer.seen
+    report.held = held + list(peer.ends)
+    report.hears = bool(peer.life) and peer.is_heard(now)
+    report.members_seen = peer.members_version
+    report.home = peer.home
+    return report
+
+
+def _general_report(state: AgentState, now: float) -> Report:
+    """Return what all entries are told alike."""
+    cpu, memory_mb, gpu = state.room()
+    worker = state.worker
+    trial = state.soundness.is_doubtful
+    may_try = not trial or state.may_try(now)
+    left = state.seconds_left(now)
+    return Report(
+        life=state.life,
+        entry_life="",
+        stamp=int(now * 1000),
+        seen=0,
+        held=[],
+        hears=False,
+        worker=worker.identifier if worker else "",
+        service=worker.service if worker else "",
+        data_centre=worker.data_centre if worker else state.data_centre,
+        labels=list(worker.labels) if worker else [],
+        open=state.is_open(now) and may_try,
+        trial=trial,
+        cpu=worker.cpu if worker else 0,
+        free_cpu=cpu,
+        free_memory_mb=memory_mb,
+        free_gpu=gpu,
+        pace=round(state.soundness.pace, 3),
+        members_seen=0,
+        home=False,
+        leaves_in_ms=0 if left == math.inf else max(1, int(left * 1000)),
+    )
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -55,9 +55,10 @@
     HANDLERS[type(event)](state, event, now)
     if state.place_wanted:
         state.place_wanted = False
-        place(state, now)
         seek_agents(state, now)
-        seek_room(state, now)
+        if state.waiting_jobs():
+            place(state, now)
+            seek_room(state, now)
     effects, state.effects = state.effects, []
     return effects
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -23,8 +23,6 @@
 def place(state: EntryState, now: float) -> None:
     """Send tasks that wait to the workers that have room."""
     waiting = state.waiting_jobs()
-    if not waiting:
-        return
     heard = [
         view
         for view in state.usable_views()
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -119,8 +119,11 @@
 
     def hears_usable_agents(self, now: float) -> bool:
         """Return whether an agent that may get tasks has been heard lately."""
+        evacuated = self.evacuations.data_centres
         return any(
-            now - view.heard_at < READY_HEARD_SECONDS for view in self.usable_views()
+            now - view.heard_at < READY_HEARD_SECONDS
+            and view.report.data_centre not in evacuated
+            for view in self.views.values()
         )
 
     def free_cpu(self, now: float) -> int:
