--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -25,7 +25,7 @@
     job_arrived,
     job_cancelled,
     waiter_left,
-    why_never,
+    why_unservable,
 )
 from cactuswalk.dispatch.entryoverflow import release_overflow, seek_agents, seek_room
 from cactuswalk.dispatch.entrypeers import (
@@ -53,6 +53,9 @@
 def reduce(state: EntryState, event: EntryEvent, now: float) -> list[Effect]:
     """Take an event, and return what is to be done."""
     HANDLERS[type(event)](state, event, now)
+    if state.evacuations_changed:
+        state.evacuations_changed = False
+        _refuse_evacuated(state, now)
     if state.place_wanted:
         state.place_wanted = False
         seek_agents(state, now)
@@ -82,7 +85,6 @@
 
 def _judge_jobs(state: EntryState, now: float) -> None:
     meets_workers = state.meets_workers(now)
-    _refuse_evacuated(state, now)
     for job in list(state.jobs.values()):
         verdict = fate(job, now, meets_workers)
         if state.stop_at and now > state.stop_at - STOP_MARGIN_SECONDS:
@@ -95,10 +97,8 @@
 
 def _refuse_evacuated(state: EntryState, now: float) -> None:
     """Refuse jobs that wait for workers which are evacuated by now."""
-    if not state.evacuations.data_centres:
-        return
     for job in list(state.jobs.values()):
-        reason = "" if job.started else why_never(state, job.request, job.queue)
+        reason = "" if job.started else why_unservable(state, job.request, job.queue)
         if reason:
             answer(state, job, JobVerdict.NOT_RUN, reason, now)
 
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -16,10 +16,10 @@
     chain_seconds,
     retry_after,
 )
-from cactuswalk.dispatch.placement import can_ever_run, can_run_now
+from cactuswalk.dispatch.placement import any_large_enough, can_ever_run
 from cactuswalk.dispatch.routing import Queue
 
-__all__ = ["answer", "job_arrived", "job_cancelled", "waiter_left", "why_never"]
+__all__ = ["answer", "job_arrived", "job_cancelled", "waiter_left", "why_unservable"]
 
 
 def job_arrived(state: EntryState, event: JobArrived, now: float) -> None:
@@ -33,7 +33,7 @@
     if state.stop_at and job.on_time_by > state.stop_at - STOP_MARGIN_SECONDS:
         _refuse_waiters(state, job, "this entry is about to stop")
         return
-    reason = why_never(state, event.request, event.queue)
+    reason = why_unservable(state, event.request, event.queue)
     if reason:
         _refuse_waiters(state, job, reason)
         return
@@ -44,15 +44,16 @@
     state.place_wanted = True
 
 
-def why_never(state: EntryState, request: JobRequest, queue: Queue) -> str:
+def why_unservable(state: EntryState, request: JobRequest, queue: Queue) -> str:
     """Return why no known worker can run a job, or an empty text."""
     steps, service = request.steps, queue.service
     known = list(state.views.values())
     if not all(can_ever_run(known, step, service) for step in steps):
         return "no worker is large enough for a task"
-    of_service = [view for view in known if view.report.service == service]
-    usable = [view for view in state.usable_views() if view in of_service]
-    if not of_service or all(can_run_now(usable, step, service) for step in steps):
+    if not state.evacuations.data_centres:
+        return ""
+    usable = [view for view in state.usable_views() if view.report.service == service]
+    if all(any_large_enough(usable, step, service) for step in steps):
         return ""
     if not usable and state.knows_usable_data_centre():
         # Its entries are being asked for agents.
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -133,7 +133,7 @@
     state.evacuations = evacuations
     if evacuations.data_centres == was.data_centres:
         return
-    state.place_wanted = True
+    state.evacuations_changed = state.place_wanted = True
     state.observe("evacuations_changed")
     state.say(
         "the evacuated data centres change",
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -76,6 +76,7 @@
         self.next_sequence = 1
         self.stop_at = 0.0
         self.place_wanted = False
+        self.evacuations_changed = False
         self.pulsed_at: dict[str, float] = {}
         self.entries_pulsed_at = 0.0
         self.met_open_at = math.inf
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -25,7 +25,7 @@
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.leaving import ends_in_time
 
-__all__ = ["Chooser", "can_ever_run", "can_run_now", "relative_paces"]
+__all__ = ["Chooser", "any_large_enough", "can_ever_run", "relative_paces"]
 
 # A worker elsewhere counts as this much slower.
 REMOTE_FACTOR = 1.3
@@ -186,10 +186,10 @@
     Where none of the service is known, one may yet come.
     """
     workers = [view for view in views if view.report.service == service]
-    return not workers or can_run_now(workers, step, service)
+    return not workers or any_large_enough(workers, step, service)
 
 
-def can_run_now(views: list[AgentView], step: Step, service: str) -> bool:
+def any_large_enough(views: list[AgentView], step: Step, service: str) -> bool:
     """Return whether one of these workers is large enough for a task."""
     return any(is_large_enough(view, step, service) for view in views)
 
