--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -54,6 +54,7 @@
     Effect,
 )
 from cactuswalk.dispatch.messages import TaskEnd
+from cactuswalk.dispatch.pauses import log_pause
 
 __all__ = ["reduce"]
 
@@ -77,6 +78,7 @@
 
 
 def _tick(state: AgentState, _: Tick, now: float) -> None:
+    log_pause(state, now)
     expire_entries(state, now)
     _expire_held(state, now)
     resend_ends(state, now)
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -39,6 +39,9 @@
 # the agent declines it.
 MAX_START_TRIES = 4
 
+# A stop that needs more than one call is logged at these numbers of calls.
+LOGGED_STOP_CALLS = frozenset({4, 16, 64, 256})
+
 RETRYABLE_VERDICTS = {
     StartVerdict.SUPERSEDED,
     StartVerdict.FENCED,
@@ -150,6 +153,10 @@
     """Have the worker stop a run, or refuse its start if that arrives later."""
     if state.worker is None:
         return
+    held.stop_asked_at = held.stop_asked_at or now
+    held.stop_calls += 1
+    if held.stop_calls in LOGGED_STOP_CALLS:
+        _log_unconfirmed_stop(state, held, now)
     held.call_pending = True
     held.called_at = now
     state.effects.append(
@@ -163,6 +170,21 @@
     )
 
 
+def _log_unconfirmed_stop(state: AgentState, held: HeldTask, now: float) -> None:
+    """Log a stop that has taken several calls, while the run may still go on."""
+    state.say(
+        "a stop is not confirmed",
+        **held.log_fields(),
+        state=held.state.value,
+        reason=held.reason,
+        entry=held.entry,
+        calls=held.stop_calls,
+        waited=round(now - held.stop_asked_at, 3),
+        reachable=state.reachable,
+        renewed_ago=round(now - state.renewed_at, 3),
+    )
+
+
 def handle_stop_answer(state: AgentState, event: StopAnswered, now: float) -> None:
     """Handle the worker's answer to a stop; a poll will list the run's end."""
     held = state.held.get(event.handle)
@@ -184,7 +206,13 @@
 
 def drop_worker(state: AgentState, reason: str, now: float) -> None:
     """Log that the worker has certainly ended, and forget it."""
-    state.say("the worker is gone", worker=state.worker.identifier, reason=reason)
+    state.say(
+        "the worker is gone",
+        worker=state.worker.identifier,
+        reason=reason,
+        held=len(state.held),
+        renewed_ago=round(now - state.renewed_at, 3),
+    )
     forget_worker(state, reason, now)
 
 
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -100,9 +100,28 @@
     if state.health.is_slow:
         state.health.last_trial_at = now
     state.by_sequence[(start.incarnation, start.sequence)] = held.handle
+    _log_accepted_start(state, held, now)
     request_start(state, held, now)
 
 
+def _log_accepted_start(state: AgentState, held: HeldTask, now: float) -> None:
+    start = held.start
+    fields = held.log_fields() | {
+        "entry": held.entry,
+        "sequence": start.sequence,
+        "worker": start.worker,
+        "stamp_age_ms": _milliseconds(now) - start.stamp,
+    }
+    state.say_debug("accepted a start", **fields)
+    others = [
+        other.log_fields() | {"entry": other.entry, "state": other.state.value}
+        for other in state.held.values()
+        if other.start.key == start.key and other is not held
+    ]
+    if others:
+        state.say("holds another run of a started task", **fields, others=others)
+
+
 def _decline_reason(state: AgentState, start: Start, now: float) -> str:
     """Return why a start is declined, or an empty string if it is accepted.
 
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -41,6 +41,8 @@
     :param speed_sample: time and percent at which the current speed measurement began;
         ``speed`` is the last result in percent per second, 0 before the first.
     :param tries: number of start calls so far.
+    :param stop_calls: number of stop calls so far; ``stop_asked_at`` is when the first
+        was due.
     :param reason: why it is being stopped.
     """
 
@@ -59,6 +61,8 @@
     speed_sample: tuple[float, int] = (0.0, 0)
     speed: float = 0.0
     tries: int = 0
+    stop_calls: int = 0
+    stop_asked_at: float = 0.0
     reason: str = ""
 
     def log_fields(self) -> dict[str, object]:
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -50,6 +50,7 @@
     :ivar check_requested: a poll that doesn't wait is to be sent.
     :ivar renewed_at: when the worker's lease was renewed last.
     :ivar entries_asked_at: when the store was asked for the entries last.
+    :ivar ticked_at: when the periodic timer fired last.
     """
 
     def __init__(
@@ -100,6 +101,7 @@
         self.answered_at = 0.0
         self.stopping = False
         self.entries_asked_at = 0.0
+        self.ticked_at = math.inf
         self.effects: list[Effect] = []
 
     def is_idle(self, now: float) -> bool:
@@ -197,6 +199,10 @@
         """Add a log line to the effects."""
         self.effects.append(Say(sentence, fields))
 
+    def say_debug(self, sentence: str, **fields: object) -> None:
+        """Add a log line that is written only at the level ``debug``."""
+        self.effects.append(Say(sentence, fields, "debug"))
+
     def observe(self, name: str, label: str = "", seconds: float | None = None) -> None:
         """Add a metric to the effects: count an event, or record a duration."""
         self.effects.append(Observe(name, label, seconds))
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -92,7 +92,12 @@
 def _adopt_worker(state: AgentState, worker: Worker, now: float) -> None:
     """Switch to a new incarnation of the worker; all earlier runs have ended."""
     previous = state.worker.identifier if state.worker else ""
-    state.say("found a worker", worker=worker.identifier, previous=previous)
+    state.say(
+        "found a worker",
+        worker=worker.identifier,
+        previous=previous,
+        held=len(state.held),
+    )
     mark_all_lost(state, "the worker's life ended", now)
     state.worker = worker
     state.candidate = None
@@ -115,7 +120,12 @@
     """Handle the worker's announcement that it leaves."""
     if state.worker is None or state.worker.identifier != event.identifier:
         return
-    state.say("the worker has left", worker=event.identifier)
+    state.say(
+        "the worker has left",
+        worker=event.identifier,
+        held=len(state.held),
+        renewed_ago=round(now - state.renewed_at, 3),
+    )
     forget_worker(state, "the worker left", now)
 
 
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -50,6 +50,7 @@
     JobAction,
     choose_action,
 )
+from cactuswalk.dispatch.pauses import log_pause
 
 __all__ = ["reduce"]
 
@@ -81,6 +82,7 @@
 
 
 def _tick(state: EntryState, _: Tick, now: float) -> None:
+    log_pause(state, now)
     _close_overdue_jobs(state, now)
     expire_or_resend(state, now)
     send_keepalives(state, now)
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -61,9 +61,11 @@
         )
         _send_keepalive(state, view, now)
     if view.is_out_of_date(report, now):
+        if report.incarnation != view.report.incarnation:
+            _log_incarnations("ignored a report", state, view, report, now)
         return
     if report.incarnation != view.report.incarnation:
-        _handle_agent_restart(state, view, now)
+        _handle_agent_restart(state, view, report, now)
     if report.open != view.report.open or report.trial != view.report.trial:
         state.say(
             "a worker's availability has changed",
@@ -83,9 +85,27 @@
         _reconcile(state, view, now)
 
 
-def _handle_agent_restart(state: EntryState, view: AgentView, now: float) -> None:
+def _log_incarnations(
+    sentence: str, state: EntryState, view: AgentView, report: Report, now: float
+) -> None:
+    """Log a report of another incarnation than the known one of an agent."""
+    known = view.report
+    state.say(
+        sentence,
+        agent=view.address,
+        incarnation=report.incarnation,
+        known=known.incarnation,
+        stamp_difference_ms=report.stamp - known.stamp,
+        heard_ago=round(now - view.heard_at, 3),
+        placed=len(view.placed),
+    )
+
+
+def _handle_agent_restart(
+    state: EntryState, view: AgentView, report: Report, now: float
+) -> None:
     """Limit the starts of an agent's earlier incarnation to their worker lease."""
-    state.say("an agent has restarted", agent=view.address)
+    _log_incarnations("an agent has restarted", state, view, report, now)
     expires_at = min(now + worker_lapse_seconds(), view.lapses_at())
     for placed in view.placed.values():
         placed.expires_at = placed.expires_at or expires_at
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -92,6 +92,19 @@
         len(task.avoided_agents) < MAX_RETURNS,
     )
     view.add(PlacedTask(start, task, now))
+    state.say_debug(
+        "placed a task",
+        job=job.request.identifier,
+        step=task.key.step,
+        index=task.key.index,
+        run=task.runs,
+        agent=view.address,
+        worker=start.worker,
+        sequence=start.sequence,
+        report_age=round(now - view.heard_at, 3),
+        free_cpu=view.free_cpu,
+        waited=round(now - job.arrived_at, 4),
+    )
     state.send(view.address, start)
 
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -46,6 +46,7 @@
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
+    :ivar ticked_at: when the periodic timer fired last.
     """
 
     def __init__(
@@ -84,6 +85,7 @@
         self.keepalive_sent_at: dict[str, float] = {}
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
+        self.ticked_at = math.inf
         self.effects: list[Effect] = []
 
     @property
@@ -181,6 +183,10 @@
         """Emit the effect that writes a log line."""
         self.effects.append(Say(sentence, fields))
 
+    def say_debug(self, sentence: str, **fields: object) -> None:
+        """Emit the effect that writes a log line at the level ``debug``."""
+        self.effects.append(Say(sentence, fields, "debug"))
+
     def observe(self, name: str, label: str = "", seconds: float | None = None) -> None:
         """Emit the effect that counts an event, or records a duration."""
         self.effects.append(Observe(name, label, seconds))
