--- a/features/steps/process_faults_steps.py
+++ b/features/steps/process_faults_steps.py
@@ -148,8 +148,14 @@
 def step_one_owner(context):
     cluster = context.cluster
     logs = [cluster[f"agent-{name}"].log for name in cluster.workers]
-    lines = [log.read_text(encoding="utf-8") for log in logs]
-    assert sum(text.count('"message":"owner: serves"') for text in lines) == 1
+    lines = [
+        f"{log.name}: {line}"
+        for log in logs
+        for line in log.read_text(encoding="utf-8").splitlines()
+    ]
+    served = [line for line in lines if '"message":"owner: serves"' in line]
+    owners = [line for line in lines if '"message":"owner:' in line]
+    assert len(served) == 1, "\n".join([f"{len(served)} times", *owners])
 
 
 @then("a new request is told that there is no owner")
