--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -12,21 +12,13 @@
 from cactuswalk.dispatch import agent, entry
 from cactuswalk.dispatch.agentevents import (
     Announced,
-    EndedRow,
+    Departed,
     EntriesRead,
-    PollAnswered,
-    PollFailed,
     Received as AgentReceived,
-    RunEnd,
-    RunningRow,
-    StartAnswered,
-    StartVerdict,
-    StopAnswered,
     StopRequested as AgentStopRequested,
     Tick as AgentTick,
 )
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
 from cactuswalk.dispatch.effects import (
     Answer,
     PollWorker,
@@ -47,21 +39,23 @@
 )
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.evacuation import Evacuations
-from cactuswalk.dispatch.job import JobRequest, Step, Worker
+from cactuswalk.dispatch.job import JobRequest, Step
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.routing import Queue, Queues
+from features.support.fleetcalls import WorkerCalls
+from features.support.fleetworker import SERVICE, Run, SimulatedWorker
+
+__all__ = ["JOB", "SERVICE", "Fleet", "Run", "SimulatedWorker", "queue"]
 
 TICK = 0.05
 MESSAGE_SECONDS = 0.0006
-CALL_SECONDS = 0.001
 HEARTBEAT_SECONDS = 1.5
 STORE_SECONDS = 0.005
 GRACE_SECONDS = 6.0
+BOOT_SECONDS = 0.5
+CRASH_SECONDS = 0.002
+READ_CALLERS_SECONDS = 0.002
 DRAIN_SECONDS = 1.0
-MAXIMUM_LEASE_SECONDS = 1.0
-STOP_SECONDS = 0.03
-
-SERVICE = "plans"
 
 # The job of scenarios that have only one.
 JOB = "00000000000000aa"
@@ -73,181 +67,19 @@
     )
 
 
-class Run:
-    """A run of a task at a worker."""
-
-    def __init__(self, key, run, began, seconds, fails):
-        self.key = key
-        self.run = run
-        self.began = began
-        self.ends_at = began + seconds
-        self.seconds = seconds
-        self.fails = fails
-        self.slow_at = None
-        self.slow_factor = 1.0
-
-    def slow_down(self, now, factor):
-        """Make the rest of the run slower by a factor."""
-        self.slow_at, self.slow_factor = now, factor
-        self.ends_at = now + (self.ends_at - now) * factor
-
-    def percent(self, now):
-        """Return the progress in percent."""
-        worked = now - self.began
-        if self.slow_at is not None:
-            worked = self.slow_at - self.began + (now - self.slow_at) / self.slow_factor
-        return min(99, int(100 * worked / self.seconds))
-
-
-class SimulatedWorker:
-    """A worker whose runs need a lease, with faults that can be enabled.
-
-    :ivar cut: no call reaches it.
-    :ivar pace: factor by which run times are longer.
-    :ivar fails: every run fails within a millisecond.
-    :ivar stalls: runs never end.
-    :ivar unanswered_share: share of calls that are lost and get no answer.
-    :ivar late: seconds after which lost calls are executed all the same; 0 for never.
-    :ivar unconfirmed_share: share of calls that are executed but get no answer.
-    :ivar dropped_calls: types of calls that are all lost.
-    """
-
-    def __init__(self, fleet, name, cpu, data_centre, generator):
-        self.fleet = fleet
-        self.name = name
-        self.cpu = cpu
-        self.data_centre = data_centre
-        self.generator = generator
-        self.incarnation = 1
-        self.up = True
-        self.cut = False
-        self.pace = 1.0
-        self.fails = False
-        self.stalls = False
-        self.unanswered_share = 0.0
-        self.late = 0.0
-        self.unconfirmed_share = 0.0
-        self.dropped_calls = ()
-        self.draining = False
-        self.leaves_in_ms = 0
-        self.sequence = 0
-        self.reset()
-
-    def reset(self):
-        self.runs = {}
-        self.ended = []
-        self.number = 0
-        self.highest = {}
-        self.lease_until = -1.0
-        self.token = 0
-
-    @property
-    def identifier(self):
-        return f"{self.name}-{self.incarnation}"
-
-    def announcement(self):
-        self.sequence += 1
-        return Worker(
-            self.identifier,
-            SERVICE,
-            self.data_centre,
-            ("a",),
-            self.cpu,
-            65_536,
-            0,
-            self.draining,
-            self.leaves_in_ms,
-            self.sequence,
-        )
-
-    def crash(self):
-        for run in self.runs.values():
-            self.fleet.record_run_end(run)
-        self.incarnation += 1
-        self.reset()
-
-    def advance(self, now):
-        """End the runs that are complete by now, or whose lease has expired."""
-        for run in sorted(self.runs.values(), key=lambda run: run.ends_at):
-            end = min(run.ends_at, self.lease_until)
-            if end <= now:
-                how = RunEnd.LAPSED
-                if run.ends_at <= self.lease_until:
-                    how = RunEnd.FAILED if run.fails else RunEnd.DONE
-                self.finish(run, how, end)
-
-    def finish(self, run, how, at):
-        del self.runs[run.key]
-        self.number += 1
-        self.ended.append(EndedRow(self.number, run.key, run.run, how))
-        self.highest[run.key] = max(run.run, self.highest.get(run.key, 0))
-        self.fleet.record_run_end(run, at)
-
-    def start(self, effect, sent_at, now):
-        self.advance(now)
-        if effect.worker != self.identifier:
-            return StartVerdict.GONE
-        if effect.token < self.token:
-            return StartVerdict.FENCED
-        self.token = effect.token
-        deadline = sent_at + min(effect.lease_seconds, MAXIMUM_LEASE_SECONDS)
-        if deadline <= now:
-            return StartVerdict.LATE
-        self.lease_until = max(self.lease_until, deadline)
-        key = effect.key
-        if key in self.runs and self.runs[key].run == effect.run:
-            return StartVerdict.STARTED
-        if effect.run <= self.highest.get(key, 0):
-            return StartVerdict.SUPERSEDED
-        cpu, seconds = self.fleet.size_of(key)
-        if sum(self.fleet.size_of(other)[0] for other in self.runs) + cpu > self.cpu:
-            self.fleet.overloads += 1
-            return StartVerdict.NO_ROOM
-        took = 0.001 if self.fails else seconds * self.pace
-        if self.stalls:
-            took = 1e9
-        run = Run(key, effect.run, now, took, self.fails)
-        self.runs[key] = run
-        self.fleet.record_run_start(run, self)
-        return StartVerdict.STARTED
-
-    def stop(self, effect, now):
-        self.advance(now)
-        if effect.worker != self.identifier:
-            return False
-        self.highest[effect.key] = max(effect.run, self.highest.get(effect.key, 0))
-        run = self.runs.get(effect.key)
-        if run is not None and run.run <= effect.run:
-            self.finish(run, RunEnd.STOPPED, now)
-        return True
-
-    def renew(self, effect, sent_at, now):
-        self.advance(now)
-        if effect.lease_seconds and effect.worker == self.identifier:
-            until = sent_at + min(effect.lease_seconds, MAXIMUM_LEASE_SECONDS)
-            self.lease_until = max(self.lease_until, until)
-        self.ended = [row for row in self.ended if row.number > effect.acknowledged]
-
-    def rows(self, now):
-        running = [
-            RunningRow(
-                run.key,
-                "",
-                run.run,
-                run.percent(now),
-            )
-            for run in self.runs.values()
-        ]
-        return running, list(self.ended)
-
-
 class Fleet:
     """The processes, their clock, and the record of what they did.
 
     :ivar cuts: links that lose all messages, as pairs of sender and receiver.
     :ivar starts: time, task, run number and worker of each run.
-    :ivar overlaps: time and task of each run that began while another one was live.
+    :ivar overlaps: time and task of each run that began while another one was live,
+        with the other's worker and its own.
     :ivar overloads: number of starts that exceeded a worker's capacity.
+    :ivar unguarded_overloads: the same at workers that start anything.
+    :ivar clock_offsets: by process, its clock minus the fleet's.
+    :ivar held_up: when held messages arrive, by sender's incarnation and receiver.
+    :ivar crashing: by job that crashes its workers, how long they are down, and
+        whether they refuse connections meanwhile.
     :ivar answers: time and effect of each answer, by waiter.
     :ivar arrivals: time, queue, run time and job of each submission, by waiter.
     """
@@ -281,6 +113,11 @@
         self.live_runs = {}
         self.overlaps = []
         self.overloads = 0
+        self.unguarded_overloads = 0
+        self.clock_offsets = {}
+        self.held_up = {}
+        self.crashing = {}
+        self.calls = WorkerCalls(self)
         self.starts = []
         self.answers = {}
         self.lines = []
@@ -389,7 +226,7 @@
 
     def heartbeat(self, name):
         worker = self.workers[name]
-        if worker.up and name not in self.dead:
+        if worker.up and worker.announces and name not in self.dead:
             self.announce(name)
             self.at(HEARTBEAT_SECONDS, lambda: self.heartbeat(name))
         else:
@@ -399,8 +236,25 @@
         """Make a worker send a heartbeat now."""
         self.deliver(name, Announced(self.workers[name].announcement()))
 
+    def announce_departure(self, name):
+        self.deliver(name, Departed(self.workers[name].identifier))
+
+    def reboot(self, name, seconds):
+        """Reboot an agent's host: its clock begins anew, and its worker ends."""
+        self.kill(name)
+        self.workers[name].crash_for(seconds, False)
+        self.at(seconds, lambda: self.boot(name))
+
+    def boot(self, name):
+        self.clock_offsets[name] = BOOT_SECONDS - self.now
+        self.start_agent(name)
+
     # Time.
 
+    def clock(self, name):
+        """Return what a process reads on its host's clock."""
+        return self.now + self.clock_offsets.get(name, 0.0)
+
     def at(self, delay, action):
         heapq.heappush(self.events, (self.now + delay, next(self.serial), action))
 
@@ -420,7 +274,7 @@
             self.at(wakes - self.now, lambda: self.deliver_if_same(name, state, event))
             return
         role = agent if name in self.workers else entry
-        for effect in role.reduce(state, event, self.now):
+        for effect in role.reduce(state, event, self.clock(name)):
             self.perform(name, state, effect)
 
     def deliver_if_same(self, name, state, event):
@@ -435,7 +289,7 @@
         elif isinstance(effect, Answer):
             self.answers[effect.waiter] = (self.now, effect)
         elif isinstance(effect, (StartTask, StopTask, PollWorker)):
-            self.call(name, state, effect)
+            self.calls.call(name, state, effect)
         elif isinstance(effect, ReadEntries):
             self.at(
                 0.005,
@@ -464,75 +318,13 @@
             link = (sender, address)
             delay = max(delay, self.last_arrival.get(link, 0.0) - self.now)
             self.last_arrival[link] = self.now + delay
+        held_until = self.held_up.get((self.states[sender].incarnation, address), 0.0)
+        delay = max(delay, held_until - self.now)
         self.at(
             delay,
             lambda: self.deliver_if_same(address, state, received(sender, message)),
         )
 
-    def call(self, name, state, effect):
-        worker = self.workers[name]
-        sent_at = self.now
-        lost = worker.generator.random() < worker.unanswered_share or isinstance(
-            effect, worker.dropped_calls
-        )
-        if not worker.up or worker.cut or lost:
-            if worker.up and lost and worker.late:
-                self.at(worker.late, lambda: self.carry_out(worker, effect, sent_at))
-            wait = getattr(effect, "wait_ms", 0) / 1000
-            self.at(
-                CALL_TIMEOUT_SECONDS + wait,
-                lambda: self.deliver_if_same(name, state, make_unanswered(effect)),
-            )
-            return
-        self.at(
-            CALL_SECONDS / 2, lambda: self.arrive(name, state, worker, effect, sent_at)
-        )
-
-    def arrive(self, name, state, worker, effect, sent_at):
-        event = self.carry_out(worker, effect, sent_at)
-        if event is not None:
-            if worker.generator.random() < worker.unconfirmed_share:
-                event, after = make_unanswered(effect), CALL_TIMEOUT_SECONDS
-                self.at(after, lambda: self.deliver_if_same(name, state, event))
-                return
-            self.at(CALL_SECONDS / 2, lambda: self.deliver_if_same(name, state, event))
-            return
-        deadline = self.now + effect.wait_ms / 1000
-        self.wait_for_end(name, state, worker, effect, sent_at, deadline)
-
-    def carry_out(self, worker, effect, sent_at):
-        now = self.now
-        if isinstance(effect, StartTask):
-            verdict = worker.start(effect, sent_at, now)
-            return StartAnswered(effect.worker, effect.handle, verdict)
-        if isinstance(effect, StopTask):
-            return StopAnswered(effect.worker, effect.handle, worker.stop(effect, now))
-        if effect.worker != worker.identifier:
-            return PollFailed(effect.worker, False, True, effect.is_check)
-        if effect.token < worker.token:
-            return PollFailed(effect.worker, True, False, effect.is_check)
-        worker.token = effect.token
-        worker.renew(effect, sent_at, now)
-        if effect.wait_ms and not worker.ended:
-            return None
-        return make_poll_answered(effect, sent_at, *worker.rows(now))
-
-    def wait_for_end(self, name, state, worker, effect, sent_at, deadline):
-        worker.advance(self.now)
-        gone = effect.worker != worker.identifier
-        if gone or worker.ended or self.now >= deadline or worker.cut:
-            event = PollFailed(effect.worker, False, gone, effect.is_check)
-            if not gone and not worker.cut:
-                event = make_poll_answered(effect, sent_at, *worker.rows(self.now))
-            self.at(CALL_SECONDS / 2, lambda: self.deliver_if_same(name, state, event))
-            return
-        ends = [run.ends_at for run in worker.runs.values()]
-        step = min([0.01, deadline - self.now, *(end - self.now for end in ends)])
-        self.at(
-            max(step, 0.0002),
-            lambda: self.wait_for_end(name, state, worker, effect, sent_at, deadline),
-        )
-
     # Records.
 
     def size_of(self, key):
@@ -544,8 +336,20 @@
         if other is not None:
             other[1].advance(self.now)
         if self.live_runs.get(run.key) is not None:
-            self.overlaps.append((self.now, run.key))
+            self.overlaps.append((self.now, run.key, other[1].name, worker.name))
         self.live_runs[run.key] = (run, worker)
+        if run.key.job in self.crashing and not run.key.index:
+            self.at(CRASH_SECONDS, lambda: self.crash_by(run, worker))
+
+    def crash_by(self, run, worker):
+        """Crash a worker by a run that is still there."""
+        if worker.runs.get(run.key) is run:
+            worker.crash_for(*self.crashing[run.key.job])
+
+    def record_overload(self, worker):
+        self.overloads += 1
+        if not worker.guards:
+            self.unguarded_overloads += 1
 
     def record_run_end(self, run, at=None):
         live = self.live_runs.get(run.key)
@@ -580,7 +384,16 @@
         return waiter
 
     def leave(self, entry, waiter):
-        self.deliver(entry, WaiterLeft(waiter, self.arrivals[waiter][3]))
+        """Tell an entry that a caller has gone; a frozen one reads that last."""
+        event, state = WaiterLeft(waiter, self.arrivals[waiter][3]), self.states[entry]
+        wakes = self.frozen.get(entry, 0.0)
+        if wakes <= self.now:
+            self.deliver(entry, event)
+            return
+        self.at(
+            wakes + READ_CALLERS_SECONDS - self.now,
+            lambda: self.deliver_if_same(entry, state, event),
+        )
 
     def terminate(self, name):
         event = AgentStopRequested() if name in self.workers else StopRequested()
@@ -600,17 +413,3 @@
         return self.took(waiter) <= chosen.stretch * seconds + (
             chosen.allowance_ms / 1000
         )
-
-
-def make_unanswered(effect):
-    if isinstance(effect, StartTask):
-        return StartAnswered(effect.worker, effect.handle, StartVerdict.UNKNOWN)
-    if isinstance(effect, StopTask):
-        return StopAnswered(effect.worker, effect.handle, False)
-    return PollFailed(effect.worker, False, False, effect.is_check)
-
-
-def make_poll_answered(effect, sent_at, running, ended):
-    return PollAnswered(
-        effect.worker, sent_at, running, ended, effect.acknowledged, effect.is_check
-    )
--- /dev/null
+++ b/features/support/fleetcalls.py
@@ -0,0 +1,168 @@
+"""Calls of simulated agents to their workers, over connections with faults."""
+
+from cactuswalk.dispatch.agentevents import (
+    PollAnswered,
+    PollFailed,
+    StartAnswered,
+    StartVerdict,
+    StopAnswered,
+)
+from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
+from cactuswalk.dispatch.effects import StartTask, StopTask
+from features.support.fleetworker import CALL_SECONDS
+
+__all__ = ["WorkerCalls"]
+
+
+class WorkerCalls:
+    """Carries the agents' calls, with the lateness and losses of each worker.
+
+    :ivar offsets: a worker's clock minus its agent's, as measured with the last
+        answer, by the agent's incarnation and the worker's identifier.
+    :ivar pauses: seconds for which an agent freezes between the decision on its next
+        start and the call, by agent.
+    """
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+        self.offsets = {}
+        self.pauses = {}
+
+    def call(self, name, state, effect):
+        if isinstance(effect, StartTask) and name in self.pauses:
+            seconds = self.pauses.pop(name)
+            self.fleet.freeze(name, seconds)
+            self.fleet.at(seconds, lambda: self.send_if_same(name, state, effect))
+            return
+        self.send(name, state, effect)
+
+    def send_if_same(self, name, state, effect):
+        if self.fleet.states.get(name) is state and name not in self.fleet.dead:
+            self.send(name, state, effect)
+
+    def send(self, name, state, effect):
+        fleet = self.fleet
+        worker = fleet.workers[name]
+        sent_at = fleet.now
+        offset = self.offsets.get((state.incarnation, effect.worker), 0.0)
+        faults = worker.call_faults[type(effect)]
+        share = max(worker.unanswered_share, faults.lost_share)
+        lost = worker.generator.random() < share or isinstance(
+            effect, worker.dropped_calls
+        )
+        if worker.refuses:
+            event = make_refused(effect)
+            fleet.at(CALL_SECONDS, lambda: fleet.deliver_if_same(name, state, event))
+            return
+        if not worker.up or worker.cut or lost:
+            late = faults.late or worker.late
+            if worker.up and lost and late:
+                fleet.at(
+                    late, lambda: self.execute_late(worker, effect, sent_at, offset)
+                )
+            wait = getattr(effect, "wait_ms", 0) / 1000
+            fleet.at(
+                CALL_TIMEOUT_SECONDS + wait,
+                lambda: fleet.deliver_if_same(name, state, make_unanswered(effect)),
+            )
+            return
+        fleet.at(
+            CALL_SECONDS / 2,
+            lambda: self.arrive(name, state, worker, effect, sent_at, offset),
+        )
+
+    def execute_late(self, worker, effect, sent_at, offset):
+        if worker.up:
+            self.carry_out(worker, effect, sent_at, offset)
+
+    def arrive(self, name, state, worker, effect, sent_at, offset):
+        fleet = self.fleet
+        event = self.carry_out(worker, effect, sent_at, offset)
+        if event is not None:
+            faults = worker.call_faults[type(effect)]
+            share = max(worker.unconfirmed_share, faults.unconfirmed_share)
+            if worker.generator.random() < share:
+                event, after = make_unanswered(effect), CALL_TIMEOUT_SECONDS
+                fleet.at(after, lambda: fleet.deliver_if_same(name, state, event))
+                return
+            self.answer(name, state, worker, effect, event)
+            return
+        deadline = fleet.now + effect.wait_ms / 1000
+        self.wait_for_end(name, state, worker, effect, sent_at, deadline)
+
+    def answer(self, name, state, worker, effect, event):
+        """Deliver a worker's answer, with which its clock is measured."""
+        offset = worker.clock_offset(self.fleet.now)
+        identifier = worker.identifier
+
+        def deliver():
+            if effect.worker == identifier:
+                self.offsets[state.incarnation, identifier] = offset
+            self.fleet.deliver_if_same(name, state, event)
+
+        self.fleet.at(CALL_SECONDS / 2, deliver)
+
+    def carry_out(self, worker, effect, sent_at, offset):
+        now = self.fleet.now
+        if not worker.up:
+            return make_unanswered(effect)
+        if isinstance(effect, StartTask):
+            verdict = worker.start(effect, sent_at, offset, now)
+            return StartAnswered(effect.worker, effect.handle, verdict)
+        if isinstance(effect, StopTask):
+            return StopAnswered(effect.worker, effect.handle, worker.stop(effect, now))
+        if effect.worker != worker.identifier:
+            return PollFailed(effect.worker, False, True, effect.is_check)
+        if effect.token < worker.token:
+            return PollFailed(effect.worker, True, False, effect.is_check)
+        worker.token = effect.token
+        worker.renew(effect, sent_at, offset, now)
+        if effect.wait_ms and not worker.ended:
+            return None
+        return self.make_poll_answer(worker, effect, sent_at)
+
+    def make_poll_answer(self, worker, effect, sent_at):
+        running, ended = worker.rows(self.fleet.now)
+        return PollAnswered(
+            effect.worker,
+            sent_at + self.fleet.clock_offsets.get(worker.name, 0.0),
+            running,
+            ended,
+            effect.acknowledged,
+            effect.is_check,
+        )
+
+    def wait_for_end(self, name, state, worker, effect, sent_at, deadline):
+        fleet = self.fleet
+        worker.advance(fleet.now)
+        gone = effect.worker != worker.identifier and worker.up
+        broken = worker.cut or not worker.up
+        if gone or broken or worker.ended or fleet.now >= deadline:
+            event = PollFailed(effect.worker, False, gone, effect.is_check)
+            if not gone and not broken:
+                event = self.make_poll_answer(worker, effect, sent_at)
+            self.answer(name, state, worker, effect, event)
+            return
+        ends = [run.ends_at for run in worker.runs.values()]
+        step = min([0.01, deadline - fleet.now, *(end - fleet.now for end in ends)])
+        fleet.at(
+            max(step, 0.0002),
+            lambda: self.wait_for_end(name, state, worker, effect, sent_at, deadline),
+        )
+
+
+def make_unanswered(effect):
+    if isinstance(effect, StartTask):
+        return StartAnswered(effect.worker, effect.handle, StartVerdict.UNKNOWN)
+    if isinstance(effect, StopTask):
+        return StopAnswered(effect.worker, effect.handle, False)
+    return PollFailed(effect.worker, False, False, effect.is_check)
+
+
+def make_refused(effect):
+    """Return what the platform's client makes of a refused connection."""
+    if isinstance(effect, StartTask):
+        return StartAnswered(effect.worker, effect.handle, StartVerdict.GONE)
+    if isinstance(effect, StopTask):
+        return StopAnswered(effect.worker, effect.handle, False)
+    return PollFailed(effect.worker, False, True, effect.is_check)
--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -30,6 +30,9 @@
         self.ends_at = 0.0
         self.unanswered = []
         self.false_refusals = []
+        self.fault_names = FAULTS
+        self.fault_gap, self.job_gap = FAULT_GAP_SECONDS, JOB_GAP_SECONDS
+        self.last_wait = 0.0
 
     def play(self, seconds):
         fleet = self.fleet
@@ -52,7 +55,7 @@
             generator.uniform(0.05, 1.2),
             None,
         )
-        fleet.at(generator.expovariate(1 / JOB_GAP_SECONDS), self.next_job)
+        fleet.at(generator.expovariate(1 / self.job_gap), self.next_job)
 
     def submit(self, identifier, tasks, seconds, avoid):
         alive = [
@@ -64,6 +67,7 @@
             return
         entry = self.generator.choice(alive)
         wait = self.generator.uniform(0.8, LONGEST_WAIT_SECONDS)
+        self.last_wait = wait
         waiter = self.fleet.submit(
             entry,
             identifier,
@@ -86,10 +90,10 @@
     def next_fault(self):
         if self.fleet.now >= self.ends_at:
             return
-        name = self.generator.choice(FAULTS)
+        name = self.generator.choice(self.fault_names)
         self.faults.append((round(self.fleet.now, 3), name))
         getattr(self, name)()
-        gap = self.generator.expovariate(1 / FAULT_GAP_SECONDS)
+        gap = self.generator.expovariate(1 / self.fault_gap)
         self.fleet.at(gap, self.next_fault)
 
     # Faults.
--- /dev/null
+++ b/features/support/fleetworker.py
@@ -0,0 +1,267 @@
+"""Simulated worker: runs of tasks under a lease, with faults that can be enabled."""
+
+from cactuswalk.dispatch.agentevents import (
+    EndedRow,
+    RunEnd,
+    RunningRow,
+    StartVerdict,
+)
+from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
+from cactuswalk.dispatch.job import Worker
+
+__all__ = ["CALL_SECONDS", "SERVICE", "Run", "SimulatedWorker"]
+
+SERVICE = "plans"
+CALL_SECONDS = 0.001
+MAXIMUM_LEASE_SECONDS = 1.0
+
+# A smaller capacity counts from here on: by then a heartbeat has shown it.
+CAPACITY_KNOWN_SECONDS = 2.0
+
+
+class Run:
+    """A run of a task at a worker."""
+
+    def __init__(self, key, run, began, seconds, fails):
+        self.key = key
+        self.run = run
+        self.began = began
+        self.ends_at = began + seconds
+        self.seconds = seconds
+        self.fails = fails
+        self.slow_at = None
+        self.slow_factor = 1.0
+
+    def slow_down(self, now, factor):
+        """Make the rest of the run slower by a factor."""
+        self.slow_at, self.slow_factor = now, factor
+        self.ends_at = now + (self.ends_at - now) * factor
+
+    def percent(self, now):
+        """Return the progress in percent."""
+        worked = now - self.began
+        if self.slow_at is not None:
+            worked = self.slow_at - self.began + (now - self.slow_at) / self.slow_factor
+        return min(99, int(100 * worked / self.seconds))
+
+
+class CallFaults:
+    """Faults of one kind of call to a worker.
+
+    :ivar lost_share: share that is lost and gets no answer.
+    :ivar late: seconds after which lost calls are executed all the same; 0 for never.
+    :ivar unconfirmed_share: share that is executed but gets no answer.
+    """
+
+    def __init__(self, lost_share=0.0, late=0.0, unconfirmed_share=0.0):
+        self.lost_share = lost_share
+        self.late = late
+        self.unconfirmed_share = unconfirmed_share
+
+
+class SimulatedWorker:
+    """A worker whose runs need a lease, with faults that can be enabled.
+
+    :ivar up: it runs; if not, calls get no answer.
+    :ivar refuses: connections are refused: it is down, or a cut rejects them.
+    :ivar announces: it sends heartbeats.
+    :ivar cut: no call reaches it.
+    :ivar pace: factor by which run times are longer.
+    :ivar fails: every run fails within a millisecond.
+    :ivar stalls: runs never end.
+    :ivar unanswered_share: share of calls that are lost and get no answer.
+    :ivar late: seconds after which lost calls are executed all the same; 0 for never.
+    :ivar unconfirmed_share: share of calls that are executed but get no answer.
+    :ivar dropped_calls: types of calls that are all lost.
+    :ivar call_faults: further faults, by type of call.
+    :ivar guards: it refuses starts that exceed its capacity, else it starts anything.
+    :ivar drift: fraction by which its clock is slow.
+    """
+
+    def __init__(self, fleet, name, cpu, data_centre, generator):
+        self.fleet = fleet
+        self.name = name
+        self.cpu = cpu
+        self.data_centre = data_centre
+        self.generator = generator
+        self.incarnation = 1
+        self.up = True
+        self.refuses = False
+        self.announces = True
+        self.cut = False
+        self.pace = 1.0
+        self.fails = False
+        self.stalls = False
+        self.unanswered_share = 0.0
+        self.late = 0.0
+        self.unconfirmed_share = 0.0
+        self.dropped_calls = ()
+        self.call_faults = {
+            kind: CallFaults() for kind in (StartTask, StopTask, PollWorker)
+        }
+        self.guards = True
+        self.drift = 0.0
+        self.larger_cpu = cpu
+        self.shrunk_at = 0.0
+        self.draining = False
+        self.leaves_in_ms = 0
+        self.sequence = 0
+        self.reset()
+
+    def reset(self):
+        self.runs = {}
+        self.ended = []
+        self.number = 0
+        self.highest = {}
+        self.lease_until = -1.0
+        self.token = 0
+
+    @property
+    def identifier(self):
+        return f"{self.name}-{self.incarnation}"
+
+    def announcement(self):
+        self.sequence += 1
+        return Worker(
+            self.identifier,
+            SERVICE,
+            self.data_centre,
+            ("a",),
+            self.cpu,
+            65_536,
+            0,
+            self.draining,
+            self.leaves_in_ms,
+            self.sequence,
+        )
+
+    def crash(self):
+        for run in self.runs.values():
+            self.fleet.record_run_end(run)
+        self.incarnation += 1
+        self.reset()
+
+    def crash_for(self, seconds, refuses):
+        """Crash, and come back as a new incarnation after some seconds."""
+        self.crash()
+        self.up, self.refuses = False, refuses
+        incarnation = self.incarnation
+        self.fleet.at(seconds, lambda: self.come_back(incarnation))
+
+    def come_back(self, incarnation):
+        if self.incarnation == incarnation:
+            self.up, self.refuses, self.announces = True, False, True
+            self.fleet.announce(self.name)
+
+    def depart(self, runs_on, away):
+        """Announce the departure, run on for a while, and return later."""
+        self.announces = False
+        self.fleet.announce_departure(self.name)
+        self.fleet.at(runs_on, lambda: self.crash_for(away, True))
+
+    def resize(self, cpu):
+        """Change the capacity; the next heartbeat shows it."""
+        self.larger_cpu, self.shrunk_at = max(self.cpu, cpu), self.fleet.now
+        self.cpu = cpu
+
+    def judged_cpu(self):
+        """Return the capacity that its agent can know of."""
+        known = self.fleet.states[self.name].worker
+        if self.fleet.now - self.shrunk_at < CAPACITY_KNOWN_SECONDS:
+            return self.larger_cpu
+        return max(self.cpu, known.cpu if known else 0)
+
+    # Its clock, and the deadlines that a client computes for it.
+
+    def clock(self, now):
+        return now * (1 - self.drift)
+
+    def clock_offset(self, now):
+        """Return the offset that a client measures with an answer sent now."""
+        return self.clock(now) - now - (CALL_SECONDS / 2 if self.drift else 0.0)
+
+    def lease_end(self, sent_at, offset, lease_seconds, now):
+        """Return when a lease ends that a client has converted with an offset."""
+        if not self.drift:
+            return sent_at + min(lease_seconds, MAXIMUM_LEASE_SECONDS)
+        deadline = sent_at + offset + lease_seconds
+        deadline = min(deadline, self.clock(now) + MAXIMUM_LEASE_SECONDS)
+        return deadline / (1 - self.drift)
+
+    # Runs.
+
+    def advance(self, now):
+        """End the runs that are complete by now, or whose lease has expired."""
+        for run in sorted(self.runs.values(), key=lambda run: run.ends_at):
+            end = min(run.ends_at, self.lease_until)
+            if end <= now:
+                how = RunEnd.LAPSED
+                if run.ends_at <= self.lease_until:
+                    how = RunEnd.FAILED if run.fails else RunEnd.DONE
+                self.finish(run, how, end)
+
+    def finish(self, run, how, at):
+        del self.runs[run.key]
+        self.number += 1
+        self.ended.append(EndedRow(self.number, run.key, run.run, how))
+        self.highest[run.key] = max(run.run, self.highest.get(run.key, 0))
+        self.fleet.record_run_end(run, at)
+
+    def start(self, effect, sent_at, offset, now):
+        self.advance(now)
+        if effect.worker != self.identifier:
+            return StartVerdict.GONE
+        if effect.token < self.token:
+            return StartVerdict.FENCED
+        self.token = effect.token
+        deadline = self.lease_end(sent_at, offset, effect.lease_seconds, now)
+        if deadline <= now:
+            return StartVerdict.LATE
+        self.lease_until = max(self.lease_until, deadline)
+        key = effect.key
+        if key in self.runs and self.runs[key].run == effect.run:
+            return StartVerdict.STARTED
+        if effect.run <= self.highest.get(key, 0):
+            return StartVerdict.SUPERSEDED
+        cpu, seconds = self.fleet.size_of(key)
+        used = sum(self.fleet.size_of(other)[0] for other in self.runs) + cpu
+        if used > self.judged_cpu():
+            self.fleet.record_overload(self)
+        if used > self.cpu and self.guards:
+            return StartVerdict.NO_ROOM
+        took = 0.001 if self.fails else seconds * self.pace
+        if self.stalls:
+            took = 1e9
+        run = Run(key, effect.run, now, took, self.fails)
+        self.runs[key] = run
+        self.fleet.record_run_start(run, self)
+        return StartVerdict.STARTED
+
+    def stop(self, effect, now):
+        self.advance(now)
+        if effect.worker != self.identifier:
+            return False
+        self.highest[effect.key] = max(effect.run, self.highest.get(effect.key, 0))
+        run = self.runs.get(effect.key)
+        if run is not None and run.run <= effect.run:
+            self.finish(run, RunEnd.STOPPED, now)
+        return True
+
+    def renew(self, effect, sent_at, offset, now):
+        self.advance(now)
+        if effect.lease_seconds and effect.worker == self.identifier:
+            until = self.lease_end(sent_at, offset, effect.lease_seconds, now)
+            self.lease_until = max(self.lease_until, until)
+        self.ended = [row for row in self.ended if row.number > effect.acknowledged]
+
+    def rows(self, now):
+        running = [
+            RunningRow(
+                run.key,
+                "",
+                run.run,
+                run.percent(now),
+            )
+            for run in self.runs.values()
+        ]
+        return running, list(self.ended)
