--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -103,6 +103,7 @@
         self.states = {}
         self.dead = set()
         self.frozen = {}
+        self.backlogs = {}
         self.cuts = set()
         # A connection keeps messages in order. Random days don't rely on that, since a
         # connection that is broken and restored may not.
@@ -216,7 +217,19 @@
 
     def freeze(self, name, seconds):
         """Pause a process; events are queued until it resumes."""
-        self.frozen[name] = self.now + seconds
+        if self.now >= self.frozen.get(name, 0.0):
+            self.backlogs[name] = []
+            self.at(seconds, lambda: self.wake(name))
+        self.frozen[name] = max(self.frozen.get(name, 0.0), self.now + seconds)
+
+    def wake(self, name):
+        """Deliver what came during a freeze, broken connections of callers last."""
+        if self.now < self.frozen[name]:
+            self.at(self.frozen[name] - self.now, lambda: self.wake(name))
+            return
+        for state, event in self.backlogs.pop(name):
+            delay = READ_CALLERS_SECONDS if isinstance(event, WaiterLeft) else 0.0
+            self.at(delay, lambda s=state, e=event: self.deliver_if_same(name, s, e))
 
     def tick(self, name, state):
         if self.states.get(name) is not state or name in self.dead:
@@ -269,9 +282,8 @@
         state = self.states[name]
         if name in self.dead:
             return
-        wakes = self.frozen.get(name, 0.0)
-        if self.now < wakes:
-            self.at(wakes - self.now, lambda: self.deliver_if_same(name, state, event))
+        if self.now < self.frozen.get(name, 0.0):
+            self.backlogs[name].append((state, event))
             return
         role = agent if name in self.workers else entry
         for effect in role.reduce(state, event, self.clock(name)):
@@ -385,15 +397,7 @@
 
     def leave(self, entry, waiter):
         """Tell an entry that a caller has gone; a frozen one reads that last."""
-        event, state = WaiterLeft(waiter, self.arrivals[waiter][3]), self.states[entry]
-        wakes = self.frozen.get(entry, 0.0)
-        if wakes <= self.now:
-            self.deliver(entry, event)
-            return
-        self.at(
-            wakes + READ_CALLERS_SECONDS - self.now,
-            lambda: self.deliver_if_same(entry, state, event),
-        )
+        self.deliver(entry, WaiterLeft(waiter, self.arrivals[waiter][3]))
 
     def terminate(self, name):
         event = AgentStopRequested() if name in self.workers else StopRequested()
--- a/features/support/fleetcalls.py
+++ b/features/support/fleetcalls.py
@@ -107,7 +107,7 @@
         if not worker.up:
             return make_unanswered(effect)
         if isinstance(effect, StartTask):
-            verdict = worker.start(effect, sent_at, offset, now)
+            verdict = worker.start(effect, sent_at + offset, now)
             return StartAnswered(effect.worker, effect.handle, verdict)
         if isinstance(effect, StopTask):
             return StopAnswered(effect.worker, effect.handle, worker.stop(effect, now))
@@ -116,7 +116,7 @@
         if effect.token < worker.token:
             return PollFailed(effect.worker, True, False, effect.is_check)
         worker.token = effect.token
-        worker.renew(effect, sent_at, offset, now)
+        worker.renew(effect, sent_at + offset, now)
         if effect.wait_ms and not worker.ended:
             return None
         return self.make_poll_answer(worker, effect, sent_at)
--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -1,5 +1,7 @@
 """Simulated worker: runs of tasks under a lease, with faults that can be enabled."""
 
+import math
+
 from cactuswalk.dispatch.agentevents import (
     EndedRow,
     RunEnd,
@@ -102,7 +104,7 @@
         self.guards = True
         self.drift = 0.0
         self.larger_cpu = cpu
-        self.shrunk_at = 0.0
+        self.shrunk_at = -math.inf
         self.draining = False
         self.leaves_in_ms = 0
         self.sequence = 0
@@ -180,11 +182,13 @@
         """Return the offset that a client measures with an answer sent now."""
         return self.clock(now) - now - (CALL_SECONDS / 2 if self.drift else 0.0)
 
-    def lease_end(self, sent_at, offset, lease_seconds, now):
-        """Return when a lease ends that a client has converted with an offset."""
-        if not self.drift:
-            return sent_at + min(lease_seconds, MAXIMUM_LEASE_SECONDS)
-        deadline = sent_at + offset + lease_seconds
+    def lease_end(self, sent_at, lease_seconds, now):
+        """Return when a lease ends.
+
+        :param sent_at: when the call was sent, on this worker's clock as its client
+            has converted it.
+        """
+        deadline = sent_at + lease_seconds
         deadline = min(deadline, self.clock(now) + MAXIMUM_LEASE_SECONDS)
         return deadline / (1 - self.drift)
 
@@ -207,14 +211,14 @@
         self.highest[run.key] = max(run.run, self.highest.get(run.key, 0))
         self.fleet.record_run_end(run, at)
 
-    def start(self, effect, sent_at, offset, now):
+    def start(self, effect, sent_at, now):
         self.advance(now)
         if effect.worker != self.identifier:
             return StartVerdict.GONE
         if effect.token < self.token:
             return StartVerdict.FENCED
         self.token = effect.token
-        deadline = self.lease_end(sent_at, offset, effect.lease_seconds, now)
+        deadline = self.lease_end(sent_at, effect.lease_seconds, now)
         if deadline <= now:
             return StartVerdict.LATE
         self.lease_until = max(self.lease_until, deadline)
@@ -247,10 +251,10 @@
             self.finish(run, RunEnd.STOPPED, now)
         return True
 
-    def renew(self, effect, sent_at, offset, now):
+    def renew(self, effect, sent_at, now):
         self.advance(now)
         if effect.lease_seconds and effect.worker == self.identifier:
-            until = self.lease_end(sent_at, offset, effect.lease_seconds, now)
+            until = self.lease_end(sent_at, effect.lease_seconds, now)
             self.lease_until = max(self.lease_until, until)
         self.ended = [row for row in self.ended if row.number > effect.acknowledged]
 
