--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -54,7 +54,6 @@
 GRACE_SECONDS = 6.0
 BOOT_SECONDS = 0.5
 CRASH_SECONDS = 0.002
-READ_CALLERS_SECONDS = 0.002
 DRAIN_SECONDS = 1.0
 
 # The job of scenarios that have only one.
@@ -76,6 +75,8 @@
         with the other's worker and its own.
     :ivar overloads: number of starts that exceeded a worker's capacity.
     :ivar unguarded_overloads: the same at workers that start anything.
+    :ivar read_callers_seconds: how long after a freeze an entry learns which callers
+        have gone.
     :ivar clock_offsets: by process, its clock minus the fleet's.
     :ivar held_up: when held messages arrive, by sender's incarnation and receiver.
     :ivar crashing: by job that crashes its workers, how long they are down, and
@@ -104,6 +105,7 @@
         self.dead = set()
         self.frozen = {}
         self.backlogs = {}
+        self.read_callers_seconds = 0.002
         self.cuts = set()
         # A connection keeps messages in order. Random days don't rely on that, since a
         # connection that is broken and restored may not.
@@ -228,7 +230,7 @@
             self.at(self.frozen[name] - self.now, lambda: self.wake(name))
             return
         for state, event in self.backlogs.pop(name):
-            delay = READ_CALLERS_SECONDS if isinstance(event, WaiterLeft) else 0.0
+            delay = self.read_callers_seconds if isinstance(event, WaiterLeft) else 0.0
             self.at(delay, lambda s=state, e=event: self.deliver_if_same(name, s, e))
 
     def tick(self, name, state):
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -29,6 +29,8 @@
     :ivar crashing_share: share of jobs whose first task crashes its worker.
     :ivar drift: fraction by which the workers' clocks are slow.
     :ivar guards: workers refuse what exceeds their capacity.
+    :ivar read_callers: seconds after a freeze in which an entry learns whose connection
+        has broken.
     """
 
     def __init__(
@@ -39,6 +41,7 @@
         crashing_share=0.0,
         drift=0.0,
         guards=True,
+        read_callers=0.002,
     ):
         self.faults = faults
         self.gap = gap
@@ -46,6 +49,7 @@
         self.crashing_share = crashing_share
         self.drift = drift
         self.guards = guards
+        self.read_callers = read_callers
 
 
 class SearchDay(RandomDay):
@@ -62,6 +66,8 @@
         self.fault_gap, self.job_gap = self.mix.gap, self.mix.job_gap
         for worker in self.fleet.workers.values():
             worker.drift, worker.guards = self.mix.drift, self.mix.guards
+        self.fleet.read_callers_seconds = self.mix.read_callers
+        self.cut_until = {}
 
     # Callers.
 
@@ -80,11 +86,23 @@
         fleet, entry = self.fleet, call[1]
         if not call[5] or call[0] in fleet.answers:
             return
-        if entry not in fleet.dead and fleet.frozen.get(entry, 0.0) < fleet.now - 1.0:
+        came_at = fleet.arrivals[call[0]][0]
+        held_up = max(fleet.frozen.get(entry, 0.0), self.cut_until.get(entry, 0.0))
+        if entry not in fleet.dead and held_up < came_at:
             self.unanswered.append(call[2])
         self.leave(call)
         self.resend(call)
 
+    def leave(self, call):
+        """Have a caller go; an entry that is cut off learns it after the cut."""
+        healed_at = self.cut_until.get(call[1], 0.0)
+        if healed_at <= self.fleet.now:
+            super().leave(call)
+        elif call[5] and call[0] not in self.fleet.answers:
+            call[5] = False
+            delay = healed_at - self.fleet.now + self.generator.uniform(0.01, 0.5)
+            self.fleet.at(delay, lambda: self.fleet.leave(call[1], call[0]))
+
     def break_connections(self, entry):
         """Have all callers of an entry notice that their connection has broken."""
         for call in self.calls:
@@ -107,8 +125,14 @@
     def cut_entry_and_break(self):
         entry = self.any_entry()
         others = [name for name in self.fleet.states if name != entry]
-        self.cut({(entry, other) for other in others})
-        self.cut({(other, entry) for other in others})
+        seconds = self.span()
+        pairs = {(entry, other) for other in others}
+        pairs |= {(other, entry) for other in others}
+        self.fleet.cuts |= pairs
+        self.fleet.at(seconds, lambda: self.fleet.cuts.difference_update(pairs))
+        self.cut_until[entry] = max(
+            self.cut_until.get(entry, 0.0), self.fleet.now + seconds
+        )
         self.break_connections(entry)
 
     def any_worker(self):
@@ -285,6 +309,8 @@
     "entries-late": Mix(("hold_up_entry", "kill_entry", "hold_up_agent")),
     "callers-broken": Mix(("break_callers", "cut_entry_and_break")),
     "callers-paused": Mix(("freeze_entry_and_break",)),
+    "callers-cut": Mix(("cut_entry_and_break",), gap=1.0),
+    "callers-paused-late": Mix(("freeze_entry_and_break",), read_callers=0.05),
     "paused": Mix(("freeze_entry", "freeze_agent")),
     "depart": Mix(("depart_worker",)),
     "refuse": Mix(("refuse_connections",)),
