--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -26,6 +26,8 @@
     :ivar faults: names of faults; one that is named twice is twice as frequent.
     :ivar gap: mean seconds between faults.
     :ivar job_gap: mean seconds between jobs.
+    :ivar stretch: factor by which tasks are longer than those of ``RandomDay``, so that
+        some outlast the callers' pause before a second attempt.
     :ivar crashing_share: share of jobs whose first task crashes its worker.
     :ivar drift: fraction by which the workers' clocks are slow.
     :ivar guards: workers refuse what exceeds their capacity.
@@ -37,7 +39,8 @@
         self,
         faults,
         gap=0.4,
-        job_gap=0.03,
+        job_gap=0.08,
+        stretch=3.0,
         crashing_share=0.0,
         drift=0.0,
         guards=True,
@@ -46,6 +49,7 @@
         self.faults = faults
         self.gap = gap
         self.job_gap = job_gap
+        self.stretch = stretch
         self.crashing_share = crashing_share
         self.drift = drift
         self.guards = guards
@@ -75,6 +79,8 @@
         if avoid is None and self.generator.random() < self.mix.crashing_share:
             down = self.generator.uniform(0.3, 3.0), self.generator.random() < 0.6
             self.fleet.crashing[identifier] = down
+        if avoid is None:
+            seconds *= self.mix.stretch
         before = len(self.calls)
         super().submit(identifier, tasks, seconds, avoid)
         for call in self.calls[before:]:
@@ -319,6 +325,7 @@
     ),
     "paused-start": Mix(("pause_before_start",)),
     "standard": Mix(FAULTS),
+    "standard-short": Mix(FAULTS, job_gap=0.03, stretch=1.0),
     "all": Mix(
         (*FAULTS, *CALL_LOSSES, *CALLERS, *WORKERS, *LATE, "reboot_agent"),
         gap=0.25,
