--- /dev/null
+++ b/features/dispatch_twice.feature
@@ -0,0 +1,11 @@
+Feature: No task runs twice at once, although something was taken for gone
+
+  Scenario: A worker announces that it leaves, and runs on
+    The announcement comes before the process ends. An agent that takes it for the end
+    of all runs has their tasks run elsewhere while they still run here.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 2 tasks of 2 seconds comes to e0
+    And after 0.3 seconds a worker that runs a task leaves, and runs on for 0.3 seconds
+    And the fleet runs on for 8 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
--- /dev/null
+++ b/features/steps/dispatch_twice_steps.py
@@ -0,0 +1,17 @@
+"""Steps on processes that are taken for gone while their work goes on."""
+
+from behave import when
+
+
+def find_busy_worker(context):
+    """Return the worker of the latest run."""
+    return context.fleet.workers[context.fleet.starts[-1][3]]
+
+
+@when(
+    "after {after:g} seconds a worker that runs a task leaves, and runs on for"
+    " {runs_on:g} seconds"
+)
+def step_depart(context, after, runs_on):
+    context.fleet.run(after)
+    find_busy_worker(context).depart(runs_on, 1.0)
