--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -9,3 +9,13 @@
     And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
+
+  Scenario: A worker's address refuses connections while its runs go on
+    A network that rejects connections looks to the agent as if nobody listened at the
+    address. The runs go on until their lease ends, half a second later.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 2 tasks of 2 seconds comes to e0
+    And after 0.3 seconds connections to a worker that runs a task are refused for 0.3
+    And the fleet runs on for 8 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -15,3 +15,14 @@
 def step_depart(context, after, runs_on):
     context.fleet.run(after)
     find_busy_worker(context).depart(runs_on, 1.0)
+
+
+@when(
+    "after {after:g} seconds connections to a worker that runs a task are refused for"
+    " {seconds:g}"
+)
+def step_refuse(context, after, seconds):
+    context.fleet.run(after)
+    worker = find_busy_worker(context)
+    worker.refuses = True
+    context.fleet.at(seconds, lambda: setattr(worker, "refuses", False))
