--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -19,3 +19,15 @@
     And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
+
+  Scenario: An entry resumes after its callers have gone elsewhere
+    Paused for longer than callers wait before a second attempt, it learns first that
+    its agents have stopped the tasks, and runs them again before it reads that their
+    caller's connection has broken.
+    Given a fleet of 2 entries and 4 workers
+    When a job of 2 tasks of 3 seconds comes to e0
+    And e0 freezes for 2 seconds after 0.1 seconds
+    And the connection of e0's caller breaks
+    And the same job comes to e1 1.3 seconds later
+    Then no task has run twice at once
+    And the job is completed at e1
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -26,3 +26,22 @@
     worker = find_busy_worker(context)
     worker.refuses = True
     context.fleet.at(seconds, lambda: setattr(worker, "refuses", False))
+
+
+@when("the connection of {entry:w}'s caller breaks")
+def step_break(context, entry):
+    context.fleet.leave(entry, context.waiters[entry])
+
+
+@when(
+    "{entry:w} is cut off for {seconds:g} seconds after {after:g} seconds, from its"
+    " callers {longer:g} longer"
+)
+def step_cut_off(context, entry, seconds, after, longer):
+    fleet = context.fleet
+    fleet.run(after)
+    for other in set(fleet.states) - {entry}:
+        fleet.cuts |= {(entry, other), (other, entry)}
+    fleet.at(seconds, fleet.cuts.clear)
+    waiter = context.waiters[entry]
+    fleet.at(seconds + longer, lambda: fleet.leave(entry, waiter))
