--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -41,3 +41,14 @@
     And the same job comes to e1 1.3 seconds later
     Then no task has run twice at once
     And the job is completed at e1
+
+  Scenario: Stops of a dead entry's tasks don't reach their worker
+    The worker answers polls, which renew its lease, so that the tasks run on until
+    after their caller's second attempt.
+    Given a fleet of 2 entries and 2 workers
+    When a job of 2 tasks of 3 seconds comes to e0
+    And all stop calls are lost
+    And e0 is killed after 0.3 seconds
+    And the same job comes to e1 1.3 seconds later
+    Then no task has run twice at once
+    And the job is completed at e1
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -2,6 +2,9 @@
 
 from behave import when
 
+from cactuswalk.dispatch.effects import StopTask
+from features.support.fleetworker import CallFaults
+
 
 def find_busy_worker(context):
     """Return the worker of the latest run."""
@@ -45,3 +48,9 @@
     fleet.at(seconds, fleet.cuts.clear)
     waiter = context.waiters[entry]
     fleet.at(seconds + longer, lambda: fleet.leave(entry, waiter))
+
+
+@when("all stop calls are lost")
+def step_lose_stops(context):
+    for worker in context.fleet.workers.values():
+        worker.call_faults[StopTask] = CallFaults(lost_share=1.0)
