--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -52,3 +52,15 @@
     And the same job comes to e1 1.3 seconds later
     Then no task has run twice at once
     And the job is completed at e1
+
+  Scenario: A worker with a slow clock is cut off after it was idle
+    An idle worker isn't polled, so that its clock has fallen behind by more than half a
+    second since it was measured. The lease in the start is longer by that than its agent
+    believes.
+    Given a fleet of 1 entries and 2 workers
+    When the workers' clocks run 2 percent slow for 30 seconds
+    And a job of 1 tasks of 2 seconds comes to e0
+    And the worker that runs it is cut off after 0.005 seconds
+    And the fleet runs on for 8 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -54,3 +54,16 @@
 def step_lose_stops(context):
     for worker in context.fleet.workers.values():
         worker.call_faults[StopTask] = CallFaults(lost_share=1.0)
+
+
+@when("the workers' clocks run {percent:g} percent slow for {seconds:g} seconds")
+def step_slow_clocks(context, percent, seconds):
+    for worker in context.fleet.workers.values():
+        worker.drift = percent / 100
+    context.fleet.run(seconds)
+
+
+@when("the worker that runs it is cut off after {after:g} seconds")
+def step_cut_busy_worker(context, after):
+    context.fleet.run(after)
+    find_busy_worker(context).cut = True
