--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -64,3 +64,13 @@
     And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
+
+  Scenario: An agent is paused between its decision on a start and the call
+    Meanwhile its entry has waited for both leases and has run the task elsewhere. The
+    deadline is computed when the call is sent, so that the worker accepts it.
+    Given a fleet of 1 entries and 2 workers
+    When the agent that is given the next task is paused for 1.5 seconds before its call
+    And a job of 1 tasks of 2 seconds comes to e0
+    And the fleet runs on for 8 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -67,3 +67,13 @@
 def step_cut_busy_worker(context, after):
     context.fleet.run(after)
     find_busy_worker(context).cut = True
+
+
+@when(
+    "the agent that is given the next task is paused for {seconds:g} seconds before its"
+    " call"
+)
+def step_pause_before_call(context, seconds):
+    fleet = context.fleet
+    fleet.calls.pauses = dict.fromkeys(fleet.workers, seconds)
+    fleet.at(0.5, fleet.calls.pauses.clear)
