--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -74,3 +74,14 @@
     And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
+
+  Scenario: A report from before an agent's host rebooted comes late
+    The host's clock began anew, so that the dead incarnation's report has the higher
+    stamp. An entry that takes it for news of yet another incarnation has the tasks of
+    the live one run elsewhere while they still run there.
+    Given a fleet of 1 entries and 2 workers
+    When a0 reboots for 1.5 seconds, and its last reports come 3 seconds late
+    And a job of 12 tasks of 2 seconds comes to e0
+    And the fleet runs on for 8 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -77,3 +77,20 @@
     fleet = context.fleet
     fleet.calls.pauses = dict.fromkeys(fleet.workers, seconds)
     fleet.at(0.5, fleet.calls.pauses.clear)
+
+
+@when(
+    "{agent:w} reboots for {seconds:g} seconds, and its last reports come {late:g}"
+    " seconds late"
+)
+def step_reboot(context, agent, seconds, late):
+    fleet = context.fleet
+    # The host has been up for longer than it will have been by the end.
+    fleet.run(9.0)
+    incarnation = fleet.states[agent].incarnation
+    for entry in fleet.entry_names:
+        fleet.held_up[incarnation, entry] = fleet.now + late
+    fleet.run(0.1)
+    fleet.reboot(agent, seconds)
+    # Its next incarnation is given tasks once the earlier one's leases have expired.
+    fleet.run(late - 0.6)
