--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -17,6 +17,9 @@
 # How long a caller waits beyond the time that it has told its entry.
 PATIENCE_SECONDS = 0.5
 
+# How soon a caller notices its answer.
+LOOK_SECONDS = 0.005
+
 CALLS = {"start": StartTask, "stop": StopTask, "poll": PollWorker}
 
 
@@ -33,6 +36,8 @@
     :ivar guards: workers refuse what exceeds their capacity.
     :ivar read_callers: seconds after a freeze in which an entry learns whose connection
         has broken.
+    :ivar again: seconds after which callers send a job again that was refused or not
+        finished; None for never.
     """
 
     def __init__(
@@ -45,6 +50,7 @@
         drift=0.0,
         guards=True,
         read_callers=0.002,
+        again=None,
     ):
         self.faults = faults
         self.gap = gap
@@ -54,6 +60,7 @@
         self.drift = drift
         self.guards = guards
         self.read_callers = read_callers
+        self.again = again
 
 
 class SearchDay(RandomDay):
@@ -72,6 +79,9 @@
             worker.drift, worker.guards = self.mix.drift, self.mix.guards
         self.fleet.read_callers_seconds = self.mix.read_callers
         self.cut_until = {}
+        self.open_calls = []
+        if self.mix.again is not None:
+            self.fleet.at(LOOK_SECONDS, self.look_at_answers)
 
     # Callers.
 
@@ -83,6 +93,7 @@
             seconds *= self.mix.stretch
         before = len(self.calls)
         super().submit(identifier, tasks, seconds, avoid)
+        self.open_calls += self.calls[before:]
         for call in self.calls[before:]:
             self.fleet.at(
                 self.last_wait + PATIENCE_SECONDS, lambda call=call: self.give_up(call)
@@ -99,6 +110,18 @@
         self.leave(call)
         self.resend(call)
 
+    def look_at_answers(self):
+        """Send jobs again that have been answered and not been completed."""
+        fleet = self.fleet
+        answered = [call for call in self.open_calls if call[0] in fleet.answers]
+        self.open_calls = [call for call in self.open_calls if call not in answered]
+        for waiter, entry, identifier, tasks, seconds, connected in answered:
+            if connected and fleet.verdict(waiter) != "completed":
+                job = identifier, tasks, seconds, entry
+                fleet.at(self.mix.again, lambda job=job: self.submit(*job))
+        if fleet.now < self.ends_at:
+            fleet.at(LOOK_SECONDS, self.look_at_answers)
+
     def leave(self, call):
         """Have a caller go; an entry that is cut off learns it after the cut."""
         healed_at = self.cut_until.get(call[1], 0.0)
@@ -118,6 +141,9 @@
 
     # Faults.
 
+    def no_fault(self):
+        """Leave everything as it is."""
+
     def break_callers(self):
         self.break_connections(self.any_entry())
 
@@ -317,6 +343,8 @@
     "callers-paused": Mix(("freeze_entry_and_break",)),
     "callers-cut": Mix(("cut_entry_and_break",), gap=1.0),
     "callers-paused-late": Mix(("freeze_entry_and_break",), read_callers=0.05),
+    "again-later": Mix(FAULTS, again=1.0),
+    "again-at-once": Mix(("no_fault",), again=0.0),
     "paused": Mix(("freeze_entry", "freeze_agent")),
     "depart": Mix(("depart_worker",)),
     "refuse": Mix(("refuse_connections",)),
@@ -331,6 +359,11 @@
         gap=0.25,
         crashing_share=0.01,
     ),
+    "all-light": Mix(
+        (*FAULTS, *CALL_LOSSES, *CALLERS, *WORKERS, "reboot_agent"),
+        job_gap=0.2,
+        crashing_share=0.02,
+    ),
     "all-unguarded": Mix(
         (*FAULTS, *CALL_LOSSES, *WORKERS, "reboot_agent", "break_callers"),
         gap=0.25,
