Take a worker for gone only on certain evidence

What callers saw: two runs of a task at once, when a worker had announced that it leaves and its process went on, or when connections to it were refused while its runs went on.

Cause: the agent took both for the end of all runs and reported them as lost, so that entries ran the tasks elsewhere while they still ran here, for up to a worker lease.

Change: a worker that refuses connections or has announced its departure is presumed gone (agentgone.py): it gets no starts, no poll renews its lease, a start is not repeated, and its runs are reported as lost when another incarnation has answered (421, or an answered poll), when the worker lists their ends, or when its last lease has expired. If it answers again after refusals, its runs go on. One that announced its departure and still answers is asked to stop what can't end within the lease. A start whose connection was refused was never sent and is declined at once (StartVerdict.UNREACHED; 421 stays GONE). Why it works: every renewal ends by renewed_at + worker_lapse_seconds, and none is sent after.

Not taken: a refusal as proof if all open connections have ended too. A network that resets and then refuses looks the same (reasoned, not run).

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -14,6 +14,16 @@
       | a stop before an unconfirmed start is abandoned      |
       | stopping the runs of an agent's earlier incarnation  |
 
+  Scenario Outline: Days of leaving or unreachable workers fail without a safeguard
+    The same days pass with all safeguards (dispatch_gone.feature).
+    When <safeguard> is disabled
+    Then a task runs twice at once on a day of the mix "<mix>"
+
+    Examples:
+      | safeguard                                                   | mix    |
+      | waiting for the lease of a worker that refuses connections  | refuse |
+      | waiting for the lease of a worker that has said that it leaves | depart |
+
   Scenario: Without an entry's lease at its agents, a second attempt overlaps the first
     The entry is killed, and its caller sends the job to another one after 1.3 s. The
     first scenario of dispatch_once.feature does the same with the lease.
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -9,6 +9,7 @@
     agent,
     agentcalls,
     agententries,
+    agentgone,
     agentview,
     agentworker,
 )
@@ -17,6 +18,7 @@
 from cactuswalk.dispatch.messages import TaskEnd
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
+from features.support.fleetsearch import SearchDay
 
 take_running = agentworker._apply_running
 
@@ -35,7 +37,7 @@
     if safeguard == "waiting for a worker's lease":
         return [
             mock.patch.object(module, "worker_lapse_seconds", lambda: 0.0)
-            for module in (agent, agentcalls, agentworker)
+            for module in (agent, agentcalls, agentgone, agentworker)
         ]
     if safeguard == "stopping the tasks of an entry's earlier incarnation":
         return [
@@ -54,9 +56,23 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
+    if safeguard == "waiting for the lease of a worker that refuses connections":
+        return [patch_presumption("its address refuses connections")]
+    if safeguard == "waiting for the lease of a worker that has said that it leaves":
+        return [patch_presumption("it has announced that it leaves")]
     raise ValueError(safeguard)
 
 
+def patch_presumption(evidence):
+    """Return a patch that takes evidence for the certain end of a worker."""
+
+    def forget(state, now):
+        if state.worker is not None and state.presumed_gone == evidence:
+            agentgone.drop_worker(state, evidence, now)
+
+    return mock.patch.object(agent, "forget_if_ended", forget)
+
+
 def ignore_unknown_runs(state, event, now):
     """Ignore the runs that an earlier incarnation of the agent has started."""
     known = {(held.start.key, held.run) for held in state.held.values()}
@@ -113,3 +129,13 @@
         if day.fleet.overlaps or day.false_refusals or day.unanswered:
             return
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
+
+
+@then('a task runs twice at once on a day of the mix "{mix}"')
+def step_overlaps_in_mix(context, mix):
+    for seed in range(MAX_SEEDS):
+        day = SearchDay(seed, mix)
+        day.play(DAY_SECONDS)
+        if day.fleet.overlaps:
+            return
+    raise AssertionError(f"{MAX_SEEDS} days passed without it")
--- a/features/support/fleetcalls.py
+++ b/features/support/fleetcalls.py
@@ -162,7 +162,7 @@
 def make_refused(effect):
     """Return what the platform's client makes of a refused connection."""
     if isinstance(effect, StartTask):
-        return StartAnswered(effect.worker, effect.handle, StartVerdict.GONE)
+        return StartAnswered(effect.worker, effect.handle, StartVerdict.UNREACHED)
     if isinstance(effect, StopTask):
         return StopAnswered(effect.worker, effect.handle, False)
-    return PollFailed(effect.worker, False, True, effect.is_check)
+    return PollFailed(effect.worker, False, False, effect.is_check, True)
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -6,7 +6,6 @@
 """
 
 from cactuswalk.dispatch.agentcalls import (
-    drop_worker,
     handle_start_answer,
     handle_stop_answer,
     request_stop,
@@ -29,6 +28,11 @@
     StopRequested,
     Tick,
 )
+from cactuswalk.dispatch.agentgone import (
+    drop_worker,
+    forget_if_ended,
+    handle_departure,
+)
 from cactuswalk.dispatch.agentheld import HeldState
 from cactuswalk.dispatch.agentleaving import close_if_idle, handle_stop_request
 from cactuswalk.dispatch.agentlooks import check_if_requested, poll_if_due
@@ -40,7 +44,6 @@
 from cactuswalk.dispatch.agentreports import report_if_dirty
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.agentworker import (
-    handle_departure,
     handle_heartbeat,
     handle_poll_answer,
     handle_poll_failure,
@@ -70,6 +73,7 @@
 def reduce(state: AgentState, event: AgentEvent, now: float) -> list[Effect]:
     """Apply an event to the state, and return the resulting effects."""
     HANDLERS[type(event)](state, event, now)
+    forget_if_ended(state, now)
     poll_if_due(state, now)
     check_if_requested(state, now)
     report_if_dirty(state, now)
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -5,6 +5,7 @@
     StartVerdict,
     StopAnswered,
 )
+from cactuswalk.dispatch.agentgone import drop_worker, presume_gone
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import (
@@ -19,11 +20,8 @@
 
 __all__ = [
     "RUN_NUMBER_STEP",
-    "drop_worker",
-    "forget_worker",
     "handle_start_answer",
     "handle_stop_answer",
-    "mark_all_lost",
     "raise_token",
     "request_start",
     "request_stop",
@@ -87,8 +85,10 @@
         _mark_unconfirmed(state, held, now)
         return
     if event.verdict is StartVerdict.GONE:
-        drop_worker(state, "the worker's address answers for it no more", now)
+        drop_worker(state, "another incarnation has answered a start", now)
         return
+    if event.verdict is StartVerdict.UNREACHED:
+        presume_gone(state, "its address refuses connections", now)
     _start_refused(state, held, event.verdict, now)
 
 
@@ -98,7 +98,8 @@
     if held.state is HeldState.STOPPING:
         state.end(held, TaskEnd.STOPPED, 0, "never began", now)
         return
-    if verdict in RETRYABLE_VERDICTS and held.tries < MAX_START_TRIES:
+    retryable = verdict in RETRYABLE_VERDICTS and state.reachable
+    if retryable and held.tries < MAX_START_TRIES:
         if verdict is StartVerdict.SUPERSEDED:
             held.run += RUN_NUMBER_STEP
         if verdict is StartVerdict.FENCED:
@@ -202,30 +203,3 @@
     state.check_requested |= held.state is HeldState.UNCONFIRMED
     held.state = HeldState.STOPPING
     state.poll_not_before = now
-
-
-def drop_worker(state: AgentState, reason: str, now: float) -> None:
-    """Log that the worker has certainly ended, and forget it."""
-    state.say(
-        "the worker is gone",
-        worker=state.worker.identifier,
-        reason=reason,
-        held=len(state.held),
-        renewed_ago=round(now - state.renewed_at, 3),
-    )
-    forget_worker(state, reason, now)
-
-
-def forget_worker(state: AgentState, reason: str, now: float) -> None:
-    """Forget the worker, and wait for its next incarnation."""
-    mark_all_lost(state, reason, now)
-    state.worker = None
-    state.reachable = False
-    state.ready_to_start = False
-    state.mark_entries_dirty()
-
-
-def mark_all_lost(state: AgentState, reason: str, now: float) -> None:
-    """End all tasks as lost, since their worker has ended."""
-    for held in list(state.held.values()):
-        state.end(held, TaskEnd.LOST, 0, reason, now)
--- a/src/cactuswalk/dispatch/agentevents.py
+++ b/src/cactuswalk/dispatch/agentevents.py
@@ -33,7 +33,8 @@
     SUPERSEDED: a run of the task with this number or a higher one has ended there.
     FENCED: the worker has seen a higher token. LATE: the lease had expired.
     NO_ROOM, UNHEALTHY, INVALID: refused; nothing was started.
-    GONE: another incarnation of the worker answers, or the connection was refused.
+    GONE: another incarnation of the worker answers.
+    UNREACHED: the connection was refused, so that the start was never sent.
     UNKNOWN: no answer; the start may still be carried out.
     """
 
@@ -45,6 +46,7 @@
     UNHEALTHY = "unhealthy"
     INVALID = "invalid"
     GONE = "gone"
+    UNREACHED = "unreached"
     UNKNOWN = "unknown"
 
 
@@ -134,14 +136,16 @@
     """A poll failed.
 
     :param fenced: the worker has seen a higher token than this agent's.
-    :param gone: another incarnation answers, or the connection was refused.
+    :param gone: another incarnation answers.
     :param is_check: it was sent next to a waiting poll, and didn't wait.
+    :param refused: the connection was refused, by the host or by a network.
     """
 
     worker: str
     fenced: bool
     gone: bool
     is_check: bool = False
+    refused: bool = False
 
 
 class EntriesRead(msgspec.Struct):
--- /dev/null
+++ b/src/cactuswalk/dispatch/agentgone.py
@@ -0,0 +1,108 @@
+"""Conclusions that the worker has ended, and with it all its runs.
+
+Certain evidence is that another incarnation has answered at the worker's address, that
+a run is listed as ended, or that the worker's lease has expired. The worker's
+announcement that it leaves comes before its end, and a network can refuse connections
+while the worker runs on. If the agent took these for the end, tasks would run
+elsewhere while they still run here. So they only have the agent presume that the worker
+is gone: it starts nothing there and renews no lease, and waits for certain evidence.
+"""
+
+from cactuswalk.dispatch.agentevents import Departed
+from cactuswalk.dispatch.agentstate import AgentState
+from cactuswalk.dispatch.bounds import worker_lapse_seconds
+from cactuswalk.dispatch.messages import TaskEnd
+
+__all__ = [
+    "drop_worker",
+    "forget_if_ended",
+    "handle_departure",
+    "mark_all_lost",
+    "presume_gone",
+    "record_reachable",
+]
+
+
+def handle_departure(state: AgentState, event: Departed, now: float) -> None:
+    """Handle the worker's announcement that it leaves; its runs may go on for now."""
+    if not state.is_current(event.identifier) or state.has_departed:
+        return
+    state.has_departed = True
+    # Runs that can't end within the rest of the lease are stopped if the worker still
+    # answers, which a check shows.
+    state.leaves_at = state.renewed_at + worker_lapse_seconds()
+    state.check_requested = True
+    presume_gone(state, "it has announced that it leaves", now)
+
+
+def presume_gone(state: AgentState, evidence: str, now: float) -> None:
+    """Give the worker no tasks and renew no lease until it is known what has ended."""
+    if state.presumed_gone == evidence:
+        return
+    state.presumed_gone = evidence
+    state.reachable = False
+    state.mark_entries_dirty()
+    lapses_at = state.renewed_at + worker_lapse_seconds()
+    for held in state.held.values():
+        held.expires_at = held.expires_at or lapses_at
+    state.say(
+        "the worker is presumed gone",
+        worker=state.worker.identifier,
+        evidence=evidence,
+        held=len(state.held),
+        renewed_ago=round(now - state.renewed_at, 3),
+        lease_left=round(max(0.0, lapses_at - now), 3),
+    )
+
+
+def record_reachable(state: AgentState, now: float) -> bool:
+    """Record that the worker has answered; return whether it can be used again.
+
+    One that has announced its departure may end at any time.
+    """
+    if state.has_departed:
+        return False
+    if state.presumed_gone:
+        state.say(
+            "the worker was not gone",
+            worker=state.worker.identifier,
+            evidence=state.presumed_gone,
+            held=len(state.held),
+            renewed_ago=round(now - state.renewed_at, 3),
+        )
+        state.presumed_gone = ""
+    state.reachable = True
+    return True
+
+
+def forget_if_ended(state: AgentState, now: float) -> None:
+    """Forget a worker that is presumed gone once none of its runs can go on."""
+    if state.worker is not None and state.presumed_gone and not state.held:
+        drop_worker(state, state.presumed_gone, now)
+
+
+def drop_worker(state: AgentState, reason: str, now: float) -> None:
+    """End all tasks as lost, and wait for the worker's next incarnation.
+
+    Only for a worker that has certainly ended, or that holds nothing.
+    """
+    state.say(
+        "the worker is gone",
+        worker=state.worker.identifier,
+        reason=reason,
+        held=len(state.held),
+        renewed_ago=round(now - state.renewed_at, 3),
+    )
+    mark_all_lost(state, reason, now)
+    state.worker = None
+    state.has_departed = False
+    state.presumed_gone = ""
+    state.reachable = False
+    state.ready_to_start = False
+    state.mark_entries_dirty()
+
+
+def mark_all_lost(state: AgentState, reason: str, now: float) -> None:
+    """End all tasks as lost, since their worker has certainly ended."""
+    for held in list(state.held.values()):
+        state.end(held, TaskEnd.LOST, 0, reason, now)
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -35,12 +35,15 @@
     :param drain_seconds: how long a draining worker may be given tasks.
     :ivar entries: entries that it reports to, by address.
     :ivar stored_entries: data centre of each entry that the store listed, by address.
-    :ivar leaves_at: earliest time at which a draining worker leaves.
+    :ivar leaves_at: earliest time at which a draining worker leaves; once it has
+        announced that it leaves now, when its lease expires.
     :ivar drained_at: from then on a draining worker is given no tasks.
     :ivar closes_at: from then on this agent, once asked to stop, accepts no tasks; it
         ends by ``stop_by``.
     :ivar candidate: a new incarnation of the worker that has not answered a poll yet.
-    :ivar reachable: the worker answers polls.
+    :ivar reachable: the worker answers polls, and has not announced that it leaves.
+    :ivar has_departed: the worker has announced that it leaves.
+    :ivar presumed_gone: why the worker has perhaps ended; empty if it hasn't.
     :ivar ready_to_start: the worker runs nothing of an earlier incarnation of this
         agent.
     :ivar held: accepted starts that have not ended, by handle.
@@ -82,6 +85,8 @@
         self.candidate: Worker | None = None
         self.announced_at = 0.0
         self.reachable = False
+        self.has_departed = False
+        self.presumed_gone = ""
         self.ready_to_start = False
         self.health = WorkerHealth()
         self.held: dict[int, HeldTask] = {}
@@ -156,11 +161,9 @@
         Infinite if neither the worker nor the agent leaves.
         """
         leaves_at = math.inf
-        if (
-            self.worker is not None
-            and self.worker.draining
-            and self.worker.leaves_in_ms
-        ):
+        worker = self.worker
+        announced = worker is not None and worker.draining and worker.leaves_in_ms
+        if announced or self.has_departed:
             leaves_at = self.leaves_at
         return min(leaves_at, self.stop_by)
 
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -2,20 +2,19 @@
 
 import math
 
-from cactuswalk.dispatch.agentcalls import (
-    drop_worker,
-    forget_worker,
-    mark_all_lost,
-    raise_token,
-    request_stop,
-)
+from cactuswalk.dispatch.agentcalls import raise_token, request_stop
 from cactuswalk.dispatch.agentevents import (
     Announced,
-    Departed,
     PollAnswered,
     PollFailed,
     RunEnd,
 )
+from cactuswalk.dispatch.agentgone import (
+    drop_worker,
+    mark_all_lost,
+    presume_gone,
+    record_reachable,
+)
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
 from cactuswalk.dispatch.agentleaving import stop_unfinishable_runs
 from cactuswalk.dispatch.agentlooks import poll
@@ -36,7 +35,6 @@
 )
 
 __all__ = [
-    "handle_departure",
     "handle_heartbeat",
     "handle_poll_answer",
     "handle_poll_failure",
@@ -101,6 +99,8 @@
     mark_all_lost(state, "the worker's life ended", now)
     state.worker = worker
     state.candidate = None
+    state.has_departed = False
+    state.presumed_gone = ""
     state.announced_at = now
     # A worker that is draining already may have been so for long: it gets no tasks.
     state.leaves_at = now + worker.leaves_in_ms / 1000
@@ -116,19 +116,6 @@
     poll(state, now, 0.0)
 
 
-def handle_departure(state: AgentState, event: Departed, now: float) -> None:
-    """Handle the worker's announcement that it leaves."""
-    if state.worker is None or state.worker.identifier != event.identifier:
-        return
-    state.say(
-        "the worker has left",
-        worker=event.identifier,
-        held=len(state.held),
-        renewed_ago=round(now - state.renewed_at, 3),
-    )
-    forget_worker(state, "the worker left", now)
-
-
 def handle_poll_answer(state: AgentState, event: PollAnswered, now: float) -> None:
     """Apply the worker's answer to a poll."""
     if state.candidate is not None and state.candidate.identifier == event.worker:
@@ -142,8 +129,9 @@
     _apply_ended(state, event, now)
     unknown_runs = _apply_running(state, event, now)
     ready = state.ready_to_start or not unknown_runs
-    if not state.reachable or ready != state.ready_to_start:
-        state.reachable = True
+    was_reachable = state.reachable
+    reachable = record_reachable(state, now)
+    if reachable != was_reachable or ready != state.ready_to_start:
         state.ready_to_start = ready
         state.mark_entries_dirty()
 
@@ -251,11 +239,13 @@
         return
     _clear_pending_poll(state, event)
     if event.gone:
-        drop_worker(state, "nobody listens at the worker's address", now)
+        drop_worker(state, "another incarnation has answered a poll", now)
         return
     if event.fenced:
         raise_token(state)
         return
+    if event.refused:
+        presume_gone(state, "its address refuses connections", now)
     _record_unanswered_poll(state, event, now)
 
 
--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -109,7 +109,8 @@
                 START_PATH, effect.worker, body, CALL_TIMEOUT_SECONDS
             )
         except WorkerCallError as error:
-            verdict = StartVerdict.GONE if error.refused else StartVerdict.UNKNOWN
+            refused = error.refused
+            verdict = StartVerdict.UNREACHED if refused else StartVerdict.UNKNOWN
             return StartAnswered(effect.worker, effect.handle, verdict)
         verdict = _decode_verdict(status, reply.reason)
         return StartAnswered(effect.worker, effect.handle, verdict)
@@ -147,7 +148,9 @@
                 POLL_PATH, effect.worker, body, timeout_seconds
             )
         except WorkerCallError as error:
-            return PollFailed(effect.worker, False, error.refused, effect.is_check)
+            return PollFailed(
+                effect.worker, False, False, effect.is_check, error.refused
+            )
         if status != 200:
             fenced = reply.reason == "fence"
             return PollFailed(
