The owners' scenario counts takeovers after the fault, not before it

The check counted all lines of the play, against its own words.

Change: the lines at the first fault are kept; after the faults there must be not one more, and there must have been one before. Stricter: a takeover after the fault fails even if the first owner's line were missing.

--- a/features/process_faults_platform.feature
+++ b/features/process_faults_platform.feature
@@ -45,7 +45,7 @@
     And the killed processes are started again
     And the fault lasts 5 seconds more
     And the load gets 40 more answers
-    Then no agent but the owner has served the cell since
+    Then no agent has begun to serve the cell since the first fault
     And each entry serves a new request after the faults
     And every caller of the load got one correct and complete answer
     And by the upstreams' records no task of the load started twice
