--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -35,7 +35,7 @@
   Scenario: An entry is cut off, and its callers have gone elsewhere when it is back
     It hears its agents again before the broken connection of its caller reaches it, and
     runs the tasks that its agents had stopped.
-    Given a fleet of 2 entries and 4 workers
+    Given a fleet of 2 entries and 6 workers
     When a job of 2 tasks of 3 seconds comes to e0
     And e0 is cut off for 1.5 seconds after 0.3 seconds, from its callers 0.3 longer
     And the same job comes to e1 1.3 seconds later
