--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -169,9 +169,10 @@
     def judged_cpu(self):
         """Return the capacity that its agent can know of."""
         known = self.fleet.states[self.name].worker
+        judged = max(self.cpu, known.cpu if known else 0)
         if self.fleet.now - self.shrunk_at < CAPACITY_KNOWN_SECONDS:
-            return self.larger_cpu
-        return max(self.cpu, known.cpu if known else 0)
+            judged = max(judged, self.larger_cpu)
+        return judged
 
     # Its clock, and the deadlines that a client computes for it.
 
