Reproduce: a stop that no worker gets, while polls renew its run's lease

What was seen, on the virtual clock, on the unchanged code: a job of 8 tasks of 1.8 s at e0 of 2 entries, on 4 workers whose stop calls are all lost. e0 is killed, freezes, restarts, loses two agents' reports, or its caller leaves; the caller sends the job to e1 1.3 s later.

The model: a share of calls of a type may be lost, not only all of them.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -109,7 +109,7 @@
     :ivar unanswered_share: share of calls that are lost and get no answer.
     :ivar late: seconds after which lost calls are executed all the same; 0 for never.
     :ivar unconfirmed_share: share of calls that are executed but get no answer.
-    :ivar dropped_calls: types of calls that are all lost.
+    :ivar dropped_calls: types of calls of which ``dropped_share`` is lost.
     """
 
     def __init__(self, fleet, name, cpu, data_centre, generator):
@@ -128,6 +128,7 @@
         self.late = 0.0
         self.unconfirmed_share = 0.0
         self.dropped_calls = ()
+        self.dropped_share = 1.0
         self.draining = False
         self.leaves_in_ms = 0
         self.sequence = 0
@@ -472,8 +473,9 @@
     def call(self, name, state, effect):
         worker = self.workers[name]
         sent_at = self.now
-        lost = worker.generator.random() < worker.unanswered_share or isinstance(
-            effect, worker.dropped_calls
+        lost = worker.generator.random() < worker.unanswered_share or (
+            isinstance(effect, worker.dropped_calls)
+            and worker.generator.random() < worker.dropped_share
         )
         if not worker.up or worker.cut or lost:
             if worker.up and lost and worker.late:
--- /dev/null
+++ b/features/support/loststops.py
@@ -0,0 +1,95 @@
+"""Jobs whose first runs should be stopped while stops are lost on their way."""
+
+from cactuswalk.dispatch.bounds import RESEND_SECONDS
+from cactuswalk.dispatch.effects import StopTask
+from features.support.fleet import JOB, Fleet
+
+__all__ = ["CASES", "LostStops"]
+
+TASKS = 8
+TASK_SECONDS = 1.8
+FAULT_AFTER_SECONDS = 0.3
+RESTART_SECONDS = 0.3
+SIDE_JOB_GAP_SECONDS = 0.1
+SIDE_JOB_SECONDS = 0.3
+
+
+class LostStops:
+    """A job at e0 that something ends, so that its caller submits it again at e1.
+
+    :param share: of the stop calls to all workers that is lost.
+    :ivar side_waiters: of jobs that e1 runs at the same time, if asked for.
+    """
+
+    def __init__(self, seed, share=1.0, side_jobs=False):
+        self.fleet = Fleet(2, 4, seed)
+        self.side_waiters = []
+        for worker in self.fleet.workers.values():
+            worker.dropped_calls, worker.dropped_share = (StopTask,), share
+        if side_jobs:
+            self.submit_side_jobs(until=self.fleet.now + 4.0)
+        self.waiter = self.submit("e0")
+        self.fleet.run(FAULT_AFTER_SECONDS)
+
+    def play(self, case):
+        """Have the first runs end for a reason, and submit the job again."""
+        CASES[case](self)
+        self.fleet.run(9.0)
+        return self.fleet
+
+    def submit(self, entry):
+        return self.fleet.submit(entry, JOB, TASKS, seconds=TASK_SECONDS, wait=10.0)
+
+    def submit_again(self):
+        self.fleet.run(RESEND_SECONDS)
+        self.submit("e1")
+
+    def submit_side_jobs(self, until):
+        fleet = self.fleet
+        if fleet.now >= until:
+            return
+        number = len(self.side_waiters) + 1
+        self.side_waiters.append(
+            fleet.submit("e1", f"{number:016x}", 2, seconds=SIDE_JOB_SECONDS)
+        )
+        fleet.at(SIDE_JOB_GAP_SECONDS, lambda: self.submit_side_jobs(until))
+
+    def count_lapsed(self):
+        """Return how many runs have ended because their lease has expired."""
+        return sum(
+            line.sentence == "a run has ended" and line.fields["reason"] == "lapsed"
+            for _, _, line in self.fleet.lines
+        )
+
+    def kill(self):
+        self.fleet.kill("e0")
+        self.submit_again()
+
+    def freeze(self):
+        """The host of the entry is paused; its caller's connection breaks."""
+        self.fleet.freeze("e0", 3.0)
+        self.leave()
+
+    def cut(self):
+        """Two agents' reports are lost: the entry runs their tasks elsewhere."""
+        self.fleet.cuts |= {("a0", "e0"), ("a1", "e0")}
+
+    def leave(self):
+        self.fleet.leave("e0", self.waiter)
+        self.submit_again()
+
+    def restart(self):
+        self.fleet.kill("e0")
+        self.fleet.run(RESTART_SECONDS)
+        self.fleet.start_entry("e0", "d0")
+        self.fleet.run(RESEND_SECONDS - RESTART_SECONDS)
+        self.submit("e1")
+
+
+CASES = {
+    "the entry is killed": LostStops.kill,
+    "the entry freezes": LostStops.freeze,
+    "the agents' reports are lost": LostStops.cut,
+    "the caller leaves": LostStops.leave,
+    "the entry restarts": LostStops.restart,
+}
