Reproduce: keepalives renew runs whose stop messages are lost

What was seen, on the virtual clock, on the unchanged code: a job of 8 tasks of 1.8 s at e0, whose Stop messages to the agents are lost while its keepalives arrive.

--- a/features/dispatch_stops.feature
+++ b/features/dispatch_stops.feature
@@ -30,3 +30,9 @@
   Scenario: An entry restarts, and no stop reaches a worker
     When the entry restarts while 100 of 100 stop calls are lost
     Then no task runs twice at once on 20 seeds
+
+  Scenario: An entry's stop messages are lost, and its keepalives arrive
+    A keepalive renews the lease of all runs of its entry, also of those that the entry
+    wants stopped.
+    When the entry's stop messages are lost while 0 of 100 stop calls are lost
+    Then no task runs twice at once on 20 seeds
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -246,6 +246,7 @@
     """The processes, their clock, and the record of what they did.
 
     :ivar cuts: links that lose all messages, as pairs of sender and receiver.
+    :ivar dropped_messages: types of messages that are all lost.
     :ivar starts: time, task, run number and worker of each run.
     :ivar overlaps: time and task of each run that began while another one was live.
     :ivar overloads: number of starts that exceeded a worker's capacity.
@@ -273,6 +274,7 @@
         self.dead = set()
         self.frozen = {}
         self.cuts = set()
+        self.dropped_messages = ()
         # A connection keeps messages in order. Random days don't rely on that, since a
         # connection that is broken and restored may not.
         self.in_order = False
@@ -458,6 +460,8 @@
         self.sent[sender, type(message).__name__] += 1
         if (sender, address) in self.cuts or address not in self.states:
             return
+        if isinstance(message, self.dropped_messages):
+            return
         state = self.states[address]
         received = AgentReceived if address in self.workers else Received
         delay = MESSAGE_SECONDS * self.generator.uniform(0.8, 1.5)
--- a/features/support/loststops.py
+++ b/features/support/loststops.py
@@ -2,6 +2,7 @@
 
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from cactuswalk.dispatch.effects import StopTask
+from cactuswalk.dispatch.messages import Stop
 from features.support.fleet import JOB, Fleet
 
 __all__ = ["CASES", "LostStops"]
@@ -85,6 +86,11 @@
         self.fleet.run(RESEND_SECONDS - RESTART_SECONDS)
         self.submit("e1")
 
+    def lose_messages(self):
+        """The entry's stop messages are lost, while its keepalives arrive."""
+        self.fleet.dropped_messages = (Stop,)
+        self.leave()
+
 
 CASES = {
     "the entry is killed": LostStops.kill,
@@ -92,4 +98,5 @@
     "the agents' reports are lost": LostStops.cut,
     "the caller leaves": LostStops.leave,
     "the entry restarts": LostStops.restart,
+    "the entry's stop messages are lost": LostStops.lose_messages,
 }
