--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -1,5 +1,6 @@
 """Steps that disable one safeguard and look for the guarantee that is violated."""
 
+import math
 from unittest import mock
 
 import msgspec
@@ -10,6 +11,7 @@
     agentcalls,
     agententries,
     agentgone,
+    agentleases,
     agentview,
     agentworker,
 )
@@ -19,6 +21,7 @@
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 from features.support.fleetsearch import SearchDay
+from features.support.loststops import LostStops
 
 take_running = agentworker._apply_running
 
@@ -28,10 +31,29 @@
 DAY_SECONDS = 10
 
 
+# Without it the entry's lease ends its runs only if the worker gets their stops.
+NO_LIMIT_ON_RENEWALS = mock.patch.object(
+    agentleases, "_must_end_by", lambda state, held: math.inf
+)
+
+# By safeguard, the evidence that is not taken for a worker's certain end.
+PRESUMPTIONS = {
+    "waiting for the lease of a worker that refuses connections": (
+        "its address refuses connections"
+    ),
+    "waiting for the lease of a worker that has said that it leaves": (
+        "it has announced that it leaves"
+    ),
+}
+
+
 def make_patches(safeguard):
     """Return the patches that disable a safeguard."""
     if safeguard == "an entry's lease at its agents":
-        return [mock.patch.object(agent, "expire_entries", lambda state, now: None)]
+        return [
+            mock.patch.object(agent, "expire_entries", lambda state, now: None),
+            NO_LIMIT_ON_RENEWALS,
+        ]
     if safeguard == "waiting for a silent agent's leases":
         return [mock.patch.object(agentview, "agent_lapse_seconds", lambda: 0.2)]
     if safeguard == "waiting for a worker's lease":
@@ -45,7 +67,12 @@
                 agententries, "_stop_entry_runs", lambda *arguments: None
             ),
             mock.patch.object(agent, "expire_entries", lambda state, now: None),
+            NO_LIMIT_ON_RENEWALS,
         ]
+    if safeguard == "the limit on renewals for runs that are to end":
+        return [NO_LIMIT_ON_RENEWALS]
+    if safeguard == "the limit on renewals for runs that an entry wants stopped":
+        return [mock.patch.object(agententries, "limit_run", lambda *arguments: None)]
     if safeguard == "a stop before an unconfirmed start is abandoned":
         return [mock.patch.object(agentcalls, "_mark_unconfirmed", abandon_start)]
     if safeguard == "stopping the runs of an agent's earlier incarnation":
@@ -56,10 +83,6 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
-    if safeguard == "waiting for the lease of a worker that refuses connections":
-        return [patch_presumption("its address refuses connections")]
-    if safeguard == "waiting for the lease of a worker that has said that it leaves":
-        return [patch_presumption("it has announced that it leaves")]
     raise ValueError(safeguard)
 
 
@@ -87,7 +110,10 @@
 
 @when("{safeguard} is disabled")
 def step_disable(context, safeguard):
-    patches = make_patches(safeguard)
+    if safeguard in PRESUMPTIONS:
+        patches = [patch_presumption(PRESUMPTIONS[safeguard])]
+    else:
+        patches = make_patches(safeguard)
     for patch in patches:
         patch.start()
     context.clean_ups = [patch.stop for patch in patches]
@@ -139,3 +165,8 @@
         if day.fleet.overlaps:
             return
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
+
+
+@then("a task runs twice at once when {case} and no stop reaches a worker")
+def step_lost_stops_overlap(context, case):
+    assert LostStops(0).play(case).overlaps, "no task ran twice at once"
