Renew a worker's lease no further than its runs that are to end may run

What callers saw: a job whose entry was killed, frozen, restarted or cut off, or whose caller had left, ran at two entries at once when the worker got none of the stops.

Cause: a worker has one lease for all its runs, and each poll and each start renewed it in full, also while a run there was to end and its stop was lost. Nothing else ended that run; orphan_lapse_seconds counted on one stop call that arrives.

Change: each held run has a time by which it must have ended (agentleases.py): one entry lease and one worker lease after the latest stamp that its entry has returned; for a run whose stop the entry asked for, or whose entry restarted, one worker lease after that if it is earlier. No renewal by a poll, a check or a start reaches beyond the earliest of these, divided by 1 + CLOCK_DRIFT. A poll sent after that time that doesn't list the run ends it. Why it works: every lease that the worker was ever given for the run ends by then on its slowest clock, whatever share of stops is lost.

Starts while the lease is limited: one that is likely to end in time, or has 0.3 s left, starts with the shortened lease; others are declined and go elsewhere.

Not taken: renew nothing from the first unanswered stop on.

Two mutants that disabled the entry's lease found no violation any more, since the limit on renewals ends the same runs: they now disable both, which is exactly what they disabled before. Two directed mutants show that the limit itself is needed.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -20,6 +20,16 @@
     When an entry's lease at its agents is disabled
     Then the second attempt at a job whose entry was killed overlaps the first
 
+  Scenario Outline: Without a limit on renewals, a run outlives its lost stops
+    dispatch_stops.feature plays the same with the limit.
+    When <safeguard> is disabled
+    Then a task runs twice at once when <case> and no stop reaches a worker
+
+    Examples:
+      | safeguard                                                  | case                |
+      | the limit on renewals for runs that are to end             | the entry is killed |
+      | the limit on renewals for runs that an entry wants stopped | the caller leaves   |
+
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
--- a/features/dispatch_once.feature
+++ b/features/dispatch_once.feature
@@ -119,6 +119,7 @@
   Scenario: The bounds end the first runs before the second ones can begin
     Then tasks of a dead entry have ended before its callers retry
     And an entry waits longer for a silent agent than the agent keeps its tasks
+    And an entry waits longer for a silent agent than tasks run without stops
 
   Scenario Outline: Random days
     Every kind of fault occurs, alone and combined, while jobs keep arriving. Each
--- a/features/dispatch_stops.feature
+++ b/features/dispatch_stops.feature
@@ -7,6 +7,11 @@
     When the entry is killed while 100 of 100 stop calls are lost
     Then no task runs twice at once on 20 seeds
 
+  Scenario: The runs of an entry that was killed end within the bound
+    No stop reaches a worker, so that only the worker's lease ends them.
+    When e0 is killed while its job runs and 100 of 100 stop calls are lost
+    Then its runs have ended within the bound on 20 seeds
+
   Scenario: An entry is killed, and most stops are lost
     When the entry is killed while 90 of 100 stop calls are lost
     Then no task runs twice at once on 20 seeds
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -1,5 +1,6 @@
 """Steps that disable one safeguard and look for the guarantee that is violated."""
 
+import math
 from unittest import mock
 
 import msgspec
@@ -9,6 +10,7 @@
     agent,
     agentcalls,
     agententries,
+    agentleases,
     agentview,
     agentworker,
 )
@@ -17,6 +19,7 @@
 from cactuswalk.dispatch.messages import TaskEnd
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
+from features.support.loststops import LostStops
 
 take_running = agentworker._apply_running
 
@@ -26,10 +29,19 @@
 DAY_SECONDS = 10
 
 
+# Without it the entry's lease ends its runs only if the worker gets their stops.
+NO_LIMIT_ON_RENEWALS = mock.patch.object(
+    agentleases, "_must_end_by", lambda state, held: math.inf
+)
+
+
 def make_patches(safeguard):
     """Return the patches that disable a safeguard."""
     if safeguard == "an entry's lease at its agents":
-        return [mock.patch.object(agent, "expire_entries", lambda state, now: None)]
+        return [
+            mock.patch.object(agent, "expire_entries", lambda state, now: None),
+            NO_LIMIT_ON_RENEWALS,
+        ]
     if safeguard == "waiting for a silent agent's leases":
         return [mock.patch.object(agentview, "agent_lapse_seconds", lambda: 0.2)]
     if safeguard == "waiting for a worker's lease":
@@ -43,7 +55,12 @@
                 agententries, "_stop_entry_runs", lambda *arguments: None
             ),
             mock.patch.object(agent, "expire_entries", lambda state, now: None),
+            NO_LIMIT_ON_RENEWALS,
         ]
+    if safeguard == "the limit on renewals for runs that are to end":
+        return [NO_LIMIT_ON_RENEWALS]
+    if safeguard == "the limit on renewals for runs that an entry wants stopped":
+        return [mock.patch.object(agententries, "limit_run", lambda *arguments: None)]
     if safeguard == "a stop before an unconfirmed start is abandoned":
         return [mock.patch.object(agentcalls, "_mark_unconfirmed", abandon_start)]
     if safeguard == "stopping the runs of an agent's earlier incarnation":
@@ -113,3 +130,8 @@
         if day.fleet.overlaps or day.false_refusals or day.unanswered:
             return
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
+
+
+@then("a task runs twice at once when {case} and no stop reaches a worker")
+def step_lost_stops_overlap(context, case):
+    assert LostStops(0).play(case).overlaps, "no task ran twice at once"
--- a/features/steps/dispatch_once_steps.py
+++ b/features/steps/dispatch_once_steps.py
@@ -152,6 +152,11 @@
     assert agent_lapse_seconds() > ENTRY_LEASE_SECONDS + worker_lapse_seconds()
 
 
+@then("an entry waits longer for a silent agent than tasks run without stops")
+def step_orphans_elsewhere(context):
+    assert agent_lapse_seconds() > orphan_lapse_seconds()
+
+
 @then("random day {seed:d} of {seconds:d} seconds keeps every guarantee")
 def step_random_day(context, seed, seconds):
     day = RandomDay(seed)
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -6,11 +6,9 @@
     StopAnswered,
 )
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
+from cactuswalk.dispatch.agentleases import renewal_seconds
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.bounds import (
-    WORKER_LEASE_SECONDS,
-    worker_lapse_seconds,
-)
+from cactuswalk.dispatch.bounds import worker_lapse_seconds
 from cactuswalk.dispatch.effects import (
     StartTask,
     StopTask,
@@ -64,7 +62,7 @@
             held.run,
             held.start.spec,
             state.token,
-            WORKER_LEASE_SECONDS,
+            renewal_seconds(state, now),
         )
     )
 
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -3,6 +3,7 @@
 from cactuswalk.dispatch.agentcalls import request_start, stop_run
 from cactuswalk.dispatch.agentevents import Received
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldState, HeldTask
+from cactuswalk.dispatch.agentleases import can_start, latest_stamp, limit_run
 from cactuswalk.dispatch.agentmembers import update_members
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS
@@ -78,6 +79,7 @@
 def _stop_entry_runs(state: AgentState, address: str, reason: str, now: float) -> None:
     for held in list(state.held.values()):
         if held.entry == address:
+            limit_run(state, held, now)
             stop_run(state, held, reason, now)
 
 
@@ -135,6 +137,8 @@
         return "its data centre is evacuated"
     if not state.is_open(now) or start.worker != state.worker.identifier:
         return "the worker takes nothing"
+    if not can_start(state, _expected_ms(state, start), now):
+        return "a stop at the worker is not confirmed"
     if not can_finish_in_time(
         _expected_ms(state, start), state.seconds_left(now) * 1000
     ):
@@ -165,6 +169,7 @@
         return
     handle = state.by_sequence.get((request.incarnation, request.sequence))
     if handle is not None:
+        limit_run(state, state.held[handle], now)
         stop_run(state, state.held[handle], "its entry asked", now)
         return
     if request.sequence in peer.pending_ends:
@@ -181,11 +186,7 @@
     """Stop the runs of entries whose lease has expired."""
     silent = _milliseconds(now) - ENTRY_LEASE_SECONDS * 1000
     for held in list(state.held.values()):
-        peer = state.entries.get(held.entry)
-        echoed_stamp = held.start.stamp
-        if peer is not None and peer.incarnation == held.start.incarnation:
-            echoed_stamp = max(echoed_stamp, peer.echoed_stamp)
-        if echoed_stamp < silent:
+        if latest_stamp(state, held) < silent:
             stop_run(state, held, "its entry is not heard", now)
 
 
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -1,6 +1,7 @@
 """State that an agent keeps for each accepted start and for each entry."""
 
 import enum
+import math
 
 import msgspec
 
@@ -33,6 +34,8 @@
     :param since: when the start was last sent or, once it runs, when that was learnt.
     :param expires_at: when the last lease that the worker can have for it expires, so
         that it has ended for certain; 0 while its state is not in doubt.
+    :param must_end_by: when it must have ended although its entry is heard; infinite
+        while that entry wants it to run (``agentleases``).
     :param call_pending: a call to the worker on this start has no answer yet.
     :param stop_confirmed: the worker has confirmed its stop.
     :param called_at: when it was accepted, or when a later call on it was sent or
@@ -53,6 +56,7 @@
     state: HeldState
     since: float
     expires_at: float = 0.0
+    must_end_by: float = math.inf
     call_pending: bool = False
     stop_confirmed: bool = False
     called_at: float = 0.0
--- a/src/cactuswalk/dispatch/agentleaving.py
+++ b/src/cactuswalk/dispatch/agentleaving.py
@@ -11,7 +11,12 @@
 from cactuswalk.dispatch.leaving import cannot_finish
 from cactuswalk.dispatch.soundness import MIN_PROGRESS_SECONDS
 
-__all__ = ["close_if_idle", "handle_stop_request", "stop_unfinishable_runs"]
+__all__ = [
+    "close_if_idle",
+    "handle_stop_request",
+    "record_draining",
+    "stop_unfinishable_runs",
+]
 
 
 def handle_stop_request(state: AgentState, _: StopRequested, now: float) -> None:
@@ -61,3 +66,17 @@
             continue
         if cannot_finish(progress(held, now), remaining_ms):
             stop_run(state, held, "its worker leaves before its end", now)
+
+
+def record_draining(state: AgentState, known: bool, now: float) -> None:
+    """Record when a draining worker leaves, and until when it is given tasks."""
+    state.leaves_at = now + state.worker.leaves_in_ms / 1000
+    if known:
+        return
+    state.drained_at = now + state.drain_seconds
+    state.say(
+        "the worker is draining",
+        worker=state.worker.identifier,
+        leaves_in_ms=state.worker.leaves_in_ms,
+        held=len(state.held),
+    )
--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -8,8 +8,8 @@
 """
 
 from cactuswalk.dispatch.agentheld import HeldState
+from cactuswalk.dispatch.agentleases import renew
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.bounds import WORKER_LEASE_SECONDS
 from cactuswalk.dispatch.effects import PollWorker
 
 __all__ = ["check_if_requested", "poll", "poll_if_due"]
@@ -72,9 +72,7 @@
     # lease renewed for runs left by an earlier incarnation of this agent, which only
     # the first poll reveals.
     renews = state.reachable and state.ready_to_start
-    lease = WORKER_LEASE_SECONDS if renews else 0.0
-    if lease:
-        state.renewed_at = now
+    lease = renew(state, now) if renews else 0.0
     state.effects.append(
         PollWorker(
             state.worker.identifier,
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -4,6 +4,7 @@
 import math
 
 from cactuswalk.dispatch.agentheld import EntryPeer
+from cactuswalk.dispatch.agentleases import renewal_seconds
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.effects import SendMessage
 from cactuswalk.dispatch.messages import Report
@@ -85,7 +86,7 @@
         service=worker.service if worker else "",
         data_centre=worker.data_centre if worker else state.data_centre,
         labels=list(worker.labels) if worker else [],
-        open=state.is_open(now) and can_try,
+        open=state.is_open(now) and can_try and renewal_seconds(state, now) > 0,
         trial=trial,
         cpu=worker.cpu if worker else 0,
         free_cpu=cpu,
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -49,6 +49,7 @@
         ``acknowledged_end`` of those, the highest that a poll has acknowledged.
     :ivar check_requested: a poll that doesn't wait is to be sent.
     :ivar renewed_at: when the worker's lease was renewed last.
+    :ivar renewal_withheld: the worker's lease is not renewed, so that a run ends.
     :ivar entries_asked_at: when the store was asked for the entries last.
     :ivar ticked_at: when the periodic timer fired last.
     """
@@ -98,6 +99,7 @@
         self.check_requested = False
         self.check_pending = False
         self.renewed_at = 0.0
+        self.renewal_withheld = False
         self.answered_at = 0.0
         self.stopping = False
         self.entries_asked_at = 0.0
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -17,7 +17,8 @@
     RunEnd,
 )
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
-from cactuswalk.dispatch.agentleaving import stop_unfinishable_runs
+from cactuswalk.dispatch.agentleases import has_lapsed
+from cactuswalk.dispatch.agentleaving import record_draining, stop_unfinishable_runs
 from cactuswalk.dispatch.agentlooks import poll
 from cactuswalk.dispatch.agentprogress import record_progress, stop_runs_if_slow
 from cactuswalk.dispatch.agentstate import AgentState
@@ -60,7 +61,7 @@
             return
         state.worker = worker
         if worker.draining:
-            _record_draining(state, known.draining, now)
+            record_draining(state, known.draining, now)
         state.announced_at = now
         state.mark_entries_dirty()
         return
@@ -75,20 +76,6 @@
     )
 
 
-def _record_draining(state: AgentState, known: bool, now: float) -> None:
-    """Record when a draining worker leaves, and until when it is given tasks."""
-    state.leaves_at = now + state.worker.leaves_in_ms / 1000
-    if known:
-        return
-    state.drained_at = now + state.drain_seconds
-    state.say(
-        "the worker is draining",
-        worker=state.worker.identifier,
-        leaves_in_ms=state.worker.leaves_in_ms,
-        held=len(state.held),
-    )
-
-
 def _adopt_worker(state: AgentState, worker: Worker, now: float) -> None:
     """Switch to a new incarnation of the worker; all earlier runs have ended."""
     previous = state.worker.identifier if state.worker else ""
@@ -174,6 +161,8 @@
             record_progress(state, held, row.percent, now)
         elif _has_never_started(state, held, event.sent_at):
             state.end(held, TaskEnd.STOPPED, 0, "never began", now)
+        elif has_lapsed(state, held, event.sent_at):
+            state.end(held, TaskEnd.LOST, 0, "its lease has passed", now)
         elif _is_unconfirmed(held) and event.sent_at >= held.called_at:
             _cancel_start(state, held, "a poll doesn't list it", now)
     for row in running.values():
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -15,7 +15,6 @@
     "MARGIN_SECONDS",
     "RESEND_SECONDS",
     "STOP_MARGIN_SECONDS",
-    "STOP_SECONDS",
     "UNHEARD_SECONDS",
     "WORKER_LEASE_SECONDS",
     "agent_lapse_seconds",
@@ -40,9 +39,6 @@
 # Fraction by which a worker's clock may run slow (given by the platform).
 CLOCK_DRIFT = 0.02
 
-# How long a worker takes to stop a task (given by the platform).
-STOP_SECONDS = 0.05
-
 # A call to a worker on the same host takes 1 to 2 ms, or 10 ms with ten concurrent
 # calls. A short task has 0.13 s to spare within its target: in that time a lost call
 # has to be noticed, cancelled and repeated on another worker.
@@ -73,13 +69,13 @@
 
 
 def orphan_lapse_seconds() -> float:
-    """Return how long tasks may outlive their entry, in seconds.
+    """Return how long tasks may run after their entry's last sign of life, in seconds.
 
-    The agent stops them when the entry's lease expires; if the agent has gone as
-    well, they end with the worker's lease.
+    Counted from the latest of the agent's stamps that the entry has returned. The agent
+    stops them when the entry's lease expires. However many of these stops are lost,
+    it renews the worker's lease no further than one worker lease after that.
     """
-    stopped = ENTRY_LEASE_SECONDS + CALL_TIMEOUT_SECONDS + STOP_SECONDS
-    return max(stopped, worker_lapse_seconds())
+    return ENTRY_LEASE_SECONDS + worker_lapse_seconds()
 
 
 def agent_lapse_seconds() -> float:
--- a/src/cactuswalk/dispatch/leaving.py
+++ b/src/cactuswalk/dispatch/leaving.py
@@ -12,7 +12,7 @@
 
 from cactuswalk.dispatch.soundness import MIN_PROGRESS_SECONDS, Progress
 
-__all__ = ["can_finish_in_time", "cannot_finish"]
+__all__ = ["OVERRUN_FACTOR", "can_finish_in_time", "cannot_finish"]
 
 # Callers' estimates are off by 40%, and losing a task costs more than placing it a
 # moment later.
