Keepalives list the starts that their entry wants stopped

What callers saw: a caller that left and came back had its job run at two entries at once, when the first entry's Stop messages were lost and its keepalives were not.

Change: a keepalive carries the sequences of the starts to be stopped, and the agent stops them before it takes the renewal. So no keepalive renews a run whose stop is lost. Not taken: Stop messages before the keepalive in the same frame. That holds only while frames are lost whole and in order; the field needs neither. An agent of the version before ignores the field, and a keepalive without it is read as before; Stop messages are sent as before. A directed mutant shows that the field is needed.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -30,6 +30,10 @@
       | the limit on renewals for runs that are to end             | the entry is killed |
       | the limit on renewals for runs that an entry wants stopped | the caller leaves   |
 
+  Scenario: Without the starts to stop in keepalives, these renew the runs
+    When the list of starts to stop in keepalives is disabled
+    Then a task runs twice at once when the entry's stop messages are lost, and stops reach workers
+
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -13,10 +13,11 @@
     agentleases,
     agentview,
     agentworker,
+    entryagents,
 )
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from cactuswalk.dispatch.entryevents import Received
-from cactuswalk.dispatch.messages import TaskEnd
+from cactuswalk.dispatch.messages import Keepalive, TaskEnd
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 from features.support.loststops import LostStops
@@ -57,10 +58,6 @@
             mock.patch.object(agent, "expire_entries", lambda state, now: None),
             NO_LIMIT_ON_RENEWALS,
         ]
-    if safeguard == "the limit on renewals for runs that are to end":
-        return [NO_LIMIT_ON_RENEWALS]
-    if safeguard == "the limit on renewals for runs that an entry wants stopped":
-        return [mock.patch.object(agententries, "limit_run", lambda *arguments: None)]
     if safeguard == "a stop before an unconfirmed start is abandoned":
         return [mock.patch.object(agentcalls, "_mark_unconfirmed", abandon_start)]
     if safeguard == "stopping the runs of an agent's earlier incarnation":
@@ -71,6 +68,21 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
+    return make_lost_stop_patches(safeguard)
+
+
+def make_lost_stop_patches(safeguard):
+    """Return the patches that disable a safeguard against lost stops."""
+    if safeguard == "the limit on renewals for runs that are to end":
+        return [NO_LIMIT_ON_RENEWALS]
+    if safeguard == "the limit on renewals for runs that an entry wants stopped":
+        return [mock.patch.object(agententries, "limit_run", lambda *arguments: None)]
+    if safeguard == "the list of starts to stop in keepalives":
+        return [
+            mock.patch.object(
+                entryagents, "Keepalive", lambda *fields: Keepalive(*fields[:-1])
+            )
+        ]
     raise ValueError(safeguard)
 
 
@@ -132,6 +144,11 @@
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
 
 
+@then("a task runs twice at once when {case}, and stops reach workers")
+def step_lost_messages_overlap(context, case):
+    assert LostStops(0, share=0.0).play(case).overlaps, "no task ran twice at once"
+
+
 @then("a task runs twice at once when {case} and no stop reaches a worker")
 def step_lost_stops_overlap(context, case):
     assert LostStops(0).play(case).overlaps, "no task ran twice at once"
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -39,6 +39,8 @@
     peer = _refresh_peer(state, sender, keepalive.incarnation, now)
     if peer is None:
         return
+    for sequence in keepalive.stopped:
+        _stop_start(state, peer, sequence, now)
     if keepalive.agent_incarnation == state.incarnation:
         peer.echoed_stamp = max(peer.echoed_stamp, keepalive.stamp)
     state.apply_evacuations(keepalive.evacuations, sender)
@@ -165,20 +167,21 @@
 
 def _handle_stop(state: AgentState, sender: str, request: Stop, now: float) -> None:
     peer = _refresh_peer(state, sender, request.incarnation, now)
-    if peer is None:
-        return
-    handle = state.by_sequence.get((request.incarnation, request.sequence))
+    if peer is not None:
+        _stop_start(state, peer, request.sequence, now)
+
+
+def _stop_start(state: AgentState, peer: EntryPeer, sequence: int, now: float) -> None:
+    handle = state.by_sequence.get((peer.incarnation, sequence))
     if handle is not None:
         limit_run(state, state.held[handle], now)
         stop_run(state, state.held[handle], "its entry asked", now)
         return
-    if request.sequence in peer.pending_ends:
+    if sequence in peer.pending_ends:
         return
     # The start has not arrived. Raising the sequence has it ignored if it comes later.
-    peer.last_sequence = max(peer.last_sequence, request.sequence)
-    ended = StartEnded(
-        peer.incarnation, request.sequence, TaskEnd.DECLINED, 0, 0, "stopped"
-    )
+    peer.last_sequence = max(peer.last_sequence, sequence)
+    ended = StartEnded(peer.incarnation, sequence, TaskEnd.DECLINED, 0, 0, "stopped")
     state.send_end(peer, ended, now)
 
 
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -230,6 +230,9 @@
         members,
         state.members_version,
         state.evacuations,
+        # A keepalive renews the lease of all starts here. If a stop were lost and
+        # keepalives arrived, the agent would run its task on.
+        [number for number, placed in view.placed.items() if placed.task is None],
     )
     state.send(view.address, keepalive)
 
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -101,6 +101,7 @@
     :param members: entries that the agent may work with; None if it has the list.
     :param members_version: of the list; grows within an incarnation of the sender.
     :param evacuations: the newest that the sender knows of.
+    :param stopped: sequences of starts that the sender wants stopped, as in ``Stop``.
     """
 
     incarnation: str
@@ -111,6 +112,7 @@
     members: list[Member] | None
     members_version: int
     evacuations: Evacuations
+    stopped: list[int] = []
 
 
 class Start(msgspec.Struct, array_like=True, tag=3):
