Reproduce: a job that comes back to its entry while its first runs are stopped

What was seen, on the virtual clock: a job of 8 tasks runs at e0, its caller leaves and submits it to e0 again at once, no stop is lost. The platform's callers wait 1.3 s, so that this needs another client or a slow stop.

--- a/features/dispatch_stops.feature
+++ b/features/dispatch_stops.feature
@@ -36,6 +36,12 @@
     When the entry restarts while 100 of 100 stop calls are lost
     Then no task runs twice at once on 20 seeds
 
+  Scenario: A caller leaves, and submits the job to the same entry at once
+    The entry knows that the first runs are still being stopped. If it placed the tasks
+    again at other workers before it knows their ends, they would run twice at once.
+    When the caller leaves and returns at once while 0 of 100 stop calls are lost
+    Then no task runs twice at once on 20 seeds
+
   Scenario: An entry's stop messages are lost, and its keepalives arrive
     A keepalive renews the lease of all runs of its entry, also of those that the entry
     wants stopped.
--- a/features/support/loststops.py
+++ b/features/support/loststops.py
@@ -79,6 +79,11 @@
         self.fleet.leave("e0", self.waiter)
         self.submit_again()
 
+    def return_at_once(self):
+        """The caller leaves, and submits the job again to the same entry."""
+        self.fleet.leave("e0", self.waiter)
+        self.submit("e0")
+
     def restart(self):
         self.fleet.kill("e0")
         self.fleet.run(RESTART_SECONDS)
@@ -97,6 +102,7 @@
     "the entry freezes": LostStops.freeze,
     "the agents' reports are lost": LostStops.cut,
     "the caller leaves": LostStops.leave,
+    "the caller leaves and returns at once": LostStops.return_at_once,
     "the entry restarts": LostStops.restart,
     "the entry's stop messages are lost": LostStops.lose_messages,
 }
