Failing: a worker's lease lasts longer than its agent expects

Seen on the unchanged client, beside a stand-in worker with clocks of their own: - a worker whose clock is 2% slow and that was idle for 60 s gets a lease of 1.020 s where the agent counts 0.51 s; if the agent freezes right after that start, an entry has the task run elsewhere 0.41 s before the lease ends; - with a clock that is 2% fast, the start is refused as late; - a start or poll sent 0.4 s after its decision gives a lease of 0.9 s; one sent after 0.6 s is still carried out; - a start to a worker whose clock isn't known carries a deadline on the agent's clock; - the poll of another incarnation carries a lease; - of 20 stops to a worker that doesn't answer, some aren't sent once within a second: they wait for one of six connections, and time out.

--- a/standins/taskworker.py
+++ b/standins/taskworker.py
@@ -10,6 +10,7 @@
 import json
 import secrets
 import time
+from collections.abc import Callable
 
 import aiohttp
 import click
@@ -22,19 +23,19 @@
 class Run:
     """One run of a task, which takes ``ms`` milliseconds."""
 
-    def __init__(self, task: str, run: int, cpu: int, ms: float, fails: bool) -> None:
+    def __init__(
+        self, task: str, run: int, cpu: int, ms: float, fails: bool, started_ms: int
+    ) -> None:
         self.task = task
         self.run = run
         self.cpu = cpu
         self.ms = ms
         self.fails = fails
-        self.started_ms = read_clock_ms()
+        self.started_ms = started_ms
 
-    def compute_percent(self) -> int:
+    def compute_percent(self, now_ms: int) -> int:
         """Return the progress in percent, at most 99."""
-        return min(
-            99, int(100 * (read_clock_ms() - self.started_ms) / max(1.0, self.ms))
-        )
+        return min(99, int(100 * (now_ms - self.started_ms) / max(1.0, self.ms)))
 
 
 def read_clock_ms() -> int:
@@ -43,9 +44,15 @@
 
 
 class TaskWorker:
-    """The active runs, the finished runs that are not acknowledged, and the lease."""
+    """The active runs, the finished runs that are not acknowledged, and the lease.
+
+    :param read_clock_ms: returns its clock, in milliseconds.
+    """
 
-    def __init__(self, cpu: int) -> None:
+    def __init__(
+        self, cpu: int, read_clock_ms: Callable[[], int] = read_clock_ms
+    ) -> None:
+        self.read_clock_ms = read_clock_ms
         self.identifier = f"i-{secrets.token_hex(4)}"
         self.cpu = cpu
         self.runs: dict[str, Run] = {}
@@ -62,7 +69,7 @@
         """Finish each run whose time is over, and all runs once the lease lapses."""
         while True:
             await asyncio.sleep(0.005)
-            now = read_clock_ms()
+            now = self.read_clock_ms()
             for run in list(self.runs.values()):
                 if now >= self.lease_ends_ms:
                     await self.finish_run(run, "lapsed")
@@ -92,15 +99,15 @@
     def check_request(self, request: web.Request, token: int) -> web.Response | None:
         """Return an error for another instance or a lower fencing token, else None."""
         if request.headers.get("X-Expected-Instance") != self.identifier:
-            return make_reply({}, 421)
+            return self.make_reply({}, 421)
         if token < self.token:
-            return make_reply({"reason": "fence"}, 409)
+            return self.make_reply({"reason": "fence"}, 409)
         self.token = token
         return None
 
     def extend_lease(self, body: dict) -> None:
         """Extend the lease to the deadline asked for, at most MAX_LEASE_MS from now."""
-        deadline = min(body.get("deadline_ms", 0), read_clock_ms() + MAX_LEASE_MS)
+        deadline = min(body.get("deadline_ms", 0), self.read_clock_ms() + MAX_LEASE_MS)
         self.lease_ends_ms = max(self.lease_ends_ms, deadline)
 
     async def start(self, request: web.Request) -> web.Response:
@@ -110,21 +117,28 @@
         if refusal is not None:
             return refusal
         task, run_number = body["task"], body["run"]
-        if body["deadline_ms"] <= read_clock_ms():
-            return make_reply({"reason": "late"}, 409)
+        if body["deadline_ms"] <= self.read_clock_ms():
+            return self.make_reply({"reason": "late"}, 409)
         self.extend_lease(body)
         if task in self.runs and self.runs[task].run == run_number:
-            return make_reply({})
+            return self.make_reply({})
         if run_number <= self.highest_runs.get(task, 0):
-            return make_reply({"reason": "old"}, 409)
+            return self.make_reply({"reason": "old"}, 409)
         spec = json.loads(body["spec"])
         cpu = spec.get("cpu", 1000)
         if sum(run.cpu for run in self.runs.values()) + cpu > self.cpu:
-            return make_reply({"reason": "room"}, 409)
-        run = Run(task, run_number, cpu, spec["ms"], spec.get("fails", False))
+            return self.make_reply({"reason": "room"}, 409)
+        run = Run(
+            task,
+            run_number,
+            cpu,
+            spec["ms"],
+            spec.get("fails", False),
+            self.read_clock_ms(),
+        )
         self.runs[task] = run
         self.add_record(run, "began")
-        return make_reply({})
+        return self.make_reply({})
 
     async def stop(self, request: web.Request) -> web.Response:
         """Stop a run; if it has not started, it will be refused."""
@@ -137,7 +151,7 @@
         run = self.runs.get(task)
         if run is not None and run.run <= run_number:
             await self.finish_run(run, "stopped")
-        return make_reply({})
+        return self.make_reply({})
 
     async def hold(self, request: web.Request) -> web.Response:
         """Extend the lease, and return active and finished runs (long polling)."""
@@ -161,9 +175,12 @@
             except TimeoutError:
                 break
         running = [
-            [run.task, run.run, "", run.compute_percent()] for run in self.runs.values()
+            [run.task, run.run, "", run.compute_percent(self.read_clock_ms())]
+            for run in self.runs.values()
         ]
-        return make_reply({"running": running, "finished": self.finished_runs[:500]})
+        return self.make_reply(
+            {"running": running, "finished": self.finished_runs[:500]}
+        )
 
     async def send_heartbeats(self, agent: str, service: str, zone: str) -> None:
         """Send heartbeats to the agent until cancelled."""
@@ -194,14 +211,14 @@
             "cold_remaining_ms": 0,
             "capacity": {"cpu": self.cpu, "mem_mb": 65_536, "gpu": 0},
             "labels": ["a", "r1"],
-            "clock_ms": read_clock_ms(),
+            "clock_ms": self.read_clock_ms(),
             "sequence": sequence,
         }
 
-
-def make_reply(body: dict, status: int = 200) -> web.Response:
-    """Return a JSON response that carries the worker's clock."""
-    return web.json_response(body | {"clock_ms": read_clock_ms()}, status=status)
+    def make_reply(self, body: dict, status: int = 200) -> web.Response:
+        """Return a JSON response that carries the worker's clock."""
+        body = body | {"clock_ms": self.read_clock_ms()}
+        return web.json_response(body, status=status)
 
 
 def make_application(
@@ -210,11 +227,13 @@
     """Return the worker's HTTP application, which runs its background tasks too."""
 
     async def show_record(_: web.Request) -> web.Response:
-        return make_reply({"record": worker.record, "identifier": worker.identifier})
+        return worker.make_reply(
+            {"record": worker.record, "identifier": worker.identifier}
+        )
 
     async def set_faults(request: web.Request) -> web.Response:
         worker.faults = await request.json()
-        return make_reply({})
+        return worker.make_reply({})
 
     async def background(_: web.Application):
         tasks = [
