A worker's lease ends when the agent decided, however late a call is sent

What callers saw: two runs of one task at once may follow.

Cause: a start or poll carried the length of the lease, and the client counted it from the time when it built the call. The agent counts from its decision. A paused process or host, or a loop that is held up, between the two makes the lease that much longer.

Evidence: dispatch_lease.feature, "A call is sent later than it was decided": a call sent 0.4 s late gave a lease of 0.900 s for 0.51 s, and one sent 0.6 s late was carried out.

Change: StartTask and PollWorker carry the end of the lease on the agent's clock, decided by the reducer; the client only converts it. A start whose lease has passed isn't sent, and counts as late; on its way it is refused by the worker as late. No call more.

Measured: both rows now end within 0.51 s.

--- a/features/steps/dispatch_lease_steps.py
+++ b/features/steps/dispatch_lease_steps.py
@@ -129,8 +129,7 @@
 def step_candidate(context):
     other = Worker("i-other", "plans", "d0", ("a",), 8000, 65_536, 0, False, 0, 1)
     poll = take(context.pair.feed(Announced(other)), PollWorker)
-    lease = getattr(poll, "lease_until", None) or getattr(poll, "lease_seconds", 0.0)
-    assert not lease, poll
+    assert not poll.lease_until, poll
 
 
 @given("an agent whose worker runs {tasks:d} tasks")
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -190,7 +190,7 @@
         if effect.token < self.token:
             return StartVerdict.FENCED
         self.token = effect.token
-        deadline = sent_at + min(effect.lease_seconds, MAXIMUM_LEASE_SECONDS)
+        deadline = min(effect.lease_until, now + MAXIMUM_LEASE_SECONDS)
         if deadline <= now:
             return StartVerdict.LATE
         self.lease_until = max(self.lease_until, deadline)
@@ -223,8 +223,8 @@
 
     def renew(self, effect, sent_at, now):
         self.advance(now)
-        if effect.lease_seconds and effect.worker == self.identifier:
-            until = sent_at + min(effect.lease_seconds, MAXIMUM_LEASE_SECONDS)
+        if effect.lease_until and effect.worker == self.identifier:
+            until = min(effect.lease_until, now + MAXIMUM_LEASE_SECONDS)
             self.lease_until = max(self.lease_until, until)
         self.ended = [row for row in self.ended if row.number > effect.acknowledged]
 
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -64,7 +64,7 @@
             held.run,
             held.start.spec,
             state.token,
-            WORKER_LEASE_SECONDS,
+            now + WORKER_LEASE_SECONDS,
         )
     )
 
--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -72,8 +72,7 @@
     # lease renewed for runs left by an earlier incarnation of this agent, which only
     # the first poll reveals.
     renews = state.reachable and state.ready_to_start
-    lease = WORKER_LEASE_SECONDS if renews else 0.0
-    if lease:
+    if renews:
         state.renewed_at = now
     state.effects.append(
         PollWorker(
@@ -81,7 +80,7 @@
             state.token,
             state.highest_end,
             int(wait_seconds * 1000),
-            lease,
+            now + WORKER_LEASE_SECONDS if renews else 0.0,
             is_check,
         )
     )
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -71,7 +71,7 @@
     # runs of the current one: the other incarnation has to answer a poll first.
     state.candidate = worker
     state.effects.append(
-        PollWorker(worker.identifier, state.token, 0, 0, WORKER_LEASE_SECONDS)
+        PollWorker(worker.identifier, state.token, 0, 0, now + WORKER_LEASE_SECONDS)
     )
 
 
--- a/src/cactuswalk/dispatch/effects.py
+++ b/src/cactuswalk/dispatch/effects.py
@@ -40,7 +40,8 @@
 class StartTask(msgspec.Struct):
     """Have the worker start a task; results in ``StartAnswered``.
 
-    :param lease_seconds: how long from now the worker may run all its tasks.
+    :param lease_until: until when the worker may run all its tasks, on the agent's
+        clock.
     """
 
     worker: str
@@ -49,7 +50,7 @@
     run: int
     spec: str
     token: int
-    lease_seconds: float
+    lease_until: float
 
 
 class StopTask(msgspec.Struct):
@@ -70,7 +71,7 @@
     :param acknowledged: ends up to this number have been received; the worker may
         forget them.
     :param wait_ms: how long the answer may wait for a run to end.
-    :param lease_seconds: new length of the lease; 0 doesn't renew it.
+    :param lease_until: new end of the lease on the agent's clock; 0 doesn't renew it.
     :param is_check: sent next to a waiting poll, without waiting.
     """
 
@@ -78,7 +79,7 @@
     token: int
     acknowledged: int
     wait_ms: int
-    lease_seconds: float
+    lease_until: float
     is_check: bool = False
 
 
--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -94,14 +94,14 @@
         self.clock_offsets_ms: dict[str, float] = {}
 
     async def start(self, effect: StartTask) -> AgentEvent:
-        """Start a task."""
+        """Start a task, unless its lease has passed before the call is sent."""
+        if self.clock() >= effect.lease_until:
+            return StartAnswered(effect.worker, effect.handle, StartVerdict.LATE)
         body = {
             "task": format_task_name(effect.key),
             "run": effect.run,
             "spec": effect.spec,
-            "deadline_ms": self._worker_deadline_ms(
-                effect.worker, effect.lease_seconds
-            ),
+            "deadline_ms": self._worker_deadline_ms(effect.worker, effect.lease_until),
             "fencing_token": effect.token,
         }
         try:
@@ -137,9 +137,9 @@
             "last_seen": effect.acknowledged,
             "wait_ms": effect.wait_ms,
         }
-        if effect.lease_seconds and effect.worker in self.clock_offsets_ms:
+        if effect.lease_until and effect.worker in self.clock_offsets_ms:
             body["deadline_ms"] = self._worker_deadline_ms(
-                effect.worker, effect.lease_seconds
+                effect.worker, effect.lease_until
             )
         timeout_seconds = CALL_TIMEOUT_SECONDS + effect.wait_ms / 1000
         try:
@@ -168,13 +168,9 @@
             await self.session.close()
             self.session = None
 
-    def _worker_deadline_ms(self, worker: str, seconds: float) -> int:
+    def _worker_deadline_ms(self, worker: str, lease_until: float) -> int:
         """Return the end of a lease on the worker's clock, in milliseconds."""
-        return int(
-            self.clock() * 1000
-            + self.clock_offsets_ms.get(worker, 0.0)
-            + seconds * 1000
-        )
+        return int(lease_until * 1000 + self.clock_offsets_ms.get(worker, 0.0))
 
     async def _call(
         self, path: str, worker: str, body: dict, timeout_seconds: float
