A lease is converted to the worker's clock so that it never ends too late

What callers saw: two runs of one task at once may follow.

Cause: the deadline at the worker was computed with the difference between the two clocks at the worker's last response. An idle worker isn't polled, and its clock may run 2% slow: after 60 s the deadline is 1.2 s too late there, which the platform cuts to a lease of 1 s. The agent and the entry count 0.51 s. If the agent freezes or dies right after the start, the entry has the task run elsewhere while it runs. A worker whose clock wasn't known would have got a deadline on the agent's clock.

Evidence: dispatch_lease.feature: a lease of 1.020 s for 0.51 s after 60 s, and the entry 0.41 s too early; with a clock 2% fast the start was refused as late.

Change: platform/workerclock.py keeps a reading (the worker's clock, and when it arrived), and adds 0.98 of the time since: the least that the worker's clock can show. So a lease ends in time for any age of the reading and any delay of the response. Readings come from responses and, new, from heartbeats (each 1.5 s), so that an idle worker's lease isn't short. A start needs a reading of 2 s at most; otherwise a poll that doesn't wait reads the clock first, one for all starts that wait, and a start isn't sent without a reading: it counts as late, and is repeated or declined. Each repetition is logged. Decoding of responses moves to platform/workerreplies.py.

Weighed: a poll each 2 s of each idle worker, 0.5 calls a second an agent that makes none today.

--- a/features/dispatch_lease.feature
+++ b/features/dispatch_lease.feature
@@ -90,6 +90,23 @@
     And the agent starts a task
     Then the worker has not run the task, and the agent knows that
 
+  Scenario Outline: Heartbeats show the clock of an idle worker
+    With a fresh reading a start needs no call before it. A heartbeat that was delayed
+    doesn't make the lease shorter.
+    Given an agent beside a worker whose clock runs at <percent> % of its speed
+    When the agent finds its worker, which is idle for 60 seconds
+    And a heartbeat comes, and one that was delayed by 20 seconds
+    And the agent starts a task
+    Then the worker's lease ends before the agent considers the run ended
+    And the lease has lasted for 0.45 seconds or more
+    And the worker's clock was read by no call of its own
+
+    Examples: clocks
+      | percent |
+      | 98      |
+      | 100     |
+      | 102     |
+
   Scenario: Another incarnation of the worker is polled without a lease
     It isn't known yet whether it runs anything, nor for whom.
     Given an agent beside a worker whose clock runs at 100 % of its speed
--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -20,6 +20,12 @@
     When an entry's lease at its agents is disabled
     Then the second attempt at a job whose entry was killed overlaps the first
 
+  Scenario: Without an allowance for its clock, a worker outlives its lease
+    Its clock is 2% slow, and it was idle for a minute. The agent freezes right after a
+    start. dispatch_lease.feature does the same with the allowance.
+    When the allowance for a worker's clock is disabled
+    Then an entry runs a silent agent's task elsewhere while it runs
+
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
--- a/features/steps/dispatch_lease_steps.py
+++ b/features/steps/dispatch_lease_steps.py
@@ -35,6 +35,14 @@
     context.pair.now += seconds
 
 
+@when("a heartbeat comes, and one that was delayed by {seconds:g} seconds")
+def step_heartbeats(context, seconds):
+    pair = context.pair
+    for age in (0.0, seconds):
+        clock_ms = pair.read_worker_clock_ms() - age * pair.rate * 1000
+        pair.client.record_heartbeat(pair.worker.identifier, clock_ms)
+
+
 @when("all readings of the worker's clock are lost")
 def step_forget(context):
     context.pair.forget_readings()
@@ -64,10 +72,14 @@
     started_at = pair.now
     effects = pair.decide_start()
     pair.feed(pair.perform(take(effects, StartTask)))
-    answer = pair.perform(take(effects, PollWorker))
+    pair.now = started_at
+    # Polls wait at the worker; the first was sent with the start.
+    for renewed_after in (seconds / 2, seconds):
+        answer = pair.perform(take(effects, PollWorker))
+        assert pair.now <= started_at + renewed_after, "a response came too late"
+        pair.now = started_at + renewed_after
+        effects = pair.feed(answer)
     assert seconds == ENTRY_LEASE_SECONDS
-    pair.now = started_at + seconds
-    effects = pair.feed(answer)
     context.view = AgentView("a0", pair.report, started_at)
     pair.perform(take(effects, PollWorker))
 
@@ -112,6 +124,11 @@
     assert length >= seconds, f"the lease lasts {length:.3f} s"
 
 
+@then("the worker's clock was read by no call of its own")
+def step_no_reading(context):
+    assert context.pair.calls.count(workerclient.POLL_PATH) == 1, context.pair.calls
+
+
 @then("the worker's lease ends before an entry runs the task elsewhere")
 def step_entry(context):
     early = context.view.lapses_at() - context.pair.lease_ends_at()
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -12,9 +12,16 @@
     agentview,
     agentworker,
 )
-from cactuswalk.dispatch.bounds import RESEND_SECONDS
+from cactuswalk.dispatch.bounds import (
+    ENTRY_LEASE_SECONDS,
+    RESEND_SECONDS,
+    agent_lapse_seconds,
+)
+from cactuswalk.dispatch.effects import StartTask
 from cactuswalk.dispatch.entryevents import Received
 from cactuswalk.dispatch.messages import TaskEnd
+from cactuswalk.platform import workerclock
+from features.support.agentbesideworker import AgentBesideWorker, take
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 
@@ -54,6 +61,11 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
+    if safeguard == "the allowance for a worker's clock":
+        return [
+            mock.patch.object(workerclock, "CLOCK_DRIFT", 0.0),
+            mock.patch.object(workerclock, "MAX_READING_AGE_SECONDS", 1e9),
+        ]
     raise ValueError(safeguard)
 
 
@@ -77,6 +89,17 @@
     context.clean_ups = [patch.stop for patch in patches]
 
 
+@then("an entry runs a silent agent's task elsewhere while it runs")
+def step_silent_agent(context):
+    pair = AgentBesideWorker(0.98)
+    context.clean_ups.append(pair.close)
+    pair.announce()
+    pair.now += 60.0
+    heard_at = pair.now - ENTRY_LEASE_SECONDS
+    pair.perform(take(pair.decide_start(ENTRY_LEASE_SECONDS), StartTask))
+    assert pair.lease_ends_at() > heard_at + agent_lapse_seconds()
+
+
 @then("a late report of an earlier incarnation ends the running tasks")
 def step_late_report_used(context):
     fleet = Fleet(1, 2)
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -103,6 +103,13 @@
             held.run += RUN_NUMBER_STEP
         if verdict is StartVerdict.FENCED:
             raise_token(state)
+        state.say(
+            "repeats a refused start",
+            **held.log_fields(),
+            verdict=verdict.value,
+            tries=held.tries,
+            waited=round(now - held.since, 3),
+        )
         request_start(state, held, now)
         return
     state.say(
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -13,6 +13,7 @@
     "HEARD_SECONDS",
     "KEEPALIVE_SECONDS",
     "MARGIN_SECONDS",
+    "MAX_READING_AGE_SECONDS",
     "RESEND_SECONDS",
     "STOP_MARGIN_SECONDS",
     "STOP_SECONDS",
@@ -37,9 +38,16 @@
 # POLL_WAIT_SECONDS apart; the platform allows a second at most.
 WORKER_LEASE_SECONDS = 0.5
 
-# Fraction by which a worker's clock may run slow (given by the platform).
+# Fraction by which a worker's clock may run slow (given by the platform). A lease is
+# converted to the worker's clock with a reading of that clock, and made shorter by
+# this fraction of the time from the reading to the lease's end.
 CLOCK_DRIFT = 0.02
 
+# Oldest reading of the worker's clock with which a start is sent: the drift takes
+# 0.04 s of the lease, so that three polls still fit in it. Heartbeats bring a reading
+# every 1.5 s.
+MAX_READING_AGE_SECONDS = 2.0
+
 # How long a worker takes to stop a task (given by the platform).
 STOP_SECONDS = 0.05
 
@@ -68,7 +76,11 @@
 
 
 def worker_lapse_seconds() -> float:
-    """Return how long a worker may run tasks after a renewal was sent, in seconds."""
+    """Return how long a worker may run tasks after a renewal was decided, in seconds.
+
+    The lease ends at the worker within WORKER_LEASE_SECONDS, whatever its clock does
+    (``platform.workerclock``); the rest is for its timer.
+    """
     return WORKER_LEASE_SECONDS * (1 + CLOCK_DRIFT)
 
 
--- a/src/cactuswalk/dispatch/job.py
+++ b/src/cactuswalk/dispatch/job.py
@@ -58,6 +58,7 @@
     :param draining: the worker takes no new tasks and will stop soon.
     :param leaves_in_ms: lower bound of the time left to a draining worker.
     :param sequence: grows with each announcement of an incarnation.
+    :param clock_ms: its clock when it announced itself; None if it didn't say.
     """
 
     identifier: str
@@ -70,6 +71,7 @@
     draining: bool
     leaves_in_ms: int
     sequence: int
+    clock_ms: float | None = None
 
 
 class JobVerdict(enum.StrEnum):
--- a/src/cactuswalk/platform/heartbeats.py
+++ b/src/cactuswalk/platform/heartbeats.py
@@ -37,6 +37,7 @@
     capacity: CapacityBody
     labels: list[str] = []
     remaining_ms: float = 0
+    clock_ms: float | None = None
 
 
 _decoder = msgspec.json.Decoder(HeartbeatBody)
@@ -78,4 +79,5 @@
         heartbeat.state == DRAINING,
         int(heartbeat.remaining_ms),
         heartbeat.sequence,
+        heartbeat.clock_ms,
     )
--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -9,18 +9,29 @@
 
 from cactuswalk.dispatch.agentevents import (
     AgentEvent,
-    EndedRow,
     PollAnswered,
     PollFailed,
-    RunEnd,
-    RunningRow,
     StartAnswered,
     StartVerdict,
     StopAnswered,
 )
 from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
 from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
-from cactuswalk.platform.names import format_task_name, parse_task_name
+from cactuswalk.platform.names import format_task_name
+from cactuswalk.platform.workerclock import (
+    ClockReading,
+    convert_to_worker_ms,
+    is_fresh,
+    take_later,
+)
+from cactuswalk.platform.workerreplies import (
+    MISDIRECTED_REQUEST,
+    Reply,
+    decode_ended,
+    decode_reply,
+    decode_running,
+    decode_verdict,
+)
 
 __all__ = ["WorkerClient"]
 
@@ -29,38 +40,14 @@
 POLL_PATH = "/v1/hold"
 
 # Names the expected incarnation of the worker, which the platform calls an instance.
-# Another incarnation refuses the call with 421.
+# Another incarnation refuses the call with MISDIRECTED_REQUEST.
 INSTANCE_HEADER = "X-Expected-Instance"
-MISDIRECTED_REQUEST = 421
 
 # For concurrent starts, and one more for polls. Opening a connection has a cost.
 MAX_CONNECTIONS = 6
 # Idle connections are kept this long, unless the worker closes them earlier.
 KEEPALIVE_SECONDS = 300.0
 
-START_REFUSALS = {
-    "old": StartVerdict.SUPERSEDED,
-    "fence": StartVerdict.FENCED,
-    "late": StartVerdict.LATE,
-    "room": StartVerdict.NO_ROOM,
-}
-
-# The platform's ends for gangs ("broken", "alone") are not listed and count as lapsed:
-# the run is over, but not by its own fault.
-RUN_ENDS = {"done": RunEnd.DONE, "failed": RunEnd.FAILED, "stopped": RunEnd.STOPPED}
-
-
-class Reply(msgspec.Struct):
-    """The fields of all the worker's responses; ``clock_ms`` is its monotonic clock."""
-
-    clock_ms: float | None = None
-    reason: str = ""
-    running: list[list] = []
-    finished: list[list] = []
-
-
-_decoder = msgspec.json.Decoder(Reply)
-
 
 class WorkerCallError(Exception):
     """A call got no usable response.
@@ -90,18 +77,25 @@
             path: yarl.URL(f"http://{address}{path}")
             for path in (START_PATH, STOP_PATH, POLL_PATH)
         }
-        # By worker, its clock minus the agent's clock.
-        self.clock_offsets_ms: dict[str, float] = {}
+        # By worker, the reading of its clock with which leases are converted, and the
+        # call in progress that only reads its clock.
+        self.readings: dict[str, ClockReading] = {}
+        self.clock_calls: dict[str, asyncio.Task[StartVerdict]] = {}
 
     async def start(self, effect: StartTask) -> AgentEvent:
         """Start a task, unless its lease has passed before the call is sent."""
-        if self.clock() >= effect.lease_until:
-            return StartAnswered(effect.worker, effect.handle, StartVerdict.LATE)
+        refusal = await self._refresh_reading(effect.worker, effect.token)
+        if refusal is None and self.clock() >= effect.lease_until:
+            refusal = StartVerdict.LATE
+        if refusal is not None:
+            return StartAnswered(effect.worker, effect.handle, refusal)
         body = {
             "task": format_task_name(effect.key),
             "run": effect.run,
             "spec": effect.spec,
-            "deadline_ms": self._worker_deadline_ms(effect.worker, effect.lease_until),
+            "deadline_ms": convert_to_worker_ms(
+                self.readings[effect.worker], effect.lease_until
+            ),
             "fencing_token": effect.token,
         }
         try:
@@ -111,7 +105,7 @@
         except WorkerCallError as error:
             verdict = StartVerdict.GONE if error.refused else StartVerdict.UNKNOWN
             return StartAnswered(effect.worker, effect.handle, verdict)
-        verdict = _decode_verdict(status, reply.reason)
+        verdict = decode_verdict(status, reply.reason)
         return StartAnswered(effect.worker, effect.handle, verdict)
 
     async def stop(self, effect: StopTask) -> AgentEvent:
@@ -137,9 +131,9 @@
             "last_seen": effect.acknowledged,
             "wait_ms": effect.wait_ms,
         }
-        if effect.lease_until and effect.worker in self.clock_offsets_ms:
-            body["deadline_ms"] = self._worker_deadline_ms(
-                effect.worker, effect.lease_until
+        if effect.lease_until and effect.worker in self.readings:
+            body["deadline_ms"] = convert_to_worker_ms(
+                self.readings[effect.worker], effect.lease_until
             )
         timeout_seconds = CALL_TIMEOUT_SECONDS + effect.wait_ms / 1000
         try:
@@ -156,21 +150,48 @@
         return PollAnswered(
             effect.worker,
             sent_at,
-            [_decode_running(row) for row in reply.running],
-            [_decode_ended(row) for row in reply.finished],
+            [decode_running(row) for row in reply.running],
+            [decode_ended(row) for row in reply.finished],
             effect.acknowledged,
             effect.is_check,
         )
 
     async def close(self) -> None:
         """Close the connections."""
+        for call in list(self.clock_calls.values()):
+            call.cancel()
         if self.session is not None:
             await self.session.close()
             self.session = None
 
-    def _worker_deadline_ms(self, worker: str, lease_until: float) -> int:
-        """Return the end of a lease on the worker's clock, in milliseconds."""
-        return int(lease_until * 1000 + self.clock_offsets_ms.get(worker, 0.0))
+    def record_heartbeat(self, worker: str, clock_ms: float | None) -> None:
+        """Record the worker's clock from a heartbeat, which may have been delayed."""
+        if clock_ms is not None:
+            now = self.clock()
+            self.readings[worker] = take_later(
+                self.readings.get(worker), ClockReading(clock_ms, now), now
+            )
+
+    async def _refresh_reading(self, worker: str, token: int) -> StartVerdict | None:
+        """Have a fresh reading of a worker's clock; return why there is none."""
+        if is_fresh(self.readings.get(worker), self.clock()):
+            return None
+        call = self.clock_calls.get(worker)
+        if call is None:
+            call = asyncio.create_task(self._read_clock(worker, token))
+            self.clock_calls[worker] = call
+            call.add_done_callback(lambda _: self.clock_calls.pop(worker))
+        refusal = await asyncio.shield(call)
+        return None if is_fresh(self.readings.get(worker), self.clock()) else refusal
+
+    async def _read_clock(self, worker: str, token: int) -> StartVerdict:
+        """Make a poll that only reads the clock; return the refusal if it doesn't."""
+        body = {"fencing_token": token, "last_seen": 0, "wait_ms": 0}
+        try:
+            status, _ = await self._call(POLL_PATH, worker, body, CALL_TIMEOUT_SECONDS)
+        except WorkerCallError as error:
+            return StartVerdict.GONE if error.refused else StartVerdict.LATE
+        return StartVerdict.GONE if status == MISDIRECTED_REQUEST else StartVerdict.LATE
 
     async def _call(
         self, path: str, worker: str, body: dict, timeout_seconds: float
@@ -200,41 +221,10 @@
             raise WorkerCallError(refused) from error
         except (aiohttp.ClientError, OSError) as error:
             raise WorkerCallError(False) from error
-        reply = _decode_reply(data)
+        try:
+            reply = decode_reply(data)
+        except ValueError as error:
+            raise WorkerCallError(False) from error
         if reply.clock_ms is not None and response.status != MISDIRECTED_REQUEST:
-            # The worker read its clock before its response arrived, so that a lease
-            # computed from this offset ends early rather than late.
-            self.clock_offsets_ms[worker] = reply.clock_ms - self.clock() * 1000
+            self.readings[worker] = ClockReading(reply.clock_ms, self.clock())
         return response.status, reply
-
-
-def _decode_reply(data: bytes) -> Reply:
-    if not data:
-        return Reply()
-    try:
-        return _decoder.decode(data)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise WorkerCallError(False) from error
-
-
-def _decode_verdict(status: int, reason: str) -> StartVerdict:
-    if status == 200:
-        return StartVerdict.STARTED
-    if status == 409:
-        return START_REFUSALS.get(reason, StartVerdict.INVALID)
-    if status in (429, 503):
-        return StartVerdict.UNHEALTHY
-    if status == MISDIRECTED_REQUEST:
-        return StartVerdict.GONE
-    return StartVerdict.INVALID if status == 400 else StartVerdict.UNKNOWN
-
-
-def _decode_running(row: list) -> RunningRow:
-    return RunningRow(parse_task_name(row[0]), row[0], row[1], row[3])
-
-
-def _decode_ended(row: list) -> EndedRow:
-    number, name, run, how, _ = row
-    return EndedRow(
-        number, parse_task_name(name), run, RUN_ENDS.get(how, RunEnd.LAPSED)
-    )
--- a/src/cactuswalk/runtime/dispatchagent.py
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -9,6 +9,8 @@
 
 from cactuswalk.dispatch.agent import reduce
 from cactuswalk.dispatch.agentevents import (
+    Announced,
+    Departed,
     EntriesRead,
     Received,
     StopRequested,
@@ -81,7 +83,7 @@
         )
         self.runtime.add_store()
         handler = AnnouncementHandler(
-            self.settings.service, self.application.feed, self._log_unusable_heartbeat
+            self.settings.service, self._feed_announcement, self._log_unusable_heartbeat
         )
         self.runtime.add_http_service(
             self.settings.announcements, handler.handle, self.listener
@@ -99,6 +101,11 @@
             self.state.is_idle(read_boottime()) or read_boottime() >= self.state.stop_by
         )
 
+    def _feed_announcement(self, event: Announced | Departed) -> None:
+        if isinstance(event, Announced):
+            self.worker.record_heartbeat(event.worker.identifier, event.worker.clock_ms)
+        self.application.feed(event)
+
     async def _feed_first_tick(self) -> None:
         """Look up the entries at once, not at the first tick 50 ms later."""
         self.application.feed(Tick())
