The poll of another incarnation of the worker renews no lease

Cause: when a heartbeat names another incarnation, the agent polls that one first, with a lease of 0.5 s, though it doesn't know yet what runs there and for whom.

Evidence: dispatch_lease.feature, "Another incarnation of the worker is polled without a lease": the effect carried a lease of 0.5 s. No overlap of runs was seen by this.

Change: this poll carries no lease. Its answer leads to the usual first poll.

--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -21,10 +21,7 @@
 from cactuswalk.dispatch.agentlooks import poll
 from cactuswalk.dispatch.agentprogress import record_progress, stop_runs_if_slow
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.bounds import (
-    WORKER_LEASE_SECONDS,
-    worker_lapse_seconds,
-)
+from cactuswalk.dispatch.bounds import worker_lapse_seconds
 from cactuswalk.dispatch.effects import (
     PollWorker,
     StopTask,
@@ -68,11 +65,10 @@
         _adopt_worker(state, worker, now)
         return
     # This may be a delayed heartbeat of an earlier incarnation, which must not end the
-    # runs of the current one: the other incarnation has to answer a poll first.
+    # runs of the current one: the other incarnation has to answer a poll first, which
+    # renews no lease, since what runs there and for whom isn't known.
     state.candidate = worker
-    state.effects.append(
-        PollWorker(worker.identifier, state.token, 0, 0, now + WORKER_LEASE_SECONDS)
-    )
+    state.effects.append(PollWorker(worker.identifier, state.token, 0, 0, 0.0))
 
 
 def _record_draining(state: AgentState, known: bool, now: float) -> None:
