--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -72,14 +72,14 @@
     # lease renewed for runs left by an earlier incarnation of this agent, which only
     # the first poll reveals.
     renews = state.reachable and state.ready_to_start
-    lease = renew(state, now) if renews else 0.0
+    lease_until = renew(state, now) if renews else 0.0
     state.effects.append(
         PollWorker(
             state.worker.identifier,
             state.token,
             state.highest_end,
             int(wait_seconds * 1000),
-            lease,
+            lease_until,
             is_check,
         )
     )
