Failing reproduction: a late report from before a reboot

A host's clock starts anew at a reboot. A report of the agent that ran before it then has a higher stamp than the running agent's, and the entry takes it for newer: it runs the running agent's tasks elsewhere while they run on.

The model is the fleet with a clock for each host and a network that holds up messages (features/support/reboots.py).

--- /dev/null
+++ b/features/steps/dispatch_incarnations_steps.py
@@ -0,0 +1,65 @@
+"""Steps on late messages of processes that are gone."""
+
+from behave import given, then, when
+
+from features.support.reboots import RebootDay, RebootingFleet
+
+REBOOT_DAY_SECONDS = 8
+
+
+@given(
+    "a fleet of {entries:d} entries and {workers:d} workers whose hosts have been up"
+    " for long"
+)
+def step_rebooting_fleet(context, entries, workers):
+    context.fleet = RebootingFleet(entries, workers)
+    context.waiters = {}
+
+
+@when(
+    "the network holds up the messages from {one:w} to {other:w} for {seconds:g}"
+    " seconds"
+)
+def step_hold_up(context, one, other, seconds):
+    context.fleet.held_links.add((one, other))
+    context.fleet.run(seconds)
+    context.fleet.held_links.clear()
+
+
+@when("the host of {agent:w} reboots within {seconds:g} seconds")
+def step_reboot(context, agent, seconds):
+    context.fleet.reboot(agent, seconds)
+    context.fleet.run(seconds)
+
+
+@when("the process of {name:w} is replaced")
+def step_replace(context, name):
+    context.fleet.replace(name)
+
+
+@when("the messages held up from {one:w} to {other:w} arrive after {seconds:g} seconds")
+def step_arrive_late(context, one, other, seconds):
+    context.fleet.run(seconds)
+    assert context.fleet.held_up[one, other], "nothing was held up"
+    context.fleet.arrive_late((one, other))
+
+
+@then("days {first:d} to {last:d} of reboots and late messages have no overlap")
+def step_reboot_days(context, first, last):
+    check_days(range(first, last + 1), restarts=False)
+
+
+@then("days {first:d} to {last:d} of replaced processes have no overlap either")
+def step_restart_days(context, first, last):
+    check_days(range(first, last + 1), restarts=True)
+
+
+def check_days(seeds, restarts):
+    overlaps = {}
+    for seed in seeds:
+        day = RebootDay(seed, restarts)
+        day.play(REBOOT_DAY_SECONDS)
+        assert len(day.fleet.answers) > 20, f"seed {seed}: hardly any answers"
+        if day.fleet.overlaps or day.fleet.overloads:
+            overlaps[seed] = day.fleet.overlaps[:2], day.fleet.overloads
+    assert not overlaps, f"{len(overlaps)} days: {overlaps}"
