An agent's incarnation replaces another only once it returns a later stamp

Callers saw tasks run twice at once, or late by up to 1.1 s.

Cause: the entry ordered the reports of two incarnations of an agent by their stamps, which are of a clock that starts anew when the host reboots.

Change: keepalives carry a stamp of the entry, reports return the latest. An incarnation replaces the known one when it returns a later stamp than that one has; one that is gone can't. Nothing of past incarnations is remembered, and a late message may live for any time. A report that was written for an earlier incarnation of the entry no longer shows that this one is heard. Keepalives have moved to a module of their own.

Evidence: the scenarios of dispatch_incarnations, red before, pass.

A birth number such as the fencing token: from the time of day, which may go back; not tried.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -23,3 +23,7 @@
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
+
+  Scenario: Without a returned stamp, a late report of any incarnation is taken for newer
+    When the proof that an agent's other incarnation is alive is disabled
+    Then a day of reboots and late messages has an overlap
--- a/features/steps/dispatch_incarnations_steps.py
+++ b/features/steps/dispatch_incarnations_steps.py
@@ -13,6 +13,7 @@
 )
 def step_rebooting_fleet(context, entries, workers):
     context.fleet = RebootingFleet(entries, workers)
+    context.fleet.in_order = True
     context.waiters = {}
 
 
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -17,6 +17,7 @@
 from cactuswalk.dispatch.messages import TaskEnd
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
+from features.support.reboots import RebootDay
 
 take_running = agentworker._apply_running
 
@@ -54,9 +55,19 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
+    if safeguard == "the proof that an agent's other incarnation is alive":
+        return [
+            mock.patch.object(agentview.AgentView, "is_out_of_date", is_stamp_lower)
+        ]
     raise ValueError(safeguard)
 
 
+def is_stamp_lower(view, report, now):
+    """Accept any report of another incarnation."""
+    known = view.report
+    return report.incarnation == known.incarnation and report.stamp < known.stamp
+
+
 def ignore_unknown_runs(state, event, now):
     """Ignore the runs that an earlier incarnation of the agent has started."""
     known = {(held.start.key, held.run) for held in state.held.values()}
@@ -93,6 +104,16 @@
     assert len(fleet.starts) > 20, "each task was started once"
 
 
+@then("a day of reboots and late messages has an overlap")
+def step_late_overlap(context):
+    for seed in range(MAX_SEEDS):
+        day = RebootDay(seed)
+        day.play(DAY_SECONDS)
+        if day.fleet.overlaps:
+            return
+    raise AssertionError(f"{MAX_SEEDS} days passed without it")
+
+
 @then("the second attempt at a job whose entry was killed overlaps the first")
 def step_overlaps(context):
     fleet = Fleet(2, 2)
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -40,6 +40,7 @@
         return
     if keepalive.agent_incarnation == state.incarnation:
         peer.echoed_stamp = max(peer.echoed_stamp, keepalive.stamp)
+    peer.entry_stamp = max(peer.entry_stamp, keepalive.entry_stamp)
     state.apply_evacuations(keepalive.evacuations, sender)
     peer.data_centre = keepalive.data_centre
     for sequence in keepalive.acknowledged:
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -76,6 +76,7 @@
 
     :param echoed_stamp: latest of the agent's own stamps, in milliseconds, that this
         incarnation of the entry has returned.
+    :param entry_stamp: its latest stamp that has arrived, which reports echo.
     :param last_sequence: highest sequence of its starts that has arrived.
     :param pending_ends: ends that it has not acknowledged, by sequence;
         ``end_sent_at`` has the time when each was sent last.
@@ -89,6 +90,7 @@
     address: str
     incarnation: str = ""
     echoed_stamp: int = -1
+    entry_stamp: int = 0
     heard_at: float = 0.0
     last_sequence: int = 0
     pending_ends: dict[int, StartEnded] = msgspec.field(default_factory=dict)
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -64,6 +64,7 @@
     report.hears_entry = bool(peer.incarnation) and peer.is_heard(now)
     report.acknowledged_members = peer.members_version
     report.home = peer.home
+    report.entry_stamp = peer.entry_stamp
     return report
 
 
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -39,6 +39,10 @@
     """An agent as known from its reports.
 
     :param heard_at: when its latest report came. No stamp echoed to it is newer.
+    :param echoed_stamp: latest of the entry's own stamps that this incarnation of the
+        agent has returned; 0 for none.
+    :param candidate: another incarnation that has reported, and has to return a later
+        stamp before it counts as newer.
     :param placed: starts that have not ended, by sequence.
     :param acknowledged: sequences of ended starts to acknowledge.
     :param skipped_until: when it may be sent tasks again after it declined one.
@@ -52,6 +56,8 @@
     address: str
     report: Report
     heard_at: float
+    echoed_stamp: int = 0
+    candidate: str = ""
     placed: dict[int, PlacedTask] = msgspec.field(default_factory=dict)
     acknowledged: list[int] = msgspec.field(default_factory=list)
     skipped_until: float = 0.0
@@ -63,6 +69,7 @@
     members_data_centre: str = ""
 
     def __post_init__(self) -> None:
+        self.echoed_stamp = self.report.entry_stamp
         self._recompute_free()
 
     def free_resources(self) -> tuple[int, int, int]:
@@ -73,6 +80,9 @@
         """Replace the report by a newer one; return whether more tasks may fit now."""
         free, was_open = self.free_resources(), self.is_open(now)
         worker = self.report.worker
+        if report.incarnation != self.report.incarnation:
+            self.echoed_stamp, self.candidate = 0, ""
+        self.echoed_stamp = max(self.echoed_stamp, report.entry_stamp)
         self.report = report
         self.heard_at = now
         self.skipped_until = 0.0
@@ -83,17 +93,19 @@
         return has_more or not was_open or report.worker != worker
 
     def is_out_of_date(self, report: Report, now: float) -> bool:
-        """Return whether a report is older than the known one.
+        """Return whether a report is older than the known one, or may be.
 
-        Stamps grow for as long as the agent's host is up, across incarnations of the
-        agent. After a reboot of the host they are lower, but by then the earlier
-        incarnation has been silent for longer than its leases last.
+        The stamps of an agent's incarnations can't be compared: the host's clock starts
+        anew when it reboots, and a report of a dead incarnation may arrive at any time.
+        What shows that an incarnation was alive later is that it returns a later stamp
+        of the entry; one that is dead can't. An agent that returns none is taken for
+        newer once all leases of the known incarnation have passed.
         """
-        if report.stamp >= self.report.stamp:
-            return False
+        if report.incarnation == self.report.incarnation:
+            return report.stamp < self.report.stamp
         return (
-            report.incarnation == self.report.incarnation
-            or now - self.heard_at < agent_lapse_seconds()
+            report.entry_stamp <= self.echoed_stamp
+            and now - self.heard_at < agent_lapse_seconds()
         )
 
     def add(self, placed: PlacedTask) -> None:
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -10,7 +10,6 @@
 from cactuswalk.dispatch.entryagents import (
     expire_or_resend,
     handle_message,
-    send_keepalives,
 )
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
@@ -31,6 +30,7 @@
     handle_job_arrival,
     handle_waiter_left,
 )
+from cactuswalk.dispatch.entrykeepalives import send_keepalives
 from cactuswalk.dispatch.entryoverflow import (
     release_overflow_agents,
     request_any_agents,
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -1,15 +1,13 @@
 """Messages between an entry and the agents."""
 
-import math
+import msgspec
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
-from cactuswalk.dispatch.bounds import (
-    KEEPALIVE_SECONDS,
-    worker_lapse_seconds,
-)
+from cactuswalk.dispatch.bounds import worker_lapse_seconds
 from cactuswalk.dispatch.entryevents import (
     Received,
 )
+from cactuswalk.dispatch.entrykeepalives import send_keepalive
 from cactuswalk.dispatch.entryoverflow import (
     handle_capacity_offer,
     handle_capacity_request,
@@ -17,29 +15,23 @@
 from cactuswalk.dispatch.entrypeers import handle_entry_status, handle_member_list
 from cactuswalk.dispatch.entryplacing import end_start
 from cactuswalk.dispatch.entrystate import EntryState
-from cactuswalk.dispatch.membership import select_candidates
 from cactuswalk.dispatch.messages import (
     CapacityOffer,
     CapacityRequest,
     EntryStatus,
-    Keepalive,
     MemberList,
     Report,
     StartEnded,
     TaskEnd,
 )
 
-__all__ = ["expire_or_resend", "handle_message", "send_keepalives"]
+__all__ = ["expire_or_resend", "handle_message"]
 
 # A start that the agent has not reported is sent again with the same sequence.
 RESEND_AFTER_SECONDS = 0.15
 
-# Keepalive interval of home agents that run nothing for this entry, by which they
-# learn of it and of other entries.
-IDLE_KEEPALIVE_SECONDS = 0.4
-
-# Interval at which the list of entries is sent again until the agent confirms it.
-MEMBERS_INTERVAL_SECONDS = 0.3
+# An agent's other incarnation that has reported is sent a stamp again after this time.
+ECHO_RETRY_SECONDS = 0.05
 
 
 def handle_message(state: EntryState, event: Received, now: float) -> None:
@@ -50,19 +42,13 @@
 
 
 def _handle_report(state: EntryState, sender: str, report: Report, now: float) -> None:
-    view = state.views.get(sender)
-    if view is None:
-        # Jobs may be waiting for a first worker, and no other event would have them
-        # placed before they are refused.
-        state.placement_needed |= not state.has_usable_agent(now)
-        view = state.views[sender] = AgentView(sender, report, now)
-        state.say(
-            "discovered an agent", agent=sender, worker=report.worker, home=report.home
-        )
-        _send_keepalive(state, view, now)
+    if report.entry_incarnation != state.incarnation:
+        # Written for an earlier incarnation of this entry: nothing in it shows that
+        # the agent hears this one.
+        report = msgspec.structs.replace(report, hears_entry=False, entry_stamp=0)
+    view = state.views.get(sender) or _discover_agent(state, sender, report, now)
     if view.is_out_of_date(report, now):
-        if report.incarnation != view.report.incarnation:
-            _log_incarnations("ignored a report", state, view, report, now)
+        _request_echo(state, view, report, now)
         return
     if report.incarnation != view.report.incarnation:
         _handle_agent_restart(state, view, report, now)
@@ -85,6 +71,34 @@
         _reconcile(state, view, now)
 
 
+def _discover_agent(
+    state: EntryState, address: str, report: Report, now: float
+) -> AgentView:
+    # Jobs may be waiting for a first worker, and no other event would have them
+    # placed before they are refused.
+    state.placement_needed |= not state.has_usable_agent(now)
+    view = state.views[address] = AgentView(address, report, now)
+    state.say(
+        "discovered an agent", agent=address, worker=report.worker, home=report.home
+    )
+    send_keepalive(state, view, now)
+    return view
+
+
+def _request_echo(
+    state: EntryState, view: AgentView, report: Report, now: float
+) -> None:
+    """Send another incarnation of an agent a stamp, which it returns if it is alive."""
+    if report.incarnation == view.report.incarnation:
+        return
+    sent_at = state.keepalive_sent_at.get(view.address, 0.0)
+    if report.incarnation == view.candidate and now - sent_at < ECHO_RETRY_SECONDS:
+        return
+    view.candidate = report.incarnation
+    _log_incarnations("ignored a report", state, view, report, now)
+    send_keepalive(state, view, now)
+
+
 def _log_incarnations(
     sentence: str, state: EntryState, view: AgentView, report: Report, now: float
 ) -> None:
@@ -124,9 +138,7 @@
     for placed in list(view.placed.values()):
         start = placed.start
         ended = start.agent_incarnation != view.report.incarnation
-        # A report that was delayed in the network may itself be of an earlier
-        # incarnation.
-        if ended and start.stamp < view.report.stamp:
+        if ended:
             reason = "its agent has restarted"
             end_start(state, view, placed, TaskEnd.LOST, 0, reason, now)
 
@@ -190,65 +202,6 @@
         state.send(view.address, placed.start)
 
 
-def send_keepalives(state: EntryState, now: float) -> None:
-    """Send the keepalives that are due; agents with tasks of this entry get more."""
-    for view in state.views.values():
-        period = _keepalive_period(state, view)
-        if now - state.keepalive_sent_at.get(view.address, 0.0) >= period - 0.001:
-            _send_keepalive(state, view, now)
-
-
-def _keepalive_period(state: EntryState, view: AgentView) -> float:
-    """Return the keepalive interval of an agent.
-
-    It is infinite for agents that are neither home agents nor used for overflow, so
-    that these forget this entry.
-    """
-    if view.placed or view.acknowledged:
-        return KEEPALIVE_SECONDS
-    if view.report.home or view.address in state.overflow_until:
-        return IDLE_KEEPALIVE_SECONDS
-    return math.inf
-
-
-def _send_keepalive(state: EntryState, view: AgentView, now: float) -> None:
-    state.keepalive_sent_at[view.address] = now
-    acknowledged, view.acknowledged = view.acknowledged, []
-    members = None
-    if _needs_members(state, view, now):
-        view.members_sent_at = now
-        view.members_data_centre = view.report.data_centre
-        members = select_candidates(
-            state.members, view.members_data_centre, view.address
-        )
-    keepalive = Keepalive(
-        state.incarnation,
-        view.report.incarnation,
-        view.report.stamp,
-        state.data_centre,
-        acknowledged,
-        members,
-        state.members_version,
-        state.evacuations,
-    )
-    state.send(view.address, keepalive)
-
-
-def _needs_members(state: EntryState, view: AgentView, now: float) -> bool:
-    """Return whether an agent has not confirmed the current list of entries.
-
-    A list chosen for another data centre counts as unconfirmed: with it the agent would
-    not find its own data centre's entries until some entry joins or leaves.
-    """
-    report = view.report
-    confirmed = (
-        report.entry_incarnation == state.incarnation
-        and report.acknowledged_members == state.members_version
-        and report.data_centre == view.members_data_centre
-    )
-    return not confirmed and now - view.members_sent_at >= MEMBERS_INTERVAL_SECONDS
-
-
 MESSAGE_HANDLERS = {
     Report: _handle_report,
     StartEnded: _handle_end,
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -103,7 +103,15 @@
     )
     for address in new:
         greeting = Keepalive(
-            state.incarnation, "", 0, state.data_centre, [], None, 0, state.evacuations
+            state.incarnation,
+            "",
+            0,
+            state.data_centre,
+            [],
+            None,
+            0,
+            state.evacuations,
+            int(now * 1000),
         )
         state.send(address, greeting)
 
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -69,6 +69,7 @@
     :param home: the receiver is a home entry of this agent; other entries get reports
         only while they send to the agent.
     :param leaves_in_ms: only tasks that end within this time are taken; 0 for no limit.
+    :param entry_stamp: the receiver's latest stamp that has arrived; 0 for none.
     """
 
     incarnation: str
@@ -91,6 +92,7 @@
     acknowledged_members: int
     home: bool
     leaves_in_ms: int
+    entry_stamp: int = 0
 
 
 class Keepalive(msgspec.Struct, array_like=True, tag=2):
@@ -101,6 +103,7 @@
     :param members: entries that the agent may work with; None if it has the list.
     :param members_version: of the list; grows within an incarnation of the sender.
     :param evacuations: the newest that the sender knows of.
+    :param entry_stamp: the sender's clock in milliseconds, which a report echoes.
     """
 
     incarnation: str
@@ -111,6 +114,7 @@
     members: list[Member] | None
     members_version: int
     evacuations: Evacuations
+    entry_stamp: int = 0
 
 
 class Start(msgspec.Struct, array_like=True, tag=3):
