Failing reproduction: a late message of an entry that is gone, at its agents

An agent that has started anew, or has forgotten an entry, takes a late message of the entry's dead process for one of a newer process. It stops the running entry's tasks and refuses all its messages from then on; the entry, which still hears the agent, waits for tasks that have ended. Seen in two directed scenarios: the job gets no answer in 6 s, and the agent doesn't hear the entry any more.

--- a/features/dispatch_incarnations.feature
+++ b/features/dispatch_incarnations.feature
@@ -55,3 +55,52 @@
 
   Scenario: Hosts reboot and messages arrive late on random days
     Then days 0 to 19 of reboots and late messages have no overlap
+
+  Scenario: A late message of an entry that is gone reaches a new agent
+    The agent has started after the entry was replaced, and knows the running one alone.
+    If it took the late message for one of a newer entry, it would stop the running
+    entry's tasks, and take nothing from it any more.
+    Given a fleet of 1 entries and 2 workers whose hosts have been up for long
+    When the network holds up the messages from e0 to a0 for 0.5 seconds
+    And the process of e0 is replaced
+    And the process of a0 is replaced
+    And the fleet runs on for 2 seconds
+    And a job of 12 tasks of 1 seconds comes to e0
+    And the messages held up from e0 to a0 arrive after 0.2 seconds
+    And the fleet runs on for 6 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
+    And every task was started once
+    And a0 hears e0
+
+  Scenario: A late message of an entry that is gone reaches an agent that forgot it
+    An agent forgets an entry that has been silent and has no tasks there. It then hears
+    the running entry, and after that the one that is gone.
+    Given a fleet of 1 entries and 2 workers whose hosts have been up for long
+    When the network holds up the messages from e0 to a0 for 0.5 seconds
+    And the process of e0 is replaced
+    And the fleet runs on for 1 seconds
+    And a0 forgets e0
+    And the fleet runs on for 1 seconds
+    And a job of 12 tasks of 1 seconds comes to e0
+    And the messages held up from e0 to a0 arrive after 0.2 seconds
+    And the fleet runs on for 6 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
+    And every task was started once
+    And a0 hears e0
+
+  Scenario: A new agent hears an entry that is gone before the running one
+    Given a fleet of 1 entries and 1 workers whose hosts have been up for long
+    When the network holds up the messages from e0 to a0 for 0.5 seconds
+    And the process of e0 is replaced
+    And the process of a0 is replaced
+    And the messages held up from e0 to a0 arrive after 0 seconds
+    And the fleet runs on for 0.5 seconds
+    And a job of 4 tasks of 0.1 seconds comes to e0
+    And the fleet runs on for 0.2 seconds
+    Then the job is completed at e0
+    And a0 hears e0
+
+  Scenario: Processes are replaced and messages arrive late on random days
+    Then days 0 to 19 of replaced processes have no overlap either
--- a/features/steps/dispatch_incarnations_steps.py
+++ b/features/steps/dispatch_incarnations_steps.py
@@ -45,6 +45,20 @@
     context.fleet.arrive_late((one, other))
 
 
+@when("{agent:w} forgets {entry:w}")
+def step_forget(context, agent, entry):
+    # What refresh_peers does with an entry elsewhere that has been silent.
+    state = context.fleet.states[agent]
+    assert not state.held and not state.entries[entry].pending_ends
+    del state.entries[entry]
+
+
+@then("{agent:w} hears {entry:w}")
+def step_hears(context, agent, entry):
+    states = context.fleet.states
+    assert states[agent].entries[entry].incarnation == states[entry].incarnation
+
+
 @then("days {first:d} to {last:d} of reboots and late messages have no overlap")
 def step_reboot_days(context, first, last):
     check_days(range(first, last + 1), restarts=False)
