An entry's incarnation replaces another at an agent once it returns a later stamp

Callers got no answer: an agent stopped a running entry's tasks for a late message of the entry's dead process, and refused the running one for good.

Cause: an agent that had started anew, or had forgotten an entry, knew no past incarnations, and took what it hadn't heard for newer.

Change: keepalives and starts return the agent's own stamps already. Another incarnation replaces the known one only with a later stamp than that one has returned. Past incarnations aren't remembered any more, so a set that grew with each restart of an entry is gone.

Mutant: without the returned stamp a late message stops the running tasks.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -27,3 +27,7 @@
   Scenario: Without a returned stamp, a late report of any incarnation is taken for newer
     When the proof that an agent's other incarnation is alive is disabled
     Then a day of reboots and late messages has an overlap
+
+  Scenario: Without a returned stamp, an entry that is gone stops the running one's tasks
+    When the proof that an entry's other incarnation is alive is disabled
+    Then a late message of an entry that is gone stops the running one's tasks
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -17,7 +17,7 @@
 from cactuswalk.dispatch.messages import TaskEnd
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
-from features.support.reboots import RebootDay
+from features.support.reboots import RebootDay, RebootingFleet
 
 take_running = agentworker._apply_running
 
@@ -27,6 +27,27 @@
 DAY_SECONDS = 10
 
 
+def is_stamp_lower(view, report, now):
+    """Accept any report of another incarnation."""
+    known = view.report
+    return report.incarnation == known.incarnation and report.stamp < known.stamp
+
+
+# Safeguards that are disabled by one other value or function.
+REPLACED = {
+    "the proof that an agent's other incarnation is alive": (
+        agentview.AgentView,
+        "is_out_of_date",
+        is_stamp_lower,
+    ),
+    "the proof that an entry's other incarnation is alive": (
+        agententries,
+        "_is_newer",
+        lambda *arguments: True,
+    ),
+}
+
+
 def make_patches(safeguard):
     """Return the patches that disable a safeguard."""
     if safeguard == "an entry's lease at its agents":
@@ -55,17 +76,7 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
-    if safeguard == "the proof that an agent's other incarnation is alive":
-        return [
-            mock.patch.object(agentview.AgentView, "is_out_of_date", is_stamp_lower)
-        ]
-    raise ValueError(safeguard)
-
-
-def is_stamp_lower(view, report, now):
-    """Accept any report of another incarnation."""
-    known = view.report
-    return report.incarnation == known.incarnation and report.stamp < known.stamp
+    return [mock.patch.object(*REPLACED[safeguard])]
 
 
 def ignore_unknown_runs(state, event, now):
@@ -114,6 +125,24 @@
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
 
 
+@then("a late message of an entry that is gone stops the running one's tasks")
+def step_late_entry_message(context):
+    fleet = RebootingFleet(1, 1)
+    fleet.held_links.add(("e0", "a0"))
+    fleet.run(0.5)
+    fleet.held_links.clear()
+    fleet.replace("e0")
+    fleet.run(1.0)
+    fleet.submit("e0", JOB, 4, seconds=1.0)
+    fleet.run(0.2)
+    first = {run for run, _ in fleet.live_runs.values()}
+    assert len(first) == 4
+    fleet.arrive_late(("e0", "a0"))
+    fleet.run(0.2)
+    left = first & {run for run, _ in fleet.live_runs.values()}
+    assert not left, "the tasks run on"
+
+
 @then("the second attempt at a job whose entry was killed overlaps the first")
 def step_overlaps(context):
     fleet = Fleet(2, 2)
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -35,11 +35,10 @@
 def _handle_keepalive(
     state: AgentState, sender: str, keepalive: Keepalive, now: float
 ) -> None:
-    peer = _refresh_peer(state, sender, keepalive.incarnation, now)
+    returned_stamp = _returned_stamp(state, keepalive)
+    peer = _refresh_peer(state, sender, keepalive.incarnation, returned_stamp, now)
     if peer is None:
         return
-    if keepalive.agent_incarnation == state.incarnation:
-        peer.echoed_stamp = max(peer.echoed_stamp, keepalive.stamp)
     peer.entry_stamp = max(peer.entry_stamp, keepalive.entry_stamp)
     state.apply_evacuations(keepalive.evacuations, sender)
     peer.data_centre = keepalive.data_centre
@@ -50,32 +49,64 @@
 
 
 def _refresh_peer(
-    state: AgentState, address: str, incarnation: str, now: float
+    state: AgentState, address: str, incarnation: str, returned_stamp: int, now: float
 ) -> EntryPeer | None:
-    """Return the sender's peer, or None if a past incarnation of it sent the message.
+    """Return the sender's peer, or None if the message may be of a past incarnation.
 
-    The first message of a new incarnation stops the tasks of the one before.
+    A message of a dead incarnation may arrive at any time, but returns no stamp as late
+    as those that the running one has returned. The first message of a new incarnation
+    stops the tasks of the one before.
     """
     peer = state.entries.setdefault(address, EntryPeer(address))
-    if incarnation in peer.past_incarnations:
-        return None
+    if peer.incarnation not in ("", incarnation):
+        if not _is_newer(peer, returned_stamp):
+            _ignore_incarnation(state, peer, incarnation, returned_stamp)
+            return None
+        state.say(
+            "an entry has restarted",
+            entry=address,
+            incarnation=incarnation,
+            known=peer.incarnation,
+            stamp_difference_ms=returned_stamp - peer.echoed_stamp,
+        )
     if peer.incarnation != incarnation:
-        if peer.incarnation:
-            state.say("an entry has restarted", entry=address)
-            peer.past_incarnations.add(peer.incarnation)
         _stop_entry_runs(state, address, "its entry has started anew", now)
-        peer = EntryPeer(
-            address,
-            incarnation,
-            past_incarnations=peer.past_incarnations,
-            home=peer.home,
-        )
+        peer = EntryPeer(address, incarnation, home=peer.home)
         state.entries[address] = peer
-        peer.dirty = True
+    peer.echoed_stamp = max(peer.echoed_stamp, returned_stamp)
     peer.heard_at = now
     return peer
 
 
+def _is_newer(peer: EntryPeer, returned_stamp: int) -> bool:
+    return returned_stamp > peer.echoed_stamp
+
+
+def _ignore_incarnation(
+    state: AgentState, peer: EntryPeer, incarnation: str, returned_stamp: int
+) -> None:
+    """Ignore a message of another incarnation of an entry.
+
+    If that is the one that runs, it returns the stamp of the report that is sent now.
+    """
+    peer.dirty = True
+    if peer.candidate == incarnation:
+        return
+    peer.candidate = incarnation
+    state.say(
+        "ignored a message of another incarnation",
+        entry=peer.address,
+        incarnation=incarnation,
+        known=peer.incarnation,
+        stamp_difference_ms=returned_stamp - peer.echoed_stamp,
+    )
+
+
+def _returned_stamp(state: AgentState, message: Keepalive | Start) -> int:
+    """Return the stamp of this agent in a message, -1 for one of another process."""
+    return message.stamp if message.agent_incarnation == state.incarnation else -1
+
+
 def _stop_entry_runs(state: AgentState, address: str, reason: str, now: float) -> None:
     for held in list(state.held.values()):
         if held.entry == address:
@@ -83,7 +114,8 @@
 
 
 def _handle_start(state: AgentState, sender: str, start: Start, now: float) -> None:
-    peer = _refresh_peer(state, sender, start.incarnation, now)
+    returned_stamp = _returned_stamp(state, start)
+    peer = _refresh_peer(state, sender, start.incarnation, returned_stamp, now)
     if peer is None or start.sequence <= peer.last_sequence:
         return
     peer.last_sequence = start.sequence
@@ -161,7 +193,7 @@
 
 
 def _handle_stop(state: AgentState, sender: str, request: Stop, now: float) -> None:
-    peer = _refresh_peer(state, sender, request.incarnation, now)
+    peer = _refresh_peer(state, sender, request.incarnation, -1, now)
     if peer is None:
         return
     handle = state.by_sequence.get((request.incarnation, request.sequence))
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -82,6 +82,8 @@
         ``end_sent_at`` has the time when each was sent last.
     :param dirty: something has changed since the last report; ``urgent``:
         something that it waits for.
+    :param candidate: another incarnation that has sent a message, and has to return a
+        later stamp before it counts as newer.
     :param home: it is a home entry of this agent; other entries get reports only
         while they send messages to the agent.
     :param members: the entries that it listed last; ``members_version`` of that list.
@@ -99,7 +101,7 @@
     reported_at: float = 0.0
     dirty: bool = True
     urgent: bool = False
-    past_incarnations: set[str] = msgspec.field(default_factory=set)
+    candidate: str = ""
     home: bool = False
     members: list[Member] = []
     members_version: int = 0
