An entry that resumes from a pause first learns which callers have gone

Callers' second attempts ran at another entry while the first entry, which had resumed, ran the same tasks again.

Cause: after a pause the entry placed tasks with the first message that it handled, before the disconnections of its callers, and a job could be placed after its caller's time if a message came before the tick.

Change: an entry that sees on any event that it was paused for longer than its lease (0.5 s) places no task in the next 0.25 s (RESUME_SECONDS), whether the job is old or has just been read from a socket. A job past its time is never placed. The pause, the wait and the jobs are logged.

Why it works: a disconnection is handled in the third turn of the event loop after a resume (trial with aiohttp, closed and reset connections: 3 turns, 0.3 to 0.4 ms without other work), and a turn reads 200 frames at most. For pauses up to 0.5 s, 0.5 + 0.25 + 0.08 s is less than the 1.3 s after which the second attempt comes. Not covered: a disconnection of which neither the caller's host nor the balancer tells the entry within 0.25 s.

Cost: 0.25 s for the jobs at an entry that was paused for over 0.5 s.

Ways weighed: all jobs from before a pause are given up; the scenario "An entry freezes while tasks run, and resumes" demands that they are completed. A number of ticks instead of a time: it follows slow turns, but the model delivers all ticks of a pause at once; not tried.

Mutants: without the wait the second attempt overlaps the first.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -20,6 +20,12 @@
     When an entry's lease at its agents is disabled
     Then the second attempt at a job whose entry was killed overlaps the first
 
+  Scenario: If the runs of a dead entry go on, a second attempt overlaps the first
+    The entry is killed and started again, and its caller sends the job to another one
+    after 1.3 s. Neither its lease nor the message of its next incarnation ends the runs.
+    When stopping the tasks of an entry's earlier incarnation is disabled
+    Then the second attempt overlaps the first although the entry has started again
+
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
@@ -31,3 +37,7 @@
   Scenario: Without a returned stamp, an entry that is gone stops the running one's tasks
     When the proof that an entry's other incarnation is alive is disabled
     Then a late message of an entry that is gone stops the running one's tasks
+
+  Scenario: Without a wait after a pause, a caller's second attempt overlaps the first
+    When the wait after a pause is disabled
+    Then an entry that resumes runs a task that runs elsewhere
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -11,6 +11,7 @@
     agententries,
     agentview,
     agentworker,
+    entry,
 )
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from cactuswalk.dispatch.entryevents import Received
@@ -45,6 +46,7 @@
         "_is_newer",
         lambda *arguments: True,
     ),
+    "the wait after a pause": (entry, "RESUME_SECONDS", 0.0),
 }
 
 
@@ -143,6 +145,19 @@
     assert not left, "the tasks run on"
 
 
+@then("an entry that resumes runs a task that runs elsewhere")
+def step_resumed(context):
+    fleet = Fleet(2, 4)
+    waiter = fleet.submit("e0", JOB, 4, seconds=3.0, wait=10.0)
+    fleet.run(0.5)
+    fleet.freeze("e0", 1.35)
+    fleet.at(1.37, lambda: fleet.leave("e0", waiter))
+    fleet.run(RESEND_SECONDS)
+    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
+    fleet.run(6.0)
+    assert fleet.overlaps, "no task ran twice at once"
+
+
 @then("the second attempt at a job whose entry was killed overlaps the first")
 def step_overlaps(context):
     fleet = Fleet(2, 2)
@@ -155,6 +170,20 @@
     assert fleet.overlaps, "no task ran twice at once"
 
 
+@then("the second attempt overlaps the first although the entry has started again")
+def step_overlaps_restarted(context):
+    fleet = Fleet(2, 2)
+    fleet.submit("e0", JOB, 4, seconds=3.0, wait=10.0)
+    fleet.run(0.2)
+    fleet.kill("e0")
+    fleet.run(0.5)
+    fleet.start_entry("e0", "d0")
+    fleet.run(RESEND_SECONDS - 0.5)
+    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
+    fleet.run(6.0)
+    assert fleet.overlaps, "no task ran twice at once"
+
+
 @then("a random day violates a guarantee")
 def step_violates(context):
     for seed in range(MAX_SEEDS):
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -14,6 +14,7 @@
     "KEEPALIVE_SECONDS",
     "MARGIN_SECONDS",
     "RESEND_SECONDS",
+    "RESUME_SECONDS",
     "STOP_MARGIN_SECONDS",
     "STOP_SECONDS",
     "UNHEARD_SECONDS",
@@ -63,6 +64,11 @@
 # by the platform: 1,300 ms).
 RESEND_SECONDS = 1.3
 
+# An entry that was paused for longer than its leases at the agents starts no tasks for
+# this long. Meanwhile it learns which callers have gone: a disconnection is handled in
+# the third turn of the event loop, and a turn handles a bounded number of messages.
+RESUME_SECONDS = 0.25
+
 # Covers the timers of two processes, and one late event loop iteration in each.
 MARGIN_SECONDS = 0.1
 
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -5,7 +5,11 @@
 (``bounds``).
 """
 
-from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
+from cactuswalk.dispatch.bounds import (
+    ENTRY_LEASE_SECONDS,
+    RESUME_SECONDS,
+    STOP_MARGIN_SECONDS,
+)
 from cactuswalk.dispatch.effects import Effect
 from cactuswalk.dispatch.entryagents import (
     expire_or_resend,
@@ -61,11 +65,12 @@
 
 def reduce(state: EntryState, event: EntryEvent, now: float) -> list[Effect]:
     """Handle an event and return the effects to perform."""
+    _detect_pause(state, now)
     HANDLERS[type(event)](state, event, now)
     if state.evacuations_changed:
         state.evacuations_changed = False
         _refuse_evacuated(state, now)
-    if state.placement_needed:
+    if state.placement_needed and now - state.resumed_at >= RESUME_SECONDS:
         state.placement_needed = False
         request_any_agents(state, now)
         if state.waiting_jobs():
@@ -75,6 +80,26 @@
     return effects
 
 
+def _detect_pause(state: EntryState, now: float) -> None:
+    """Record that this process resumes from a pause that was longer than its leases.
+
+    Its agents have stopped its tasks. Callers may have gone and sent their jobs to
+    another entry, which is known only when their disconnections have been handled;
+    tasks that were started before would run twice at once.
+    """
+    paused, state.handled_at = now - state.handled_at, now
+    if paused <= ENTRY_LEASE_SECONDS:
+        return
+    state.resumed_at = now
+    state.say(
+        "starts no tasks after a pause until it has heard of its callers",
+        paused=round(paused, 3),
+        seconds=RESUME_SECONDS,
+        jobs=len(state.jobs),
+        waiting=len(state.waiting_jobs()),
+    )
+
+
 def _stop_requested(state: EntryState, _: StopRequested, now: float) -> None:
     if not state.stop_at:
         state.stop_at = now + state.grace_seconds
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -10,6 +10,7 @@
     TaskEnd,
 )
 from cactuswalk.dispatch.ordering import (
+    is_out_of_time,
     sort_by_urgency,
 )
 from cactuswalk.dispatch.placement import WorkerChooser, compute_relative_paces
@@ -23,7 +24,10 @@
 
 def place_tasks(state: EntryState, now: float) -> None:
     """Send waiting tasks to workers with free capacity."""
-    waiting = state.waiting_jobs()
+    # A message may be handled before the tick that gives up overdue jobs.
+    waiting = [job for job in state.waiting_jobs() if not is_out_of_time(job, now)]
+    if not waiting:
+        return
     live_views = [
         view
         for view in state.usable_views()
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -47,6 +47,8 @@
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar ticked_at: when the periodic timer fired last.
+    :ivar handled_at: when an event was handled last.
+    :ivar resumed_at: when the last pause of this process ended.
     """
 
     def __init__(
@@ -86,6 +88,8 @@
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
         self.ticked_at = math.inf
+        self.handled_at = math.inf
+        self.resumed_at = -math.inf
         self.effects: list[Effect] = []
 
     @property
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -21,6 +21,7 @@
     "JobAction",
     "choose_action",
     "critical_path_seconds",
+    "is_out_of_time",
     "retry_after_seconds",
     "sort_by_urgency",
 ]
@@ -67,6 +68,11 @@
     )
 
 
+def is_out_of_time(job: JobState, now: float) -> bool:
+    """Return whether a job's caller stops waiting before an answer can arrive."""
+    return now >= job.give_up_at - ANSWER_MARGIN_SECONDS
+
+
 def choose_action(job: JobState, now: float, is_discovering_workers: bool) -> JobAction:
     """Return whether a job keeps waiting, is refused, or is given up.
 
@@ -74,7 +80,7 @@
         capacity may appear without another job ending. A job then waits for as long as
         it can still be on time.
     """
-    if now >= job.give_up_at - ANSWER_MARGIN_SECONDS:
+    if is_out_of_time(job, now):
         return JobAction.GIVE_UP if job.has_started else JobAction.REFUSE
     latest = (
         job.due_at - job.expected_seconds
