--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -22,9 +22,9 @@
 
 take_running = agentworker._apply_running
 
-# The rarest violation, without an entry's lease, occurs on one day in fifty: a task has
+# The rarest violation, without an entry's lease, occurs on one day in forty: a task has
 # to outlive its entry by 1.3 s, and be placed again by then.
-MAX_SEEDS = 60
+MAX_SEEDS = 120
 DAY_SECONDS = 10
 
 
