Failing reproduction: a new agent declines a start that its earlier process accepted

The entry has sent a start twice. The agent accepts the first copy, its process is replaced while the worker goes on, and the second copy reaches the new process, which declines it as a start that never ran. The entry places the task elsewhere at once; the first run goes on until the worker's lease expires or the new process polls the worker.

--- a/features/dispatch_incarnations.feature
+++ b/features/dispatch_incarnations.feature
@@ -104,3 +104,16 @@
 
   Scenario: Processes are replaced and messages arrive late on random days
     Then days 0 to 19 of replaced processes have no overlap either
+
+  Scenario: A repeated start reaches the next incarnation of the agent that accepted it
+    The entry has sent the start twice. The first copy was accepted, and the agent's
+    process was replaced while the worker goes on. If the new process declined the
+    second copy, as a start that never ran, the entry would run the task elsewhere
+    before the worker's lease has expired.
+    Given a fleet of 1 entries and 2 workers whose hosts have been up for long
+    When a job of 1 tasks of 3 seconds comes to e0
+    And the agent that runs it is replaced after 0.1 seconds and hears of no worker yet
+    And a copy of the start arrives there
+    And the fleet runs on for 6 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
--- a/features/steps/dispatch_incarnations_steps.py
+++ b/features/steps/dispatch_incarnations_steps.py
@@ -1,7 +1,9 @@
 """Steps on late messages of processes that are gone."""
 
+import msgspec
 from behave import given, then, when
 
+from cactuswalk.dispatch.agentevents import Received
 from features.support.reboots import RebootDay, RebootingFleet
 
 REBOOT_DAY_SECONDS = 8
@@ -38,6 +40,27 @@
     context.fleet.replace(name)
 
 
+@when(
+    "the agent that runs it is replaced after {seconds:g} seconds and hears of no"
+    " worker yet"
+)
+def step_replace_running(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds)
+    views = fleet.states["e0"].views.values()
+    context.view = next(view for view in views if view.placed)
+    (placed,) = context.view.placed.values()
+    context.start = msgspec.structs.replace(placed.start)
+    assert placed.start.sequence in context.view.report.held
+    fleet.kill(context.view.address)
+    fleet.start_agent(context.view.address)
+
+
+@when("a copy of the start arrives there")
+def step_start_again(context):
+    context.fleet.deliver(context.view.address, Received("e0", context.start))
+
+
 @when("the messages held up from {one:w} to {other:w} arrive after {seconds:g} seconds")
 def step_arrive_late(context, one, other, seconds):
     context.fleet.run(seconds)
