A start for an agent's earlier incarnation gets no answer

Callers' tasks ran twice at once after an agent's process was replaced.

Cause: a new process declined every start for the one before it. "Declined" tells the entry that the task never ran, which the new process can't know: the one before may have accepted another copy, whose run goes on at the worker.

Change: it ignores such a start. The entry ends it when the new incarnation is open (it has polled its worker, where nothing of the earlier one runs then), or when the leases have passed; and as lost, not as never run, so that a job isn't refused as not run that may have run.

Evidence: "A repeated start reaches the next incarnation of the agent that accepted it", red before, passes. Other orders of reports, resends and replaced peers were read through: has_start_expired and _reconcile skip starts of another incarnation, and a start that is accepted has a stamp of at most 0.5 s, while has_start_expired needs 0.6 s at the same clock.

A start that never arrived at the earlier process was placed again as soon as it was declined; now once the new process is open, 0.51 s later at most.

--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -118,6 +118,18 @@
     peer = _refresh_peer(state, sender, start.incarnation, returned_stamp, now)
     if peer is None or start.sequence <= peer.last_sequence:
         return
+    if start.agent_incarnation != state.incarnation:
+        # Another copy of it may have been accepted by that incarnation, and its run may
+        # go on. The entry ends the start when it learns of this incarnation.
+        peer.dirty = True
+        state.say_debug(
+            "ignored a start for an earlier incarnation",
+            entry=sender,
+            job=start.key.job,
+            sequence=start.sequence,
+            agent_incarnation=start.agent_incarnation,
+        )
+        return
     peer.last_sequence = start.sequence
     peer.dirty = True
     reason = _decline_reason(state, start, now)
@@ -160,8 +172,6 @@
 
     The reason is sent to the entry, and is a label of the metric of declined starts.
     """
-    if start.agent_incarnation != state.incarnation:
-        return "meant for an earlier life of this agent"
     if _milliseconds(now) - start.stamp > ENTRY_LEASE_SECONDS * 1000:
         return "too long on its way"
     if state.is_evacuated():
