Place a returning job's tasks once their earlier starts have ended

What callers saw: a job whose caller left and submitted it again to the same entry at once ran twice at the same time, with no stop lost.

Cause: the entry took the job for a new one, and placed its tasks at other workers while the stops of the first starts were on their way.

Change: the entry remembers the tasks of removed jobs whose starts have not ended, and places none of them until their end is known (reported, or their leases have expired).

Not done: an agent that declines a second run of a task while it holds another. The entry would place it at another worker, where it overlaps just the same.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -34,6 +34,10 @@
     When the list of starts to stop in keepalives is disabled
     Then a task runs twice at once when the entry's stop messages are lost, and stops reach workers
 
+  Scenario: Without waiting for a task's earlier start, a returning job overlaps itself
+    When waiting for a task's earlier start is disabled
+    Then a task runs twice at once when the caller leaves and returns at once, and stops reach workers
+
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -14,6 +14,7 @@
     agentview,
     agentworker,
     entryagents,
+    entryplacing,
 )
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from cactuswalk.dispatch.entryevents import Received
@@ -23,6 +24,7 @@
 from features.support.loststops import LostStops
 
 take_running = agentworker._apply_running
+place_job = entryplacing._place_job
 
 # The rarest violation, without an entry's lease, occurs on one day in fifty: a task has
 # to outlive its entry by 1.3 s, and be placed again by then.
@@ -83,9 +85,17 @@
                 entryagents, "Keepalive", lambda *fields: Keepalive(*fields[:-1])
             )
         ]
+    if safeguard == "waiting for a task's earlier start":
+        return [mock.patch.object(entryplacing, "_place_job", place_anyway)]
     raise ValueError(safeguard)
 
 
+def place_anyway(state, job, chooser, now):
+    """Place a job's tasks although their earlier starts have not ended."""
+    state.stopping_tasks.clear()
+    place_job(state, job, chooser, now)
+
+
 def ignore_unknown_runs(state, event, now):
     """Ignore the runs that an earlier incarnation of the agent has started."""
     known = {(held.start.key, held.run) for held in state.held.values()}
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -158,6 +158,7 @@
             view = state.views[task.agent_address]
             placed = view.placed[task.sequence]
             placed.task = None
+            state.stopping_tasks.add(task.key)
             state.send_stop(view, placed, now)
     state.placement_needed = True
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -51,6 +51,10 @@
 ) -> None:
     left = []
     for number, task in enumerate(job.waiting):
+        if task.key in state.stopping_tasks:
+            # The job was submitted before, and that run of the task may still go on.
+            left.append(task)
+            continue
         view = chooser.choose_worker(task, job.queue.service)
         if view is None:
             left.append(task)
@@ -122,6 +126,7 @@
     state.placement_needed = True
     task = placed.task
     if task is None:
+        state.stopping_tasks.discard(placed.start.key)
         return
     task.agent_address, task.last_agent_address = "", view.address
     job = task.job
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -7,6 +7,7 @@
 from cactuswalk.dispatch.effects import Effect, Observe, Say, SendMessage
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED
+from cactuswalk.dispatch.job import TaskKey
 from cactuswalk.dispatch.jobstate import JobState
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Stop
@@ -40,6 +41,7 @@
     :param far_factor: by which a task takes longer outside its data's rack.
     :param grace_seconds: between the request to stop and a kill.
     :ivar views: agents by address.
+    :ivar stopping_tasks: tasks of removed jobs whose starts have not ended.
     :ivar listed_entries: addresses of the entries that the store lists.
     :ivar members: the entries that others are told of, sorted.
     :ivar overflow_until: until when each overflow agent is used, by address.
@@ -68,6 +70,7 @@
         self.evacuations = NOTHING_EVACUATED
         self.jobs: dict[str, JobState] = {}
         self.views: dict[str, AgentView] = {}
+        self.stopping_tasks: set[TaskKey] = set()
         self.entries = {seed: KnownEntry(-math.inf) for seed in self.seeds}
         self.next_status_index = 0
         self.listed_entries: set[str] = set()
