Stops and polls don't wait for connections behind calls without an answer

What callers saw: a run that was to be stopped may go on, and its task run twice at once.

Cause: all calls to a worker shared six connections, and a call's 0.03 s include the wait for one. Calls without an answer hold theirs until they time out, and the calls behind them time out unsent. The agent repeats all stops together and in the same order, so that the same ones are first each time.

Change: starts keep six connections; stops and polls have their own without a limit, since there are no more of them at once than runs and two polls.

Open: a start that times out behind others without being sent counts as unanswered.

--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -43,8 +43,12 @@
 # Another incarnation refuses the call with MISDIRECTED_REQUEST.
 INSTANCE_HEADER = "X-Expected-Instance"
 
-# For concurrent starts, and one more for polls. Opening a connection has a cost.
-MAX_CONNECTIONS = 6
+# For concurrent starts; opening a connection has a cost. Stops and polls have
+# connections of their own without a limit: of stops that wait behind calls without an
+# answer, the same ones time out unsent each time, and their runs go on. There are no
+# more of them at once than runs, and two polls.
+MAX_START_CONNECTIONS = 6
+NO_LIMIT = 0
 # Idle connections are kept this long, unless the worker closes them earlier.
 KEEPALIVE_SECONDS = 300.0
 
@@ -72,7 +76,8 @@
     ) -> None:
         self.address = address
         self.clock = clock
-        self.session: aiohttp.ClientSession | None = None
+        # By path, starts apart from the others.
+        self.sessions: dict[str, aiohttp.ClientSession] = {}
         self.urls = {
             path: yarl.URL(f"http://{address}{path}")
             for path in (START_PATH, STOP_PATH, POLL_PATH)
@@ -160,9 +165,9 @@
         """Close the connections."""
         for call in list(self.clock_calls.values()):
             call.cancel()
-        if self.session is not None:
-            await self.session.close()
-            self.session = None
+        for session in self.sessions.values():
+            await session.close()
+        self.sessions.clear()
 
     def record_heartbeat(self, worker: str, clock_ms: float | None) -> None:
         """Record the worker's clock from a heartbeat, which may have been delayed."""
@@ -196,23 +201,15 @@
     async def _call(
         self, path: str, worker: str, body: dict, timeout_seconds: float
     ) -> tuple[int, Reply]:
-        if self.session is None:
-            connector = aiohttp.TCPConnector(
-                limit=MAX_CONNECTIONS, keepalive_timeout=KEEPALIVE_SECONDS
-            )
-            # Without cookies and a session timeout, which cost time in every call.
-            self.session = aiohttp.ClientSession(
-                connector=connector,
-                cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(total=None),
-                auto_decompress=False,
-                skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-            )
+        if not self.sessions:
+            self.sessions[START_PATH] = _open_session(MAX_START_CONNECTIONS)
+            self.sessions[STOP_PATH] = _open_session(NO_LIMIT)
+            self.sessions[POLL_PATH] = self.sessions[STOP_PATH]
         url = self.urls[path]
         headers = {INSTANCE_HEADER: worker, "Content-Type": "application/json"}
         try:
             async with asyncio.timeout(timeout_seconds):
-                async with self.session.post(
+                async with self.sessions[path].post(
                     url, data=msgspec.json.encode(body), headers=headers
                 ) as response:
                     data = await response.read()
@@ -228,3 +225,15 @@
         if reply.clock_ms is not None and response.status != MISDIRECTED_REQUEST:
             self.readings[worker] = ClockReading(reply.clock_ms, self.clock())
         return response.status, reply
+
+
+def _open_session(limit: int) -> aiohttp.ClientSession:
+    connector = aiohttp.TCPConnector(limit=limit, keepalive_timeout=KEEPALIVE_SECONDS)
+    # Without cookies and a session timeout, which cost time in every call.
+    return aiohttp.ClientSession(
+        connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None),
+        auto_decompress=False,
+        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+    )
