Failing: an agent that resumes renews the lease before it checks its entries' leases

Seen beside a stand-in worker: an agent starts a task, is paused from 0.48 to 0.93 s after its last report, handles the answer to its poll and renews the worker's lease until 1.41 s. If it freezes then, the entry runs the task elsewhere at 1.11 s, 0.300 s before the lease ends.

--- a/features/dispatch_lease.feature
+++ b/features/dispatch_lease.feature
@@ -55,6 +55,16 @@
       | 98      | 180   |
       | 102     | 180   |
 
+  Scenario: An agent resumes when its entry's lease has passed, and freezes again
+    The answer to a poll waits while the agent is paused, and is handled before the
+    periodic timer. If it led to a renewal, the task would outlive the time after which
+    the entry runs it elsewhere.
+    Given an agent beside a worker whose clock runs at 100 % of its speed
+    When the agent finds its worker, which is idle for 0.1 seconds
+    And the agent starts a task, and is paused from 0.48 to 0.93 seconds after that
+    And it handles the answer to its poll, and freezes
+    Then the worker's lease ends before an entry runs the task elsewhere
+
   Scenario Outline: A call is sent later than it was decided
     The process or its host is paused in between, or the call waits for a connection.
     The agent counts from the decision, so the lease must too.
--- a/features/steps/dispatch_lease_steps.py
+++ b/features/steps/dispatch_lease_steps.py
@@ -84,6 +84,30 @@
     pair.perform(take(effects, PollWorker))
 
 
+@when(
+    "the agent starts a task, and is paused from {first:g} to {last:g} seconds"
+    " after that"
+)
+def step_pause(context, first, last):
+    pair = context.pair
+    started_at = pair.now
+    effects = pair.decide_start()
+    context.view = AgentView("a0", pair.report, started_at)
+    pair.feed(pair.perform(take(effects, StartTask)))
+    for share in (1 / 3, 2 / 3, 1):
+        answer = pair.perform(take(effects, PollWorker))
+        pair.now = started_at + first * share
+        effects = pair.feed(answer)
+    context.answer = pair.perform(take(effects, PollWorker))
+    pair.now = started_at + last
+
+
+@when("it handles the answer to its poll, and freezes")
+def step_resume(context):
+    pair = context.pair
+    pair.perform(take(pair.feed(context.answer), PollWorker))
+
+
 @when(
     "a start for which the entry has waited {seconds:g} seconds comes, and the agent"
     " freezes after it"
