A poll renews the worker's lease only while some run's entry is heard

What callers saw: two runs of one task at once may follow.

Cause: the agent checked the leases of its entries at its periodic timer alone, and each poll renewed the worker's lease. After a pause the answer to a poll may be handled before the timer, so that the worker's lease was renewed for runs whose entry's lease had passed during the pause. The bound agent_lapse_seconds() assumes that this doesn't happen.

Evidence: dispatch_lease.feature, "An agent resumes when its entry's lease has passed, and freezes again": the lease ended 0.300 s after the entry had the task run elsewhere.

Change: whether an entry's lease is valid is a function of the state (has_entry_lease); a poll carries a lease only if it is valid for some run when the poll is decided. A worker with runs of several entries is still renewed for all while one of them is heard: there the stops have to end the others.

The mutants "an entry's lease at its agents" and "an entry's earlier incarnation" disabled the periodic check alone. One of them, the directed one, no longer violated a guarantee, since the polls now stop renewing as well. They now disable the decision for both.

--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -9,6 +9,7 @@
     agent,
     agentcalls,
     agententries,
+    agentstate,
     agentview,
     agentworker,
 )
@@ -36,7 +37,7 @@
 def make_patches(safeguard):
     """Return the patches that disable a safeguard."""
     if safeguard == "an entry's lease at its agents":
-        return [mock.patch.object(agent, "expire_entries", lambda state, now: None)]
+        return [ignore_entry_leases()]
     if safeguard == "waiting for a silent agent's leases":
         return [mock.patch.object(agentview, "agent_lapse_seconds", lambda: 0.2)]
     if safeguard == "waiting for a worker's lease":
@@ -49,7 +50,7 @@
             mock.patch.object(
                 agententries, "_stop_entry_runs", lambda *arguments: None
             ),
-            mock.patch.object(agent, "expire_entries", lambda state, now: None),
+            ignore_entry_leases(),
         ]
     if safeguard == "a stop before an unconfirmed start is abandoned":
         return [mock.patch.object(agentcalls, "_mark_unconfirmed", abandon_start)]
@@ -69,6 +70,13 @@
     raise ValueError(safeguard)
 
 
+def ignore_entry_leases():
+    """Return a patch by which agents neither stop runs nor withhold renewals."""
+    return mock.patch.object(
+        agentstate.AgentState, "has_entry_lease", lambda *arguments: True
+    )
+
+
 def ignore_unknown_runs(state, event, now):
     """Ignore the runs that an earlier incarnation of the agent has started."""
     known = {(held.start.key, held.run) for held in state.held.values()}
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -179,13 +179,8 @@
 
 def expire_entries(state: AgentState, now: float) -> None:
     """Stop the runs of entries whose lease has expired."""
-    silent = _milliseconds(now) - ENTRY_LEASE_SECONDS * 1000
     for held in list(state.held.values()):
-        peer = state.entries.get(held.entry)
-        echoed_stamp = held.start.stamp
-        if peer is not None and peer.incarnation == held.start.incarnation:
-            echoed_stamp = max(echoed_stamp, peer.echoed_stamp)
-        if echoed_stamp < silent:
+        if not state.has_entry_lease(held, now):
             stop_run(state, held, "its entry is not heard", now)
 
 
--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -70,8 +70,13 @@
     # Polls of a worker that doesn't answer don't renew its lease: if calls that may
     # have arrived kept its runs alive, they could never be declared ended. Nor is the
     # lease renewed for runs left by an earlier incarnation of this agent, which only
-    # the first poll reveals.
-    renews = state.reachable and state.ready_to_start
+    # the first poll reveals. After a pause, a poll may be due before the leases of
+    # entries are checked; without any valid one nothing may go on.
+    renews = (
+        state.reachable
+        and state.ready_to_start
+        and any(state.has_entry_lease(held, now) for held in state.held.values())
+    )
     if renews:
         state.renewed_at = now
     state.effects.append(
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -3,6 +3,7 @@
 import math
 
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldTask
+from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS
 from cactuswalk.dispatch.effects import (
     Effect,
     Observe,
@@ -244,6 +245,14 @@
         )
         self.send_end(peer, ended, now)
 
+    def has_entry_lease(self, held: HeldTask, now: float) -> bool:
+        """Return whether the lease of a run's entry is valid."""
+        peer = self.entries.get(held.entry)
+        stamp = held.start.stamp
+        if peer is not None and peer.incarnation == held.start.incarnation:
+            stamp = max(stamp, peer.echoed_stamp)
+        return stamp >= int(now * 1000) - ENTRY_LEASE_SECONDS * 1000
+
     def is_current(self, worker: str) -> bool:
         """Return whether this is the identifier of the worker's current incarnation."""
         return self.worker is not None and self.worker.identifier == worker
