Adopt a worker's incarnation only on an answer that is newer than its heartbeat

What callers saw: a task could run twice at once after an answer of a dead incarnation of a worker came late, following a late heartbeat of it.

Cause: the agent took any answer in the name of the announced incarnation for proof that it lives, also one to a poll that was sent before the heartbeat came, when that incarnation may have been alive, and reported the live worker's runs as lost.

Evidence: dispatch_gone, "An answer of a dead incarnation comes after a late heartbeat of it", failed (second run 2.3 ms after the answer) and passes now.

Change: only an answer to a poll that was sent after the latest heartbeat counts. Why it works: such a poll was answered by the incarnation that had the address after that.

--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -40,7 +40,8 @@
     :ivar drained_at: from then on a draining worker is given no tasks.
     :ivar closes_at: from then on this agent, once asked to stop, accepts no tasks; it
         ends by ``stop_by``.
-    :ivar candidate: a new incarnation of the worker that has not answered a poll yet.
+    :ivar candidate: a new incarnation of the worker that has not answered a poll yet;
+        ``candidate_at`` is when its latest heartbeat came.
     :ivar reachable: the worker answers polls, and has not announced that it leaves.
     :ivar has_departed: the worker has announced that it leaves.
     :ivar presumed_gone: why the worker has perhaps ended; empty if it hasn't.
@@ -84,6 +85,7 @@
         self.evacuations = NOTHING_EVACUATED
         self.worker: Worker | None = None
         self.candidate: Worker | None = None
+        self.candidate_at = 0.0
         self.announced_at = 0.0
         self.reachable = False
         self.has_departed = False
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -68,7 +68,7 @@
         return
     # This may be a delayed heartbeat of an earlier incarnation, which must not end the
     # runs of the current one: the other incarnation has to answer a poll first.
-    state.candidate = worker
+    state.candidate, state.candidate_at = worker, now
     state.effects.append(
         PollWorker(worker.identifier, state.token, 0, 0, WORKER_LEASE_SECONDS)
     )
@@ -106,7 +106,9 @@
 def handle_poll_answer(state: AgentState, event: PollAnswered, now: float) -> None:
     """Apply the worker's answer to a poll."""
     if state.candidate is not None and state.candidate.identifier == event.worker:
-        _adopt_worker(state, state.candidate, now)
+        # An older poll's answer, which was held up, may be of an earlier incarnation.
+        if event.sent_at >= state.candidate_at:
+            _adopt_worker(state, state.candidate, now)
         return
     if not state.is_current(event.worker):
         return
