Known red: a question to an unknown incarnation renews its lease

The programs' client sends no deadline to a worker whose clock it hasn't measured, so it was not seen there.

--- a/features/dispatch_gone.feature
+++ b/features/dispatch_gone.feature
@@ -47,6 +47,18 @@
     Then no task has run twice
     And the job is completed at e0
 
+  Scenario: An agent that restarts asks an incarnation that it doesn't know yet
+    A late heartbeat of a dead incarnation came before. A question that renewed the
+    lease would keep the runs of the earlier agent alive, while its entry counts on
+    their end; the answer, with which the agent would find and stop them, is lost.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 1 tasks of 3 seconds comes to e0
+    And after 0.3 seconds the agent that runs a task restarts, and takes a dead incarnation for its worker
+    And the worker announces itself 0.27 seconds later, and its answers to polls are lost
+    And the fleet runs on for 6 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
+
   Scenario: A start whose connection is refused costs its caller nothing
     It was never sent, so that the task may run elsewhere at once.
     Given a fleet of 1 entries and 2 workers
--- a/features/steps/dispatch_gone_steps.py
+++ b/features/steps/dispatch_gone_steps.py
@@ -14,6 +14,7 @@
 from features.steps.dispatch_twice_steps import find_busy_worker
 from features.support.fleet import JOB
 from features.support.fleetsearch import SearchDay
+from features.support.fleetworker import CallFaults
 
 DAY_SECONDS = 12
 
@@ -68,6 +69,33 @@
     fleet.at(later, lambda: fleet.deliver(worker.name, answer))
 
 
+@when(
+    "after {after:g} seconds the agent that runs a task restarts, and takes a dead"
+    " incarnation for its worker"
+)
+def step_restart_with_dead(context, after):
+    fleet = context.fleet
+    fleet.run(after)
+    worker = context.worker = find_busy_worker(context)
+    fleet.kill(worker.name)
+    fleet.start_agent(worker.name)
+    worker.call_faults[PollWorker] = CallFaults(lost_share=1.0)
+    dead = f"{worker.name}-dead"
+    heartbeat = msgspec.structs.replace(worker.announcement(), identifier=dead)
+    fleet.deliver(worker.name, Announced(heartbeat))
+
+
+@when(
+    "the worker announces itself {after:g} seconds later, and its answers to polls are"
+    " lost"
+)
+def step_announce(context, after):
+    context.fleet.run(after)
+    worker = context.worker
+    worker.call_faults[PollWorker] = CallFaults(unconfirmed_share=1.0)
+    context.fleet.announce(worker.name)
+
+
 @when("connections to all workers but one are refused")
 def step_refuse_all_but_one(context):
     for worker in list(context.fleet.workers.values())[1:]:
