Renew nothing when asking an incarnation that isn't known yet

What callers would see: a task could run twice at once after its agent restarted, if a late heartbeat of a dead incarnation came before the living one's.

Cause: the poll by which the agent finds out whether an announced incarnation lives carried a full lease, which wasn't recorded as a renewal. It kept the runs of the agent's earlier incarnation alive beyond the time that their entry waits for.

Change: that poll renews nothing.

--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -22,7 +22,6 @@
 from cactuswalk.dispatch.agentprogress import record_progress, stop_runs_if_slow
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import (
-    WORKER_LEASE_SECONDS,
     worker_lapse_seconds,
 )
 from cactuswalk.dispatch.effects import (
@@ -69,9 +68,8 @@
     # This may be a delayed heartbeat of an earlier incarnation, which must not end the
     # runs of the current one: the other incarnation has to answer a poll first.
     state.candidate, state.candidate_at = worker, now
-    state.effects.append(
-        PollWorker(worker.identifier, state.token, 0, 0, WORKER_LEASE_SECONDS)
-    )
+    # It renews nothing: runs of an earlier incarnation of this agent may be there.
+    state.effects.append(PollWorker(worker.identifier, state.token, 0, 0, 0.0))
 
 
 def _adopt_worker(state: AgentState, worker: Worker, now: float) -> None:
