--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -14,10 +14,18 @@
     agentleases,
     agentview,
     agentworker,
+    entryagents,
 )
-from cactuswalk.dispatch.bounds import RESEND_SECONDS
+from cactuswalk.dispatch.bounds import (
+    ENTRY_LEASE_SECONDS,
+    RESEND_SECONDS,
+    agent_lapse_seconds,
+)
+from cactuswalk.dispatch.effects import StartTask
 from cactuswalk.dispatch.entryevents import Received
-from cactuswalk.dispatch.messages import TaskEnd
+from cactuswalk.dispatch.messages import Keepalive, TaskEnd
+from cactuswalk.platform import workerclock
+from features.support.agentbesideworker import AgentBesideWorker, take
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 from features.support.fleetsearch import SearchDay
@@ -83,6 +91,26 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
+    return make_lost_stop_patches(safeguard)
+
+
+def make_lost_stop_patches(safeguard):
+    """Return the patches that disable a safeguard against lost stops."""
+    if safeguard == "the limit on renewals for runs that are to end":
+        return [NO_LIMIT_ON_RENEWALS]
+    if safeguard == "the limit on renewals for runs that an entry wants stopped":
+        return [mock.patch.object(agententries, "limit_run", lambda *arguments: None)]
+    if safeguard == "the list of starts to stop in keepalives":
+        return [
+            mock.patch.object(
+                entryagents, "Keepalive", lambda *fields: Keepalive(*fields[:-1])
+            )
+        ]
+    if safeguard == "the allowance for a worker's clock":
+        return [
+            mock.patch.object(workerclock, "CLOCK_DRIFT", 0.0),
+            mock.patch.object(workerclock, "MAX_READING_AGE_SECONDS", 1e9),
+        ]
     raise ValueError(safeguard)
 
 
@@ -119,6 +147,17 @@
     context.clean_ups = [patch.stop for patch in patches]
 
 
+@then("an entry runs a silent agent's task elsewhere while it runs")
+def step_silent_agent(context):
+    pair = AgentBesideWorker(0.98)
+    context.clean_ups.append(pair.close)
+    pair.announce()
+    pair.now += 60.0
+    heard_at = pair.now - ENTRY_LEASE_SECONDS
+    pair.perform(take(pair.decide_start(ENTRY_LEASE_SECONDS), StartTask))
+    assert pair.lease_ends_at() > heard_at + agent_lapse_seconds()
+
+
 @then("a late report of an earlier incarnation ends the running tasks")
 def step_late_report_used(context):
     fleet = Fleet(1, 2)
@@ -167,6 +206,11 @@
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
 
 
+@then("a task runs twice at once when {case}, and stops reach workers")
+def step_lost_messages_overlap(context, case):
+    assert LostStops(0, share=0.0).play(case).overlaps, "no task ran twice at once"
+
+
 @then("a task runs twice at once when {case} and no stop reaches a worker")
 def step_lost_stops_overlap(context, case):
     assert LostStops(0).play(case).overlaps, "no task ran twice at once"
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -251,7 +251,10 @@
 
     def announce(self, name):
         """Make a worker send a heartbeat now."""
-        self.deliver(name, Announced(self.workers[name].announcement()))
+        worker = self.workers[name]
+        clock_ms = int(worker.clock(self.now) * 1000)
+        self.calls.record_clock(name, worker.identifier, clock_ms)
+        self.deliver(name, Announced(worker.announcement()))
 
     def announce_departure(self, name):
         self.deliver(name, Departed(self.workers[name].identifier))
--- a/features/support/fleetcalls.py
+++ b/features/support/fleetcalls.py
@@ -9,6 +9,12 @@
 )
 from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
 from cactuswalk.dispatch.effects import StartTask, StopTask
+from cactuswalk.platform.workerclock import (
+    ClockReading,
+    convert_to_worker_ms,
+    is_fresh,
+    take_later,
+)
 from features.support.fleetworker import CALL_SECONDS
 
 __all__ = ["WorkerCalls"]
@@ -17,15 +23,15 @@
 class WorkerCalls:
     """Carries the agents' calls, with the lateness and losses of each worker.
 
-    :ivar offsets: a worker's clock minus its agent's, as measured with the last
-        answer, by the agent's incarnation and the worker's identifier.
+    :ivar readings: the last reading of a worker's clock, by the agent's incarnation
+        and the worker's identifier.
     :ivar pauses: seconds for which an agent freezes between the decision on its next
         start and the call, by agent.
     """
 
     def __init__(self, fleet):
         self.fleet = fleet
-        self.offsets = {}
+        self.readings = {}
         self.pauses = {}
 
     def call(self, name, state, effect):
@@ -44,7 +50,11 @@
         fleet = self.fleet
         worker = fleet.workers[name]
         sent_at = fleet.now
-        offset = self.offsets.get((state.incarnation, effect.worker), 0.0)
+        if isinstance(effect, StartTask) and not self.can_send(name, state, effect):
+            event = StartAnswered(effect.worker, effect.handle, StartVerdict.LATE)
+            fleet.at(CALL_SECONDS, lambda: fleet.deliver_if_same(name, state, event))
+            return
+        deadline = self.convert_deadline(state, effect)
         faults = worker.call_faults[type(effect)]
         share = max(worker.unanswered_share, faults.lost_share)
         lost = worker.generator.random() < share or isinstance(
@@ -58,7 +68,7 @@
             late = faults.late or worker.late
             if worker.up and lost and late:
                 fleet.at(
-                    late, lambda: self.execute_late(worker, effect, sent_at, offset)
+                    late, lambda: self.execute_late(worker, effect, sent_at, deadline)
                 )
             wait = getattr(effect, "wait_ms", 0) / 1000
             fleet.at(
@@ -68,16 +78,49 @@
             return
         fleet.at(
             CALL_SECONDS / 2,
-            lambda: self.arrive(name, state, worker, effect, sent_at, offset),
+            lambda: self.arrive(name, state, worker, effect, sent_at, deadline),
         )
 
-    def execute_late(self, worker, effect, sent_at, offset):
+    def record_clock(self, name, identifier, clock_ms):
+        """Record a worker's clock, as an answer or a heartbeat has told it."""
+        if name in self.fleet.dead:
+            return
+        key = self.fleet.states[name].incarnation, identifier
+        now = self.fleet.clock(name)
+        reading = ClockReading(clock_ms, now)
+        self.readings[key] = take_later(self.readings.get(key), reading, now)
+
+    def can_send(self, name, state, start):
+        """Return whether a start's lease has not passed and can be converted.
+
+        The platform's client polls a worker whose clock it has not read lately.
+        """
+        key = state.incarnation, start.worker
+        now = self.fleet.clock(name)
+        worker = self.fleet.workers[name]
+        if not is_fresh(self.readings.get(key), now):
+            if not worker.up or worker.cut or worker.identifier != start.worker:
+                return False
+            self.record_clock(
+                name, start.worker, int(worker.clock(self.fleet.now) * 1000)
+            )
+        return now < start.lease_until
+
+    def convert_deadline(self, state, effect):
+        """Return the end of a call's lease on the worker's clock, 0 for no lease."""
+        until = getattr(effect, "lease_until", 0.0)
+        reading = self.readings.get((state.incarnation, effect.worker))
+        if not until or reading is None:
+            return 0.0
+        return convert_to_worker_ms(reading, until) / 1000
+
+    def execute_late(self, worker, effect, sent_at, deadline):
         if worker.up:
-            self.carry_out(worker, effect, sent_at, offset)
+            self.carry_out(worker, effect, sent_at, deadline)
 
-    def arrive(self, name, state, worker, effect, sent_at, offset):
+    def arrive(self, name, state, worker, effect, sent_at, deadline):
         fleet = self.fleet
-        event = self.carry_out(worker, effect, sent_at, offset)
+        event = self.carry_out(worker, effect, sent_at, deadline)
         if event is not None:
             faults = worker.call_faults[type(effect)]
             share = max(worker.unconfirmed_share, faults.unconfirmed_share)
@@ -87,27 +130,27 @@
                 return
             self.answer(name, state, worker, effect, event)
             return
-        deadline = fleet.now + effect.wait_ms / 1000
-        self.wait_for_end(name, state, worker, effect, sent_at, deadline)
+        ends_at = fleet.now + effect.wait_ms / 1000
+        self.wait_for_end(name, state, worker, effect, sent_at, ends_at)
 
     def answer(self, name, state, worker, effect, event):
         """Deliver a worker's answer, with which its clock is measured."""
-        offset = worker.clock_offset(self.fleet.now)
+        clock_ms = int(worker.clock(self.fleet.now) * 1000)
         identifier = worker.identifier
 
         def deliver():
             if effect.worker == identifier:
-                self.offsets[state.incarnation, identifier] = offset
+                self.record_clock(name, identifier, clock_ms)
             self.fleet.deliver_if_same(name, state, event)
 
         self.fleet.at(CALL_SECONDS / 2, deliver)
 
-    def carry_out(self, worker, effect, sent_at, offset):
+    def carry_out(self, worker, effect, sent_at, deadline):
         now = self.fleet.now
         if not worker.up:
             return make_unanswered(effect)
         if isinstance(effect, StartTask):
-            verdict = worker.start(effect, sent_at + offset, now)
+            verdict = worker.start(effect, deadline, now)
             return StartAnswered(effect.worker, effect.handle, verdict)
         if isinstance(effect, StopTask):
             return StopAnswered(effect.worker, effect.handle, worker.stop(effect, now))
@@ -116,7 +159,7 @@
         if effect.token < worker.token:
             return PollFailed(effect.worker, True, False, effect.is_check)
         worker.token = effect.token
-        worker.renew(effect, sent_at + offset, now)
+        worker.renew(effect, deadline, now)
         if effect.wait_ms and not worker.ended:
             return None
         return self.make_poll_answer(worker, effect, sent_at)
@@ -132,22 +175,22 @@
             effect.is_check,
         )
 
-    def wait_for_end(self, name, state, worker, effect, sent_at, deadline):
+    def wait_for_end(self, name, state, worker, effect, sent_at, ends_at):
         fleet = self.fleet
         worker.advance(fleet.now)
         gone = effect.worker != worker.identifier and worker.up
         broken = worker.cut or not worker.up
-        if gone or broken or worker.ended or fleet.now >= deadline:
+        if gone or broken or worker.ended or fleet.now >= ends_at:
             event = PollFailed(effect.worker, False, gone, effect.is_check)
             if not gone and not broken:
                 event = self.make_poll_answer(worker, effect, sent_at)
             self.answer(name, state, worker, effect, event)
             return
         ends = [run.ends_at for run in worker.runs.values()]
-        step = min([0.01, deadline - fleet.now, *(end - fleet.now for end in ends)])
+        step = min([0.01, ends_at - fleet.now, *(end - fleet.now for end in ends)])
         fleet.at(
             max(step, 0.0002),
-            lambda: self.wait_for_end(name, state, worker, effect, sent_at, deadline),
+            lambda: self.wait_for_end(name, state, worker, effect, sent_at, ends_at),
         )
 
 
--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -179,17 +179,11 @@
     def clock(self, now):
         return now * (1 - self.drift)
 
-    def clock_offset(self, now):
-        """Return the offset that a client measures with an answer sent now."""
-        return self.clock(now) - now - (CALL_SECONDS / 2 if self.drift else 0.0)
-
-    def lease_end(self, sent_at, lease_seconds, now):
+    def lease_end(self, deadline, now):
         """Return when a lease ends.
 
-        :param sent_at: when the call was sent, on this worker's clock as its client
-            has converted it.
+        :param deadline: on this worker's clock, as its client has converted it.
         """
-        deadline = sent_at + lease_seconds
         deadline = min(deadline, self.clock(now) + MAXIMUM_LEASE_SECONDS)
         return deadline / (1 - self.drift)
 
@@ -212,17 +206,17 @@
         self.highest[run.key] = max(run.run, self.highest.get(run.key, 0))
         self.fleet.record_run_end(run, at)
 
-    def start(self, effect, sent_at, now):
+    def start(self, effect, deadline, now):
         self.advance(now)
         if effect.worker != self.identifier:
             return StartVerdict.GONE
         if effect.token < self.token:
             return StartVerdict.FENCED
         self.token = effect.token
-        deadline = self.lease_end(sent_at, effect.lease_seconds, now)
-        if deadline <= now:
+        until = self.lease_end(deadline, now)
+        if until <= now:
             return StartVerdict.LATE
-        self.lease_until = max(self.lease_until, deadline)
+        self.lease_until = max(self.lease_until, until)
         key = effect.key
         if key in self.runs and self.runs[key].run == effect.run:
             return StartVerdict.STARTED
@@ -252,11 +246,10 @@
             self.finish(run, RunEnd.STOPPED, now)
         return True
 
-    def renew(self, effect, sent_at, now):
+    def renew(self, effect, deadline, now):
         self.advance(now)
-        if effect.lease_seconds and effect.worker == self.identifier:
-            until = self.lease_end(sent_at, effect.lease_seconds, now)
-            self.lease_until = max(self.lease_until, until)
+        if deadline and effect.worker == self.identifier:
+            self.lease_until = max(self.lease_until, self.lease_end(deadline, now))
         self.ended = [row for row in self.ended if row.number > effect.acknowledged]
 
     def rows(self, now):
--- a/src/cactuswalk/dispatch/agentleases.py
+++ b/src/cactuswalk/dispatch/agentleases.py
@@ -76,14 +76,18 @@
 
 
 def renew(state: AgentState, now: float) -> float:
-    """Return ``renewal_seconds`` for a poll, and log when renewals end or resume."""
+    """Return until when a poll may renew the worker's lease; 0 for not at all.
+
+    Logs when renewals end or resume.
+    """
     seconds = renewal_seconds(state, now)
     if state.renewal_withheld != (seconds <= 0):
         state.renewal_withheld = seconds <= 0
         _log_change(state, now)
-    if seconds:
-        state.renewed_at = now
-    return seconds
+    if seconds <= 0:
+        return 0.0
+    state.renewed_at = now
+    return now + seconds
 
 
 def _log_change(state: AgentState, now: float) -> None:
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -13,6 +13,7 @@
     "HEARD_SECONDS",
     "KEEPALIVE_SECONDS",
     "MARGIN_SECONDS",
+    "MAX_READING_AGE_SECONDS",
     "RESEND_SECONDS",
     "STOP_MARGIN_SECONDS",
     "UNHEARD_SECONDS",
@@ -36,9 +37,16 @@
 # POLL_WAIT_SECONDS apart; the platform allows a second at most.
 WORKER_LEASE_SECONDS = 0.5
 
-# Fraction by which a worker's clock may run slow (given by the platform).
+# Fraction by which a worker's clock may run slow (given by the platform). A lease is
+# converted to the worker's clock with a reading of that clock, and made shorter by
+# this fraction of the time from the reading to the lease's end.
 CLOCK_DRIFT = 0.02
 
+# Oldest reading of the worker's clock with which a start is sent: the drift takes
+# 0.04 s of the lease, so that three polls still fit in it. Heartbeats bring a reading
+# every 1.5 s.
+MAX_READING_AGE_SECONDS = 2.0
+
 # A call to a worker on the same host takes 1 to 2 ms, or 10 ms with ten concurrent
 # calls. A short task has 0.13 s to spare within its target: in that time a lost call
 # has to be noticed, cancelled and repeated on another worker.
@@ -64,7 +72,11 @@
 
 
 def worker_lapse_seconds() -> float:
-    """Return how long a worker may run tasks after a renewal was sent, in seconds."""
+    """Return how long a worker may run tasks after a renewal was decided, in seconds.
+
+    The lease ends at the worker within WORKER_LEASE_SECONDS, whatever its clock does
+    (``platform.workerclock``); the rest is for its timer.
+    """
     return WORKER_LEASE_SECONDS * (1 + CLOCK_DRIFT)
 
 
