Reproduction: one job whose task crashes its workers takes down one after another

Callers see a job that is never answered as failed, and sound jobs beside it that are lost with each worker and run again.

--- /dev/null
+++ b/features/dispatch_crashes.feature
@@ -0,0 +1,37 @@
+Feature: A task that crashes its workers is given up
+
+  Scenario Outline: A task crashes each worker that starts it
+    A run that was lost with its worker is started on the next one without a limit, so
+    one such job takes down worker after worker while its caller waits.
+    Given a fleet of 2 entries and 8 workers
+    When a job of 4 tasks whose first crashes its workers, which are then <down>, comes to e0
+    Then it has crashed at most 3 workers
+    And the job is answered as failed within <most> seconds
+    And no task has run twice at once
+
+    Examples: Ways to be down
+      | down     | most |
+      | refusing | 0.2  |
+      | silent   | 3    |
+
+  Scenario: The caller of such a task comes back to another entry
+    The first entry dies after two crashes, and the second one knows nothing of them.
+    Given a fleet of 2 entries and 8 workers
+    When a job of 4 tasks whose first crashes its workers, which are then refusing, comes to e0
+    And e0 is killed once 2 workers have crashed
+    And the caller sends it to e1 1.3 seconds later
+    Then it was started at most 2 times after three workers had crashed
+
+  Scenario Outline: Tasks that crash their workers come beside the users' load
+    Several such jobs come within seconds, and any task on a crashed worker may be to
+    blame. A sound job must lose nothing but the time of a rerun.
+    When one <kind> job in twenty crashes its workers for 3 seconds, on day <seed>
+    Then no job has crashed more than 3 workers
+    And no sound job was answered as failed
+    And every caller was answered, and no task ran twice at once
+
+    Examples: Kinds
+      | kind     | seed |
+      | lookups  | 1    |
+      | rebuilds | 3    |
+      | checks   | 3    |
--- /dev/null
+++ b/features/steps/dispatch_crashes_steps.py
@@ -0,0 +1,81 @@
+"""Steps on tasks that crash the workers which start them."""
+
+from behave import then, when
+
+from features.support.crashday import CrashDay, crashed_starts
+from features.support.fleet import JOB
+
+DOWN_SECONDS = 4.5
+TASKS = 4
+
+
+@when(
+    "a job of {tasks:d} tasks whose first crashes its workers, which are then "
+    "{down:w}, comes to {entry}"
+)
+def step_crashing_job(context, tasks, down, entry):
+    fleet = context.fleet
+    fleet.crashing[JOB] = (DOWN_SECONDS, down == "refusing")
+    context.tasks = tasks
+    context.waiter = fleet.submit(entry, JOB, tasks, wait=6.0)
+
+
+@when("{entry} is killed once {count:d} workers have crashed")
+def step_kill_entry_after(context, entry, count):
+    fleet = context.fleet
+    while sum(not worker.up for worker in fleet.workers.values()) < count:
+        fleet.run(0.001)
+    fleet.kill(entry)
+
+
+@when("the caller sends it to {entry} {seconds:g} seconds later")
+def step_send_again(context, entry, seconds):
+    context.fleet.run(seconds)
+    context.waiter = context.fleet.submit(entry, JOB, context.tasks, wait=6.0)
+    context.fleet.run(8.0)
+
+
+@then("it has crashed at most {most:d} workers")
+def step_crashed_at_most(context, most):
+    context.fleet.run(8.0)
+    count = len(crashed_starts(context.fleet, JOB))
+    assert count <= most, f"{count} workers have crashed"
+
+
+@then("the job is answered as failed within {most:g} seconds")
+def step_failed_within(context, most):
+    fleet, waiter = context.fleet, context.waiter
+    assert waiter in fleet.answers, "it has no answer"
+    assert fleet.verdict(waiter) == "failed", fleet.verdict(waiter)
+    assert fleet.took(waiter) <= most, fleet.took(waiter)
+
+
+@then("it was started at most {most:d} times after three workers had crashed")
+def step_started_after_three(context, most):
+    count = len(crashed_starts(context.fleet, JOB)) - 3
+    assert count <= most, f"{count} starts after the third crash"
+
+
+@when("one {kind:w} job in twenty crashes its workers for 3 seconds, on day {seed:d}")
+def step_crash_day(context, kind, seed):
+    context.day = CrashDay(seed, kind).play()
+    assert context.day.poisoned, "the day has no such job"
+
+
+@then("no job has crashed more than {most:d} workers")
+def step_none_crashed_more(context, most):
+    crashes = context.day.crashes()
+    assert max(crashes) <= most, crashes
+
+
+@then("no sound job was answered as failed")
+def step_no_sound_job_failed(context):
+    failed = context.day.failed_sound_jobs()
+    assert not failed, [context.day.fleet.arrivals[waiter] for waiter in failed]
+
+
+@then("every caller was answered, and no task ran twice at once")
+def step_answered_once(context):
+    day = context.day
+    assert not day.unanswered(), day.unanswered()
+    assert not day.fleet.overlaps, day.fleet.overlaps
