A task that crashes its workers is given up; suspected tasks never share a worker

Callers of such a job waited until they gave up, while it took down worker after worker, and the jobs beside it were late. Cause: a run that ended with its worker was LOST, and a lost run was started again without any limit; nothing told a crash from other losses.

The agent now ends the runs of a crashed worker as CRASHED and says which were probably to blame; the entry suspects the task, keeps suspects apart, and gives the job up after the second crash in which it was to blame, else after the third. Why it works: two suspects never share a worker, so a second crash tells sound tasks and the cause apart.

Model only; not run with real processes.

Messages between entries and agents change: all processes together.

--- a/features/dispatch_crashes.feature
+++ b/features/dispatch_crashes.feature
@@ -22,6 +22,32 @@
     And the caller sends it to e1 1.3 seconds later
     Then it was started at most 2 times after three workers had crashed
 
+  Scenario: Two suspected tasks never share a worker
+    A worker crashes under two tasks. If they ran together again and crashed the next
+    worker, nothing would tell which of them is to blame.
+    Given a fleet of 1 entries and 1 workers
+    When a job of 2 tasks of 0.4 seconds comes to e0
+    And a0 crashes after 0.1 seconds and is down for 0.2 seconds
+    Then the second runs follow one another
+    And the log of e0 says twice that a suspected task is done
+    And the job is completed at e0
+
+  Scenario Outline: An end that is no crash gives up no task
+    A run that is lost in another way says nothing about its task. If it counted, a
+    sound job would be answered as failed after some such ends.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 1 tasks of 0.5 seconds comes to e0
+    And 3 times, when it runs, <ending>
+    Then no task is suspected
+    And the job is completed at e0
+
+    Examples: Endings
+      | ending                            |
+      | its worker leaves                 |
+      | its draining worker is gone       |
+      | its agent restarts                |
+      | its agent and worker lose power   |
+
   Scenario Outline: Tasks that crash their workers come beside the users' load
     Several such jobs come within seconds, and any task on a crashed worker may be to
     blame. A sound job must lose nothing but the time of a rerun.
--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -23,3 +23,10 @@
   Scenario: Without a check of its age, a late report of an earlier incarnation is used
     When the order of an agent's reports is disabled
     Then a late report of an earlier incarnation ends the running tasks
+
+  Scenario: Without keeping suspected tasks apart, sound jobs are given up
+    Tasks that were on a crashed worker together would be on the next one together, and
+    be to blame together. With the safeguard the same day has no such job
+    (dispatch_crashes.feature).
+    When keeping suspected tasks apart is disabled
+    Then on day 3 of checks that crash their workers a sound job is answered as failed
--- a/features/steps/dispatch_crashes_steps.py
+++ b/features/steps/dispatch_crashes_steps.py
@@ -79,3 +79,74 @@
     day = context.day
     assert not day.unanswered(), day.unanswered()
     assert not day.fleet.overlaps, day.fleet.overlaps
+
+
+@when("{name:w} crashes after {after:g} seconds and is down for {down:g} seconds")
+def step_worker_crashes(context, name, after, down):
+    context.fleet.run(after)
+    context.fleet.workers[name].crash_for(down, True)
+    context.fleet.run(5.0)
+
+
+@then("the second runs follow one another")
+def step_runs_apart(context):
+    first, second = [at for at, _, run, _ in context.fleet.starts if run == 2]
+    assert second - first >= context.seconds, second - first
+
+
+@then("the log of {name:w} says twice that a suspected task is done")
+def step_cleared(context, name):
+    lines = [
+        line.fields
+        for _, who, line in context.fleet.lines
+        if who == name and line.sentence == "a suspected task is done"
+    ]
+    assert [line["crashes"] for line in lines] == [1, 1], lines
+
+
+def leave(fleet, worker):
+    worker.depart(0.0, 0.3)
+
+
+def drain_and_go(fleet, worker):
+    worker.draining, worker.leaves_in_ms = True, 5_000
+    fleet.announce(worker.name)
+    worker.draining, worker.leaves_in_ms = False, 0
+    fleet.at(0.05, lambda: worker.crash_for(0.3, True))
+
+
+def restart_agent(fleet, worker):
+    fleet.kill(worker.name)
+    fleet.at(0.3, lambda: fleet.start_agent(worker.name))
+
+
+def cut_power(fleet, worker):
+    fleet.reboot(worker.name, 0.3)
+
+
+ENDINGS = {
+    "its worker leaves": leave,
+    "its draining worker is gone": drain_and_go,
+    "its agent restarts": restart_agent,
+    "its agent and worker lose power": cut_power,
+}
+
+
+@when("{count:d} times, when it runs, {ending}")
+def step_ending(context, count, ending):
+    fleet = context.fleet
+    for number in range(count):
+        while len(fleet.starts) <= number:
+            fleet.run(0.01)
+        fleet.run(0.05)
+        name = fleet.starts[-1][3]
+        ENDINGS[ending](fleet, fleet.workers[name])
+        fleet.run(0.2)
+    fleet.run(6.0)
+    assert len(fleet.starts) > count, fleet.starts
+
+
+@then("no task is suspected")
+def step_none_suspected(context):
+    said = [line.sentence for _, _, line in context.fleet.lines]
+    assert "suspects a task of crashing its worker" not in said
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -11,10 +11,13 @@
     agententries,
     agentview,
     agentworker,
+    entryplacing,
+    placement,
 )
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from cactuswalk.dispatch.entryevents import Received
 from cactuswalk.dispatch.messages import TaskEnd
+from features.support.crashday import CrashDay
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 
@@ -54,6 +57,11 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
+    if safeguard == "keeping suspected tasks apart":
+        return [
+            mock.patch.object(module, "is_suspect", lambda record: False)
+            for module in (placement, entryplacing)
+        ]
     raise ValueError(safeguard)
 
 
@@ -113,3 +121,11 @@
         if day.fleet.overlaps or day.false_refusals or day.unanswered:
             return
     raise AssertionError(f"{MAX_SEEDS} days passed without it")
+
+
+@then(
+    "on day {seed:d} of {kind:w} that crash their workers a sound job is answered as "
+    "failed"
+)
+def step_sound_job_failed(context, seed, kind):
+    assert CrashDay(seed, kind).play().failed_sound_jobs()
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -11,6 +11,7 @@
     handle_stop_answer,
     request_stop,
 )
+from cactuswalk.dispatch.agentcrashes import end_crashed
 from cactuswalk.dispatch.agententries import (
     expire_entries,
     handle_message,
@@ -53,7 +54,6 @@
 from cactuswalk.dispatch.effects import (
     Effect,
 )
-from cactuswalk.dispatch.messages import TaskEnd
 from cactuswalk.dispatch.pauses import log_pause
 
 __all__ = ["reduce"]
@@ -96,7 +96,10 @@
 def _expire_held(state: AgentState, now: float) -> None:
     for held in list(state.held.values()):
         if held.expires_at and now >= held.expires_at and _is_lapsed(state, now):
-            state.end(held, TaskEnd.LOST, 0, "its lease has passed", now)
+            # A crashed worker may be silent until its next incarnation announces
+            # itself; if its runs were merely lost, one that crashes workers would be
+            # started without a limit. Nothing tells which of them is to blame.
+            end_crashed(state, held, "its lease has passed", False, now)
         elif (
             held.state in (HeldState.STOPPING, HeldState.UNCONFIRMED)
             and not held.call_pending
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -1,5 +1,6 @@
 """Start and stop calls to the worker, and the handling of their answers."""
 
+from cactuswalk.dispatch.agentcrashes import mark_all_crashed
 from cactuswalk.dispatch.agentevents import (
     StartAnswered,
     StartVerdict,
@@ -87,7 +88,7 @@
         _mark_unconfirmed(state, held, now)
         return
     if event.verdict is StartVerdict.GONE:
-        drop_worker(state, "the worker's address answers for it no more", now)
+        drop_worker(state, "the worker's address answers for it no more", now, held)
         return
     _start_refused(state, held, event.verdict, now)
 
@@ -204,8 +205,13 @@
     state.poll_not_before = now
 
 
-def drop_worker(state: AgentState, reason: str, now: float) -> None:
-    """Log that the worker has certainly ended, and forget it."""
+def drop_worker(
+    state: AgentState, reason: str, now: float, refused: HeldTask | None = None
+) -> None:
+    """Log that the worker has certainly ended, and forget it.
+
+    :param refused: a start that it did not receive.
+    """
     state.say(
         "the worker is gone",
         worker=state.worker.identifier,
@@ -213,6 +219,7 @@
         held=len(state.held),
         renewed_ago=round(now - state.renewed_at, 3),
     )
+    mark_all_crashed(state, reason, now, refused)
     forget_worker(state, reason, now)
 
 
--- /dev/null
+++ b/src/cactuswalk/dispatch/agentcrashes.py
@@ -0,0 +1,70 @@
+"""Ends of the runs whose worker has crashed."""
+
+from cactuswalk.dispatch.agentheld import HeldState, HeldTask
+from cactuswalk.dispatch.agentstate import AgentState
+from cactuswalk.dispatch.messages import Start, TaskEnd
+
+__all__ = ["end_crashed", "has_suspect", "mark_all_crashed"]
+
+# Starts this close to the last one are to blame as well: the tasks of a job come to a
+# worker within a few milliseconds, and the crash may take as long.
+BLAMED_SECONDS = 0.01
+
+
+def mark_all_crashed(
+    state: AgentState, reason: str, now: float, refused: HeldTask | None = None
+) -> None:
+    """End all runs of a worker that has ended without having said so.
+
+    A draining worker has said so, and its runs are lost with it.
+
+    :param refused: a start that nobody has received, so that it crashed nothing.
+    """
+    if refused is not None:
+        state.end(refused, TaskEnd.LOST, 0, reason, now)
+    blamed = _blamed_handles(list(state.held.values()))
+    planned = state.worker is not None and state.worker.draining
+    for held in list(state.held.values()):
+        if planned:
+            state.end(held, TaskEnd.LOST, 0, reason, now)
+        else:
+            end_crashed(state, held, reason, held.handle in blamed, now)
+
+
+def end_crashed(
+    state: AgentState, held: HeldTask, reason: str, blamed: bool, now: float
+) -> None:
+    """End a run whose worker has crashed, or must be taken to have crashed."""
+    ran_ms = 0
+    if held.state is HeldState.RUNNING:
+        ran_ms = int(max(0.0, now - held.since) * 1000)
+    state.end(held, TaskEnd.CRASHED, ran_ms, reason, now, blamed)
+
+
+def _blamed_handles(tasks: list[HeldTask]) -> set[int]:
+    """Return the handles of the runs that are probably to blame for a crash.
+
+    These are the last ones that the worker is known to have started, and the first
+    starts that it left unanswered: later ones came when it had crashed already.
+    """
+    started = [held for held in tasks if not _is_unanswered(held)]
+    unanswered = [held for held in tasks if _is_unanswered(held)]
+    last = max((held.since for held in started), default=0.0)
+    first = min((held.since for held in unanswered), default=0.0)
+    blamed = [held for held in started if last - held.since <= BLAMED_SECONDS]
+    blamed += [held for held in unanswered if held.since - first <= BLAMED_SECONDS]
+    return {held.handle for held in blamed}
+
+
+def _is_unanswered(held: HeldTask) -> bool:
+    return held.state in (HeldState.STARTING, HeldState.UNCONFIRMED)
+
+
+def has_suspect(state: AgentState, start: Start | None = None) -> bool:
+    """Return whether a task is held that is suspected of crashing workers.
+
+    :param start: one that would be a second such task, else any.
+    """
+    if start is not None and not start.is_suspect:
+        return False
+    return any(held.start.is_suspect for held in state.held.values())
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -1,6 +1,7 @@
 """Messages between an agent and the entries."""
 
 from cactuswalk.dispatch.agentcalls import request_start, stop_run
+from cactuswalk.dispatch.agentcrashes import has_suspect
 from cactuswalk.dispatch.agentevents import Received
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldState, HeldTask
 from cactuswalk.dispatch.agentmembers import update_members
@@ -141,6 +142,8 @@
         return "the worker leaves too soon"
     if state.health.is_restricted and not state.can_try(now):
         return "the worker is on trial"
+    if has_suspect(state, start):
+        return "another suspected task runs there"
     cpu, memory_mb, gpu = state.free_resources()
     if start.cpu > cpu or start.memory_mb > memory_mb or start.gpu > gpu:
         return "no room"
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -3,6 +3,7 @@
 import copy
 import math
 
+from cactuswalk.dispatch.agentcrashes import has_suspect
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.effects import SendMessage
@@ -95,4 +96,5 @@
         acknowledged_members=0,
         home=False,
         leaves_in_ms=0 if left == math.inf else max(1, int(left * 1000)),
+        has_suspect=has_suspect(state),
     )
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -221,7 +221,13 @@
         self.effects.append(SendMessage(peer.address, ended))
 
     def end(
-        self, held: HeldTask, end: TaskEnd, ran_ms: int, reason: str, now: float
+        self,
+        held: HeldTask,
+        end: TaskEnd,
+        ran_ms: int,
+        reason: str,
+        now: float,
+        blamed: bool = False,
     ) -> None:
         """Remove a start that has ended, and send the end to its entry."""
         del self.held[held.handle]
@@ -240,7 +246,13 @@
         if peer is None or peer.incarnation != held.start.incarnation:
             return
         ended = StartEnded(
-            peer.incarnation, held.start.sequence, end, held.run, ran_ms, reason
+            peer.incarnation,
+            held.start.sequence,
+            end,
+            held.run,
+            ran_ms,
+            reason,
+            blamed,
         )
         self.send_end(peer, ended, now)
 
--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -125,6 +125,12 @@
             return 0.0
         return self.free_cpu / self.report.cpu
 
+    def has_suspect(self) -> bool:
+        """Return whether a task that is suspected of crashing workers is there."""
+        return self.report.has_suspect or any(
+            placed.start.is_suspect for placed in self.placed.values()
+        )
+
     def is_empty(self) -> bool:
         """Return whether nothing runs there, as far as known."""
         return self.report.free_cpu >= self.report.cpu and not self.unreported_starts
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -5,10 +5,10 @@
 from cactuswalk.dispatch.agentcalls import (
     drop_worker,
     forget_worker,
-    mark_all_lost,
     raise_token,
     request_stop,
 )
+from cactuswalk.dispatch.agentcrashes import mark_all_crashed
 from cactuswalk.dispatch.agentevents import (
     Announced,
     Departed,
@@ -98,7 +98,7 @@
         previous=previous,
         held=len(state.held),
     )
-    mark_all_lost(state, "the worker's life ended", now)
+    mark_all_crashed(state, "the worker's life ended", now)
     state.worker = worker
     state.candidate = None
     state.announced_at = now
--- /dev/null
+++ b/src/cactuswalk/dispatch/crashes.py
@@ -0,0 +1,59 @@
+"""Tasks that crash the workers that start them.
+
+Load pattern: a few tasks in a hundred of one kind crash each worker that starts them,
+often at once, and a worker runs ten to twenty tasks, of which one is to blame. Workers
+also crash by chance, a seventh of them at once, and long tasks may be hit more than
+once. A task that is started again without a limit takes down worker after worker, and
+each crash costs all tasks there a rerun.
+
+A task is suspected once a worker has crashed under it. Two suspected tasks never share
+a worker, so a second crash says more than the first. A task is given up after the
+second crash if it was to blame in both as far as its agent can tell, else after the
+third.
+"""
+
+import msgspec
+
+__all__ = [
+    "MAX_CRASHES",
+    "CrashRecord",
+    "is_suspect",
+    "record_crash",
+    "should_give_up",
+]
+
+# Crashes after which a task is given up whoever seems to blame.
+MAX_CRASHES = 3
+
+# Crashes after which it is given up if it seems to blame in each.
+MAX_BLAMED_CRASHES = 2
+
+
+class CrashRecord(msgspec.Struct):
+    """The crashes of workers under one task, as its entry knows them.
+
+    :param crashes: how often a worker crashed that had the task.
+    :param blamed: in how many of them the task was among the last ones that the worker
+        had started, or the first whose starts it left unanswered.
+    """
+
+    crashes: int = 0
+    blamed: int = 0
+
+
+def record_crash(record: CrashRecord, blamed: bool) -> None:
+    """Add a crash to a task's record."""
+    record.crashes += 1
+    record.blamed += blamed
+
+
+def is_suspect(record: CrashRecord) -> bool:
+    """Return whether a task may crash the next worker too."""
+    return record.crashes > 0
+
+
+def should_give_up(record: CrashRecord) -> bool:
+    """Return whether a task must not be started again."""
+    if record.crashes >= MAX_CRASHES:
+        return True
+    return record.blamed >= MAX_BLAMED_CRASHES
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -153,7 +153,16 @@
         return
     if placed.task is not None:
         placed.task.runs = max(placed.task.runs, ended.run)
-    end_start(state, view, placed, ended.end, ended.ran_ms, ended.reason, now)
+    end_start(
+        state,
+        view,
+        placed,
+        ended.end,
+        ended.ran_ms,
+        ended.reason,
+        now,
+        ended.blamed,
+    )
 
 
 def expire_or_resend(state: EntryState, now: float) -> None:
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -1,6 +1,8 @@
 """Placement of tasks on workers, and the handling of their ends."""
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
+from cactuswalk.dispatch.crashes import is_suspect
+from cactuswalk.dispatch.entrycrashes import clear_suspicion, suspect_task
 from cactuswalk.dispatch.entryjobs import answer_job
 from cactuswalk.dispatch.entrystate import READY_HEARD_SECONDS, EntryState
 from cactuswalk.dispatch.job import JobVerdict
@@ -12,7 +14,11 @@
 from cactuswalk.dispatch.ordering import (
     sort_by_urgency,
 )
-from cactuswalk.dispatch.placement import WorkerChooser, compute_relative_paces
+from cactuswalk.dispatch.placement import (
+    WorkerChooser,
+    compute_relative_paces,
+    has_own_choice,
+)
 
 __all__ = ["end_start", "place_tasks"]
 
@@ -54,7 +60,7 @@
         view = chooser.choose_worker(task, job.queue.service)
         if view is None:
             left.append(task)
-            if not task.avoided_agents:
+            if not has_own_choice(task):
                 # Tasks of a step have the same size: if one doesn't fit, none does.
                 left.extend(job.waiting[number + 1 :])
                 break
@@ -90,6 +96,7 @@
         task.step.gpu,
         task.step.estimate_ms,
         len(task.avoided_agents) < MAX_RETURNS,
+        is_suspect(task.crashed),
     )
     view.add(PlacedTask(start, task, now))
     state.say_debug(
@@ -116,6 +123,7 @@
     ran_ms: int,
     reason: str,
     now: float,
+    blamed: bool = False,
 ) -> None:
     """Record that a start has ended, and complete or requeue its task."""
     del view.placed[placed.start.sequence]
@@ -135,30 +143,61 @@
         view.skip_until_report(now)
         job.declined_runs += 1
     else:
-        task.avoided_agents.add(view.address)
+        if end is not TaskEnd.CRASHED:
+            # A worker that comes back after a crash is a new one.
+            task.avoided_agents.add(view.address)
         job.lost_runs += 1
-        state.say(
-            "a task runs again",
-            job=job.request.identifier,
-            step=task.key.step,
-            index=task.key.index,
-            agent=view.address,
-            end=end.name.lower(),
-            reason=reason,
-            failures=task.failures,
-            heard_ago=round(now - view.heard_at, 3),
-        )
+        _log_rerun(state, view, task, end, reason, now)
+    verdict = _record_bad_end(state, task, placed, end, ran_ms, blamed)
+    if verdict:
+        answer_job(state, job, JobVerdict.FAILED, verdict, now)
+        return
+    job.waiting.append(task)
+
+
+def _log_rerun(
+    state: EntryState,
+    view: AgentView,
+    task: TaskState,
+    end: TaskEnd,
+    reason: str,
+    now: float,
+) -> None:
+    state.say(
+        "a task runs again",
+        job=task.key.job,
+        step=task.key.step,
+        index=task.key.index,
+        agent=view.address,
+        end=end.name.lower(),
+        reason=reason,
+        failures=task.failures,
+        heard_ago=round(now - view.heard_at, 3),
+    )
+
+
+def _record_bad_end(
+    state: EntryState,
+    task: TaskState,
+    placed: PlacedTask,
+    end: TaskEnd,
+    ran_ms: int,
+    blamed: bool,
+) -> str:
+    """Record a failure or a crash; return why the job has failed, if it has."""
     if end is TaskEnd.FAILED:
         task.failures += 1
-        if task.failures >= job.queue.attempts:
-            answer_job(state, job, JobVerdict.FAILED, "a task has failed", now)
-            return
-    job.waiting.append(task)
+        if task.failures >= task.job.queue.attempts:
+            return "a task has failed"
+    if end is TaskEnd.CRASHED and suspect_task(state, task, placed, ran_ms, blamed):
+        return "a task crashes its workers"
+    return ""
 
 
 def _task_done(state: EntryState, task: TaskState, ran_ms: int, now: float) -> None:
     job = task.job
     task.done = True
+    clear_suspicion(state, task)
     task.outstanding_seconds = now - task.placed_at
     task.ran_ms = ran_ms
     job.last_task = task
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cactuswalk.dispatch.crashes import CrashRecord
 from cactuswalk.dispatch.job import JobRequest, Step, TaskKey
 from cactuswalk.dispatch.routing import Queue
 
@@ -20,6 +21,7 @@
     :param outstanding_seconds: from then until its end was received.
     :param ran_ms: the part of that in which it ran, as its agent observed it.
     :param avoided_agents: addresses of agents where it failed, was stopped or lost.
+    :param crashed: the crashes of workers under it.
     """
 
     job: "JobState"
@@ -35,6 +37,7 @@
     outstanding_seconds: float = 0.0
     ran_ms: int = 0
     avoided_agents: set[str] = msgspec.field(default_factory=set)
+    crashed: CrashRecord = msgspec.field(default_factory=CrashRecord)
 
 
 class JobState(msgspec.Struct, eq=False):
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -39,7 +39,8 @@
 
     DECLINED: the task never ran. FAILED: it ran and failed. LOST: it ended with its
     worker or its lease, or its start never arrived. STOPPED: it was stopped, or never
-    began and will not.
+    began and will not. CRASHED: its worker has crashed, or has been silent for so long
+    that its leases have expired.
     """
 
     DONE = 0
@@ -47,6 +48,7 @@
     STOPPED = 2
     LOST = 3
     DECLINED = 4
+    CRASHED = 5
 
 
 class Report(msgspec.Struct, array_like=True, tag=1):
@@ -69,6 +71,8 @@
     :param home: the receiver is a home entry of this agent; other entries get reports
         only while they send to the agent.
     :param leaves_in_ms: only tasks that end within this time are taken; 0 for no limit.
+    :param has_suspect: it has a task that is suspected of crashing workers, and takes
+        no second one.
     """
 
     incarnation: str
@@ -91,6 +95,7 @@
     acknowledged_members: int
     home: bool
     leaves_in_ms: int
+    has_suspect: bool = False
 
 
 class Keepalive(msgspec.Struct, array_like=True, tag=2):
@@ -117,6 +122,8 @@
     """Start a task, at most once, if this arrives while its stamp is fresh.
 
     :param is_returnable: the agent may return the task if its worker would take long.
+    :param is_suspect: a worker has crashed under the task; two such tasks must not
+        share a worker.
     """
 
     incarnation: str
@@ -132,6 +139,7 @@
     gpu: int
     estimate_ms: int
     is_returnable: bool = True
+    is_suspect: bool = False
 
 
 class Stop(msgspec.Struct, array_like=True, tag=4):
@@ -146,6 +154,7 @@
 
     :param run: the task's run number at the worker.
     :param ran_ms: how long it ran; 0 if unknown.
+    :param blamed: of the runs on a crashed worker, it is a probable cause of the crash.
     """
 
     entry_incarnation: str
@@ -154,6 +163,7 @@
     run: int
     ran_ms: int
     reason: str
+    blamed: bool = False
 
 
 class EntryStatus(msgspec.Struct, array_like=True, tag=6):
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -22,6 +22,7 @@
 import statistics
 
 from cactuswalk.dispatch.agentview import AgentView
+from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.leaving import can_finish_in_time
@@ -31,6 +32,7 @@
     "any_large_enough",
     "can_ever_run",
     "compute_relative_paces",
+    "has_own_choice",
 ]
 
 # Cost factor of a worker in another data centre.
@@ -102,7 +104,7 @@
         if least is not None and all(map(operator.ge, size, least)):
             return None
         best = self._find_cheapest(task, service, reserves_room)
-        if best is None and not (step.label or step.per_worker or task.avoided_agents):
+        if best is None and not (step.label or step.per_worker or has_own_choice(task)):
             self.unplaceable_sizes[service, reserves_room] = size
         return best
 
@@ -167,6 +169,8 @@
             return False
         if view.report.trial and view.placed:
             return False
+        if is_suspect(task.crashed) and view.has_suspect():
+            return False
         left_ms = view.report.leaves_in_ms
         if left_ms and not can_finish_in_time(
             step.estimate_ms * view.report.pace, left_ms
@@ -177,6 +181,11 @@
         return not step.per_worker or _count_step_tasks(view, task) < step.per_worker
 
 
+def has_own_choice(task: TaskState) -> bool:
+    """Return whether fewer workers may run a task than others of its size."""
+    return bool(task.avoided_agents) or is_suspect(task.crashed)
+
+
 def _is_trusted(view: AgentView, task: TaskState) -> bool:
     """Return whether a worker is healthy and has not failed this task before."""
     return not view.report.trial and view.address not in task.avoided_agents
