An agent learns from a refused start that its worker has less capacity

Callers' tasks were delayed and each refused start is paid for: until the next heartbeat shows a smaller capacity, the agent offered what the worker no longer had, and each report brought the same start again. The agent bounds the capacity by what was refused, and drops the bound with the next heartbeat; ends still free capacity below the bound.

--- a/features/dispatch_capacity.feature
+++ b/features/dispatch_capacity.feature
@@ -14,9 +14,9 @@
     When a0's worker shrinks to 6 cores right after a heartbeat
     And 20 jobs of 1 tasks of 0.2 seconds come to e0 within 1 second
     And a0's worker grows to 32 cores and sends a heartbeat
-    And 10 jobs of 1 tasks of 0.2 seconds come to e0 within 0.01 second
+    And 8 jobs of 1 tasks of 0.2 seconds come to e0 within 0.01 second
     Then its worker has refused at most 1 starts
-    And the last 10 jobs are completed
+    And the last 8 jobs are completed
 
   Scenario: A worker shrinks below what it runs
     Its free capacity is negative, which is no reason to stop its tasks.
--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -30,3 +30,11 @@
     (dispatch_crashes.feature).
     When keeping suspected tasks apart is disabled
     Then on day 3 of checks that crash their workers a sound job is answered as failed
+
+  Scenario: Without a bound learnt from refusals, a shrunk worker is sent many starts
+    With the safeguard it refuses one (dispatch_capacity.feature).
+    Given a fleet of 1 entries and 1 workers
+    When learning a smaller capacity is disabled
+    And a0's worker shrinks to 6 cores right after a heartbeat
+    And 20 jobs of 1 tasks of 0.2 seconds come to e0 within 1 second
+    Then its worker has refused at least 50 starts
--- a/features/steps/dispatch_capacity_steps.py
+++ b/features/steps/dispatch_capacity_steps.py
@@ -56,6 +56,11 @@
     assert refused <= most, refused
 
 
+@then("its worker has refused at least {least:d} starts")
+def step_refused_many(context, least):
+    assert count_refusals(context.fleet) >= least, count_refusals(context.fleet)
+
+
 def count_refusals(fleet):
     """Return the number of starts that workers refused for lack of room."""
     said = [line for _, _, line in fleet.lines]
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -62,6 +62,10 @@
             mock.patch.object(module, "is_suspect", lambda record: False)
             for module in (placement, entryplacing)
         ]
+    if safeguard == "learning a smaller capacity":
+        return [
+            mock.patch.object(agentcalls, "_learn_smaller_capacity", lambda state: None)
+        ]
     raise ValueError(safeguard)
 
 
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -109,11 +109,31 @@
     state.say(
         "the worker refused a start", job=held.start.key.job, verdict=verdict.value
     )
+    if verdict is StartVerdict.NO_ROOM:
+        _learn_smaller_capacity(state)
     state.end(held, TaskEnd.DECLINED, 0, verdict.value, now)
     if verdict is StartVerdict.UNHEALTHY:
         state.health.record_failure(held.start.key.job, now)
 
 
+def _learn_smaller_capacity(state: AgentState) -> None:
+    """Bound the worker's capacity by what it has refused, until its next heartbeat.
+
+    A worker may shrink, and its heartbeat shows that up to some seconds later. Without
+    the bound it would be sent the same start again after each report.
+    """
+    used = sum(held.start.cpu for held in state.held.values())
+    state.cpu_bound = min(state.cpu_bound, used - 1)
+    state.observe("capacity_refused")
+    state.say(
+        "the worker has less capacity than it announced",
+        worker=state.worker.identifier,
+        announced_cpu=state.worker.cpu,
+        bound_cpu=state.cpu_bound,
+        held=len(state.held),
+    )
+
+
 def raise_token(state: AgentState) -> None:
     """Raise the fencing token above the one that the worker has seen."""
     # Tokens come from the time of day, so only an earlier incarnation on this host,
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -39,6 +39,8 @@
     :ivar drained_at: from then on a draining worker is given no tasks.
     :ivar closes_at: from then on this agent, once asked to stop, accepts no tasks; it
         ends by ``stop_by``.
+    :ivar cpu_bound: upper bound of the worker's capacity in thousandths of a core, as a
+        refused start has shown it; infinite after each heartbeat.
     :ivar candidate: a new incarnation of the worker that has not answered a poll yet.
     :ivar reachable: the worker answers polls.
     :ivar ready_to_start: the worker runs nothing of an earlier incarnation of this
@@ -79,6 +81,7 @@
         self.refresh_at = 0.0
         self.evacuations = NOTHING_EVACUATED
         self.worker: Worker | None = None
+        self.cpu_bound = math.inf
         self.candidate: Worker | None = None
         self.announced_at = 0.0
         self.reachable = False
@@ -123,7 +126,8 @@
             return 0, 0, 0
         starts = [held.start for held in self.held.values()]
         return (
-            self.worker.cpu - sum(start.cpu for start in starts),
+            int(min(self.worker.cpu, self.cpu_bound))
+            - sum(start.cpu for start in starts),
             self.worker.memory_mb - sum(start.memory_mb for start in starts),
             self.worker.gpu - sum(start.gpu for start in starts),
         )
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -59,6 +59,7 @@
             state.say("ignored an outdated heartbeat", sequence=worker.sequence)
             return
         state.worker = worker
+        state.cpu_bound = math.inf
         if worker.draining:
             _record_draining(state, known.draining, now)
         state.announced_at = now
@@ -100,6 +101,7 @@
     )
     mark_all_crashed(state, "the worker's life ended", now)
     state.worker = worker
+    state.cpu_bound = math.inf
     state.candidate = None
     state.announced_at = now
     # A worker that is draining already may have been so for long: it gets no tasks.
