--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -355,7 +355,7 @@
 
     def crash_by(self, run, worker):
         """Crash a worker by a run that is still there."""
-        if worker.runs.get(run.key) is run:
+        if worker.runs.get(run.key) is run and run.key.job in self.crashing:
             worker.crash_for(*self.crashing[run.key.job])
 
     def record_overload(self, worker):
