A worker over its capacity hides no free capacity of others

Refused callers were told to come back too late: the length of the queue subtracted the overcommitted cores of one worker from what others had free.

--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -125,6 +125,11 @@
             return 0.0
         return self.free_cpu / self.report.cpu
 
+    def own_cpu(self) -> int:
+        """Return what is free or runs this entry's tasks, negative if overcommitted."""
+        placed = sum(placed.start.cpu for placed in self.placed.values())
+        return self.report.free_cpu + placed
+
     def has_suspect(self) -> bool:
         """Return whether a task that is suspected of crashing workers is there."""
         return self.report.has_suspect or any(
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -164,10 +164,9 @@
     def queued_seconds(self) -> float:
         """Return the queued work, in seconds of all workers' time."""
         views = self.usable_views()
-        capacity = sum(view.report.free_cpu for view in views)
-        capacity += sum(
-            placed.start.cpu for view in views for placed in view.placed.values()
-        )
+        # A worker that has shrunk below what it runs has no capacity for this entry,
+        # but takes nothing from what other workers have.
+        capacity = sum(max(0, view.own_cpu()) for view in views)
         waiting = sum(
             task.step.cpu * job.expected_seconds
             for job in self.jobs.values()
