--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -17,6 +17,7 @@
     entry,
     entrykeepalives,
     entryplacing,
+    placement,
 )
 from cactuswalk.dispatch.bounds import (
     ENTRY_LEASE_SECONDS,
@@ -28,6 +29,7 @@
 from cactuswalk.dispatch.messages import Keepalive, TaskEnd
 from cactuswalk.platform import workerclock
 from features.support.agentbesideworker import AgentBesideWorker, take
+from features.support.crashday import CrashDay
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 from features.support.fleetsearch import SearchDay
@@ -132,6 +134,15 @@
                 entrykeepalives, "Keepalive", lambda *fields: Keepalive(*fields[:-1])
             )
         ]
+    if safeguard == "keeping suspected tasks apart":
+        return [
+            mock.patch.object(module, "is_suspect", lambda record: False)
+            for module in (placement, entryplacing)
+        ]
+    if safeguard == "learning a smaller capacity":
+        return [
+            mock.patch.object(agentcalls, "_learn_smaller_capacity", lambda state: None)
+        ]
     if safeguard == "waiting for a task's earlier start":
         return [mock.patch.object(entryplacing, "_place_job", place_anyway)]
     if safeguard == "the allowance for a worker's clock":
@@ -303,3 +314,11 @@
 @then("a task runs twice at once when {case} and no stop reaches a worker")
 def step_lost_stops_overlap(context, case):
     assert LostStops(0).play(case).overlaps, "no task ran twice at once"
+
+
+@then(
+    "on day {seed:d} of {kind:w} that crash their workers a sound job is answered as "
+    "failed"
+)
+def step_sound_job_failed(context, seed, kind):
+    assert CrashDay(seed, kind).play().failed_sound_jobs()
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -10,6 +10,7 @@
     handle_stop_answer,
     request_stop,
 )
+from cactuswalk.dispatch.agentcrashes import end_lapsed
 from cactuswalk.dispatch.agententries import (
     expire_entries,
     handle_message,
@@ -56,7 +57,6 @@
 from cactuswalk.dispatch.effects import (
     Effect,
 )
-from cactuswalk.dispatch.messages import TaskEnd
 from cactuswalk.dispatch.pauses import log_pause
 
 __all__ = ["reduce"]
@@ -100,7 +100,7 @@
 def _expire_held(state: AgentState, now: float) -> None:
     for held in list(state.held.values()):
         if held.expires_at and now >= held.expires_at and _is_lapsed(state, now):
-            state.end(held, TaskEnd.LOST, 0, "its lease has passed", now)
+            end_lapsed(state, held, now)
         elif (
             held.state in (HeldState.STOPPING, HeldState.UNCONFIRMED)
             and not held.call_pending
--- a/src/cactuswalk/dispatch/agentgone.py
+++ b/src/cactuswalk/dispatch/agentgone.py
@@ -8,16 +8,15 @@
 is gone: it starts nothing there and renews no lease, and waits for certain evidence.
 """
 
+from cactuswalk.dispatch.agentcrashes import blamed_handles, mark_all_crashed
 from cactuswalk.dispatch.agentevents import Departed
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import worker_lapse_seconds
-from cactuswalk.dispatch.messages import TaskEnd
 
 __all__ = [
     "drop_worker",
     "forget_if_ended",
     "handle_departure",
-    "mark_all_lost",
     "presume_gone",
     "record_reachable",
 ]
@@ -40,6 +39,9 @@
     if state.presumed_gone == evidence:
         return
     state.presumed_gone = evidence
+    # What the worker started last is known only now: by the time its lease has
+    # expired, the first of its runs have been ended.
+    state.blamed = blamed_handles(list(state.held.values()))
     state.reachable = False
     state.mark_entries_dirty()
     lapses_at = state.renewed_at + worker_lapse_seconds()
@@ -71,6 +73,7 @@
             renewed_ago=round(now - state.renewed_at, 3),
         )
         state.presumed_gone = ""
+        state.blamed = set()
     state.reachable = True
     return True
 
@@ -82,7 +85,7 @@
 
 
 def drop_worker(state: AgentState, reason: str, now: float) -> None:
-    """End all tasks as lost, and wait for the worker's next incarnation.
+    """End all tasks, and wait for the worker's next incarnation.
 
     Only for a worker that has certainly ended, or that holds nothing.
     """
@@ -93,16 +96,11 @@
         held=len(state.held),
         renewed_ago=round(now - state.renewed_at, 3),
     )
-    mark_all_lost(state, reason, now)
+    mark_all_crashed(state, reason, now)
     state.worker = None
     state.has_departed = False
     state.presumed_gone = ""
+    state.blamed = set()
     state.reachable = False
     state.ready_to_start = False
     state.mark_entries_dirty()
-
-
-def mark_all_lost(state: AgentState, reason: str, now: float) -> None:
-    """End all tasks as lost, since their worker has certainly ended."""
-    for held in list(state.held.values()):
-        state.end(held, TaskEnd.LOST, 0, reason, now)
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -40,11 +40,14 @@
     :ivar drained_at: from then on a draining worker is given no tasks.
     :ivar closes_at: from then on this agent, once asked to stop, accepts no tasks; it
         ends by ``stop_by``.
+    :ivar cpu_bound: upper bound of the worker's capacity in thousandths of a core, as a
+        refused start has shown it; infinite after each heartbeat.
     :ivar candidate: a new incarnation of the worker that has not answered a poll yet;
         ``candidate_at`` is when its latest heartbeat came.
     :ivar reachable: the worker answers polls, and has not announced that it leaves.
     :ivar has_departed: the worker has announced that it leaves.
     :ivar presumed_gone: why the worker has perhaps ended; empty if it hasn't.
+    :ivar blamed: handles of the runs that are to blame if it has crashed.
     :ivar ready_to_start: the worker runs nothing of an earlier incarnation of this
         agent.
     :ivar held: accepted starts that have not ended, by handle.
@@ -84,12 +87,14 @@
         self.refresh_at = 0.0
         self.evacuations = NOTHING_EVACUATED
         self.worker: Worker | None = None
+        self.cpu_bound = math.inf
         self.candidate: Worker | None = None
         self.candidate_at = 0.0
         self.announced_at = 0.0
         self.reachable = False
         self.has_departed = False
         self.presumed_gone = ""
+        self.blamed: set[int] = set()
         self.ready_to_start = False
         self.health = WorkerHealth()
         self.held: dict[int, HeldTask] = {}
@@ -132,7 +137,8 @@
             return 0, 0, 0
         starts = [held.start for held in self.held.values()]
         return (
-            self.worker.cpu - sum(start.cpu for start in starts),
+            int(min(self.worker.cpu, self.cpu_bound))
+            - sum(start.cpu for start in starts),
             self.worker.memory_mb - sum(start.memory_mb for start in starts),
             self.worker.gpu - sum(start.gpu for start in starts),
         )
@@ -228,7 +234,13 @@
         self.effects.append(SendMessage(peer.address, ended))
 
     def end(
-        self, held: HeldTask, end: TaskEnd, ran_ms: int, reason: str, now: float
+        self,
+        held: HeldTask,
+        end: TaskEnd,
+        ran_ms: int,
+        reason: str,
+        now: float,
+        blamed: bool = False,
     ) -> None:
         """Remove a start that has ended, and send the end to its entry."""
         del self.held[held.handle]
@@ -247,7 +259,13 @@
         if peer is None or peer.incarnation != held.start.incarnation:
             return
         ended = StartEnded(
-            peer.incarnation, held.start.sequence, end, held.run, ran_ms, reason
+            peer.incarnation,
+            held.start.sequence,
+            end,
+            held.run,
+            ran_ms,
+            reason,
+            blamed,
         )
         self.send_end(peer, ended, now)
 
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -3,6 +3,7 @@
 import math
 
 from cactuswalk.dispatch.agentcalls import raise_token, request_stop
+from cactuswalk.dispatch.agentcrashes import mark_all_crashed
 from cactuswalk.dispatch.agentevents import (
     Announced,
     PollAnswered,
@@ -11,7 +12,6 @@
 )
 from cactuswalk.dispatch.agentgone import (
     drop_worker,
-    mark_all_lost,
     presume_gone,
     record_reachable,
 )
@@ -55,6 +55,7 @@
             state.say("ignored an outdated heartbeat", sequence=worker.sequence)
             return
         state.worker = worker
+        state.cpu_bound = math.inf
         if worker.draining:
             record_draining(state, known.draining, now)
         state.announced_at = now
@@ -79,11 +80,13 @@
         previous=previous,
         held=len(state.held),
     )
-    mark_all_lost(state, "the worker's life ended", now)
+    mark_all_crashed(state, "the worker's life ended", now)
     state.worker = worker
+    state.cpu_bound = math.inf
     state.candidate = None
     state.has_departed = False
     state.presumed_gone = ""
+    state.blamed = set()
     state.announced_at = now
     # A worker that is draining already may have been so for long: it gets no tasks.
     state.leaves_at = now + worker.leaves_in_ms / 1000
