--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -62,9 +62,9 @@
 def reduce(state: EntryState, event: EntryEvent, now: float) -> list[Effect]:
     """Handle an event and return the effects to perform."""
     HANDLERS[type(event)](state, event, now)
-    if state.evacuations_changed:
-        state.evacuations_changed = False
-        _refuse_evacuated(state, now)
+    if state.recheck_requested:
+        state.recheck_requested = False
+        _refuse_unservable(state, now)
     if state.placement_needed:
         state.placement_needed = False
         request_any_agents(state, now)
@@ -105,8 +105,8 @@
             answer_job(state, job, JobVerdict.UNFINISHED, "out of time", now)
 
 
-def _refuse_evacuated(state: EntryState, now: float) -> None:
-    """Refuse waiting jobs whose only possible workers have been evacuated."""
+def _refuse_unservable(state: EntryState, now: float) -> None:
+    """Refuse waiting jobs whose only possible workers are evacuated or have shrunk."""
     for job in list(state.jobs.values()):
         reason = (
             ""
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -75,6 +75,8 @@
             trial=report.trial,
             pace=report.pace,
         )
+    same_worker = report.worker == view.report.worker
+    state.recheck_requested |= same_worker and report.cpu < view.report.cpu
     # Most reports bring no capacity for a waiting task, and a placement round visits
     # every agent.
     state.placement_needed |= view.update_report(report, now)
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -138,7 +138,7 @@
     state.evacuations = evacuations
     if evacuations.data_centres == was.data_centres:
         return
-    state.evacuations_changed = state.placement_needed = True
+    state.recheck_requested = state.placement_needed = True
     state.observe("evacuations_changed")
     state.say(
         "the evacuated data centres have changed",
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -46,6 +46,7 @@
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
+    :ivar recheck_requested: waiting jobs may fit no known worker any more.
     :ivar ticked_at: when the periodic timer fired last.
     """
 
@@ -81,7 +82,7 @@
         self.next_sequence = 1
         self.stop_at = 0.0
         self.placement_needed = False
-        self.evacuations_changed = False
+        self.recheck_requested = False
         self.keepalive_sent_at: dict[str, float] = {}
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
