--- a/features/steps/dispatch_leaving_steps.py
+++ b/features/steps/dispatch_leaving_steps.py
@@ -118,9 +118,9 @@
 @then("no run was stopped or lost")
 def step_none_stopped(context):
     for fleet, _ in context.plays:
-        assert not find_ended_runs(fleet, "stopped", "lost"), find_ended_runs(
-            fleet, "stopped", "lost"
-        )[0]
+        assert not find_ended_runs(fleet, "stopped", "lost", "crashed"), (
+            find_ended_runs(fleet, "stopped", "lost", "crashed")[0]
+        )
 
 
 @then("at most {count:d} runs were lost with their workers")
@@ -130,8 +130,8 @@
     ]
     assert any(line["reason"] == STOPPED_REASON for line in stopped)
     for fleet, _ in context.plays:
-        assert len(find_ended_runs(fleet, "lost")) <= count, len(
-            find_ended_runs(fleet, "lost")
+        assert len(find_ended_runs(fleet, "lost", "crashed")) <= count, len(
+            find_ended_runs(fleet, "lost", "crashed")
         )
 
 
