--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -77,8 +77,7 @@
     poll_if_due(state, now)
     check_if_requested(state, now)
     report_if_dirty(state, now)
-    effects, state.effects = state.effects, []
-    return effects
+    return state.take_effects()
 
 
 def _tick(state: AgentState, _: Tick, now: float) -> None:
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -8,7 +8,6 @@
 from cactuswalk.dispatch.agentmembers import update_members
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS
-from cactuswalk.dispatch.effects import SendMessage
 from cactuswalk.dispatch.leaving import can_finish_in_time
 from cactuswalk.dispatch.messages import Keepalive, Start, StartEnded, Stop, TaskEnd
 
@@ -245,9 +244,7 @@
         for sequence, told_at in peer.end_sent_at.items():
             if now - told_at >= END_RESEND_SECONDS:
                 peer.end_sent_at[sequence] = now
-                state.effects.append(
-                    SendMessage(peer.address, peer.pending_ends[sequence])
-                )
+                state.send(peer.address, peer.pending_ends[sequence])
 
 
 def _milliseconds(now: float) -> int:
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -7,7 +7,6 @@
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentleases import renewal_seconds
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.effects import SendMessage
 from cactuswalk.dispatch.messages import Report
 
 __all__ = ["report_if_dirty"]
@@ -36,7 +35,7 @@
         peer.dirty = peer.urgent = False
         peer.reported_at = now
         report = _address(general, peer, held.get(peer.address, []), now)
-        state.effects.append(SendMessage(peer.address, report))
+        state.send(peer.address, report)
 
 
 def _has_waited(state: AgentState, peer: EntryPeer, now: float) -> bool:
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -3,15 +3,10 @@
 import math
 
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldTask
-from cactuswalk.dispatch.effects import (
-    Effect,
-    Observe,
-    Say,
-    SendMessage,
-)
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED, Evacuations
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import StartEnded, TaskEnd
+from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.dispatch.soundness import (
     WorkerHealth,
 )
@@ -23,7 +18,7 @@
 CLOSE_DELAY_SECONDS = 0.1
 
 
-class AgentState:
+class AgentState(ReducerState):
     """State of one agent.
 
     :param incarnation: identifies this run of the process.
@@ -58,7 +53,6 @@
     :ivar renewed_at: when the worker's lease was renewed last.
     :ivar renewal_withheld: the worker's lease is not renewed, so that a run ends.
     :ivar entries_asked_at: when the store was asked for the entries last.
-    :ivar ticked_at: when the periodic timer fired last.
     """
 
     def __init__(
@@ -71,6 +65,7 @@
         grace_seconds: float,
         drain_seconds: float,
     ) -> None:
+        super().__init__()
         self.incarnation = incarnation
         self.token = token
         self.seeds = list(seeds)
@@ -115,8 +110,6 @@
         self.answered_at = 0.0
         self.stopping = False
         self.entries_asked_at = 0.0
-        self.ticked_at = math.inf
-        self.effects: list[Effect] = []
 
     def is_idle(self, now: float) -> bool:
         """Return whether all runs have ended and every reachable entry knows the ends.
@@ -208,18 +201,6 @@
             return False
         return self.health.can_try(now)
 
-    def say(self, sentence: str, **fields: object) -> None:
-        """Add a log line to the effects."""
-        self.effects.append(Say(sentence, fields))
-
-    def say_debug(self, sentence: str, **fields: object) -> None:
-        """Add a log line that is written only at the level ``debug``."""
-        self.effects.append(Say(sentence, fields, "debug"))
-
-    def observe(self, name: str, label: str = "", seconds: float | None = None) -> None:
-        """Add a metric to the effects: count an event, or record a duration."""
-        self.effects.append(Observe(name, label, seconds))
-
     def mark_entries_dirty(self) -> None:
         """Have a report sent to every entry once its report interval has passed."""
         for peer in self.entries.values():
@@ -231,7 +212,7 @@
         peer.pending_ends[ended.sequence] = ended
         peer.end_sent_at[ended.sequence] = now
         peer.urgent = True
-        self.effects.append(SendMessage(peer.address, ended))
+        self.send(peer.address, ended)
 
     def end(
         self,
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -76,8 +76,7 @@
         if state.waiting_jobs():
             place_tasks(state, now)
             request_capacity(state, now)
-    effects, state.effects = state.effects, []
-    return effects
+    return state.take_effects()
 
 
 def _detect_pause(state: EntryState, now: float) -> None:
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -4,7 +4,6 @@
 
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
-from cactuswalk.dispatch.effects import Effect, Observe, Say, SendMessage
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED
 from cactuswalk.dispatch.job import TaskKey
@@ -12,6 +11,7 @@
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Stop
 from cactuswalk.dispatch.overflow import CapacitySearch
+from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.dispatch.routing import Queues
 
 __all__ = ["READY_HEARD_SECONDS", "EntryState"]
@@ -32,7 +32,7 @@
 MAX_QUEUED_SECONDS = 5.0
 
 
-class EntryState:
+class EntryState(ReducerState):
     """The state of one entry.
 
     :param address: this entry's, for messages.
@@ -49,7 +49,6 @@
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
-    :ivar ticked_at: when the periodic timer fired last.
     :ivar handled_at: when an event was handled last.
     :ivar resumed_at: when the last pause of this process ended.
     """
@@ -63,6 +62,7 @@
         far_factor: float,
         grace_seconds: float,
     ) -> None:
+        super().__init__()
         self.address = address
         self.incarnation = incarnation
         self.data_centre = data_centre
@@ -91,10 +91,8 @@
         self.keepalive_sent_at: dict[str, float] = {}
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
-        self.ticked_at = math.inf
         self.handled_at = math.inf
         self.resumed_at = -math.inf
-        self.effects: list[Effect] = []
 
     @property
     def version(self) -> int:
@@ -182,22 +180,6 @@
         )
         return waiting / capacity if capacity > 0 else MAX_QUEUED_SECONDS
 
-    def send(self, address: str, message) -> None:
-        """Emit the effect that sends a message."""
-        self.effects.append(SendMessage(address, message))
-
-    def say(self, sentence: str, **fields: object) -> None:
-        """Emit the effect that writes a log line."""
-        self.effects.append(Say(sentence, fields))
-
-    def say_debug(self, sentence: str, **fields: object) -> None:
-        """Emit the effect that writes a log line at the level ``debug``."""
-        self.effects.append(Say(sentence, fields, "debug"))
-
-    def observe(self, name: str, label: str = "", seconds: float | None = None) -> None:
-        """Emit the effect that counts an event, or records a duration."""
-        self.effects.append(Observe(name, label, seconds))
-
     def send_stop(self, view: AgentView, placed: PlacedTask, now: float) -> None:
         """Ask an agent to stop the task of a start."""
         placed.stop_sent_at = now
--- a/src/cactuswalk/dispatch/pauses.py
+++ b/src/cactuswalk/dispatch/pauses.py
@@ -4,7 +4,7 @@
 meanwhile are handled late.
 """
 
-from typing import Protocol
+from cactuswalk.dispatch.reducerstate import ReducerState
 
 __all__ = ["log_pause"]
 
@@ -12,16 +12,7 @@
 LOGGED_PAUSE_SECONDS = 0.25
 
 
-class Ticking(Protocol):
-    """State of a reducer that handles a periodic tick."""
-
-    ticked_at: float
-
-    def say(self, sentence: str, **fields: object) -> None:
-        """Add a log line to the effects."""
-
-
-def log_pause(state: Ticking, now: float) -> None:
+def log_pause(state: ReducerState, now: float) -> None:
     """Log that the periodic tick comes late, and by how much."""
     paused = now - state.ticked_at
     state.ticked_at = now
--- /dev/null
+++ b/src/cactuswalk/dispatch/reducerstate.py
@@ -0,0 +1,40 @@
+"""What the states of the entry's and the agent's reducers have in common."""
+
+import math
+
+from cactuswalk.dispatch.effects import Effect, Observe, Say, SendMessage
+from cactuswalk.dispatch.messages import Message
+
+__all__ = ["ReducerState"]
+
+
+class ReducerState:
+    """Collects the effects of an event, until the reducer returns them.
+
+    :ivar ticked_at: when the periodic timer fired last.
+    """
+
+    def __init__(self) -> None:
+        self.effects: list[Effect] = []
+        self.ticked_at = math.inf
+
+    def take_effects(self) -> list[Effect]:
+        """Return the collected effects, and collect anew."""
+        effects, self.effects = self.effects, []
+        return effects
+
+    def send(self, address: str, message: Message) -> None:
+        """Send a message to a process."""
+        self.effects.append(SendMessage(address, message))
+
+    def say(self, sentence: str, **fields: object) -> None:
+        """Write a log line: a sentence and the values that led to it."""
+        self.effects.append(Say(sentence, fields))
+
+    def say_debug(self, sentence: str, **fields: object) -> None:
+        """Write a log line at the level ``debug``."""
+        self.effects.append(Say(sentence, fields, "debug"))
+
+    def observe(self, name: str, label: str = "", seconds: float | None = None) -> None:
+        """Count an event, or record a duration."""
+        self.effects.append(Observe(name, label, seconds))
