--- a/features/support/reboots.py
+++ b/features/support/reboots.py
@@ -21,7 +21,7 @@
 
     :ivar offsets: difference between a host's clock and the fleet's, by process.
     :ivar held_links: links whose messages the network holds up, as pairs of sender and
-        receiver; ``held_up`` has these messages, by link.
+        receiver; ``late_messages`` has these messages, by link.
     """
 
     def __init__(self, entries, workers, seed=1):
@@ -29,9 +29,12 @@
         names += [f"a{number}" for number in range(workers)]
         self.offsets = dict.fromkeys(names, UP_SECONDS)
         self.held_links = set()
-        self.held_up = {}
+        self.late_messages = {}
         super().__init__(entries, workers, seed)
 
+    def clock(self, name):
+        return self.now + self.offsets[name]
+
     def deliver(self, name, event):
         state = self.states[name]
         if name in self.dead:
@@ -40,11 +43,11 @@
         if self.now < wakes:
             self.at(wakes - self.now, lambda: self.deliver_if_same(name, state, event))
             return
-        offset = self.offsets[name]
+        now, offset = self.clock(name), self.offsets[name]
         if isinstance(event, PollAnswered):
             event = msgspec.structs.replace(event, sent_at=event.sent_at + offset)
         role = agent if name in self.workers else entry
-        for effect in role.reduce(state, event, self.now + offset):
+        for effect in role.reduce(state, event, now):
             self.perform(name, state, effect)
 
     def send(self, sender, address, message):
@@ -52,7 +55,7 @@
         # Later changes of the sender's copy don't reach what has been sent.
         message = msgspec.structs.replace(message)
         if link in self.held_links:
-            self.held_up.setdefault(link, []).append(message)
+            self.late_messages.setdefault(link, []).append(message)
             return
         super().send(sender, address, message)
 
@@ -80,7 +83,7 @@
         """Deliver what the network has held up on a link; keep it for a repeat."""
         sender, address = link
         received = AgentReceived if address in self.workers else Received
-        for message in self.held_up.get(link, []):
+        for message in self.late_messages.get(link, []):
             self.deliver(address, received(sender, message))
 
 
@@ -134,12 +137,12 @@
 
     def hold_up(self):
         link = self.generator.choice(self.links())
-        self.fleet.held_up.pop(link, None)
+        self.fleet.late_messages.pop(link, None)
         self.fleet.held_links.add(link)
         span = self.generator.uniform(0.01, 0.4)
         self.fleet.at(span, lambda: self.fleet.held_links.discard(link))
 
     def arrive_late(self):
-        held_up = sorted(self.fleet.held_up)
-        if held_up:
-            self.fleet.arrive_late(self.generator.choice(held_up))
+        late_messages = sorted(self.fleet.late_messages)
+        if late_messages:
+            self.fleet.arrive_late(self.generator.choice(late_messages))
