Poll a worker that has not answered, also when it holds nothing

What callers saw: capacity that was gone until a worker or its agent restarted, after an event as short as a second; jobs refused or late. Cause: a worker that is silent until its runs have lapsed has no runs and no unacknowledged ends, so nothing polled it, and only an answered poll has it used again. Its heartbeats, which went on, kept it from being dropped. Evidence: 'A worker that was silent for as long as its runs is used again' fails without the change.

--- a/features/dispatch_recovery.feature
+++ b/features/dispatch_recovery.feature
@@ -102,3 +102,12 @@
     And a0's worker turns 8 times slower after 1 seconds
     And the fleet runs on for 1.2 seconds
     Then a0 has detected that its worker is slow
+
+  Scenario: A worker that was silent for as long as its runs is used again
+    Its runs have ended with their lease, so that the agent has no reason to poll it. Only
+    an answered poll shows that it is well; without one, its capacity is lost for good.
+    Given a fleet of 1 entries and 1 workers
+    When a job of 1 tasks of 5 seconds comes to e0
+    And a0's worker is cut off after 0.3 seconds
+    And it answers again 1 second later
+    Then its agent takes tasks within 0.2 seconds
--- a/features/steps/dispatch_recovery_steps.py
+++ b/features/steps/dispatch_recovery_steps.py
@@ -122,3 +122,17 @@
     context.fleet.run(after)
     for name in context.fleet.workers:
         context.fleet.start_agent(name)
+
+
+@when("it answers again {after:g} second later")
+def step_answers_again(context, after):
+    context.fleet.run(after)
+    context.fleet.workers["a0"].cut = False
+
+
+@then("its agent takes tasks within {seconds:g} seconds")
+def step_takes_tasks(context, seconds):
+    fleet = context.fleet
+    assert not fleet.states["a0"].held, "the run has not ended with its lease"
+    fleet.run(seconds)
+    assert fleet.states["a0"].is_open(fleet.now)
--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -28,13 +28,21 @@
 
 
 def poll_if_due(state: AgentState, now: float) -> None:
-    """Poll the worker if it has runs, unacknowledged ends or unknown runs."""
+    """Poll the worker if it has runs, unacknowledged ends or unknown runs.
+
+    One that has not answered is polled too: only an answer has it used again, and a
+    worker that was silent for as long as its last runs may be well since.
+    """
     if state.worker is None or state.poll_pending or now < state.poll_not_before:
         return
     if state.held and state.ready_to_start:
         # This also acknowledges the ends that the last poll listed.
         poll(state, now, _wait_seconds(state, now))
-    elif not state.ready_to_start or state.highest_end > state.acknowledged_end:
+    elif (
+        not state.reachable
+        or not state.ready_to_start
+        or state.highest_end > state.acknowledged_end
+    ):
         poll(state, now, 0.0)
 
 
