An agent's new incarnation ignores stops of starts that the earlier one got

What callers saw: a job that comes back within half a second of an agent's restart ran twice at once. Cause: the new incarnation answered a stop with 'declined', which tells the entry that the task never ran; the earlier one may have accepted it, and its run goes on at the worker until it is found or its lease ends. Found by the reviewer.

--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -41,8 +41,9 @@
     if peer is None:
         return
     peer.entry_stamp = max(peer.entry_stamp, keepalive.entry_stamp)
-    for sequence in keepalive.stopped:
-        _stop_start(state, peer, sequence, now)
+    if keepalive.agent_incarnation == state.incarnation:
+        for sequence in keepalive.stopped:
+            _stop_start(state, peer, sequence, now)
     state.apply_evacuations(keepalive.evacuations, sender)
     peer.data_centre = keepalive.data_centre
     for sequence in keepalive.acknowledged:
@@ -212,7 +213,7 @@
 
 def _handle_stop(state: AgentState, sender: str, request: Stop, now: float) -> None:
     peer = _refresh_peer(state, sender, request.incarnation, -1, now)
-    if peer is not None:
+    if peer is not None and request.agent_incarnation == state.incarnation:
         _stop_start(state, peer, request.sequence, now)
 
 
--- a/src/cactuswalk/dispatch/entrykeepalives.py
+++ b/src/cactuswalk/dispatch/entrykeepalives.py
@@ -62,11 +62,21 @@
         int(now * 1000),
         # A keepalive renews the lease of all starts here. If a stop were lost and
         # keepalives arrived, the agent would run its task on.
-        [number for number, placed in view.placed.items() if placed.task is None],
+        _stopped_sequences(view),
     )
     state.send(view.address, keepalive)
 
 
+def _stopped_sequences(view: AgentView) -> list[int]:
+    """Return the starts at an agent's current incarnation that are to be stopped."""
+    return [
+        sequence
+        for sequence, placed in view.placed.items()
+        if placed.task is None
+        and placed.start.agent_incarnation == view.report.incarnation
+    ]
+
+
 def _needs_members(state: EntryState, view: AgentView, now: float) -> bool:
     """Return whether an agent has not confirmed the current list of entries.
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -183,4 +183,6 @@
     def send_stop(self, view: AgentView, placed: PlacedTask, now: float) -> None:
         """Ask an agent to stop the task of a start."""
         placed.stop_sent_at = now
-        self.send(view.address, Stop(self.incarnation, placed.start.sequence))
+        start = placed.start
+        stop = Stop(self.incarnation, start.sequence, start.agent_incarnation)
+        self.send(view.address, stop)
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -149,10 +149,15 @@
 
 
 class Stop(msgspec.Struct, array_like=True, tag=4):
-    """Stop the task of a start; ``StartEnded`` follows in any case."""
+    """Stop the task of a start; ``StartEnded`` follows.
+
+    Another incarnation of the agent than the one that got the start ignores it: it
+    doesn't know whether that one has accepted the start.
+    """
 
     incarnation: str
     sequence: int
+    agent_incarnation: str
 
 
 class StartEnded(msgspec.Struct, array_like=True, tag=5):
