An agent starts no second run of a task that it holds

What callers saw: two runs of a task on one worker, when a job came to another entry while its first run there was being stopped; and an agent that ended with a KeyError when a late message of a dead entry had reset what it knew of the live one, and a start came again. Cause: the agent only logged that it held another run. Change: it declines the start, and ignores a copy of one that it holds.

--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -123,6 +123,10 @@
     peer = _refresh_peer(state, sender, start.incarnation, returned_stamp, now)
     if peer is None or start.sequence <= peer.last_sequence:
         return
+    if (start.incarnation, start.sequence) in state.by_sequence:
+        # A repeated copy, after a message of another incarnation of the entry has reset
+        # what is known of this one.
+        return
     if start.agent_incarnation != state.incarnation:
         # Another copy of it may have been accepted by that incarnation, and its run may
         # go on. The entry ends the start when it learns of this incarnation.
@@ -156,20 +160,14 @@
 
 def _log_accepted_start(state: AgentState, held: HeldTask, now: float) -> None:
     start = held.start
-    fields = held.log_fields() | {
-        "entry": held.entry,
-        "sequence": start.sequence,
-        "worker": start.worker,
-        "stamp_age_ms": _milliseconds(now) - start.stamp,
-    }
-    state.say_debug("accepted a start", **fields)
-    others = [
-        other.log_fields() | {"entry": other.entry, "state": other.state.value}
-        for other in state.held.values()
-        if other.start.key == start.key and other is not held
-    ]
-    if others:
-        state.say("holds another run of a started task", **fields, others=others)
+    state.say_debug(
+        "accepted a start",
+        **held.log_fields(),
+        entry=held.entry,
+        sequence=start.sequence,
+        worker=start.worker,
+        stamp_age_ms=_milliseconds(now) - start.stamp,
+    )
 
 
 def _decline_reason(state: AgentState, start: Start, now: float) -> str:
@@ -183,6 +181,8 @@
         return "its data centre is evacuated"
     if not state.is_open(now) or start.worker != state.worker.identifier:
         return "the worker takes nothing"
+    if any(held.start.key == start.key for held in state.held.values()):
+        return "another run of the task has not ended"
     if not can_start(state, _expected_ms(state, start), now):
         return "a stop at the worker is not confirmed"
     if not can_finish_in_time(
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -225,7 +225,7 @@
     ) -> None:
         """Remove a start that has ended, and send the end to its entry."""
         del self.held[held.handle]
-        del self.by_sequence[(held.start.incarnation, held.start.sequence)]
+        self.by_sequence.pop((held.start.incarnation, held.start.sequence), None)
         self.mark_entries_dirty()
         self.observe("ended", end.name.lower())
         if end not in (TaskEnd.DONE, TaskEnd.DECLINED):
