An entry that waits after a pause is not ready

Change: while it waits it takes no new callers. Evidence: 'An entry that waits after a pause takes no new callers' fails without.

--- a/features/dispatch_resuming.feature
+++ b/features/dispatch_resuming.feature
@@ -31,3 +31,11 @@
     When a caller that waits for 1 second submits a job to e0
     And the end of its task is the first event after its time
     Then the job is not placed again
+
+  Scenario: An entry that waits after a pause takes no new callers
+    If it pauses again and again it places nothing, and its callers are better off at
+    another entry.
+    Given a fleet of 1 entries and 1 workers
+    When e0 freezes for 0.6 seconds after 0.1 seconds
+    And the fleet runs on for 0.7 seconds
+    Then e0 is not ready, and ready 0.3 seconds later
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -14,9 +14,9 @@
     agentleases,
     agentview,
     agentworker,
-    entry,
     entrykeepalives,
     entryplacing,
+    entrystate,
     placement,
 )
 from cactuswalk.dispatch.bounds import (
@@ -79,7 +79,7 @@
         "_is_newer",
         lambda *arguments: True,
     ),
-    "the wait after a pause": (entry, "RESUME_SECONDS", 0.0),
+    "the wait after a pause": (entrystate, "RESUME_SECONDS", 0.0),
 }
 
 
--- a/features/steps/dispatch_resuming_steps.py
+++ b/features/steps/dispatch_resuming_steps.py
@@ -90,3 +90,11 @@
         effect.message for effect in context.effects if isinstance(effect, SendMessage)
     ]
     assert not any(isinstance(message, Start) for message in messages), messages
+
+
+@then("e0 is not ready, and ready {seconds:g} seconds later")
+def step_ready_later(context, seconds):
+    fleet = context.fleet
+    assert not fleet.states["e0"].is_ready(fleet.now)
+    fleet.run(seconds)
+    assert fleet.states["e0"].is_ready(fleet.now)
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -70,7 +70,7 @@
     if state.recheck_requested:
         state.recheck_requested = False
         _refuse_unservable(state, now)
-    if state.placement_needed and now - state.resumed_at >= RESUME_SECONDS:
+    if state.placement_needed and not state.waits_after_pause(now):
         state.placement_needed = False
         request_any_agents(state, now)
         if state.waiting_jobs():
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -4,6 +4,7 @@
 
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
+from cactuswalk.dispatch.bounds import RESUME_SECONDS
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED
 from cactuswalk.dispatch.job import TaskKey
@@ -105,7 +106,13 @@
 
     def is_ready(self, now: float) -> bool:
         """Return whether this entry should get new callers."""
-        return self.queues is not None and not self.stop_at and self.has_live_agent(now)
+        if self.queues is None or self.stop_at or self.waits_after_pause(now):
+            return False
+        return self.has_live_agent(now)
+
+    def waits_after_pause(self, now: float) -> bool:
+        """Return whether no task may be placed yet, since this process was paused."""
+        return now - self.resumed_at < RESUME_SECONDS
 
     def has_live_agent(self, now: float) -> bool:
         """Return whether any agent has reported recently."""
