--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -105,6 +105,7 @@
         self.drift = 0.0
         self.larger_cpu = cpu
         self.shrunk_at = -math.inf
+        self.back_at = -math.inf
         self.draining = False
         self.leaves_in_ms = 0
         self.sequence = 0
@@ -147,11 +148,13 @@
         """Crash, and come back as a new incarnation after some seconds."""
         self.crash()
         self.up, self.refuses = False, refuses
-        incarnation = self.incarnation
-        self.fleet.at(seconds, lambda: self.come_back(incarnation))
+        back_at = self.fleet.now + seconds
+        self.back_at = max(self.back_at, back_at)
+        self.fleet.at(seconds, lambda: self.come_back(back_at))
 
-    def come_back(self, incarnation):
-        if self.incarnation == incarnation:
+    def come_back(self, back_at):
+        """Come back, unless a later crash takes longer."""
+        if not self.up and back_at >= self.back_at:
             self.up, self.refuses, self.announces = True, False, True
             self.fleet.announce(self.name)
 
