A pause before an entry's first event is a pause too

What callers saw: two runs at once when an entry was frozen while it started, with callers in its backlog that had gone elsewhere. Cause: the time of the last event was infinite before the first. Change: it is the start of the process.

--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -85,3 +85,31 @@
     And the fleet runs on for 8 seconds
     Then no task has run twice at once
     And the job is completed at e0
+
+  Scenario: A caller comes back at once while its task's agent has just restarted
+    The agent's new incarnation is asked to stop a start that the earlier one accepted. If
+    it answered that the task never ran, the entry would place it again while the first
+    run still goes on at the worker.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 1 tasks of 2 seconds comes to e0
+    And after 0.5 seconds the agent that runs its task is replaced, and the caller leaves
+    And the same job comes to e0 0.2 seconds later
+    Then no task has run twice at once
+
+  Scenario: An entry is paused before it has handled anything
+    A process that is frozen while it starts has callers in its backlog that have gone
+    elsewhere since. It must take that for a pause too.
+    Given a fleet of 2 entries and 2 workers
+    When e0 is started again, frozen for 2 seconds
+    And a caller of e0 leaves before that, and comes to e1 1.3 seconds later
+    Then no task has run twice at once
+
+  Scenario: An agent is sent a task of which it holds a run that is being stopped
+    Nothing reaches its worker. A second run beside the first is two at once on one worker.
+    Given a fleet of 2 entries and 1 workers
+    When a job of 1 tasks of 2 seconds comes to e0
+    And all stop calls are lost
+    And the caller of e0 leaves after 0.3 seconds
+    And the same job comes to e1 0.2 seconds later
+    Then no task has run twice at once
+    And the job is completed at e1
--- a/features/steps/dispatch_twice_steps.py
+++ b/features/steps/dispatch_twice_steps.py
@@ -3,6 +3,7 @@
 from behave import when
 
 from cactuswalk.dispatch.effects import StopTask
+from features.support.fleet import JOB
 from features.support.fleetworker import CallFaults
 
 
@@ -94,3 +95,45 @@
     fleet.reboot(agent, seconds)
     # Its next incarnation is given tasks once the earlier one's leases have expired.
     fleet.run(late - 0.6)
+
+
+@when(
+    "after {after:g} seconds the agent that runs its task is replaced, and the caller"
+    " leaves"
+)
+def step_replace_agent(context, after):
+    fleet = context.fleet
+    fleet.run(after)
+    agent = fleet.starts[0][3]
+    fleet.kill(agent)
+    fleet.run(0.01)
+    fleet.start_agent(agent)
+    fleet.run(0.001)
+    fleet.leave("e0", context.waiters["e0"])
+
+
+@when("{name:w} is started again, frozen for {seconds:g} seconds")
+def step_start_frozen(context, name, seconds):
+    fleet = context.fleet
+    fleet.kill(name)
+    fleet.run(0.1)
+    fleet.freeze(name, seconds)
+    fleet.start_entry(name, "d0")
+
+
+@when("a caller of e0 leaves before that, and comes to e1 {after:g} seconds later")
+def step_early_caller(context, after):
+    fleet = context.fleet
+    fleet.run(0.1)
+    waiter = fleet.submit("e0", JOB, 1, seconds=2.0)
+    fleet.run(0.1)
+    fleet.leave("e0", waiter)
+    fleet.run(after)
+    fleet.submit("e1", JOB, 1, seconds=2.0)
+    fleet.run(4.0)
+
+
+@when("the caller of e0 leaves after {after:g} seconds")
+def step_caller_leaves(context, after):
+    context.fleet.run(after)
+    context.fleet.leave("e0", context.waiters["e0"])
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -157,6 +157,7 @@
             1.5,
             GRACE_SECONDS,
         )
+        state.handled_at = self.clock(name)
         self.states[name] = state
         self.deliver(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
         self.at(0.0, lambda: self.tick(name, state))
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -50,7 +50,8 @@
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
-    :ivar handled_at: when an event was handled last.
+    :ivar handled_at: when an event was handled last; before the first, when the process
+        started.
     :ivar resumed_at: when the last pause of this process ended.
     """
 
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -93,6 +93,8 @@
             settings.far_factor,
             settings.grace_seconds,
         )
+        # A pause before the first event counts as well.
+        self.state.handled_at = read_boottime()
         self.runtime = DispatchRuntime(
             settings,
             Part.ENTRY,
