--- a/features/steps/dispatch_incarnations_steps.py
+++ b/features/steps/dispatch_incarnations_steps.py
@@ -64,7 +64,7 @@
 @when("the messages held up from {one:w} to {other:w} arrive after {seconds:g} seconds")
 def step_arrive_late(context, one, other, seconds):
     context.fleet.run(seconds)
-    assert context.fleet.held_up[one, other], "nothing was held up"
+    assert context.fleet.late_messages[one, other], "nothing was held up"
     context.fleet.arrive_late((one, other))
 
 
