--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -21,7 +21,7 @@
 
     STARTING = "starting"
     RUNNING = "running"
-    UNCONFIRMED = "doubtful"
+    UNCONFIRMED = "unconfirmed"
     STOPPING = "stopping"
 
 
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -116,7 +116,7 @@
         "if True:\n        held.state = HeldState.UNCONFIRMED\n        request_stop",
     ),
     SourceChange(
-        "a check after a doubtful start was stopped",
+        "a check after an unconfirmed start was stopped",
         f"{DISPATCH}/agentcalls.py",
         "state.check_requested |= held.state is HeldState.UNCONFIRMED",
         "pass",
