--- a/src/cactuswalk/dispatch/agentcrashes.py
+++ b/src/cactuswalk/dispatch/agentcrashes.py
@@ -2,7 +2,7 @@
 
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.messages import Start, TaskEnd
+from cactuswalk.dispatch.messages import TaskEnd
 
 __all__ = ["blamed_handles", "end_lapsed", "has_suspect", "mark_all_crashed"]
 
@@ -64,11 +64,6 @@
     return held.state in (HeldState.STARTING, HeldState.UNCONFIRMED)
 
 
-def has_suspect(state: AgentState, start: Start | None = None) -> bool:
-    """Return whether a task is held that is suspected of crashing workers.
-
-    :param start: one that would be a second such task, else any.
-    """
-    if start is not None and not start.is_suspect:
-        return False
+def has_suspect(state: AgentState) -> bool:
+    """Return whether a task is held that is suspected of crashing workers."""
     return any(held.start.is_suspect for held in state.held.values())
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -191,7 +191,7 @@
         return "the worker leaves too soon"
     if state.health.is_restricted and not state.can_try(now):
         return "the worker is on trial"
-    if has_suspect(state, start):
+    if start.is_suspect and has_suspect(state):
         return "another suspected task runs there"
     cpu, memory_mb, gpu = state.free_resources()
     if start.cpu > cpu or start.memory_mb > memory_mb or start.gpu > gpu:
--- a/src/cactuswalk/dispatch/agentgone.py
+++ b/src/cactuswalk/dispatch/agentgone.py
@@ -49,10 +49,8 @@
         held.expires_at = held.expires_at or lapses_at
     state.say(
         "the worker is presumed gone",
-        worker=state.worker.identifier,
+        **_worker_fields(state, now),
         evidence=evidence,
-        held=len(state.held),
-        renewed_ago=round(now - state.renewed_at, 3),
         lease_left=round(max(0.0, lapses_at - now), 3),
     )
 
@@ -67,13 +65,10 @@
     if state.presumed_gone:
         state.say(
             "the worker was not gone",
-            worker=state.worker.identifier,
+            **_worker_fields(state, now),
             evidence=state.presumed_gone,
-            held=len(state.held),
-            renewed_ago=round(now - state.renewed_at, 3),
         )
-        state.presumed_gone = ""
-        state.blamed = set()
+        state.clear_presumption()
     state.reachable = True
     return True
 
@@ -89,18 +84,20 @@
 
     Only for a worker that has certainly ended, or that holds nothing.
     """
-    state.say(
-        "the worker is gone",
-        worker=state.worker.identifier,
-        reason=reason,
-        held=len(state.held),
-        renewed_ago=round(now - state.renewed_at, 3),
-    )
+    state.say("the worker is gone", **_worker_fields(state, now), reason=reason)
     mark_all_crashed(state, reason, now)
     state.worker = None
     state.has_departed = False
-    state.presumed_gone = ""
-    state.blamed = set()
+    state.clear_presumption()
     state.reachable = False
     state.ready_to_start = False
     state.mark_entries_dirty()
+
+
+def _worker_fields(state: AgentState, now: float) -> dict[str, object]:
+    """Return log fields on the worker: what it held, and the age of its lease."""
+    return {
+        "worker": state.worker.identifier,
+        "held": len(state.held),
+        "renewed_ago": round(now - state.renewed_at, 3),
+    }
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -201,6 +201,11 @@
             return False
         return self.health.can_try(now)
 
+    def clear_presumption(self) -> None:
+        """Forget why the worker was presumed gone."""
+        self.presumed_gone = ""
+        self.blamed = set()
+
     def mark_entries_dirty(self) -> None:
         """Have a report sent to every entry once its report interval has passed."""
         for peer in self.entries.values():
@@ -225,7 +230,7 @@
     ) -> None:
         """Remove a start that has ended, and send the end to its entry."""
         del self.held[held.handle]
-        self.by_sequence.pop((held.start.incarnation, held.start.sequence), None)
+        del self.by_sequence[(held.start.incarnation, held.start.sequence)]
         self.mark_entries_dirty()
         self.observe("ended", end.name.lower())
         if end not in (TaskEnd.DONE, TaskEnd.DECLINED):
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -85,8 +85,7 @@
     state.cpu_bound = math.inf
     state.candidate = None
     state.has_departed = False
-    state.presumed_gone = ""
-    state.blamed = set()
+    state.clear_presumption()
     state.announced_at = now
     # A worker that is draining already may have been so for long: it gets no tasks.
     state.leaves_at = now + worker.leaves_in_ms / 1000
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -38,9 +38,9 @@
     """How a start ended at its agent.
 
     DECLINED: the task never ran. FAILED: it ran and failed. LOST: it ended with its
-    worker or its lease, or its start never arrived. STOPPED: it was stopped, or never
-    began and will not. CRASHED: its worker has crashed, or has been silent for so long
-    that its leases have expired.
+    worker or its lease, or its start never arrived. STOPPED: it was stopped, or has not
+    started and can't start any more. CRASHED: its worker has crashed, or was silent
+    until its lease expired.
     """
 
     DONE = 0
