--- a/features/steps/dispatch_gone_steps.py
+++ b/features/steps/dispatch_gone_steps.py
@@ -13,7 +13,7 @@
 from cactuswalk.platform.worker import WorkerClient
 from features.steps.dispatch_twice_steps import find_busy_worker
 from features.support.fleet import JOB
-from features.support.fleetsearch import SearchDay
+from features.support.fleetsearch import play_days
 from features.support.fleetworker import CallFaults
 
 DAY_SECONDS = 12
@@ -21,10 +21,7 @@
 
 @then('days {first:d} to {last:d} of the mix "{mix}" keep every guarantee')
 def step_days_of_mix(context, first, last, mix):
-    for seed in range(first, last + 1):
-        day = SearchDay(seed, mix)
-        day.play(DAY_SECONDS)
-        assert not day.is_broken(), f"seed {seed}: {day.summary()}"
+    play_days(first, last, mix, DAY_SECONDS)
 
 
 @then("no task has run twice")
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -105,10 +105,6 @@
             mock.patch.object(agent, "expire_entries", lambda state, now: None),
             NO_LIMIT_ON_RENEWALS,
         ]
-    if safeguard == "the limit on renewals for runs that are to end":
-        return [NO_LIMIT_ON_RENEWALS]
-    if safeguard == "the limit on renewals for runs that an entry wants stopped":
-        return [mock.patch.object(agententries, "limit_run", lambda *arguments: None)]
     if safeguard == "a stop before an unconfirmed start is abandoned":
         return [mock.patch.object(agentcalls, "_mark_unconfirmed", abandon_start)]
     if safeguard == "stopping the runs of an agent's earlier incarnation":
@@ -119,11 +115,11 @@
                 agentview.AgentView, "is_out_of_date", lambda *arguments: False
             )
         ]
-    return make_lost_stop_patches(safeguard)
+    return make_other_patches(safeguard)
 
 
-def make_lost_stop_patches(safeguard):
-    """Return the patches that disable a safeguard against lost stops."""
+def make_other_patches(safeguard):
+    """Return the patches that disable one of the other safeguards."""
     if safeguard == "the limit on renewals for runs that are to end":
         return [NO_LIMIT_ON_RENEWALS]
     if safeguard == "the limit on renewals for runs that an entry wants stopped":
@@ -262,25 +258,23 @@
 
 @then("the second attempt at a job whose entry was killed overlaps the first")
 def step_overlaps(context):
-    fleet = Fleet(2, 2)
-    fleet.submit("e0", JOB, 4, seconds=3.0, wait=10.0)
-    fleet.run(0.2)
-    fleet.kill("e0")
-    fleet.run(RESEND_SECONDS)
-    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
-    fleet.run(6.0)
-    assert fleet.overlaps, "no task ran twice at once"
+    check_second_attempt_overlaps()
 
 
 @then("the second attempt overlaps the first although the entry has started again")
 def step_overlaps_restarted(context):
+    check_second_attempt_overlaps(restart_seconds=0.5)
+
+
+def check_second_attempt_overlaps(restart_seconds=None):
+    """Kill an entry that has a job, perhaps restart it, and submit the job again."""
     fleet = Fleet(2, 2)
     fleet.submit("e0", JOB, 4, seconds=3.0, wait=10.0)
     fleet.run(0.2)
     fleet.kill("e0")
-    fleet.run(0.5)
-    fleet.start_entry("e0", "d0")
-    fleet.run(RESEND_SECONDS - 0.5)
+    if restart_seconds is not None:
+        fleet.at(restart_seconds, lambda: fleet.start_entry("e0", "d0"))
+    fleet.run(RESEND_SECONDS)
     fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
     fleet.run(6.0)
     assert fleet.overlaps, "no task ran twice at once"
--- a/features/steps/dispatch_search_steps.py
+++ b/features/steps/dispatch_search_steps.py
@@ -2,15 +2,12 @@
 
 from behave import then
 
-from features.support.fleetsearch import SearchDay
+from features.support.fleetsearch import play_days
 
 DAY_SECONDS = 8
 
 
 @then("search days {first:d} and {last:d} of {mix} keep every guarantee")
 def step_search(context, first, last, mix):
-    for seed in range(first, last + 1):
-        day = SearchDay(seed, mix)
-        day.play(DAY_SECONDS)
-        assert not day.is_broken(), f"seed {seed}: {day.summary()}"
+    for day in play_days(first, last, mix, DAY_SECONDS):
         assert len(day.fleet.answers) > 50, day.summary()
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -12,7 +12,7 @@
 from features.support.fleetscript import FAULTS, RESEND_SECONDS, RandomDay
 from features.support.fleetworker import CallFaults
 
-__all__ = ["MIXES", "SearchDay"]
+__all__ = ["MIXES", "SearchDay", "play_days"]
 
 # How long a caller waits beyond the time that it has told its entry.
 PATIENCE_SECONDS = 0.5
@@ -63,6 +63,17 @@
         self.again = again
 
 
+def play_days(first, last, mix, seconds):
+    """Play days with consecutive seeds, and check that each keeps every guarantee."""
+    days = []
+    for seed in range(first, last + 1):
+        day = SearchDay(seed, mix)
+        day.play(seconds)
+        assert not day.is_broken(), f"seed {seed}: {day.summary()}"
+        days.append(day)
+    return days
+
+
 class SearchDay(RandomDay):
     """A random day of a mix.
 
--- a/features/support/loststops.py
+++ b/features/support/loststops.py
@@ -12,24 +12,18 @@
 TASK_SECONDS = 1.8
 FAULT_AFTER_SECONDS = 0.3
 RESTART_SECONDS = 0.3
-SIDE_JOB_GAP_SECONDS = 0.1
-SIDE_JOB_SECONDS = 0.3
 
 
 class LostStops:
     """A job at e0 that something ends, so that its caller submits it again at e1.
 
     :param share: of the stop calls to all workers that is lost.
-    :ivar side_waiters: of jobs that e1 runs at the same time, if asked for.
     """
 
-    def __init__(self, seed, share=1.0, side_jobs=False):
+    def __init__(self, seed, share=1.0):
         self.fleet = Fleet(2, 4, seed)
-        self.side_waiters = []
         for worker in self.fleet.workers.values():
             worker.call_faults[StopTask] = CallFaults(lost_share=share)
-        if side_jobs:
-            self.submit_side_jobs(until=self.fleet.now + 4.0)
         self.waiter = self.submit("e0")
         self.fleet.run(FAULT_AFTER_SECONDS)
 
@@ -46,23 +40,6 @@
         self.fleet.run(RESEND_SECONDS)
         self.submit("e1")
 
-    def submit_side_jobs(self, until):
-        fleet = self.fleet
-        if fleet.now >= until:
-            return
-        number = len(self.side_waiters) + 1
-        self.side_waiters.append(
-            fleet.submit("e1", f"{number:016x}", 2, seconds=SIDE_JOB_SECONDS)
-        )
-        fleet.at(SIDE_JOB_GAP_SECONDS, lambda: self.submit_side_jobs(until))
-
-    def count_lapsed(self):
-        """Return how many runs have ended because their lease has expired."""
-        return sum(
-            line.sentence == "a run has ended" and line.fields["reason"] == "lapsed"
-            for _, _, line in self.fleet.lines
-        )
-
     def kill(self):
         self.fleet.kill("e0")
         self.submit_again()
