Placement: agents ranked by a kept cost, once a round

Cause: for each waiting task the entry compared all agents' costs anew (54 on a large site), and each round computed all paces, medians and lists.

The part of a cost that doesn't depend on the task is kept in the agent's view and recomputed by its reports and starts. A round sorts the agents by it once; a task takes the first that fits, and with a preference (rack, avoided agents) the walk ends where no cheaper one can follow. The median pace, which only decides who counts as slow, is taken at each tick.

--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -11,6 +11,7 @@
     MARGIN_SECONDS,
     agent_lapse_seconds,
 )
+from cactuswalk.dispatch.costs import base_cost
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.messages import Report, Start
 
@@ -20,6 +21,10 @@
 # or for this long if the report is lost.
 DECLINED_PAUSE_SECONDS = 0.03
 
+# An agent is live if it has reported within this time, several report intervals. An
+# entry without live agents can serve no caller.
+READY_HEARD_SECONDS = 1.0
+
 
 class PlacedTask(msgspec.Struct):
     """A start that was sent and whose end is not known.
@@ -35,9 +40,11 @@
     stop_sent_at: float = 0.0
 
 
-class AgentView(msgspec.Struct):
+class AgentView(msgspec.Struct, eq=False):
     """An agent as known from its reports.
 
+    :param number: grows with each agent that the entry discovers.
+    :param entry_data_centre: the entry's own.
     :param heard_at: when its latest report came. No stamp echoed to it is newer.
     :param echoed_stamp: latest of the entry's own stamps that this incarnation of the
         agent has returned; 0 for none.
@@ -48,6 +55,7 @@
     :param skipped_until: when it may be sent tasks again after it declined one.
     :param free_cpu: reported free capacity less what was sent there since, in
         thousandths of a core; memory and accelerators likewise.
+    :param cost: of the worker for a task without preferences.
     :param unreported_starts: number of starts that the report does not cover yet.
     :param members_sent_at: when it was last sent the list of entries.
     :param members_data_centre: the data centre that this list was chosen for.
@@ -56,6 +64,8 @@
     address: str
     report: Report
     heard_at: float
+    number: int = 0
+    entry_data_centre: str = ""
     echoed_stamp: int = 0
     candidate: str = ""
     placed: dict[int, PlacedTask] = msgspec.field(default_factory=dict)
@@ -64,6 +74,7 @@
     free_cpu: int = 0
     free_memory_mb: int = 0
     free_gpu: int = 0
+    cost: float = 0.0
     unreported_starts: int = 0
     members_sent_at: float = -math.inf
     members_data_centre: str = ""
@@ -112,6 +123,11 @@
         """Add a start that the agent has not reported yet."""
         self.placed[placed.start.sequence] = placed
         self._reserve(placed.start)
+        self._recompute_cost()
+
+    def is_live(self, now: float) -> bool:
+        """Return whether the agent has reported recently."""
+        return now - self.heard_at < READY_HEARD_SECONDS
 
     def is_open(self, now: float) -> bool:
         """Return whether new tasks may be sent there."""
@@ -181,6 +197,11 @@
         for sequence, placed in self.placed.items():
             if sequence > report.last_sequence:
                 self._reserve(placed.start)
+        self._recompute_cost()
+
+    def _recompute_cost(self) -> None:
+        is_remote = self.report.data_centre != self.entry_data_centre
+        self.cost = base_cost(self.report.pace, self.free_fraction(), is_remote)
 
     def _reserve(self, start: Start) -> None:
         self.unreported_starts += 1
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -114,6 +114,7 @@
         send_status_by_turns(state, now)
     release_overflow_agents(state, now)
     forget_silent_peers(state, now)
+    state.update_median_pace(now)
     state.placement_needed = True
 
 
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -79,7 +79,10 @@
     # Jobs may be waiting for a first worker, and no other event would have them
     # placed before they are refused.
     state.placement_needed |= not state.has_usable_agent(now)
-    view = state.views[address] = AgentView(address, report, now)
+    view = state.views[address] = AgentView(
+        address, report, now, state.next_agent_number, state.data_centre
+    )
+    state.next_agent_number += 1
     state.say(
         "discovered an agent", agent=address, worker=report.worker, home=report.home
     )
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -4,7 +4,7 @@
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.entrycrashes import clear_suspicion, suspect_task
 from cactuswalk.dispatch.entryjobs import answer_job
-from cactuswalk.dispatch.entrystate import READY_HEARD_SECONDS, EntryState
+from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobVerdict
 from cactuswalk.dispatch.jobstate import JobState, TaskState
 from cactuswalk.dispatch.messages import (
@@ -16,8 +16,8 @@
     sort_by_urgency,
 )
 from cactuswalk.dispatch.placement import (
+    SLOW_FACTOR,
     WorkerChooser,
-    compute_relative_paces,
     has_own_choice,
 )
 
@@ -34,24 +34,17 @@
     waiting = [job for job in state.waiting_jobs() if not is_out_of_time(job, now)]
     if not waiting:
         return
-    live_views = [
-        view
-        for view in state.usable_views()
-        if view.report.worker and now - view.heard_at < READY_HEARD_SECONDS
-    ]
-    views = [view for view in live_views if view.is_open(now)]
-    # While all workers are full, most rounds free too little for any waiting task.
-    least = min(task.step.cpu for job in waiting for task in job.waiting)
-    if all(view.free_cpu < least for view in views):
-        return
     chooser = WorkerChooser(
-        live_views,
-        views,
-        compute_relative_paces(live_views),
-        state.data_centre,
+        state.usable_views(),
+        min([task.step.cpu for job in waiting for task in job.waiting]),
+        SLOW_FACTOR * state.median_pace,
         state.far_factor,
         state.urgent_priorities(now),
+        now,
     )
+    if not chooser.ranking:
+        # While all workers are full, most rounds free too little for any waiting task.
+        return
     for job in sort_by_urgency(waiting):
         _place_job(state, job, chooser, now)
 
@@ -74,6 +67,7 @@
                 break
             continue
         _start_task(state, task, view, now)
+        chooser.record_start(view)
     job.waiting = left
 
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -12,14 +12,11 @@
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Stop
 from cactuswalk.dispatch.overflow import CapacitySearch
+from cactuswalk.dispatch.placement import median_pace
 from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.dispatch.routing import Queues
 
-__all__ = ["READY_HEARD_SECONDS", "EntryState"]
-
-# An agent is live if it has reported within this time, several report intervals. An
-# entry without live agents can serve no caller.
-READY_HEARD_SECONDS = 1.0
+__all__ = ["EntryState"]
 
 # A priority counts as urgent for this long after a job of it arrived, so that in a
 # short pause other jobs don't take the capacity that the next one needs.
@@ -49,6 +46,7 @@
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
+    :ivar median_pace: of the live workers, as of the last tick.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
     :ivar handled_at: when an event was handled last; before the first, when the process
         started.
@@ -87,7 +85,9 @@
         self.estimates: dict[str, DurationEstimate] = {}
         self.arrived_at: dict[tuple[str, int], float] = {}
         self.next_sequence = 1
+        self.next_agent_number = 1
         self.stop_at = 0.0
+        self.median_pace = 1.0
         self.placement_needed = False
         self.recheck_requested = False
         self.keepalive_sent_at: dict[str, float] = {}
@@ -117,9 +117,7 @@
 
     def has_live_agent(self, now: float) -> bool:
         """Return whether any agent has reported recently."""
-        return any(
-            now - view.heard_at < READY_HEARD_SECONDS for view in self.views.values()
-        )
+        return any(view.is_live(now) for view in self.views.values())
 
     def usable_views(self) -> list[AgentView]:
         """Return the agents whose data centres are not evacuated."""
@@ -132,6 +130,16 @@
             if view.report.data_centre not in evacuated
         ]
 
+    def update_median_pace(self, now: float) -> None:
+        """Recompute the median pace of the workers that may get tasks."""
+        self.median_pace = median_pace(
+            [
+                view
+                for view in self.usable_views()
+                if view.report.worker and view.is_live(now)
+            ]
+        )
+
     def knows_usable_data_centre(self) -> bool:
         """Return whether any known data centre with entries is not evacuated."""
         known = {entry.data_centre for entry in self.entries.values()}
@@ -141,11 +149,10 @@
     def has_usable_agent(self, now: float) -> bool:
         """Return whether an agent that may get tasks has reported recently."""
         evacuated = self.evacuations.data_centres
-        return any(
-            now - view.heard_at < READY_HEARD_SECONDS
-            and view.report.data_centre not in evacuated
-            for view in self.views.values()
-        )
+        for view in self.views.values():
+            if view.is_live(now) and view.report.data_centre not in evacuated:
+                return True
+        return False
 
     def free_cpu(self, now: float) -> int:
         """Return the home agents' free capacity in thousandths of a core."""
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -18,6 +18,8 @@
 leave a share of each worker free.
 """
 
+import bisect
+import math
 import operator
 import statistics
 
@@ -28,21 +30,14 @@
 from cactuswalk.dispatch.leaving import can_finish_in_time
 
 __all__ = [
+    "SLOW_FACTOR",
     "WorkerChooser",
     "any_large_enough",
     "can_ever_run",
-    "compute_relative_paces",
     "has_own_choice",
+    "median_pace",
 ]
 
-# Cost factor of a worker in another data centre.
-REMOTE_FACTOR = 1.3
-
-# Added to the free fraction in the cost's divisor. A full worker costs
-# (FULL_WORKER_WEIGHT + 1) / FULL_WORKER_WEIGHT times as much as an empty one, twice
-# the factor between the slowest and the fastest healthy worker.
-FULL_WORKER_WEIGHT = 0.4
-
 # A worker with run times above this multiple of the median gets probe tasks only: a job
 # is on time within 1.6 times its run time.
 SLOW_FACTOR = 2.0
@@ -55,46 +50,55 @@
 MAX_PROBES = 1
 
 
-def compute_relative_paces(views: list[AgentView]) -> dict[str, float]:
-    """Return each worker's run times relative to the median worker's."""
-    if not views:
-        return {}
-    middle = statistics.median(view.report.pace for view in views) or 1.0
-    return {view.address: view.report.pace / middle for view in views}
+BY_COST = operator.attrgetter("cost")
+BY_COST_AND_NUMBER = operator.attrgetter("cost", "number")
+
+
+def median_pace(views: list[AgentView]) -> float:
+    """Return the median worker's run times relative to the callers' estimates."""
+    paces = [view.report.pace for view in views]
+    return statistics.median(paces) or 1.0 if paces else 1.0
 
 
 class WorkerChooser:
     """Chooses workers for the tasks of one placement round.
 
-    :param live_views: agents that have reported recently.
-    :param views: those of them whose workers accept tasks.
-    :param paces: workers' run times relative to the median worker's, by address.
-    :param data_centre: the entry's own.
+    :param views: agents in data centres that are not evacuated.
+    :param least_cpu: that a waiting task needs.
+    :param slow_pace: pace from which a worker gets probe tasks only.
     :param far_factor: by which a task takes longer outside its data's rack.
     :param urgent_priorities: by service, the most urgent priority of recent jobs.
+    :ivar ranking: the agents whose workers may have room, the cheapest first.
     """
 
     def __init__(
         self,
-        live_views: list[AgentView],
         views: list[AgentView],
-        paces: dict[str, float],
-        data_centre: str,
+        least_cpu: int,
+        slow_pace: float,
         far_factor: float,
         urgent_priorities: dict[str, int],
+        now: float,
     ) -> None:
-        self.live_views = live_views
-        self.urgent_priorities = urgent_priorities
-        self.paces = paces
-        self.data_centre = data_centre
-        self.far_factor = far_factor
         self.views = views
+        self.slow_pace = slow_pace
+        self.far_factor = far_factor
+        self.urgent_priorities = urgent_priorities
+        self.now = now
+        self.ranking = sorted(
+            [view for view in views if view.free_cpu >= least_cpu], key=BY_COST
+        )
         # By service, and whether a share is reserved, the last size that no worker
         # could take; equal or larger tasks are skipped. In a burst hundreds of tasks
         # wait, and trying each of them on all workers in every round would take longer
         # than placing those that fit.
         self.unplaceable_sizes: dict[tuple[str, bool], tuple[int, int, int]] = {}
 
+    def record_start(self, view: AgentView) -> None:
+        """Note that a task was sent to a worker, which costs more from now on."""
+        self.ranking.remove(view)
+        bisect.insort(self.ranking, view, key=BY_COST_AND_NUMBER)
+
     def choose_worker(self, task: TaskState, service: str) -> AgentView | None:
         """Return the agent for a task, or None if the task has to wait."""
         step = task.step
@@ -112,25 +116,29 @@
         self, task: TaskState, service: str, reserves_room: bool
     ) -> AgentView | None:
         trusted_only = self._needs_trusted_worker(task, service)
-        best = None
-        best_cost = 0.0
         step = task.step
-        for view in self.views:
-            cpu = step.cpu
-            if cpu > view.free_cpu:
+        cpu = step.cpu
+        has_preferences = bool(step.rack or task.avoided_agents)
+        best = None
+        best_cost = math.inf
+        for view in self.ranking:
+            if view.cost > best_cost:
+                # Preferences make a worker dearer, never cheaper.
+                break
+            if cpu > view.free_cpu or view.report.service != service:
+                continue
+            if reserves_room and not _has_reserve(view, cpu):
                 continue
-            # An empty worker takes any task: one that needs the whole worker would
-            # never fit beside the reserved share.
-            if reserves_room and not view.is_empty():
-                cpu += int(RESERVED_SHARE * view.report.cpu)
             if not view.fits(cpu, step.memory_mb, step.gpu):
                 continue
-            if not self._is_eligible(view, task, service):
+            if not self._is_eligible(view, task):
                 continue
             if trusted_only and not _is_trusted(view, task):
                 continue
+            if not has_preferences:
+                return view
             cost = self._cost(view, task)
-            if best is None or cost < best_cost:
+            if cost < best_cost or (cost == best_cost and view.number < best.number):
                 best, best_cost = view, cost
         return best
 
@@ -142,7 +150,11 @@
         """
         if not task.failures or task.failures + 1 < task.job.queue.attempts:
             return False
-        trusted = [view for view in self.live_views if _is_trusted(view, task)]
+        trusted = [
+            view
+            for view in self.views
+            if view.is_live(self.now) and _is_trusted(view, task)
+        ]
         return any(is_large_enough(view, task.step, service) for view in trusted)
 
     def _reserves_room(self, task: TaskState, service: str) -> bool:
@@ -151,20 +163,18 @@
         return priority > self.urgent_priorities.get(service, priority)
 
     def _cost(self, view: AgentView, task: TaskState) -> float:
-        cost = self.paces[view.address]
-        if view.report.data_centre != self.data_centre:
-            cost *= REMOTE_FACTOR
-        cost /= FULL_WORKER_WEIGHT + view.free_fraction()
+        """Return a worker's cost for a task with data in a rack, or avoided agents."""
+        cost = view.cost
         if task.step.rack and task.step.rack not in view.report.labels:
             cost *= self.far_factor
         if view.address in task.avoided_agents:
             cost *= SLOW_FACTOR
         return cost
 
-    def _is_eligible(self, view: AgentView, task: TaskState, service: str) -> bool:
-        step = task.step
-        if view.report.service != service:
+    def _is_eligible(self, view: AgentView, task: TaskState) -> bool:
+        if not view.is_open(self.now):
             return False
+        step = task.step
         if step.label and step.label not in view.report.labels:
             return False
         if view.report.trial and view.placed:
@@ -176,11 +186,21 @@
             step.estimate_ms * view.report.pace, left_ms
         ):
             return False
-        if self.paces[view.address] > SLOW_FACTOR and len(view.placed) >= MAX_PROBES:
+        if view.report.pace > self.slow_pace and len(view.placed) >= MAX_PROBES:
             return False
         return not step.per_worker or _count_step_tasks(view, task) < step.per_worker
 
 
+def _has_reserve(view: AgentView, cpu: int) -> bool:
+    """Return whether a task leaves the reserved share of a worker free.
+
+    An empty worker takes any task: one that needs the whole worker would never fit
+    beside the reserved share.
+    """
+    reserve = int(RESERVED_SHARE * view.report.cpu)
+    return view.free_cpu >= cpu + reserve or view.is_empty()
+
+
 def has_own_choice(task: TaskState) -> bool:
     """Return whether fewer workers may run a task than others of its size."""
     return bool(task.avoided_agents) or is_suspect(task.crashed)
