Entry: cheaper reports, and jobs that wait are known without a walk

Cause: each of the 870 messages a second that an entry gets walked all its jobs to see whether one waits, and each report built tuples, sets and lists of the agent's starts, mostly for agents without any.

Jobs with waiting tasks are kept in a dictionary of their own, which may hold jobs that don't wait any more and is pruned when read. A report of an agent without starts ends early, and the others copy nothing that they don't need.

--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -1,7 +1,6 @@
 """An entry's view of one agent and its worker."""
 
 import math
-import operator
 
 import msgspec
 
@@ -83,25 +82,27 @@
         self.echoed_stamp = self.report.entry_stamp
         self._recompute_free()
 
-    def free_resources(self) -> tuple[int, int, int]:
-        """Return free thousandths of a core, megabytes and accelerators."""
-        return self.free_cpu, self.free_memory_mb, self.free_gpu
-
     def update_report(self, report: Report, now: float) -> bool:
         """Replace the report by a newer one; return whether more tasks may fit now."""
-        free, was_open = self.free_resources(), self.is_open(now)
-        worker = self.report.worker
+        cpu, memory_mb, gpu = self.free_cpu, self.free_memory_mb, self.free_gpu
+        was_open, worker = self.is_open(now), self.report.worker
         if report.incarnation != self.report.incarnation:
             self.echoed_stamp, self.candidate = 0, ""
-        self.echoed_stamp = max(self.echoed_stamp, report.entry_stamp)
+        if report.entry_stamp > self.echoed_stamp:
+            self.echoed_stamp = report.entry_stamp
         self.report = report
         self.heard_at = now
         self.skipped_until = 0.0
         self._recompute_free()
         if not self.is_open(now):
             return False
-        has_more = any(map(operator.gt, self.free_resources(), free))
-        return has_more or not was_open or report.worker != worker
+        return (
+            self.free_cpu > cpu
+            or self.free_memory_mb > memory_mb
+            or self.free_gpu > gpu
+            or not was_open
+            or report.worker != worker
+        )
 
     def is_out_of_date(self, report: Report, now: float) -> bool:
         """Return whether a report is older than the known one, or may be.
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -68,6 +68,9 @@
     state.placement_needed |= view.update_report(report, now)
     if report.open:
         state.first_open_worker_at = min(state.first_open_worker_at, now)
+    if not view.placed:
+        return
+    if report.open:
         _end_starts_of_earlier_incarnations(state, view, now)
     if report.entry_incarnation == state.incarnation:
         _reconcile(state, view, now)
@@ -140,24 +143,29 @@
     refuses calls of earlier incarnations, and none of their tasks runs there. After a
     power cut this is known before their leases end.
     """
-    for placed in list(view.placed.values()):
-        start = placed.start
-        ended = start.agent_incarnation != view.report.incarnation
-        if ended:
-            reason = "its agent has restarted"
-            end_start(state, view, placed, TaskEnd.LOST, 0, reason, now)
+    earlier = [
+        placed
+        for placed in view.placed.values()
+        if placed.start.agent_incarnation != view.report.incarnation
+    ]
+    for placed in earlier:
+        reason = "its agent has restarted"
+        end_start(state, view, placed, TaskEnd.LOST, 0, reason, now)
 
 
 def _reconcile(state: EntryState, view: AgentView, now: float) -> None:
     """End starts that never arrived: later ones have, or their stamp is too old."""
-    held = set(view.report.held)
+    report = view.report
     for sequence, placed in list(view.placed.items()):
-        if placed.start.agent_incarnation != view.report.incarnation:
+        if placed.start.agent_incarnation != report.incarnation:
             continue
-        if sequence <= view.report.last_sequence and sequence not in held:
+        if sequence > report.last_sequence:
+            if view.has_start_expired(placed):
+                end_start(
+                    state, view, placed, TaskEnd.DECLINED, 0, "never arrived", now
+                )
+        elif sequence not in report.held:
             end_start(state, view, placed, TaskEnd.LOST, 0, "never arrived", now)
-        elif view.has_start_expired(placed):
-            end_start(state, view, placed, TaskEnd.DECLINED, 0, "never arrived", now)
 
 
 def _handle_end(state: EntryState, sender: str, ended: StartEnded, now: float) -> None:
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -46,6 +46,7 @@
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
     make_tasks(job)
+    state.note_waiting(job)
     state.observe("jobs", event.queue.name)
     state.placement_needed = True
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -156,6 +156,7 @@
         answer_job(state, job, JobVerdict.FAILED, verdict, now)
         return
     job.waiting.append(task)
+    state.note_waiting(job)
 
 
 def _log_rerun(
@@ -214,5 +215,6 @@
     state.estimates[job.queue.name].observe(task.step.estimate_ms, longest)
     if any(job.remaining):
         job.release_ready_steps()
+        state.note_waiting(job)
         return
     answer_job(state, job, JobVerdict.COMPLETED, "", now)
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -38,6 +38,7 @@
     :param seeds: addresses of other entries from the settings.
     :param far_factor: by which a task takes longer outside its data's rack.
     :param grace_seconds: between the request to stop and a kill.
+    :ivar queued: jobs that may have a task waiting for a worker, by identifier.
     :ivar views: agents by address.
     :ivar stopping_tasks: tasks of removed jobs whose starts have not ended.
     :ivar listed_entries: addresses of the entries that the store lists.
@@ -72,6 +73,7 @@
         self.queues: Queues | None = None
         self.evacuations = NOTHING_EVACUATED
         self.jobs: dict[str, JobState] = {}
+        self.queued: dict[str, JobState] = {}
         self.views: dict[str, AgentView] = {}
         self.stopping_tasks: set[TaskKey] = set()
         self.entries = {seed: KnownEntry(-math.inf) for seed in self.seeds}
@@ -103,7 +105,16 @@
 
     def waiting_jobs(self) -> list[JobState]:
         """Return the jobs that have a task waiting for a worker."""
-        return [job for job in self.jobs.values() if job.waiting]
+        if not self.queued:
+            return []
+        waiting = [job for job in self.queued.values() if job.waiting]
+        if len(waiting) < len(self.queued):
+            self.queued = {job.request.identifier: job for job in waiting}
+        return waiting
+
+    def note_waiting(self, job: JobState) -> None:
+        """Note that a job may have a task waiting for a worker."""
+        self.queued[job.request.identifier] = job
 
     def is_ready(self, now: float) -> bool:
         """Return whether this entry should get new callers."""
