--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -1,7 +1,6 @@
 """An entry's view of one agent and its worker."""
 
 import math
-import operator
 
 import msgspec
 
@@ -11,6 +10,7 @@
     MARGIN_SECONDS,
     agent_lapse_seconds,
 )
+from cactuswalk.dispatch.costs import base_cost
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.messages import Report, Start
 
@@ -20,6 +20,10 @@
 # or for this long if the report is lost.
 DECLINED_PAUSE_SECONDS = 0.03
 
+# An agent is live if it has reported within this time, several report intervals. An
+# entry without live agents can serve no caller.
+READY_HEARD_SECONDS = 1.0
+
 
 class PlacedTask(msgspec.Struct):
     """A start that was sent and whose end is not known.
@@ -35,9 +39,11 @@
     stop_sent_at: float = 0.0
 
 
-class AgentView(msgspec.Struct):
+class AgentView(msgspec.Struct, eq=False):
     """An agent as known from its reports.
 
+    :param number: grows with each agent that the entry discovers.
+    :param entry_data_centre: the entry's own.
     :param heard_at: when its latest report came. No stamp echoed to it is newer.
     :param echoed_stamp: latest of the entry's own stamps that this incarnation of the
         agent has returned; 0 for none.
@@ -48,6 +54,7 @@
     :param skipped_until: when it may be sent tasks again after it declined one.
     :param free_cpu: reported free capacity less what was sent there since, in
         thousandths of a core; memory and accelerators likewise.
+    :param cost: of the worker for a task without preferences.
     :param unreported_starts: number of starts that the report does not cover yet.
     :param members_sent_at: when it was last sent the list of entries.
     :param members_data_centre: the data centre that this list was chosen for.
@@ -56,6 +63,8 @@
     address: str
     report: Report
     heard_at: float
+    number: int = 0
+    entry_data_centre: str = ""
     echoed_stamp: int = 0
     candidate: str = ""
     placed: dict[int, PlacedTask] = msgspec.field(default_factory=dict)
@@ -64,6 +73,7 @@
     free_cpu: int = 0
     free_memory_mb: int = 0
     free_gpu: int = 0
+    cost: float = 0.0
     unreported_starts: int = 0
     members_sent_at: float = -math.inf
     members_data_centre: str = ""
@@ -72,25 +82,27 @@
         self.echoed_stamp = self.report.entry_stamp
         self._recompute_free()
 
-    def free_resources(self) -> tuple[int, int, int]:
-        """Return free thousandths of a core, megabytes and accelerators."""
-        return self.free_cpu, self.free_memory_mb, self.free_gpu
-
     def update_report(self, report: Report, now: float) -> bool:
         """Replace the report by a newer one; return whether more tasks may fit now."""
-        free, was_open = self.free_resources(), self.is_open(now)
-        worker = self.report.worker
+        cpu, memory_mb, gpu = self.free_cpu, self.free_memory_mb, self.free_gpu
+        was_open, worker = self.is_open(now), self.report.worker
         if report.incarnation != self.report.incarnation:
             self.echoed_stamp, self.candidate = 0, ""
-        self.echoed_stamp = max(self.echoed_stamp, report.entry_stamp)
+        if report.entry_stamp > self.echoed_stamp:
+            self.echoed_stamp = report.entry_stamp
         self.report = report
         self.heard_at = now
         self.skipped_until = 0.0
         self._recompute_free()
         if not self.is_open(now):
             return False
-        has_more = any(map(operator.gt, self.free_resources(), free))
-        return has_more or not was_open or report.worker != worker
+        return (
+            self.free_cpu > cpu
+            or self.free_memory_mb > memory_mb
+            or self.free_gpu > gpu
+            or not was_open
+            or report.worker != worker
+        )
 
     def is_out_of_date(self, report: Report, now: float) -> bool:
         """Return whether a report is older than the known one, or may be.
@@ -112,6 +124,11 @@
         """Add a start that the agent has not reported yet."""
         self.placed[placed.start.sequence] = placed
         self._reserve(placed.start)
+        self._recompute_cost()
+
+    def is_live(self, now: float) -> bool:
+        """Return whether the agent has reported recently."""
+        return now - self.heard_at < READY_HEARD_SECONDS
 
     def is_open(self, now: float) -> bool:
         """Return whether new tasks may be sent there."""
@@ -181,6 +198,11 @@
         for sequence, placed in self.placed.items():
             if sequence > report.last_sequence:
                 self._reserve(placed.start)
+        self._recompute_cost()
+
+    def _recompute_cost(self) -> None:
+        is_remote = self.report.data_centre != self.entry_data_centre
+        self.cost = base_cost(self.report.pace, self.free_fraction(), is_remote)
 
     def _reserve(self, start: Start) -> None:
         self.unreported_starts += 1
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -12,14 +12,11 @@
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Stop
 from cactuswalk.dispatch.overflow import CapacitySearch
+from cactuswalk.dispatch.placement import median_pace
 from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.dispatch.routing import Queues
 
-__all__ = ["READY_HEARD_SECONDS", "EntryState"]
-
-# An agent is live if it has reported within this time, several report intervals. An
-# entry without live agents can serve no caller.
-READY_HEARD_SECONDS = 1.0
+__all__ = ["EntryState"]
 
 # A priority counts as urgent for this long after a job of it arrived, so that in a
 # short pause other jobs don't take the capacity that the next one needs.
@@ -41,6 +38,7 @@
     :param seeds: addresses of other entries from the settings.
     :param far_factor: by which a task takes longer outside its data's rack.
     :param grace_seconds: between the request to stop and a kill.
+    :ivar queued: jobs that may have a task waiting for a worker, by identifier.
     :ivar views: agents by address.
     :ivar stopping_tasks: tasks of removed jobs whose starts have not ended.
     :ivar listed_entries: addresses of the entries that the store lists.
@@ -49,6 +47,7 @@
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
+    :ivar median_pace: of the live workers, as of the last tick.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
     :ivar handled_at: when an event was handled last; before the first, when the process
         started.
@@ -74,6 +73,7 @@
         self.queues: Queues | None = None
         self.evacuations = NOTHING_EVACUATED
         self.jobs: dict[str, JobState] = {}
+        self.queued: dict[str, JobState] = {}
         self.views: dict[str, AgentView] = {}
         self.stopping_tasks: set[TaskKey] = set()
         self.entries = {seed: KnownEntry(-math.inf) for seed in self.seeds}
@@ -87,7 +87,9 @@
         self.estimates: dict[str, DurationEstimate] = {}
         self.arrived_at: dict[tuple[str, int], float] = {}
         self.next_sequence = 1
+        self.next_agent_number = 1
         self.stop_at = 0.0
+        self.median_pace = 1.0
         self.placement_needed = False
         self.recheck_requested = False
         self.keepalive_sent_at: dict[str, float] = {}
@@ -103,7 +105,16 @@
 
     def waiting_jobs(self) -> list[JobState]:
         """Return the jobs that have a task waiting for a worker."""
-        return [job for job in self.jobs.values() if job.waiting]
+        if not self.queued:
+            return []
+        waiting = [job for job in self.queued.values() if job.waiting]
+        if len(waiting) < len(self.queued):
+            self.queued = {job.request.identifier: job for job in waiting}
+        return waiting
+
+    def note_waiting(self, job: JobState) -> None:
+        """Note that a job may have a task waiting for a worker."""
+        self.queued[job.request.identifier] = job
 
     def is_ready(self, now: float) -> bool:
         """Return whether this entry should get new callers."""
@@ -117,9 +128,7 @@
 
     def has_live_agent(self, now: float) -> bool:
         """Return whether any agent has reported recently."""
-        return any(
-            now - view.heard_at < READY_HEARD_SECONDS for view in self.views.values()
-        )
+        return any(view.is_live(now) for view in self.views.values())
 
     def usable_views(self) -> list[AgentView]:
         """Return the agents whose data centres are not evacuated."""
@@ -132,6 +141,16 @@
             if view.report.data_centre not in evacuated
         ]
 
+    def update_median_pace(self, now: float) -> None:
+        """Recompute the median pace of the workers that may get tasks."""
+        self.median_pace = median_pace(
+            [
+                view
+                for view in self.usable_views()
+                if view.report.worker and view.is_live(now)
+            ]
+        )
+
     def knows_usable_data_centre(self) -> bool:
         """Return whether any known data centre with entries is not evacuated."""
         known = {entry.data_centre for entry in self.entries.values()}
@@ -141,11 +160,10 @@
     def has_usable_agent(self, now: float) -> bool:
         """Return whether an agent that may get tasks has reported recently."""
         evacuated = self.evacuations.data_centres
-        return any(
-            now - view.heard_at < READY_HEARD_SECONDS
-            and view.report.data_centre not in evacuated
-            for view in self.views.values()
-        )
+        for view in self.views.values():
+            if view.is_live(now) and view.report.data_centre not in evacuated:
+                return True
+        return False
 
     def free_cpu(self, now: float) -> int:
         """Return the home agents' free capacity in thousandths of a core."""
