A worker far over its capacity costs no division by zero

Cause: the kept cost of an agent's worker is computed at each report, also for workers without free capacity. A worker that has shrunk until it runs two fifths more than it has makes the divisor zero, and the entry ends with all its jobs.

The scenario failed with ZeroDivisionError before.

--- a/features/dispatch_capacity.feature
+++ b/features/dispatch_capacity.feature
@@ -28,6 +28,16 @@
     And a refused job is told to come back in 1 to 10 seconds
     And the job is completed at e0
 
+  Scenario: A worker shrinks until it runs two fifths more than its capacity
+    Its free fraction of -0.4 makes its cost infinite, which ended the entry.
+    Given a fleet of 1 entries and 1 workers
+    When a job of 7 tasks of 1 seconds comes to e0
+    And a0's worker shrinks to 15 cores and sends a heartbeat
+    And 1 jobs of 1 tasks of 0.2 seconds come to e0 within 0.3 second
+    Then a0 has started fewer than 8 tasks
+    And a refused job is told to come back in 1 to 10 seconds
+    And the job is completed at e0
+
   Scenario: Waiting jobs that fit no worker any more are refused at once
     The caller could send them elsewhere, or later; waiting can't bring capacity.
     Given a fleet of 1 entries and 1 workers
--- a/src/cactuswalk/dispatch/costs.py
+++ b/src/cactuswalk/dispatch/costs.py
@@ -23,4 +23,6 @@
     """
     if is_remote:
         pace *= REMOTE_FACTOR
-    return pace / (FULL_WORKER_WEIGHT + free_fraction)
+    # A worker that has shrunk below what it runs has a negative free fraction, down to
+    # any number: the divisor could be zero.
+    return pace / (FULL_WORKER_WEIGHT + max(0.0, free_fraction))
