Don't place tasks of jobs whose callers may have left during a cut

Cause: an entry that was cut off from its callers and its agents hears its agents first. They had stopped its tasks, and it ran them again beside the second attempts that its callers had sent to other entries. What tells it that they have gone may come long after.

Change: an entry is isolated while it hears fewer agents than half of its home agents (0.5 s without a report, or 0.9 s without a returned stamp; agents that were silent for 2 s are not expected any more). Then it places tasks only of jobs that arrived within the last 0.5 s, and sends no start again.

--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -7,6 +7,7 @@
 from cactuswalk.dispatch.entryevents import (
     Received,
 )
+from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entrykeepalives import send_keepalive
 from cactuswalk.dispatch.entryoverflow import (
     handle_capacity_offer,
@@ -202,6 +203,9 @@
         return
     if placed.start.agent_incarnation != view.report.incarnation:
         return
+    if not may_place(state, placed.task.job, now):
+        # With its new stamp the agent would start it, however late it arrives.
+        return
     is_unreported = placed.start.sequence > view.report.last_sequence
     if (
         is_unreported
