--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -7,6 +7,7 @@
 
 from cactuswalk.dispatch.bounds import (
     ENTRY_LEASE_SECONDS,
+    MARGIN_SECONDS,
     RESUME_SECONDS,
     STOP_MARGIN_SECONDS,
 )
@@ -27,6 +28,7 @@
     Tick,
     WaiterLeft,
 )
+from cactuswalk.dispatch.entryisolation import check_isolation
 from cactuswalk.dispatch.entryjobs import (
     answer_job,
     find_unservable_reason,
@@ -70,6 +72,8 @@
     if state.recheck_requested:
         state.recheck_requested = False
         _refuse_unservable(state, now)
+    if state.placement_needed:
+        _close_interrupted_jobs(state, now)
     if state.placement_needed and not state.waits_after_pause(now):
         state.placement_needed = False
         request_any_agents(state, now)
@@ -87,6 +91,9 @@
     tasks that were started before would run twice at once.
     """
     paused, state.handled_at = now - state.handled_at, now
+    if paused <= MARGIN_SECONDS:
+        return
+    state.paused_until, state.paused_seconds = now, paused
     if paused <= ENTRY_LEASE_SECONDS:
         return
     state.resumed_at = now
@@ -107,6 +114,7 @@
 
 def _tick(state: EntryState, _: Tick, now: float) -> None:
     log_pause(state, now)
+    check_isolation(state, now)
     _close_overdue_jobs(state, now)
     expire_or_resend(state, now)
     send_keepalives(state, now)
@@ -130,6 +138,17 @@
             answer_job(state, job, JobVerdict.UNFINISHED, "out of time", now)
 
 
+def _close_interrupted_jobs(state: EntryState, now: float) -> None:
+    """Answer the jobs that would need a placement which an isolation has ruled out."""
+    for job in list(state.jobs.values()):
+        if job.arrived_at >= state.placed_from:
+            # Jobs are in the order of their arrival.
+            return
+        if job.waiting:
+            verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
+            answer_job(state, job, verdict, "its entry was cut off", now)
+
+
 def _refuse_unservable(state: EntryState, now: float) -> None:
     """Refuse waiting jobs whose only possible workers are evacuated or have shrunk."""
     for job in list(state.jobs.values()):
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -51,7 +51,14 @@
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
     :ivar handled_at: when an event was handled last; before the first, when the process
         started.
+    :ivar paused_until: when the last gap between two events ended that was longer than
+        the bounds allow for; ``paused_seconds`` is its length.
     :ivar resumed_at: when the last pause of this process ended.
+    :ivar isolated_at: since when few of its agents are heard; 0 while it hears them.
+    :ivar isolated_until: when the last isolation ended.
+    :ivar silent_incarnations: by address, those of the agents that were silent when the
+        isolation began.
+    :ivar placed_from: tasks of jobs that arrived before this time are not placed.
     """
 
     def __init__(
@@ -96,7 +103,13 @@
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
         self.handled_at = math.inf
+        self.paused_until = -math.inf
+        self.paused_seconds = 0.0
         self.resumed_at = -math.inf
+        self.isolated_at = 0.0
+        self.isolated_until = -math.inf
+        self.silent_incarnations: dict[str, str] = {}
+        self.placed_from = -math.inf
 
     @property
     def version(self) -> int:
