--- a/src/cactuswalk/dispatch/costs.py
+++ b/src/cactuswalk/dispatch/costs.py
@@ -21,6 +21,7 @@
     :param pace: its run times relative to the callers' estimates.
     :param is_remote: it is in another data centre than the entry.
     """
+    cost = pace
     if is_remote:
-        pace *= REMOTE_FACTOR
-    return pace / (FULL_WORKER_WEIGHT + free_fraction)
+        cost *= REMOTE_FACTOR
+    return cost / (FULL_WORKER_WEIGHT + free_fraction)
