Logs: values of plain types are written without a conversion

Cause: of the 20 fields of 'a job is answered' all but texts went through a function that checks each possible type.

Micro benchmark, that line from say() to the written line, two runs each, interleaved: 24.2 and 25.6 us before, 21.3 and 21.0 us after.

--- a/src/cactuswalk/runtime/logs.py
+++ b/src/cactuswalk/runtime/logs.py
@@ -33,6 +33,9 @@
 # eliot's encoder accepts 64-bit integers; a larger one would lose the whole line.
 MAX_INTEGER = (1 << 63) - 1
 
+# Types of most values, which are written as they are.
+PLAIN_TYPES = frozenset((str, float, bool, type(None)))
+
 # How long a line may wait to be written: longer than an empty request takes from end
 # to end (3 to 5 ms, docs/measurements/path.md), so that its lines are written after
 # its response, and short enough that a killed process loses few lines.
@@ -91,7 +94,7 @@
         line = {
             # A field of an effect must not overwrite a field of the line itself.
             f"{name}_" if name in LINE_FIELDS else name: (
-                value if type(value) is str else _to_json_value(value)
+                value if type(value) in PLAIN_TYPES else _to_json_value(value)
             )
             for name, value in (fields or {}).items()
         }
@@ -243,9 +246,9 @@
 
 def _to_json_value(value: object) -> object:
     """Convert a value to a JSON-compatible one; logging must not raise."""
-    if isinstance(value, int) and abs(value) > MAX_INTEGER:
-        return str(value)
-    if value is None or isinstance(value, (str, int, float)):
+    if isinstance(value, int):
+        return value if -MAX_INTEGER <= value <= MAX_INTEGER else str(value)
+    if value is None or isinstance(value, (str, float)):
         return value
     if isinstance(value, bytes):
         return value.hex()
