--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -223,8 +223,12 @@
 
     True if no worker of the service is known yet, since one may still appear.
     """
-    workers = [view for view in views if view.report.service == service]
-    return not workers or any_large_enough(workers, step, service)
+    is_known = False
+    for view in views:
+        if is_large_enough(view, step, service):
+            return True
+        is_known |= view.report.service == service
+    return not is_known
 
 
 def any_large_enough(views: list[AgentView], step: Step, service: str) -> bool:
