Transport: one call fewer for each frame received, and cheaper flags

Cause: the socket's events were read before and after each frame, and sends went the way of frames that aren't copied, which small ones always are.

After a signal a frame is received first, and the events are read after it. The counter is called without a function in between.

--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -78,7 +78,7 @@
         self.transport = Transport(
             message_url(settings.messages),
             self.application.receive,
-            lambda name, by: self.exposition.count(name, by),
+            self.exposition.count,
             codec=messages,
             heartbeat_ms=HEARTBEAT_MS,
             clock=read_boottime,
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -41,8 +41,9 @@
 MIN_RETRY_SECONDS = 0.005
 MAX_RETRY_SECONDS = 0.04
 
-# A plain int, because comparing pyzmq's enum flags is slow.
+# Plain ints, because pyzmq's enum flags are slow.
 READABLE = int(zmq.POLLIN)
+DONTWAIT = int(zmq.DONTWAIT)
 
 
 class TransportError(CactuswalkError):
@@ -166,7 +167,7 @@
     def _flush_peer(self, address: str, peer: Peer) -> None:
         frame = self.codec.encode(self.codec.Envelope(self.address, peer.waiting))
         try:
-            peer.socket.send(frame, zmq.DONTWAIT, copy=False)
+            peer.socket.send(frame, DONTWAIT)
         except zmq.Again:
             self._hold_messages(address, peer)
             return
@@ -208,7 +209,8 @@
         """Receive waiting frames; ZeroMQ's edge-triggered descriptor can miss some."""
         if self.keys is not None:
             self.keys.poll()
-        self._on_readable()
+        if self.inbound is not None and not self.inbound.closed:
+            self._receive_waiting()
 
     def _connect(self, address: str) -> zmq.Socket | None:
         socket = self.context.socket(zmq.PUSH)
@@ -235,17 +237,29 @@
         socket.setsockopt(zmq.CONNECT_TIMEOUT, self.heartbeat_ms)
 
     def _on_readable(self) -> None:
-        if self.inbound is None or self.inbound.closed:
+        """Receive all waiting frames after a signal of the descriptor.
+
+        It signals once for all of them, and again only after they were received.
+        """
+        if self.inbound.closed:
             return
         for _ in range(MAX_FRAMES_PER_TURN):
-            # Check first: a zmq.Again exception at the end of each call would cost more
-            # than receiving the few frames that most calls find.
+            try:
+                frame = self.inbound.recv(DONTWAIT)
+            except zmq.Again:
+                return
+            self._handle_frame(frame)
+            # This costs less than an exception at the end of each call.
             if not self.inbound.get(zmq.EVENTS) & READABLE:
                 return
-            self._handle_frame(self.inbound.recv(zmq.DONTWAIT))
         # More frames may wait, and the descriptor won't signal them again.
         self.loop.call_soon(self._on_readable)
 
+    def _receive_waiting(self) -> None:
+        """Receive all waiting frames without a signal that there are any."""
+        if self.inbound.get(zmq.EVENTS) & READABLE:
+            self._on_readable()
+
     def _handle_frame(self, frame: bytes) -> None:
         self.count("transport.frames_received", 1)
         try:
