Transport: many frames are received in batches while no job waits

Cause: an entry with 54 agents gets 870 frames a second, each of which woke its event loop. The turn of the loop and the socket's signal cost more than the frame.

While an entry gets 400 frames a second or more it looks for them each 4 ms, and goes back to the descriptor when fewer than 200 come, or when a job waits for room there. Agents get a tenth of that and keep receiving each frame at once.

--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -28,6 +28,10 @@
 # the messages.
 HEARTBEAT_MS = 500
 
+# Interval at which a process with many messages receives them. While jobs wait at an
+# entry, each message may bring room, and is received at once.
+BATCH_SECONDS = 0.004
+
 
 def read_boottime() -> float:
     """Return seconds of a monotonic clock that includes time in suspension.
@@ -46,6 +50,7 @@
     :param is_stopped: returns whether a planned stop is complete.
     :param make_received: returns the reducer's event for a message; ``make_tick`` and
         ``make_stop_requested`` return those for time and for a requested stop.
+    :param may_batch: returns whether messages may wait for ``BATCH_SECONDS``.
     """
 
     def __init__(
@@ -57,6 +62,7 @@
         make_received: Callable,
         make_tick: Callable,
         make_stop_requested: Callable,
+        may_batch: Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings
         self.part = part
@@ -82,6 +88,8 @@
             codec=messages,
             heartbeat_ms=HEARTBEAT_MS,
             clock=read_boottime,
+            batch_seconds=BATCH_SECONDS,
+            may_batch=may_batch,
         )
         self.application.transport = self.transport
         self.application.effect_handlers |= {
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -103,6 +103,7 @@
             self._make_received,
             Tick,
             StopRequested,
+            lambda: not self.state.waiting_jobs(),
         )
         self.application = self.runtime.application
         self.application.effect_handlers[Answer] = self._resolve_waiter
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -41,6 +41,11 @@
 MIN_RETRY_SECONDS = 0.005
 MAX_RETRY_SECONDS = 0.04
 
+# Frames between two calls of ``poll`` from which on they are received in batches, and
+# below which each is received at once again.
+MANY_FRAMES = 20
+FEW_FRAMES = 10
+
 # Plain ints, because pyzmq's enum flags are slow.
 READABLE = int(zmq.POLLIN)
 DONTWAIT = int(zmq.DONTWAIT)
@@ -80,6 +85,9 @@
         without an answer within half of it is replaced. 0 disables heartbeats: then
         messages on a silent connection are lost until the peer is restarted.
     :param clock: the clock that ``now`` arguments are read from.
+    :param batch_seconds: interval at which frames are received while many come; 0
+        receives each at once. A turn of the event loop costs more than a frame.
+    :param may_batch: returns whether frames may wait that long.
     :ivar dirty: addresses of peers with messages that wait to be sent.
     """
 
@@ -94,7 +102,14 @@
         codec,
         heartbeat_ms: int = 0,
         clock: Callable[[], float] = time.monotonic,
+        batch_seconds: float = 0.0,
+        may_batch: Callable[[], bool] = lambda: True,
     ) -> None:
+        self.may_batch = may_batch
+        self.batch_seconds = batch_seconds
+        self.batch_timer: asyncio.TimerHandle | None = None
+        # Since the last call of ``poll``.
+        self.frames_received = 0
         self.clock = clock
         self.address = address
         self.listen = strip_key(listen or address)
@@ -135,6 +150,8 @@
         """Close all sockets; queued frames have ``LINGER_MS`` to be sent."""
         if self.keys is not None:
             self.keys.stop()
+        if self.batch_timer is not None:
+            self.batch_timer.cancel()
         if self.inbound is not None:
             self.loop.remove_reader(self.inbound.fileno())
             self.inbound.close()
@@ -209,8 +226,32 @@
         """Receive waiting frames; ZeroMQ's edge-triggered descriptor can miss some."""
         if self.keys is not None:
             self.keys.poll()
-        if self.inbound is not None and not self.inbound.closed:
-            self._receive_waiting()
+        if self.inbound is None or self.inbound.closed:
+            return
+        self._receive_waiting()
+        if self.batch_seconds:
+            self._adapt_to_rate()
+        self.frames_received = 0
+
+    def _adapt_to_rate(self) -> None:
+        """Receive frames in batches while many come, and each at once otherwise."""
+        if self.batch_timer is not None:
+            if self.frames_received < FEW_FRAMES:
+                self._end_batches()
+        elif self.frames_received >= MANY_FRAMES and self.may_batch():
+            self.loop.remove_reader(self.inbound.fileno())
+            self._receive_batch()
+
+    def _receive_batch(self) -> None:
+        self.batch_timer = self.loop.call_later(self.batch_seconds, self._receive_batch)
+        self._receive_waiting()
+        if not self.may_batch():
+            self._end_batches()
+
+    def _end_batches(self) -> None:
+        self.batch_timer.cancel()
+        self.batch_timer = None
+        self.loop.add_reader(self.inbound.fileno(), self._on_readable)
 
     def _connect(self, address: str) -> zmq.Socket | None:
         socket = self.context.socket(zmq.PUSH)
@@ -261,6 +302,7 @@
             self._on_readable()
 
     def _handle_frame(self, frame: bytes) -> None:
+        self.frames_received += 1
         self.count("transport.frames_received", 1)
         try:
             envelope = self.codec.decode(frame)
