--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -193,6 +193,8 @@
 def expire_or_resend(state: EntryState, now: float) -> None:
     """End the starts of silent agents, and resend messages that may be lost."""
     for view in state.views.values():
+        if not view.placed:
+            continue
         silent = now - view.heard_at > RESEND_AFTER_SECONDS
         for placed in list(view.placed.values()):
             expires_at = placed.expires_at
