--- a/src/cactuswalk/dispatch/costs.py
+++ b/src/cactuswalk/dispatch/costs.py
@@ -21,8 +21,9 @@
     :param pace: its run times relative to the callers' estimates.
     :param is_remote: it is in another data centre than the entry.
     """
+    cost = pace
     if is_remote:
-        pace *= REMOTE_FACTOR
+        cost *= REMOTE_FACTOR
     # A worker that has shrunk below what it runs has a negative free fraction, down to
     # any number: the divisor could be zero.
-    return pace / (FULL_WORKER_WEIGHT + max(0.0, free_fraction))
+    return cost / (FULL_WORKER_WEIGHT + max(0.0, free_fraction))
