Worker client: connections of its own, on aiohttp's response parser

Cause: an agent makes a call for each start, stop and poll. In a profile of an agent these calls were 0.29 of 0.93 s, of it 0.20 in aiohttp's client session.

Change: WorkerConnections writes the request's bytes and parses responses with aiohttp's own parser, a new one for each call. What held before holds: one call at a time on a connection, six connections for starts, no limit for the others, idle ones kept 300 s and the most recently used taken first, a refused connection told apart, no call sent twice.

--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import collections.abc
+import sys
 
-import aiohttp
 import msgspec
-import yarl
 
 from cactuswalk.dispatch.agentevents import (
     AgentEvent,
@@ -24,6 +23,7 @@
     is_fresh,
     take_later,
 )
+from cactuswalk.platform.workerconnections import WorkerCallError, WorkerConnections
 from cactuswalk.platform.workerreplies import (
     MISDIRECTED_REQUEST,
     Reply,
@@ -48,20 +48,7 @@
 # answer, the same ones time out unsent each time, and their runs go on. There are no
 # more of them at once than runs, and two polls.
 MAX_START_CONNECTIONS = 6
-NO_LIMIT = 0
-# Idle connections are kept this long, unless the worker closes them earlier.
-KEEPALIVE_SECONDS = 300.0
-
-
-class WorkerCallError(Exception):
-    """A call got no usable response.
-
-    :param refused: the connection was refused, so nothing was sent.
-    """
-
-    def __init__(self, refused: bool) -> None:
-        super().__init__()
-        self.refused = refused
+NO_LIMIT = sys.maxsize
 
 
 class WorkerClient:
@@ -76,12 +63,8 @@
     ) -> None:
         self.address = address
         self.clock = clock
-        # By path, starts apart from the others.
-        self.sessions: dict[str, aiohttp.ClientSession] = {}
-        self.urls = {
-            path: yarl.URL(f"http://{address}{path}")
-            for path in (START_PATH, STOP_PATH, POLL_PATH)
-        }
+        self.start_connections = WorkerConnections(address, MAX_START_CONNECTIONS)
+        self.connections = WorkerConnections(address, NO_LIMIT)
         # By worker, the reading of its clock with which leases are converted, and the
         # call in progress that only reads its clock.
         self.readings: dict[str, ClockReading] = {}
@@ -168,9 +151,8 @@
         """Close the connections."""
         for call in list(self.clock_calls.values()):
             call.cancel()
-        for session in self.sessions.values():
-            await session.close()
-        self.sessions.clear()
+        self.start_connections.close()
+        self.connections.close()
 
     def record_heartbeat(self, worker: str, clock_ms: float | None) -> None:
         """Record the worker's clock from a heartbeat, which may have been delayed."""
@@ -204,39 +186,27 @@
     async def _call(
         self, path: str, worker: str, body: dict, timeout_seconds: float
     ) -> tuple[int, Reply]:
-        if not self.sessions:
-            self.sessions[START_PATH] = _open_session(MAX_START_CONNECTIONS)
-            self.sessions[STOP_PATH] = _open_session(NO_LIMIT)
-            self.sessions[POLL_PATH] = self.sessions[STOP_PATH]
-        url = self.urls[path]
-        headers = {INSTANCE_HEADER: worker, "Content-Type": "application/json"}
-        try:
-            async with asyncio.timeout(timeout_seconds):
-                async with self.sessions[path].post(
-                    url, data=msgspec.json.encode(body), headers=headers
-                ) as response:
-                    data = await response.read()
-        except aiohttp.ClientConnectorError as error:
-            refused = isinstance(error.os_error, ConnectionRefusedError)
-            raise WorkerCallError(refused) from error
-        except (aiohttp.ClientError, OSError) as error:
-            raise WorkerCallError(False) from error
+        is_start = path == START_PATH
+        connections = self.start_connections if is_start else self.connections
+        request = self._format_request(path, worker, msgspec.json.encode(body))
+        status, data = await connections.call(request, timeout_seconds)
         try:
             reply = decode_reply(data)
         except ValueError as error:
             raise WorkerCallError(False) from error
-        if reply.clock_ms is not None and response.status != MISDIRECTED_REQUEST:
+        if reply.clock_ms is not None and status != MISDIRECTED_REQUEST:
             self.readings[worker] = ClockReading(reply.clock_ms, self.clock())
-        return response.status, reply
-
-
-def _open_session(limit: int) -> aiohttp.ClientSession:
-    connector = aiohttp.TCPConnector(limit=limit, keepalive_timeout=KEEPALIVE_SECONDS)
-    # Without cookies and a session timeout, which cost time in every call.
-    return aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None),
-        auto_decompress=False,
-        skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
-    )
+        return status, reply
+
+    def _format_request(self, path: str, worker: str, data: bytes) -> bytes:
+        if not worker.isprintable():
+            # It would end its header.
+            raise WorkerCallError(False)
+        head = (
+            f"POST {path} HTTP/1.1\r\n"
+            f"Host: {self.address}\r\n"
+            f"{INSTANCE_HEADER}: {worker}\r\n"
+            "Content-Type: application/json\r\n"
+            f"Content-Length: {len(data)}\r\n\r\n"
+        )
+        return head.encode() + data
