Agent: a report is addressed in one step, stalls are looked at without progress only

Cause: each report copied the general one by Python's copy module and set seven fields; each run with progress was also asked whether it stands still.

--- a/src/cactuswalk/dispatch/agentprogress.py
+++ b/src/cactuswalk/dispatch/agentprogress.py
@@ -39,7 +39,7 @@
     if percent != held.percent:
         held.percent = percent
         held.percent_at = now
-    if held.state is HeldState.RUNNING and _is_stalled(state, held, now):
+    elif held.state is HeldState.RUNNING and _is_stalled(state, held, now):
         state.say("a task is stalled", job=held.start.key.job, percent=percent)
         if state.health.record_stall(now):
             state.say("put the worker on trial", reason="a task is stalled")
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -1,8 +1,9 @@
 """Reports of an agent to the entries, on its worker and on their starts there."""
 
-import copy
 import math
 
+import msgspec
+
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentleases import renewal_seconds
 from cactuswalk.dispatch.agentstate import AgentState
@@ -50,15 +51,16 @@
 
 def _address(general: Report, peer: EntryPeer, held: list[int], now: float) -> Report:
     """Return a copy of the general report with the fields for one entry filled in."""
-    report = copy.copy(general)
-    report.entry_incarnation = peer.incarnation
-    report.last_sequence = peer.last_sequence
-    report.held = held + list(peer.pending_ends)
-    report.hears_entry = bool(peer.incarnation) and peer.is_heard(now)
-    report.acknowledged_members = peer.members_version
-    report.home = peer.home
-    report.entry_stamp = peer.entry_stamp
-    return report
+    return msgspec.structs.replace(
+        general,
+        entry_incarnation=peer.incarnation,
+        last_sequence=peer.last_sequence,
+        held=held + list(peer.pending_ends),
+        hears_entry=bool(peer.incarnation) and peer.is_heard(now),
+        acknowledged_members=peer.members_version,
+        home=peer.home,
+        entry_stamp=peer.entry_stamp,
+    )
 
 
 def _general_report(state: AgentState, now: float) -> Report:
