Agent: runs' progress is looked at in full only if half of them are late

Cause: each poll's answer made a record of each run's progress and took their median, to find a slow worker.

Change: a worker counts as slow only if at least half of its measured runs are late. That is counted first, and without these records; a random test compares it with the full look (dispatch_held.feature).

--- a/features/dispatch_held.feature
+++ b/features/dispatch_held.feature
@@ -20,3 +20,9 @@
     When a0 writes no debug lines
     And a job of 2 tasks of 0.2 seconds comes to e0
     Then a0 has run 2 tasks and created no debug lines
+
+  Scenario: A slow worker is never passed over when few of its runs are late
+    The runs' progress is looked at in full only if half of them are late.
+    When 20000 random sets of runs are looked at for a slow worker
+    Then no set that shows a slow worker is passed over
+    And at least half of the other sets are
--- a/features/steps/dispatch_held_steps.py
+++ b/features/steps/dispatch_held_steps.py
@@ -2,17 +2,23 @@
 
 import collections
 import math
+import random
 from unittest import mock
 
 from behave import then, when
 
-from cactuswalk.dispatch import agent
+from cactuswalk.dispatch import agent, agentprogress
+from cactuswalk.dispatch.agentheld import HeldState, HeldTask
 from cactuswalk.dispatch.agentleases import latest_stamp, renewal_seconds
+from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import (
     CLOCK_DRIFT,
     WORKER_LEASE_SECONDS,
     orphan_lapse_seconds,
 )
+from cactuswalk.dispatch.job import TaskKey
+from cactuswalk.dispatch.messages import Start
+from cactuswalk.dispatch.soundness import pace_from_progress
 from features.support.fleetsearch import SearchDay
 
 DAY_SECONDS = 6
@@ -98,3 +104,58 @@
     assert len(context.fleet.starts) == tasks
     levels = {line.level for _, name, line in context.fleet.lines if name == "a0"}
     assert levels == {"info"}
+
+
+def random_runs(generator):
+    """Return runs of a worker, on most occasions a slow one, and the time."""
+    pace = generator.choice([0.8, 1.0, 2.0, 2.4, 3.0, 4.0])
+    runs = []
+    for number in range(generator.randrange(12)):
+        estimate_ms = generator.choice([0, 120, 400, 1800])
+        ran = generator.uniform(0.05, 1.0)
+        work = 100 * ran * 1000 / (pace * max(1, estimate_ms))
+        percent = int(min(99, work * generator.lognormvariate(0, 0.3)))
+        start = Start(
+            "l",
+            "l",
+            0,
+            number,
+            "w",
+            TaskKey(f"{number // 2}", 0, number % 2),
+            1,
+            "",
+            1,
+            1,
+            0,
+            estimate_ms,
+        )
+        held = HeldTask(number, "e0", start, 1, HeldState.RUNNING, 10.0 - ran)
+        held.percent = percent
+        held.speed = generator.choice([0.0, 0.0, percent / ran])
+        runs.append(held)
+    return runs
+
+
+@when("{sets:d} random sets of runs are looked at for a slow worker")
+def step_random_sets(context, sets):
+    generator = random.Random(1)
+    state = AgentState("l1", 7, [], "a0", "d0", 6.0, 5.0)
+    context.sets = collections.Counter()
+    for _ in range(sets):
+        state.health.pace = generator.uniform(0.5, 1.5)
+        runs = random_runs(generator)
+        tasks = [agentprogress.progress(held, 10.0) for held in runs]
+        is_slow = pace_from_progress(tasks) > state.health.slow_pace
+        looked_at = agentprogress._is_half_late(state, runs, 10.0)
+        context.sets[is_slow, looked_at] += 1
+
+
+@then("no set that shows a slow worker is passed over")
+def step_none_passed_over(context):
+    assert context.sets[True, True] > 1000, context.sets
+    assert not context.sets[True, False], context.sets
+
+
+@then("at least half of the other sets are")
+def step_others_passed_over(context):
+    assert context.sets[False, False] >= context.sets[False, True], context.sets
--- a/src/cactuswalk/dispatch/agentprogress.py
+++ b/src/cactuswalk/dispatch/agentprogress.py
@@ -4,6 +4,8 @@
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.soundness import (
+    MIN_PROGRESS_SECONDS,
+    MIN_SLOWDOWN_TASKS,
     Progress,
     pace_from_progress,
     recent_speed,
@@ -21,6 +23,9 @@
 # Interval of speed measurements of a run: three polls.
 SPEED_SECONDS = 0.5
 
+# A run whose lateness rounding may hide counts as late.
+ROUNDING = 1.0001
+
 
 def record_progress(
     state: AgentState, held: HeldTask, percent: int, now: float
@@ -65,6 +70,8 @@
 def stop_runs_if_slow(state: AgentState, now: float) -> None:
     """Detect a slow worker, and stop runs that finish sooner on another one."""
     running = [held for held in state.held.values() if held.state is HeldState.RUNNING]
+    if not state.health.is_slow and not _is_half_late(state, running, now):
+        return
     tasks = [progress(held, now) for held in running]
     expected_pace = pace_from_progress(tasks)
     if state.health.detect_slowdown(expected_pace):
@@ -79,6 +86,23 @@
             stop_run(state, held, "its worker drags", now)
 
 
+def _is_half_late(state: AgentState, running: list[HeldTask], now: float) -> bool:
+    """Return whether at least half of the runs are so late that the worker may be slow.
+
+    Each poll asks this, and the answer is hardly ever yes.
+    """
+    # A run is late if its speed times its estimate is at most this.
+    bound = 100_000 * ROUNDING / state.health.slow_pace
+    measured = late = 0
+    for held in running:
+        ran = now - held.since
+        if ran >= MIN_PROGRESS_SECONDS:
+            measured += 1
+            speed = held.speed or max(1, held.percent) / ran
+            late += speed * held.start.estimate_ms <= bound
+    return 2 * late >= measured >= MIN_SLOWDOWN_TASKS
+
+
 def progress(held: HeldTask, now: float) -> Progress:
     """Return the progress of a run."""
     start = held.start
--- a/src/cactuswalk/dispatch/soundness.py
+++ b/src/cactuswalk/dispatch/soundness.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "MIN_PROGRESS_SECONDS",
+    "MIN_SLOWDOWN_TASKS",
     "Progress",
     "WorkerHealth",
     "pace_from_progress",
@@ -155,6 +156,11 @@
         """Whether it gets only an occasional task, to test whether it recovered."""
         return self.on_trial or self.is_slow
 
+    @property
+    def slow_pace(self) -> float:
+        """The predicted pace above which it counts as slow."""
+        return SLOWDOWN_FACTOR * max(self.pace, MIN_PACE)
+
     def record_success(self, estimate_ms: int, ran_ms: float, began: float) -> None:
         """Record a run that succeeded.
 
@@ -205,7 +211,7 @@
 
         The predicted pace then replaces the average, until finished runs change it.
         """
-        if expected_pace <= SLOWDOWN_FACTOR * max(self.pace, MIN_PACE):
+        if expected_pace <= self.slow_pace:
             return False
         self.pace = expected_pace
         self.is_slow = True
