Don't place tasks of jobs whose callers may have left during a cut

Cause: an entry that was cut off from its callers and its agents hears its agents first. They had stopped its tasks, and it ran them again beside the second attempts that its callers had sent to other entries. What tells it that they have gone may come long after.

Change: an entry is isolated while it hears fewer agents than half of its home agents (0.5 s without a report, or 0.9 s without a returned stamp; agents that were silent for 2 s are not expected any more). Then it places tasks only of jobs that arrived within the last 0.5 s, and sends no start again. When that is over, older jobs that need a placement are answered at once, 504 if a task has started or may have, 503 otherwise; those whose tasks go on or are done at agents are answered as they end; meanwhile no start counts as lost for its agent's silence. If all agents that come back are new processes, they were gone and not cut off, and all goes on as before. New jobs wait 0.25 s after an isolation or a complete silence, as after a pause.

--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -1,5 +1,6 @@
 """Random days of a fleet: jobs arrive all the time while random faults occur."""
 
+import collections
 import random
 
 from features.support.fleet import SERVICE, Fleet, queue
@@ -33,6 +34,7 @@
         self.fault_names = FAULTS
         self.fault_gap, self.job_gap = FAULT_GAP_SECONDS, JOB_GAP_SECONDS
         self.last_wait = 0.0
+        self.cut_counts = collections.Counter()
 
     def play(self, seconds):
         fleet = self.fleet
@@ -158,9 +160,16 @@
             | {(agent, entry) for agent in self.fleet.workers}
         )
 
-    def cut(self, pairs):
+    def cut(self, pairs, seconds=None):
+        """Cut links for some time; a link that is cut twice is back after both."""
+        self.cut_counts.update(pairs)
         self.fleet.cuts |= pairs
-        self.fleet.at(self.span(), lambda: self.fleet.cuts.difference_update(pairs))
+        seconds = self.span() if seconds is None else seconds
+        self.fleet.at(seconds, lambda: self.restore(pairs))
+
+    def restore(self, pairs):
+        self.cut_counts.subtract(pairs)
+        self.fleet.cuts -= {pair for pair in pairs if self.cut_counts[pair] <= 0}
 
     def cut_worker(self):
         worker = self.fleet.workers[self.any_agent()]
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -171,8 +171,7 @@
         seconds = self.span()
         pairs = {(entry, other) for other in others}
         pairs |= {(other, entry) for other in others}
-        self.fleet.cuts |= pairs
-        self.fleet.at(seconds, lambda: self.fleet.cuts.difference_update(pairs))
+        self.cut(pairs, seconds)
         self.cut_until[entry] = max(
             self.cut_until.get(entry, 0.0), self.fleet.now + seconds
         )
@@ -285,7 +284,14 @@
         self.fleet.calls.pauses[self.any_agent()] = self.generator.uniform(0.3, 1.8)
 
     def heal(self):
+        # A cut of an entry lasts for as long as its callers' leaving is held back.
+        cut_off = {
+            pair
+            for pair in self.fleet.cuts
+            if any(self.cut_until.get(name, 0.0) > self.fleet.now for name in pair)
+        }
         super().heal()
+        self.fleet.cuts |= cut_off
         self.fleet.held_up.clear()
         self.fleet.calls.pauses.clear()
         self.fleet.crashing.clear()
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -72,6 +72,8 @@
     if state.recheck_requested:
         state.recheck_requested = False
         _refuse_unservable(state, now)
+    if state.placement_needed:
+        _close_interrupted_jobs(state, now)
     if state.placement_needed and not state.waits_after_pause(now):
         state.placement_needed = False
         request_any_agents(state, now)
@@ -135,6 +137,17 @@
             answer_job(state, job, JobVerdict.UNFINISHED, "out of time", now)
 
 
+def _close_interrupted_jobs(state: EntryState, now: float) -> None:
+    """Answer the jobs that would need a placement which an isolation has ruled out."""
+    for job in list(state.jobs.values()):
+        if job.arrived_at >= state.placed_from:
+            # Jobs are in the order of their arrival.
+            return
+        if job.waiting:
+            verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
+            answer_job(state, job, verdict, "its entry was cut off", now)
+
+
 def _refuse_unservable(state: EntryState, now: float) -> None:
     """Refuse waiting jobs whose only possible workers are evacuated or have shrunk."""
     for job in list(state.jobs.values()):
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -7,6 +7,7 @@
 from cactuswalk.dispatch.entryevents import (
     Received,
 )
+from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entrykeepalives import send_keepalive
 from cactuswalk.dispatch.entryoverflow import (
     handle_capacity_offer,
@@ -185,7 +186,9 @@
         silent = now - view.heard_at > RESEND_AFTER_SECONDS
         for placed in list(view.placed.values()):
             expires_at = placed.expires_at
-            if silent:
+            # In an isolation the agent may have the end of a task that is done, and the
+            # task could not run again anyway.
+            if silent and not state.isolated_at:
                 expires_at = expires_at or view.lapses_at()
             if expires_at and now >= expires_at:
                 end_start(
@@ -202,6 +205,9 @@
         return
     if placed.start.agent_incarnation != view.report.incarnation:
         return
+    if not may_place(state, placed.task.job, now):
+        # With its new stamp the agent would start it, however late it arrives.
+        return
     is_unreported = placed.start.sequence > view.report.last_sequence
     if (
         is_unreported
--- a/src/cactuswalk/dispatch/entryisolation.py
+++ b/src/cactuswalk/dispatch/entryisolation.py
@@ -1,14 +1,20 @@
-"""How many of its agents an entry hears.
+"""Isolation of an entry: it hears few of its agents, for longer than its leases.
 
-An entry that hears few of them is probably cut off, and from its callers too. It can't
-see that of callers: a connection that breaks during a cut may show it only after it.
+It is probably cut off, and from its callers too. Their connections break meanwhile and
+they send their jobs to other entries, but what tells this entry so may arrive long
+after its agents are heard again, or never. Its agents have stopped the tasks. If it had
+them run again, they would run twice at once.
+
+So it places a task only soon after the job has arrived, when its caller was there. The
+caller's second attempt comes so much later that its leaving is known by then.
 """
 
 from cactuswalk.dispatch.agentview import AgentView
-from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS
+from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS, RESUME_SECONDS
 from cactuswalk.dispatch.entrystate import EntryState
+from cactuswalk.dispatch.jobstate import JobState
 
-__all__ = ["check_isolation"]
+__all__ = ["check_isolation", "may_place"]
 
 # An agent that was not heard for this long is not expected to be heard: it has gone.
 # An entry whose agents have lost their power together counts as isolated until then.
@@ -23,43 +29,76 @@
 READ_SECONDS = 0.15
 
 
+def may_place(state: EntryState, job: JobState, now: float) -> bool:
+    """Return whether a job's tasks may be started.
+
+    In an isolation its caller may have gone if it arrived more than a lease ago. It may
+    also have come out of a socket's buffer; that its caller has gone is read next.
+    """
+    age = now - job.arrived_at
+    if now - state.isolated_until < RESUME_SECONDS and age < RESUME_SECONDS:
+        return False
+    if state.isolated_at:
+        return age <= ENTRY_LEASE_SECONDS
+    return job.arrived_at >= state.placed_from
+
+
 def check_isolation(state: EntryState, now: float) -> None:
-    """Record whether fewer than half of the expected agents are heard."""
-    allowance = state.paused_seconds if now - state.paused_until < READ_SECONDS else 0.0
-    expected = heard = 0
-    for view in state.views.values():
-        if not _is_used(state, view):
-            continue
-        age, returned_age = _silence(view, now)
-        expected += max(age, returned_age) <= EXPECTED_SECONDS + allowance
-        heard += (
-            age <= ENTRY_LEASE_SECONDS + allowance
-            and returned_age <= RETURNED_SECONDS + allowance
-        )
+    """Record whether fewer agents are heard than half of those that should be."""
+    heard, expected = _count_agents(state, now)
+    if state.isolated_at and not heard:
+        state.isolated_until = now
     if 2 * heard < expected:
         _begin(state, heard, expected, now)
     elif heard:
         _end(state, heard, expected, now)
 
 
-def _is_used(state: EntryState, view: AgentView) -> bool:
-    """Return whether messages are exchanged with an agent all the time."""
-    is_used = view.report.home or view.address in state.overflow_until
-    return is_used and bool(view.report.worker)
+def _count_agents(state: EntryState, now: float) -> tuple[int, int]:
+    """Return how many agents are heard, and how many home agents should be."""
+    age_allowance = _pause_allowance(state, READ_SECONDS, now)
+    returned_allowance = _pause_allowance(state, RETURNED_SECONDS, now)
+    heard = expected = 0
+    for view in state.views.values():
+        if not view.report.worker:
+            continue
+        age = now - view.heard_at
+        returned_age = now - view.echoed_stamp / 1000 if view.echoed_stamp else 0.0
+        heard += (
+            age <= ENTRY_LEASE_SECONDS + age_allowance
+            and returned_age <= RETURNED_SECONDS + returned_allowance
+        )
+        expected += _is_expected(view) and (
+            max(age, returned_age) <= EXPECTED_SECONDS + returned_allowance
+        )
+    return heard, expected
+
+
+def _pause_allowance(state: EntryState, seconds: float, now: float) -> float:
+    """Return the length of a pause of this process that ended so recently, or 0.
+
+    While it is paused it handles no reports and sends no stamps.
+    """
+    return state.paused_seconds if now - state.paused_until < seconds else 0.0
 
 
-def _silence(view: AgentView, now: float) -> tuple[float, float]:
-    """Return for how long an agent, and a returned stamp of this entry, is missing."""
-    age = now - view.heard_at
-    if not view.echoed_stamp:
-        return age, 0.0
-    return age, now - view.echoed_stamp / 1000
+def _is_expected(view: AgentView) -> bool:
+    """Return whether an agent reports all the time.
+
+    An agent that is used for overflow and has nothing of this entry may leave it.
+    """
+    return view.report.home or bool(view.placed)
 
 
 def _begin(state: EntryState, heard: int, expected: int, now: float) -> None:
     if state.isolated_at:
         return
     state.isolated_at = now
+    state.silent_incarnations = {
+        address: view.report.incarnation
+        for address, view in state.views.items()
+        if now - view.heard_at > ENTRY_LEASE_SECONDS
+    }
     state.say(
         "heard few of its agents",
         heard=heard,
@@ -73,6 +112,7 @@
 def _end(state: EntryState, heard: int, expected: int, now: float) -> None:
     if not state.isolated_at:
         return
+    restarted = _have_restarted(state)
     state.say(
         "hears its agents again",
         heard=heard,
@@ -80,5 +120,22 @@
         seconds=round(now - state.isolated_at + ENTRY_LEASE_SECONDS, 3),
         jobs=len(state.jobs),
         waiting=len(state.waiting_jobs()),
+        restarted=restarted,
     )
     state.isolated_at = 0.0
+    if not restarted:
+        state.isolated_until = now
+        state.placed_from = now - ENTRY_LEASE_SECONDS
+
+
+def _have_restarted(state: EntryState) -> bool:
+    """Return whether the agents were silent since they had ended, not for a cut.
+
+    All that are heard again are new processes then.
+    """
+    before = state.silent_incarnations
+    views = [state.views[address] for address in before if address in state.views]
+    returned = [view for view in views if view.heard_at >= state.isolated_at]
+    return bool(returned) and all(
+        view.report.incarnation != before[view.address] for view in returned
+    )
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -3,6 +3,7 @@
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.entrycrashes import clear_suspicion, suspect_task
+from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entryjobs import answer_job
 from cactuswalk.dispatch.entrystate import READY_HEARD_SECONDS, EntryState
 from cactuswalk.dispatch.job import JobVerdict
@@ -31,7 +32,11 @@
 def place_tasks(state: EntryState, now: float) -> None:
     """Send waiting tasks to workers with free capacity."""
     # A message may be handled before the tick that gives up overdue jobs.
-    waiting = [job for job in state.waiting_jobs() if not is_out_of_time(job, now)]
+    waiting = [
+        job
+        for job in state.waiting_jobs()
+        if not is_out_of_time(job, now) and may_place(state, job, now)
+    ]
     if not waiting:
         return
     live_views = [
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -56,6 +56,10 @@
         the bounds allow for; ``paused_seconds`` is its length.
     :ivar resumed_at: when the last pause of this process ended.
     :ivar isolated_at: since when few of its agents are heard; 0 while it hears them.
+    :ivar isolated_until: when the last isolation ended.
+    :ivar silent_incarnations: by address, those of the agents that were silent when the
+        isolation began.
+    :ivar placed_from: tasks of jobs that arrived before this time are not placed.
     """
 
     def __init__(
@@ -101,6 +105,9 @@
         self.paused_seconds = 0.0
         self.resumed_at = -math.inf
         self.isolated_at = 0.0
+        self.isolated_until = -math.inf
+        self.silent_incarnations: dict[str, str] = {}
+        self.placed_from = -math.inf
 
     @property
     def version(self) -> int:
