Scenarios of entries that are cut off, and mutants of their safeguards

Cause: one scenario covered the cut of an entry, with one length and one delay.

Four mutants in dispatch_mutants.feature, each caught.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -73,6 +73,22 @@
   Scenario: Without a wait after a pause, a caller's second attempt overlaps the first
     When the wait after a pause is disabled
     Then an entry that resumes runs a task that runs elsewhere
+
+  Scenario Outline: Without <safeguard>, an entry that was cut off runs tasks beside others
+    The first scenarios of dispatch_isolated.feature play the same with the safeguard.
+    When <safeguard> is disabled
+    Then a task runs twice at once when an entry was cut off for 1.1 seconds, <way>
+
+    Examples:
+      | safeguard                                        | way       |
+      | watching how many agents an entry hears          | both ways |
+      | watching whether agents hear their entry         | from it   |
+      | withholding starts that were sent before the end | from it   |
+
+  Scenario: Without a wait after a cut, a request from a socket's buffer is run
+    When the wait after a cut is disabled
+    Then a task runs twice at once when its request comes out of a buffer after a cut
+
   Scenario: Without keeping suspected tasks apart, sound jobs are given up
     Tasks that were on a crashed worker together would be on the next one together, and
     be to blame together. With the safeguard the same day has no such job
--- a/features/steps/dispatch_isolated_steps.py
+++ b/features/steps/dispatch_isolated_steps.py
@@ -1,9 +1,19 @@
 """Steps on entries that are cut off from their agents."""
 
-from behave import then, when
+from behave import given, then, when
 
 from cactuswalk.dispatch.entryevents import Tick
-from features.support.fleet import TICK
+from features.support.cutoff import (
+    CUT_SECONDS,
+    KNOWN_AFTER,
+    cut_off,
+    play_cut,
+    play_late_request,
+)
+from features.support.fleet import JOB, TICK, Fleet
+from features.support.fleetsearch import SearchDay
+
+DAY_SECONDS = 5
 
 
 def said_by(fleet, name, sentence):
@@ -15,14 +25,111 @@
     ]
 
 
+@then("no task runs twice at once in cuts of 0.2 to 12 seconds, {way}")
+def step_all_cuts(context, way):
+    overlaps = [
+        (seconds, known_after)
+        for seconds in CUT_SECONDS
+        for known_after in KNOWN_AFTER
+        if play_cut(way, seconds, known_after).overlaps
+    ]
+    assert not overlaps, f"{len(overlaps)} of them: {overlaps}"
+
+
+@then(
+    "days {first:d} to {last:d} of {mix} with 10 entries, 12 workers and 4 data centres"
+    " keep every guarantee"
+)
+def step_larger_days(context, first, last, mix):
+    for seed in range(first, last + 1):
+        day = SearchDay(seed, mix, entries=10, workers=12, centres=4)
+        day.play(DAY_SECONDS)
+        assert not day.is_broken(), f"seed {seed}: {day.summary()}"
+        assert len(day.fleet.answers) > 30, day.summary()
+
+
+@then("a task runs once when its request comes out of a buffer after a cut")
+def step_late_request(context):
+    fleet = play_late_request()
+    assert len(fleet.starts) == 2, fleet.starts
+    assert not fleet.overlaps
+
+
+@given("a fleet of 1 entries and 2 workers whose capacity is used up")
+def step_full_fleet(context):
+    context.fleet, context.waiters = Fleet(1, 2), {}
+    context.fleet.submit("e0", "01", 2, cpu=32_000, seconds=20.0, wait=25.0)
+    context.fleet.run(0.3)
+
+
 @when("e0 and all others are cut off for {seconds:g} seconds")
 def step_cut_off(context, seconds):
+    cut_off(context.fleet, "e0", "both ways", seconds)
+
+
+@when(
+    "e0 is cut off for {seconds:g} seconds from all but the workers of its data centre"
+)
+def step_cut_centre(context, seconds):
+    fleet = context.fleet
+    cut_off(fleet, "e0", "both ways", seconds)
+    near = {
+        name for name, worker in fleet.workers.items() if worker.data_centre == "d0"
+    }
+    fleet.cuts -= {pair for pair in fleet.cuts if near & set(pair)}
+
+
+@when("the agents of data centre {centre} are cut off from e0 for {seconds:g} seconds")
+def step_cut_agents(context, centre, seconds):
     fleet = context.fleet
-    for other in set(fleet.states) - {"e0"}:
-        fleet.cuts |= {("e0", other), (other, "e0")}
+    for name, worker in fleet.workers.items():
+        if worker.data_centre == centre:
+            fleet.cuts |= {("e0", name), (name, "e0")}
     fleet.at(seconds, fleet.cuts.clear)
 
 
+@when(
+    "all agents are killed after {after:g} seconds, and replaced {down:g} seconds later"
+)
+def step_replace_all(context, after, down):
+    fleet = context.fleet
+    fleet.run(after)
+    for name in fleet.workers:
+        fleet.kill(name)
+    fleet.run(down)
+    for name in fleet.workers:
+        fleet.start_agent(name)
+
+
+@then("the job at e0 is answered as {verdict:w}")
+def step_answered(context, verdict):
+    waiter = context.waiters["e0"]
+    assert waiter in context.fleet.answers, "no answer"
+    assert context.fleet.verdict(waiter) == verdict
+
+
+@then("every task was started once")
+def step_started_once(context):
+    keys = [key for _, key, _, _ in context.fleet.starts]
+    assert len(keys) == len(set(keys)) == context.tasks, context.fleet.starts
+
+
+@then("no task of it was started")
+def step_not_started(context):
+    assert JOB not in {key.job for _, key, _, _ in context.fleet.starts}
+
+
+@then("a task was started twice")
+def step_started_twice(context):
+    keys = [key for _, key, _, _ in context.fleet.starts]
+    assert len(keys) > len(set(keys)) == context.tasks, context.fleet.starts
+
+
+@then("e0 has not logged that it heard few of its agents")
+def step_not_logged(context):
+    assert not said_by(context.fleet, "e0", "heard few of its agents")
+
+
 @then("e0 has logged that it heard few of its {count:d} agents, and that this is over")
 def step_logged(context, count):
     (begun,) = said_by(context.fleet, "e0", "heard few of its agents")
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -14,6 +14,9 @@
     agentleases,
     agentview,
     agentworker,
+    entry,
+    entryagents,
+    entryisolation,
     entrykeepalives,
     entryplacing,
     entrystate,
@@ -30,6 +33,7 @@
 from cactuswalk.platform import workerclock
 from features.support.agentbesideworker import AgentBesideWorker, take
 from features.support.crashday import CrashDay
+from features.support.cutoff import play_cut, play_late_request
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 from features.support.fleetsearch import SearchDay
@@ -80,6 +84,22 @@
         lambda *arguments: True,
     ),
     "the wait after a pause": (entrystate, "RESUME_SECONDS", 0.0),
+    "the wait after a cut": (entryisolation, "RESUME_SECONDS", 0.0),
+    "watching how many agents an entry hears": (
+        entry,
+        "check_isolation",
+        lambda *arguments: None,
+    ),
+    "watching whether agents hear their entry": (
+        entryisolation,
+        "RETURNED_SECONDS",
+        math.inf,
+    ),
+    "withholding starts that were sent before the end": (
+        entryagents,
+        "may_place",
+        lambda *arguments: True,
+    ),
 }
 
 
@@ -256,6 +276,18 @@
     assert fleet.overlaps, "no task ran twice at once"
 
 
+@then(
+    "a task runs twice at once when an entry was cut off for {seconds:g} seconds, {way}"
+)
+def step_cut_overlaps(context, seconds, way):
+    assert play_cut(way, seconds, 0.5).overlaps, "no task ran twice at once"
+
+
+@then("a task runs twice at once when its request comes out of a buffer after a cut")
+def step_late_request_overlaps(context):
+    assert play_late_request().overlaps, "no task ran twice at once"
+
+
 @then("the second attempt at a job whose entry was killed overlaps the first")
 def step_overlaps(context):
     check_second_attempt_overlaps()
