--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -199,7 +199,9 @@
         silent = now - view.heard_at > RESEND_AFTER_SECONDS
         for placed in list(view.placed.values()):
             expires_at = placed.expires_at
-            if silent:
+            # In an isolation the agent may have the end of a task that is done, and the
+            # task could not run again anyway.
+            if silent and not state.isolated_at:
                 expires_at = expires_at or view.lapses_at()
             if expires_at and now >= expires_at:
                 end_start(
