Search for second runs: modules for its mixes and faults, and grown shapes

The search played 3 entries and 5 workers, so that home sets of eight entries and overflow were never in play. Shapes of 10 entries, 16 workers, 4 data centres and of 18, 12, 3 are played with load and faults in proportion; most jobs come to one data centre at a time, so that its agents are full. New faults: home sets that change, runs that stand still and stops that are answered and not done, all processes killed or powered off at once, orders carried out 2 to 12 s late, event loops that are late.

--- a/features/support/fleetcalls.py
+++ b/features/support/fleetcalls.py
@@ -19,12 +19,16 @@
 
 __all__ = ["WorkerCalls"]
 
+LATEST_SEND_SECONDS = 0.25
+
 
 class WorkerCalls:
     """Carries the agents' calls, with the lateness and losses of each worker.
 
     :ivar readings: the last reading of a worker's clock, by the agent's incarnation
         and the worker's identifier.
+    :ivar late_sends: agents whose calls are sent up to LATEST_SEND_SECONDS after they
+        were decided, in any order.
     :ivar pauses: seconds for which an agent freezes between the decision on its next
         start and the call, by agent.
     """
@@ -33,6 +37,7 @@
         self.fleet = fleet
         self.readings = {}
         self.pauses = {}
+        self.late_sends = set()
 
     def call(self, name, state, effect):
         if isinstance(effect, StartTask) and name in self.pauses:
@@ -40,6 +45,10 @@
             self.fleet.freeze(name, seconds)
             self.fleet.at(seconds, lambda: self.send_if_same(name, state, effect))
             return
+        if name in self.late_sends:
+            delay = self.fleet.generator.uniform(0.0, LATEST_SEND_SECONDS)
+            self.fleet.at(delay, lambda: self.send_if_same(name, state, effect))
+            return
         self.send(name, state, effect)
 
     def send_if_same(self, name, state, effect):
--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -33,6 +33,7 @@
         self.fault_names = FAULTS
         self.fault_gap, self.job_gap = FAULT_GAP_SECONDS, JOB_GAP_SECONDS
         self.last_wait = 0.0
+        self.healed_at = {}
 
     def play(self, seconds):
         fleet = self.fleet
@@ -65,7 +66,7 @@
         ]
         if not alive:
             return
-        entry = self.generator.choice(alive)
+        entry = self.choose_entry(alive)
         wait = self.generator.uniform(0.8, LONGEST_WAIT_SECONDS)
         self.last_wait = wait
         waiter = self.fleet.submit(
@@ -82,6 +83,9 @@
                 self.generator.uniform(0.01, 0.5), lambda: self.leave(self.calls[-1])
             )
 
+    def choose_entry(self, alive):
+        return self.generator.choice(alive)
+
     def leave(self, call):
         if call[5] and call[0] not in self.fleet.answers:
             call[5] = False
@@ -111,13 +115,20 @@
         fleet, name = self.fleet, self.any_entry()
         if name in fleet.dead:
             return
-        centre = fleet.states[name].data_centre
-        fleet.kill(name)
+        self.end_entry(name)
+        self.start_entry_after(name, self.span())
+
+    def end_entry(self, name):
+        """Kill an entry, and have its callers come back elsewhere."""
+        self.fleet.kill(name)
         for call in self.calls:
-            if call[1] == name and call[5] and call[0] not in fleet.answers:
+            if call[1] == name and call[5] and call[0] not in self.fleet.answers:
                 call[5] = False
                 self.resend(call)
-        fleet.at(self.span(), lambda: fleet.start_entry(name, centre))
+
+    def start_entry_after(self, name, seconds):
+        centre = self.fleet.states[name].data_centre
+        self.fleet.at(seconds, lambda: self.fleet.start_entry(name, centre))
 
     def resend(self, call):
         _, entry, identifier, tasks, seconds, _ = call
@@ -149,18 +160,28 @@
         pair = self.any_entry(), self.any_agent()
         if self.generator.random() < 0.5:
             pair = pair[::-1]
-        self.cut({pair})
+        self.cut({pair}, self.span())
 
     def cut_entry(self):
         entry = self.any_entry()
         self.cut(
             {(entry, agent) for agent in self.fleet.workers}
-            | {(agent, entry) for agent in self.fleet.workers}
+            | {(agent, entry) for agent in self.fleet.workers},
+            self.span(),
         )
 
-    def cut(self, pairs):
-        self.fleet.cuts |= pairs
-        self.fleet.at(self.span(), lambda: self.fleet.cuts.difference_update(pairs))
+    def cut(self, pairs, seconds):
+        """Cut links; one that is cut again meanwhile stays cut for the longer time."""
+        fleet = self.fleet
+        fleet.cuts |= pairs
+        for pair in pairs:
+            healed_at = self.healed_at.get(pair, 0.0)
+            self.healed_at[pair] = max(healed_at, fleet.now + seconds)
+        fleet.at(seconds, lambda: self.end_cuts(pairs))
+
+    def end_cuts(self, pairs):
+        now = self.fleet.now
+        self.fleet.cuts -= {pair for pair in pairs if self.healed_at[pair] <= now}
 
     def cut_worker(self):
         worker = self.fleet.workers[self.any_agent()]
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -8,11 +8,12 @@
 
 import collections
 
-from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
-from features.support.fleetscript import FAULTS, RESEND_SECONDS, RandomDay
-from features.support.fleetworker import CallFaults
+from features.support.fleetscript import RESEND_SECONDS
+from features.support.grownfaults import GrownFaults
+from features.support.searchmixes import MIXES
+from features.support.searchshapes import SHAPES
 
-__all__ = ["MIXES", "SearchDay", "play_days"]
+__all__ = ["SearchDay", "make_day", "play_days"]
 
 # How long a caller waits beyond the time that it has told its entry.
 PATIENCE_SECONDS = 0.5
@@ -20,61 +21,32 @@
 # How soon a caller notices its answer.
 LOOK_SECONDS = 0.005
 
-CALLS = {"start": StartTask, "stop": StopTask, "poll": PollWorker}
 
+# How soon a caller that finds no entry tries again.
+RETRY_SECONDS = 0.05
 
-class Mix:
-    """A mix of faults, and what holds for the whole day.
 
-    :ivar faults: names of faults; one that is named twice is twice as frequent.
-    :ivar gap: mean seconds between faults.
-    :ivar job_gap: mean seconds between jobs.
-    :ivar stretch: factor by which tasks are longer than those of ``RandomDay``, so that
-        some outlast the callers' pause before a second attempt.
-    :ivar crashing_share: share of jobs whose first task crashes its worker.
-    :ivar drift: fraction by which the workers' clocks are slow.
-    :ivar guards: workers refuse what exceeds their capacity.
-    :ivar read_callers: seconds after a freeze in which an entry learns whose connection
-        has broken.
-    :ivar again: seconds after which callers send a job again that was refused or not
-        finished; None for never.
-    """
-
-    def __init__(
-        self,
-        faults,
-        gap=0.4,
-        job_gap=0.08,
-        stretch=3.0,
-        crashing_share=0.0,
-        drift=0.0,
-        guards=True,
-        read_callers=0.002,
-        again=None,
-    ):
-        self.faults = faults
-        self.gap = gap
-        self.job_gap = job_gap
-        self.stretch = stretch
-        self.crashing_share = crashing_share
-        self.drift = drift
-        self.guards = guards
-        self.read_callers = read_callers
-        self.again = again
-
-
-def play_days(first, last, mix, seconds):
+def play_days(first, last, mix, seconds, shape="small"):
     """Play days with consecutive seeds, and check that each keeps every guarantee."""
     days = []
     for seed in range(first, last + 1):
-        day = SearchDay(seed, mix)
+        day = make_day(seed, mix, shape)
         day.play(seconds)
         assert not day.is_broken(), f"seed {seed}: {day.summary()}"
         days.append(day)
     return days
 
 
-class SearchDay(RandomDay):
+def make_day(seed, mix, shape):
+    """Return a day of a mix in a named shape, with load and faults in proportion."""
+    chosen = SHAPES[shape]
+    day = SearchDay(seed, mix, *chosen)
+    day.job_gap /= chosen.load_factor()
+    day.fault_gap /= chosen.fault_factor()
+    return day
+
+
+class SearchDay(GrownFaults):
     """A random day of a mix.
 
     Its callers come back to another entry after their connection has broken, or when
@@ -89,7 +61,6 @@
         for worker in self.fleet.workers.values():
             worker.drift, worker.guards = self.mix.drift, self.mix.guards
         self.fleet.read_callers_seconds = self.mix.read_callers
-        self.cut_until = {}
         self.open_calls = []
         if self.mix.again is not None:
             self.fleet.at(LOOK_SECONDS, self.look_at_answers)
@@ -97,6 +68,11 @@
     # Callers.
 
     def submit(self, identifier, tasks, seconds, avoid):
+        fleet = self.fleet
+        if set(fleet.entry_names) - {avoid} <= fleet.dead:
+            job = identifier, tasks, seconds, avoid
+            fleet.at(RETRY_SECONDS, lambda: self.submit(*job))
+            return
         if avoid is None and self.generator.random() < self.mix.crashing_share:
             down = self.generator.uniform(0.3, 3.0), self.generator.random() < 0.6
             self.fleet.crashing[identifier] = down
@@ -110,6 +86,15 @@
                 self.last_wait + PATIENCE_SECONDS, lambda call=call: self.give_up(call)
             )
 
+    def choose_entry(self, alive):
+        """Choose an entry, mostly in the data centre that has its turn."""
+        if self.generator.random() < self.mix.skew:
+            states, centres = self.fleet.states, self.fleet.centre_names()
+            centre = centres[int(self.fleet.now) % len(centres)]
+            near = [name for name in alive if states[name].data_centre == centre]
+            alive = near or alive
+        return super().choose_entry(alive)
+
     def give_up(self, call):
         fleet, entry = self.fleet, call[1]
         if not call[5] or call[0] in fleet.answers:
@@ -140,7 +125,10 @@
             super().leave(call)
         elif call[5] and call[0] not in self.fleet.answers:
             call[5] = False
-            delay = healed_at - self.fleet.now + self.generator.uniform(0.01, 0.5)
+            delay = 0.0
+            if self.mix.read_after_cut:
+                read_after = self.generator.uniform(0.01, 0.5)
+                delay = healed_at - self.fleet.now + read_after
             self.fleet.at(delay, lambda: self.fleet.leave(call[1], call[0]))
 
     def break_connections(self, entry):
@@ -150,150 +138,6 @@
                 self.leave(call)
                 self.resend(call)
 
-    # Faults.
-
-    def no_fault(self):
-        """Leave everything as it is."""
-
-    def break_callers(self):
-        self.break_connections(self.any_entry())
-
-    def freeze_entry_and_break(self):
-        name, seconds = self.any_entry(), self.generator.uniform(0.5, 4.0)
-        self.fleet.freeze(name, seconds)
-        self.fleet.at(
-            self.generator.uniform(0.0, seconds), lambda: self.break_connections(name)
-        )
-
-    def cut_entry_and_break(self):
-        entry = self.any_entry()
-        others = [name for name in self.fleet.states if name != entry]
-        seconds = self.span()
-        pairs = {(entry, other) for other in others}
-        pairs |= {(other, entry) for other in others}
-        self.fleet.cuts |= pairs
-        self.fleet.at(seconds, lambda: self.fleet.cuts.difference_update(pairs))
-        self.cut_until[entry] = max(
-            self.cut_until.get(entry, 0.0), self.fleet.now + seconds
-        )
-        self.break_connections(entry)
-
-    def any_worker(self):
-        return self.fleet.workers[self.any_agent()]
-
-    def fault_calls(self, kind, faults):
-        worker = self.any_worker()
-        worker.call_faults[kind] = faults
-        self.fleet.at(
-            self.span(),
-            lambda: worker.call_faults.__setitem__(kind, CallFaults()),
-        )
-
-    def lose(self, kind):
-        share = self.generator.choice((0.3, 0.7, 1.0))
-        late = self.generator.choice((0.0, 0.05, 0.3, 2.0))
-        self.fault_calls(CALLS[kind], CallFaults(share, late))
-
-    def lose_starts(self):
-        self.lose("start")
-
-    def lose_stops(self):
-        self.lose("stop")
-
-    def lose_polls(self):
-        self.lose("poll")
-
-    def unconfirm(self, kind):
-        share = self.generator.choice((0.3, 0.7, 1.0))
-        self.fault_calls(CALLS[kind], CallFaults(unconfirmed_share=share))
-
-    def unconfirm_starts(self):
-        self.unconfirm("start")
-
-    def unconfirm_stops(self):
-        self.unconfirm("stop")
-
-    def unconfirm_polls(self):
-        self.unconfirm("poll")
-
-    def take_worker_down(self):
-        refuses = self.generator.random() < 0.5
-        self.any_worker().crash_for(self.span(), refuses)
-
-    def resize_worker(self):
-        self.any_worker().resize(self.generator.choice((6_000, 12_000, 24_000, 32_000)))
-
-    def depart_worker(self):
-        runs_on = self.generator.uniform(0.02, 0.5)
-        self.any_worker().depart(runs_on, self.span())
-
-    def refuse_connections(self):
-        worker = self.any_worker()
-        worker.refuses = True
-        self.fleet.at(self.span(), lambda: setattr(worker, "refuses", not worker.up))
-
-    def reboot_agent(self):
-        name = self.any_agent()
-        if name not in self.fleet.dead:
-            self.fleet.reboot(name, self.span())
-
-    def hold_up(self, name, seconds):
-        """Hold up what this incarnation of a process sends to some others."""
-        others = self.fleet.workers
-        if name in others:
-            others = self.fleet.entry_names
-        incarnation = self.fleet.states[name].incarnation
-        for other in others:
-            if self.generator.random() < 0.7:
-                self.fleet.held_up[incarnation, other] = self.fleet.now + seconds
-
-    def hold_up_agent(self):
-        self.hold_up(self.any_agent(), self.span())
-
-    def hold_up_entry(self):
-        self.hold_up(self.any_entry(), self.span())
-
-    def hold_up_and_kill(self, name, down):
-        """Kill an agent some of whose messages arrive only after its successor's."""
-        if name in self.fleet.dead:
-            return False
-        self.hold_up(name, down + self.generator.uniform(0.2, 3.0))
-        return True
-
-    def hold_up_and_restart(self):
-        name, down = self.any_agent(), self.generator.uniform(0.1, 2.0)
-        if self.hold_up_and_kill(name, down):
-            delay = self.generator.uniform(0.05, 0.5)
-            self.fleet.at(delay, lambda: self.restart_agent(name, down))
-
-    def restart_agent(self, name, down):
-        if name not in self.fleet.dead:
-            self.fleet.kill(name)
-            self.fleet.at(down, lambda: self.fleet.start_agent(name))
-
-    def hold_up_and_reboot(self):
-        name, down = self.any_agent(), self.generator.uniform(0.5, 3.0)
-        if self.hold_up_and_kill(name, down):
-            delay = self.generator.uniform(0.05, 0.5)
-            self.fleet.at(delay, lambda: self.reboot_if_alive(name, down))
-
-    def reboot_if_alive(self, name, down):
-        if name not in self.fleet.dead:
-            self.fleet.reboot(name, down)
-
-    def pause_before_start(self):
-        self.fleet.calls.pauses[self.any_agent()] = self.generator.uniform(0.3, 1.8)
-
-    def heal(self):
-        super().heal()
-        self.fleet.held_up.clear()
-        self.fleet.calls.pauses.clear()
-        self.fleet.crashing.clear()
-        for worker in self.fleet.workers.values():
-            worker.refuses = not worker.up
-            worker.resize(32_000)
-            worker.call_faults = {kind: CallFaults() for kind in CALLS.values()}
-
     # Verdict.
 
     def is_broken(self):
@@ -324,74 +168,3 @@
                     break
             counts[why] += 1
         return counts
-
-
-CALL_LOSSES = tuple(
-    f"{verb}_{kind}s" for verb in ("lose", "unconfirm") for kind in CALLS
-)
-CALLERS = ("break_callers", "freeze_entry_and_break", "cut_entry_and_break")
-WORKERS = ("take_worker_down", "resize_worker", "crash_worker")
-LATE = ("hold_up_agent", "hold_up_entry", "hold_up_and_restart", "hold_up_and_reboot")
-
-# Mixes with few kinds isolate a cause, and "rest" leaves out what is known to break a
-# guarantee. "depart" and "refuse" suppose that a worker runs
-# on after it has announced its departure, or while its address refuses connections.
-MIXES = {
-    "starts": Mix(("lose_starts", "unconfirm_starts", "kill_entry", "kill_agent")),
-    "stops": Mix(("lose_stops", "unconfirm_stops", "kill_entry", "break_callers")),
-    "polls": Mix(("lose_polls", "unconfirm_polls", "kill_entry", "kill_agent")),
-    "calls": Mix((*CALL_LOSSES, "kill_both", "break_callers")),
-    "crashing": Mix(("take_worker_down",), crashing_share=0.05),
-    "crashing-kills": Mix(
-        ("take_worker_down", "crash_worker", "kill_agent", "kill_entry"),
-        crashing_share=0.05,
-    ),
-    "capacity": Mix(("resize_worker", "crash_worker")),
-    "capacity-unguarded": Mix(("resize_worker", "crash_worker"), guards=False),
-    "restarts": Mix(("hold_up_and_restart", "hold_up_agent")),
-    "reboots": Mix(("hold_up_and_reboot", "reboot_agent")),
-    "entries-late": Mix(("hold_up_entry", "kill_entry", "hold_up_agent")),
-    "callers-broken": Mix(("break_callers", "cut_entry_and_break")),
-    "callers-paused": Mix(("freeze_entry_and_break",)),
-    "callers-cut": Mix(("cut_entry_and_break",), gap=1.0),
-    "callers-paused-late": Mix(("freeze_entry_and_break",), read_callers=0.05),
-    "again-later": Mix(FAULTS, again=1.0),
-    "again-at-once": Mix(("no_fault",), again=0.0),
-    "paused": Mix(("freeze_entry", "freeze_agent")),
-    "depart": Mix(("depart_worker",)),
-    "refuse": Mix(("refuse_connections",)),
-    "slow-clocks": Mix(
-        ("cut_worker", "freeze_agent", "kill_both"), 1.5, job_gap=1.0, drift=0.02
-    ),
-    "paused-start": Mix(("pause_before_start",)),
-    "standard": Mix(FAULTS),
-    "standard-short": Mix(FAULTS, job_gap=0.03, stretch=1.0),
-    "all": Mix(
-        (*FAULTS, *CALL_LOSSES, *CALLERS, *WORKERS, *LATE, "reboot_agent"),
-        gap=0.25,
-        crashing_share=0.01,
-    ),
-    "all-light": Mix(
-        (*FAULTS, *CALL_LOSSES, *CALLERS, *WORKERS, "reboot_agent"),
-        job_gap=0.2,
-        crashing_share=0.02,
-    ),
-    "rest": Mix(
-        (
-            *(name for name in FAULTS if not name.startswith("freeze_entry")),
-            *(name for name in CALL_LOSSES if not name.endswith("stops")),
-            *WORKERS,
-            *("break_callers", "reboot_agent", "hold_up_and_restart"),
-            *("hold_up_agent", "hold_up_entry"),
-        ),
-        gap=0.25,
-        job_gap=0.12,
-        crashing_share=0.02,
-    ),
-    "all-unguarded": Mix(
-        (*FAULTS, *CALL_LOSSES, *WORKERS, "reboot_agent", "break_callers"),
-        gap=0.25,
-        guards=False,
-        drift=0.02,
-    ),
-}
--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -71,6 +71,8 @@
     :ivar pace: factor by which run times are longer.
     :ivar fails: every run fails within a millisecond.
     :ivar stalls: runs never end.
+    :ivar stop_seconds: how long a run goes on after a stop was answered; infinite for
+        to its end.
     :ivar unanswered_share: share of calls that are lost and get no answer.
     :ivar late: seconds after which lost calls are executed all the same; 0 for never.
     :ivar unconfirmed_share: share of calls that are executed but get no answer.
@@ -94,6 +96,7 @@
         self.pace = 1.0
         self.fails = False
         self.stalls = False
+        self.stop_seconds = 0.0
         self.unanswered_share = 0.0
         self.late = 0.0
         self.unconfirmed_share = 0.0
@@ -246,9 +249,21 @@
         self.highest[effect.key] = max(effect.run, self.highest.get(effect.key, 0))
         run = self.runs.get(effect.key)
         if run is not None and run.run <= effect.run:
-            self.finish(run, RunEnd.STOPPED, now)
+            self.end_stopped(run, now)
         return True
 
+    def end_stopped(self, run, now):
+        """End a run that is stopped; an ill worker takes its time."""
+        if not self.stop_seconds:
+            self.finish(run, RunEnd.STOPPED, now)
+        elif self.stop_seconds < math.inf:
+            self.fleet.at(self.stop_seconds, lambda: self.end_if_running(run))
+
+    def end_if_running(self, run):
+        self.advance(self.fleet.now)
+        if self.runs.get(run.key) is run:
+            self.finish(run, RunEnd.STOPPED, self.fleet.now)
+
     def renew(self, effect, deadline, now):
         self.advance(now)
         if deadline and effect.worker == self.identifier:
--- /dev/null
+++ b/features/support/grownfaults.py
@@ -0,0 +1,184 @@
+"""Faults that matter where many entries share agents, or where much fails at once."""
+
+import math
+
+from features.support.fleetworker import CallFaults
+from features.support.searchfaults import CALLS, SearchFaults
+
+__all__ = ["GrownFaults"]
+
+# Longer than an agent's patience with a silent home entry, and than its memory of
+# another one.
+SHORTEST_SILENCE_SECONDS, LONGEST_SILENCE_SECONDS = 1.4, 3.0
+
+# How late an event loop is, and the mean time between two such delays.
+SHORTEST_LAG_SECONDS, LONGEST_LAG_SECONDS = 0.05, 0.25
+LAG_GAP_SECONDS = 0.15
+
+# How late an order may be carried out.
+EARLIEST_ORDER_SECONDS, LATEST_ORDER_SECONDS = 2.0, 12.0
+
+
+class GrownFaults(SearchFaults):
+    """Changes home sets, and has workers, whole fleets and event loops fail.
+
+    :ivar lagging_until: by process, until when its event loop is late now and then.
+    """
+
+    def __init__(self, seed, entries, workers, centres):
+        super().__init__(seed, entries, workers, centres)
+        self.lagging_until = {}
+
+    # Home sets that change.
+
+    def silence(self):
+        return self.generator.uniform(SHORTEST_SILENCE_SECONDS, LONGEST_SILENCE_SECONDS)
+
+    def silence_entry(self):
+        """Freeze an entry, or cut it off from its agents."""
+        entry = self.any_entry()
+        if self.generator.random() < 0.5:
+            self.fleet.freeze(entry, self.silence())
+        else:
+            self.cut(self.some_links(entry, 1.0), self.silence())
+
+    def silence_links(self):
+        """Cut the links of an entry with some agents."""
+        self.cut(self.some_links(self.any_entry(), 0.5), self.silence())
+
+    def some_links(self, entry, share):
+        """Return links of an entry with a share of the agents, perhaps one way."""
+        ways = self.generator.choice(((0, 1), (0,), (1,)))
+        links = set()
+        for agent in self.fleet.workers:
+            if self.generator.random() < share:
+                links |= {((entry, agent), (agent, entry))[way] for way in ways}
+        return links
+
+    def restart_entry(self):
+        self.replace_entry(self.generator.uniform(0.05, 0.5))
+
+    def take_entry_away(self):
+        self.replace_entry(self.generator.uniform(2.0, 6.0))
+
+    def replace_entry(self, seconds):
+        name = self.any_entry()
+        if name not in self.fleet.dead:
+            self.end_entry(name)
+            self.start_entry_after(name, seconds)
+
+    # Ill workers.
+
+    def stall_worker(self):
+        """Have the runs of a worker stand still, and those that it starts."""
+        worker = self.any_worker()
+        worker.advance(self.fleet.now)
+        for run in worker.runs.values():
+            run.slow_down(self.fleet.now, 1e6)
+        worker.stalls = True
+        self.fleet.at(self.span(), lambda: setattr(worker, "stalls", False))
+
+    def delay_stops(self):
+        worker = self.any_worker()
+        worker.stop_seconds = self.generator.choice((0.06, 0.3, 1.0, math.inf))
+        self.fleet.at(self.span(), lambda: setattr(worker, "stop_seconds", 0.0))
+
+    def stall_and_delay_stops(self):
+        worker = self.any_worker()
+        worker.stalls, worker.stop_seconds = True, math.inf
+        self.fleet.at(self.span(), lambda: self.make_well(worker))
+
+    def make_well(self, worker):
+        worker.stalls, worker.stop_seconds = False, 0.0
+
+    # All at once.
+
+    def kill_all(self):
+        """Kill all processes at once; workers go on."""
+        self.kill_many(list(self.fleet.states))
+
+    def kill_centre(self):
+        centre = self.generator.choice(self.fleet.centre_names())
+        states = self.fleet.states.items()
+        self.kill_many([name for name, state in states if state.data_centre == centre])
+
+    def kill_many(self, names):
+        for name in names:
+            if name not in self.fleet.dead:
+                self.kill_one(name, self.generator.uniform(0.02, 2.5))
+
+    def kill_one(self, name, down):
+        fleet = self.fleet
+        if name in fleet.workers:
+            fleet.kill(name)
+            fleet.at(down, lambda: fleet.start_agent(name))
+        else:
+            self.end_entry(name)
+            self.start_entry_after(name, down)
+
+    def power_off_all(self):
+        """Power all hosts off at once, but those of some workers."""
+        fleet = self.fleet
+        for name in list(fleet.states):
+            if name in fleet.dead:
+                continue
+            down = self.generator.uniform(0.5, 2.5)
+            if name in fleet.workers and self.generator.random() < 0.5:
+                fleet.reboot(name, down)
+                continue
+            self.kill_one(name, down)
+            if name not in fleet.workers:
+                fleet.clock_offsets[name] = -fleet.now
+
+    # Orders that are carried out late.
+
+    def delay_orders(self):
+        worker = self.any_worker()
+        late = self.generator.uniform(EARLIEST_ORDER_SECONDS, LATEST_ORDER_SECONDS)
+        share = self.generator.choice((0.3, 0.7))
+        kinds = [CALLS["start"]]
+        if self.generator.random() < 0.3:
+            kinds += [CALLS["stop"], CALLS["poll"]]
+        for kind in kinds:
+            worker.call_faults[kind] = CallFaults(share, late)
+        self.fleet.at(self.span(), lambda: self.end_call_faults(worker))
+        return worker
+
+    def end_call_faults(self, worker):
+        worker.call_faults = {kind: CallFaults() for kind in CALLS.values()}
+
+    def delay_orders_and_restart(self):
+        name = self.delay_orders().name
+        delay = self.generator.uniform(0.05, 0.6)
+        down = self.generator.uniform(0.02, 1.0)
+        self.fleet.at(delay, lambda: self.restart_agent(name, down))
+
+    # Event loops that are late.
+
+    def slow_loops(self):
+        """Have the event loops of some processes be late now and then."""
+        names = list(self.fleet.states)
+        for name in self.generator.sample(names, self.generator.randint(1, 5)):
+            until = self.fleet.now + self.span()
+            is_lagging = self.fleet.now < self.lagging_until.get(name, 0.0)
+            self.lagging_until[name] = until
+            if self.generator.random() < 0.5:
+                self.fleet.calls.late_sends.add(name)
+            if not is_lagging:
+                self.lag(name)
+
+    def lag(self, name):
+        if self.fleet.now >= self.lagging_until.get(name, 0.0):
+            self.fleet.calls.late_sends.discard(name)
+            return
+        seconds = self.generator.uniform(SHORTEST_LAG_SECONDS, LONGEST_LAG_SECONDS)
+        self.fleet.freeze(name, seconds)
+        pause = self.generator.expovariate(1 / LAG_GAP_SECONDS)
+        self.fleet.at(seconds + pause, lambda: self.lag(name))
+
+    def heal(self):
+        super().heal()
+        self.lagging_until.clear()
+        self.fleet.calls.late_sends.clear()
+        for worker in self.fleet.workers.values():
+            self.make_well(worker)
--- a/tools/soak_dispatch.py
+++ b/tools/soak_dispatch.py
@@ -10,7 +10,8 @@
 import click
 
 from features.support.fleetscript import RandomDay
-from features.support.fleetsearch import MIXES, SearchDay
+from features.support.fleetsearch import SearchDay
+from features.support.searchmixes import MIXES
 
 __all__ = ["main"]
 
