--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -45,7 +45,15 @@
 from features.support.fleetcalls import WorkerCalls
 from features.support.fleetworker import SERVICE, Run, SimulatedWorker
 
-__all__ = ["JOB", "SERVICE", "Fleet", "Run", "SimulatedWorker", "queue"]
+__all__ = [
+    "JOB",
+    "SERVICE",
+    "TURN_SECONDS",
+    "Fleet",
+    "Run",
+    "SimulatedWorker",
+    "queue",
+]
 
 TICK = 0.05
 MESSAGE_SECONDS = 0.0006
@@ -54,6 +62,10 @@
 GRACE_SECONDS = 6.0
 BOOT_SECONDS = 0.5
 CRASH_SECONDS = 0.002
+# Length of a turn of the event loop in a starved process.
+TURN_SECONDS = (0.05, 0.25)
+# Turns of the event loop after the one that finds a disconnection.
+READ_TURNS = 2
 DRAIN_SECONDS = 1.0
 
 # The job of scenarios that have only one.
@@ -78,6 +90,9 @@
     :ivar unguarded_overloads: the same at workers that start anything.
     :ivar read_callers_seconds: how long after a freeze an entry learns which callers
         have gone.
+    :ivar starved: processes of which each turn of the event loop is late. Entries learn
+        in the third turn which callers have gone, and messages leave in the next one.
+    :ivar unread: disconnections of callers that an entry reads in a later turn.
     :ivar clock_offsets: by process, its clock minus the fleet's.
     :ivar held_up: when held messages arrive, by sender's incarnation and receiver.
     :ivar crashing: by job that crashes its workers, how long they are down, and
@@ -119,6 +134,8 @@
         self.overlaps = []
         self.overloads = 0
         self.unguarded_overloads = 0
+        self.starved = set()
+        self.unread = {}
         self.clock_offsets = {}
         self.held_up = {}
         self.crashing = {}
@@ -232,10 +249,26 @@
         if self.now < self.frozen[name]:
             self.at(self.frozen[name] - self.now, lambda: self.wake(name))
             return
+        self.read_callers(name)
         for state, event in self.backlogs.pop(name):
-            delay = self.read_callers_seconds if isinstance(event, WaiterLeft) else 0.0
+            delay = 0.0
+            if isinstance(event, WaiterLeft):
+                delay = self.read_callers_seconds
+                if name in self.starved:
+                    self.unread.setdefault(name, []).append([READ_TURNS, state, event])
+                    continue
             self.at(delay, lambda s=state, e=event: self.deliver_if_same(name, s, e))
 
+    def read_callers(self, name):
+        """Have an entry learn of the callers whose disconnections are read by now."""
+        unread = self.unread.pop(name, [])
+        for item in unread:
+            item[0] -= 1
+            if not item[0] or name not in self.starved:
+                self.deliver_if_same(name, item[1], item[2])
+            else:
+                self.unread.setdefault(name, []).append(item)
+
     def tick(self, name, state):
         if self.states.get(name) is not state or name in self.dead:
             return
@@ -336,6 +369,8 @@
         state = self.states[address]
         received = AgentReceived if address in self.workers else Received
         delay = MESSAGE_SECONDS * self.generator.uniform(0.8, 1.5)
+        if sender in self.starved:
+            delay += self.generator.uniform(*TURN_SECONDS)
         if self.in_order:
             link = (sender, address)
             delay = max(delay, self.last_arrival.get(link, 0.0) - self.now)
--- a/features/support/grownfaults.py
+++ b/features/support/grownfaults.py
@@ -2,6 +2,7 @@
 
 import math
 
+from features.support.fleet import TURN_SECONDS
 from features.support.fleetworker import CallFaults
 from features.support.searchfaults import CALLS, SearchFaults
 
@@ -11,9 +12,10 @@
 # another one.
 SHORTEST_SILENCE_SECONDS, LONGEST_SILENCE_SECONDS = 1.4, 3.0
 
-# How late an event loop is, and the mean time between two such delays.
-SHORTEST_LAG_SECONDS, LONGEST_LAG_SECONDS = 0.05, 0.25
+# Mean time between two late turns of an event loop, and the time in which what has come
+# during a turn is handled.
 LAG_GAP_SECONDS = 0.15
+MOMENT_SECONDS = 0.0001
 
 # How late an order may be carried out.
 EARLIEST_ORDER_SECONDS, LATEST_ORDER_SECONDS = 2.0, 12.0
@@ -167,18 +169,35 @@
             if not is_lagging:
                 self.lag(name)
 
+    def starve(self):
+        """Have each turn of the event loops of some processes be late."""
+        names = list(self.fleet.states)
+        for name in self.generator.sample(names, self.generator.randint(1, 5)):
+            if self.fleet.now >= self.lagging_until.get(name, 0.0):
+                self.fleet.starved.add(name)
+                self.lagging_until[name] = self.fleet.now + self.span()
+                self.lag(name)
+
     def lag(self, name):
         if self.fleet.now >= self.lagging_until.get(name, 0.0):
-            self.fleet.calls.late_sends.discard(name)
+            self.end_lag(name)
             return
-        seconds = self.generator.uniform(SHORTEST_LAG_SECONDS, LONGEST_LAG_SECONDS)
+        seconds = self.generator.uniform(*TURN_SECONDS)
         self.fleet.freeze(name, seconds)
-        pause = self.generator.expovariate(1 / LAG_GAP_SECONDS)
+        pause = MOMENT_SECONDS
+        if name not in self.fleet.starved:
+            pause = self.generator.expovariate(1 / LAG_GAP_SECONDS)
         self.fleet.at(seconds + pause, lambda: self.lag(name))
 
+    def end_lag(self, name):
+        self.fleet.calls.late_sends.discard(name)
+        self.fleet.starved.discard(name)
+        self.fleet.read_callers(name)
+
     def heal(self):
         super().heal()
+        for name in self.lagging_until:
+            self.end_lag(name)
         self.lagging_until.clear()
-        self.fleet.calls.late_sends.clear()
         for worker in self.fleet.workers.values():
             self.make_well(worker)
--- a/features/support/searchmixes.py
+++ b/features/support/searchmixes.py
@@ -144,6 +144,10 @@
         ("slow_loops", "slow_loops", "kill_entry", "kill_agent", "break_callers"),
         skew=0.6,
     ),
+    "starved": Mix(
+        ("starve", "starve", "kill_entry", "kill_agent", "break_callers"),
+        skew=0.6,
+    ),
     "grown": Mix(
         (
             *(*FAULTS, *CALL_LOSSES, *CALLERS, *WORKERS, *LATE, "reboot_agent"),
