--- a/features/dispatch_search.feature
+++ b/features/dispatch_search.feature
@@ -24,3 +24,36 @@
       | mix          |
       | restarts     |
       | entries-late |
+
+  Scenario Outline: Random days of a fleet with many entries: <mix>, <shape>
+    Agents have eight home entries of ten, or only those of their own data centre, and
+    entries use agents elsewhere while theirs are full. None of this is in play in the
+    small fleet of the other days.
+    Then day 2000 of <mix> in the shape <shape> keeps every guarantee
+    And home sets have changed on it, and overflow agents were used
+
+    Examples: entries that come, go and are silent
+      | mix   | shape    |
+      | homes | eighteen |
+
+    Examples: runs that stand still, and stops that are answered and not done
+      | mix | shape |
+      | ill | ten   |
+
+    Examples: all processes end at once, and come back in any order
+      | mix     | shape |
+      | at-once | ten   |
+
+    Examples: orders that are carried out 2 to 12 s late
+      | mix         | shape    |
+      | late-orders | eighteen |
+
+    Examples: event loops that are late
+      | mix        | shape    |
+      | late-loops | ten      |
+      | starved    | eighteen |
+
+    Examples: all of them
+      | mix         | shape |
+      | grown       | ten   |
+      | grown-light | ten   |
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -58,7 +58,9 @@
         self.mix = MIXES[mix]
         self.fault_names = self.mix.faults
         self.fault_gap, self.job_gap = self.mix.gap, self.mix.job_gap
+        self.usual_stop_seconds = self.mix.stop_seconds
         for worker in self.fleet.workers.values():
+            worker.stop_seconds = self.usual_stop_seconds
             worker.drift, worker.guards = self.mix.drift, self.mix.guards
         self.fleet.read_callers_seconds = self.mix.read_callers
         self.open_calls = []
--- a/features/support/grownfaults.py
+++ b/features/support/grownfaults.py
@@ -24,11 +24,13 @@
 class GrownFaults(SearchFaults):
     """Changes home sets, and has workers, whole fleets and event loops fail.
 
+    :ivar usual_stop_seconds: how long a run of a well worker goes on after its stop.
     :ivar lagging_until: by process, until when its event loop is late now and then.
     """
 
     def __init__(self, seed, entries, workers, centres):
         super().__init__(seed, entries, workers, centres)
+        self.usual_stop_seconds = 0.0
         self.lagging_until = {}
 
     # Home sets that change.
@@ -63,6 +65,10 @@
     def take_entry_away(self):
         self.replace_entry(self.generator.uniform(2.0, 6.0))
 
+    def take_entry_away_for_long(self):
+        """Take an entry away, perhaps until agents and entries have forgotten it."""
+        self.replace_entry(self.generator.uniform(8.0, 25.0))
+
     def replace_entry(self, seconds):
         name = self.any_entry()
         if name not in self.fleet.dead:
@@ -83,7 +89,7 @@
     def delay_stops(self):
         worker = self.any_worker()
         worker.stop_seconds = self.generator.choice((0.06, 0.3, 1.0, math.inf))
-        self.fleet.at(self.span(), lambda: setattr(worker, "stop_seconds", 0.0))
+        self.fleet.at(self.span(), lambda: self.make_well(worker))
 
     def stall_and_delay_stops(self):
         worker = self.any_worker()
@@ -91,7 +97,7 @@
         self.fleet.at(self.span(), lambda: self.make_well(worker))
 
     def make_well(self, worker):
-        worker.stalls, worker.stop_seconds = False, 0.0
+        worker.stalls, worker.stop_seconds = False, self.usual_stop_seconds
 
     # All at once.
 
@@ -173,10 +179,24 @@
         """Have each turn of the event loops of some processes be late."""
         names = list(self.fleet.states)
         for name in self.generator.sample(names, self.generator.randint(1, 5)):
-            if self.fleet.now >= self.lagging_until.get(name, 0.0):
-                self.fleet.starved.add(name)
-                self.lagging_until[name] = self.fleet.now + self.span()
-                self.lag(name)
+            self.starve_one(name)
+
+    def starve_one(self, name):
+        if self.fleet.now >= self.lagging_until.get(name, 0.0):
+            self.fleet.starved.add(name)
+            self.lagging_until[name] = self.fleet.now + self.span()
+            self.lag(name)
+
+    def starve_and_break(self):
+        """Starve an entry and some agents, and have its callers go elsewhere."""
+        entry = self.any_entry()
+        self.starve_one(entry)
+        share = self.generator.choice((0.0, 0.5, 1.0))
+        for name in self.fleet.workers:
+            if self.generator.random() < share:
+                self.starve_one(name)
+        delay = self.generator.uniform(0.1, 1.5)
+        self.fleet.at(delay, lambda: self.break_connections(entry))
 
     def lag(self, name):
         if self.fleet.now >= self.lagging_until.get(name, 0.0):
--- a/features/support/searchmixes.py
+++ b/features/support/searchmixes.py
@@ -23,6 +23,7 @@
         time after the cut which of them have gone; otherwise at once.
     :ivar skew: share of the jobs that come to the entries of one data centre, another
         one each second, so that its agents are full while others have room.
+    :ivar stop_seconds: how long a run goes on after its stop was answered.
     :ivar again: seconds after which callers send a job again that was refused or not
         finished; None for never.
     """
@@ -40,6 +41,7 @@
         again=None,
         read_after_cut=True,
         skew=0.0,
+        stop_seconds=0.0,
     ):
         self.faults = faults
         self.gap = gap
@@ -52,6 +54,7 @@
         self.again = again
         self.read_after_cut = read_after_cut
         self.skew = skew
+        self.stop_seconds = stop_seconds
 
 
 CALL_LOSSES = tuple(
@@ -67,7 +70,8 @@
 GROWN = (
     *MEMBERS,
     *ILL,
-    *("kill_centre", "delay_orders", "delay_orders_and_restart", "slow_loops"),
+    *("kill_centre", "delay_orders", "delay_orders_and_restart"),
+    *("slow_loops", "starve", "starve_and_break"),
 )
 
 # Mixes with few kinds isolate a cause, and "rest" leaves out what is known to break a
@@ -131,11 +135,19 @@
         guards=False,
         drift=0.02,
     ),
-    "homes": Mix((*MEMBERS, "kill_agent"), skew=0.6, read_after_cut=False),
+    "homes": Mix((*MEMBERS, "kill_agent"), gap=1.0, skew=0.6, read_after_cut=False),
+    "homes-long": Mix(
+        (*MEMBERS, "kill_agent", "take_entry_away_for_long"),
+        gap=4.0,
+        skew=0.6,
+        read_after_cut=False,
+    ),
     "ill": Mix(
-        (*ILL, "kill_entry", "kill_agent", "break_callers", "freeze_agent"), skew=0.6
+        (*ILL, "kill_entry", "kill_agent", "break_callers", "freeze_agent"),
+        skew=0.6,
+        stop_seconds=0.03,
     ),
-    "at-once": Mix((*AT_ONCE, "crash_worker", "lose_stops"), gap=2.0, skew=0.6),
+    "at-once": Mix((*AT_ONCE, "crash_worker", "lose_stops"), gap=8.0, skew=0.6),
     "late-orders": Mix(
         ("delay_orders", "delay_orders_and_restart", "kill_entry", "break_callers"),
         skew=0.6,
@@ -145,7 +157,7 @@
         skew=0.6,
     ),
     "starved": Mix(
-        ("starve", "starve", "kill_entry", "kill_agent", "break_callers"),
+        ("starve", "starve_and_break", "kill_entry", "kill_agent", "break_callers"),
         skew=0.6,
     ),
     "grown": Mix(
@@ -155,8 +167,10 @@
         ),
         gap=0.25,
         crashing_share=0.01,
+        drift=0.02,
         read_after_cut=False,
         skew=0.6,
+        stop_seconds=0.03,
     ),
     "grown-light": Mix(
         (
@@ -165,7 +179,9 @@
         ),
         job_gap=0.2,
         crashing_share=0.01,
+        drift=0.02,
         read_after_cut=False,
         skew=0.6,
+        stop_seconds=0.03,
     ),
 }
--- a/features/support/searchshapes.py
+++ b/features/support/searchshapes.py
@@ -30,4 +30,5 @@
     "small": Shape(3, 5),
     "ten": Shape(10, 16, 4),
     "eighteen": Shape(18, 12, 3),
+    "sixty-one": Shape(10, 61, 4),
 }
