Give up earlier jobs at agents that are cut off together with their entry

Cause: an isolated entry that still hears some agents, as in a data centre that is cut off, let earlier jobs run on there, beside the second attempts that their callers had sent to entries on the other side.

Change: 0.3 s after an isolation has begun, 0.85 s after a cut at the latest, an entry stops the tasks of earlier jobs at the agents that it hears, and answers 504. The scenario of cuts has a fifth way, the entry with the workers of its data centre, and dispatch_mutants one more safeguard.

--- a/features/dispatch_isolated.feature
+++ b/features/dispatch_isolated.feature
@@ -12,6 +12,10 @@
       | to it     |
       | held up   |
 
+    Examples: its tasks run on at the workers that are cut off with it
+      | way                  |
+      | with its data centre |
+
   Scenario Outline: Random days of cuts on a larger site: <mix>
     On days 9003 and 9004, and 9010 and 9012, tasks ran twice at once when an entry placed
     what it had accepted before a cut.
--- a/features/steps/dispatch_isolated_steps.py
+++ b/features/steps/dispatch_isolated_steps.py
@@ -72,11 +72,7 @@
 )
 def step_cut_centre(context, seconds):
     fleet = context.fleet
-    cut_off(fleet, "e0", "both ways", seconds)
-    near = {
-        name for name, worker in fleet.workers.items() if worker.data_centre == "d0"
-    }
-    fleet.cuts -= {pair for pair in fleet.cuts if near & set(pair)}
+    cut_off(fleet, "e0", "with its data centre", seconds)
 
 
 @when("the agents of data centre {centre} are cut off from e0 for {seconds:g} seconds")
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -95,6 +95,11 @@
         "RETURNED_SECONDS",
         math.inf,
     ),
+    "giving up jobs at agents that are cut off too": (
+        entryisolation,
+        "GIVE_UP_SECONDS",
+        math.inf,
+    ),
     "withholding starts that were sent before the end": (
         entryagents,
         "may_place",
--- a/features/support/cutoff.py
+++ b/features/support/cutoff.py
@@ -1,5 +1,7 @@
 """An entry that is cut off while its caller's connection breaks."""
 
+import itertools
+
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from features.support.fleet import JOB, Fleet
 
@@ -10,19 +12,25 @@
 
 
 def cut_off(fleet, entry, way, seconds):
-    """Cut an entry's links to all other processes, one way or both.
+    """Cut an entry off from the other processes, both ways or one.
 
-    What it sends is lost, or held up until the end of the cut.
+    What it sends is lost, or held up until the end of the cut. The agents of its data
+    centre may be cut off together with it.
     """
-    others = set(fleet.states) - {entry}
+    inside = {entry}
+    if way == "with its data centre":
+        centre = fleet.states[entry].data_centre
+        near = fleet.workers.items()
+        inside |= {name for name, worker in near if worker.data_centre == centre}
+    others = set(fleet.states) - inside
     incarnation = fleet.states[entry].incarnation
-    for other in others:
+    for name, other in itertools.product(inside, others):
         if way == "held up":
             fleet.held_up[incarnation, other] = fleet.now + seconds
         elif way != "to it":
-            fleet.cuts.add((entry, other))
+            fleet.cuts.add((name, other))
         if way != "from it":
-            fleet.cuts.add((other, entry))
+            fleet.cuts.add((other, name))
     fleet.at(seconds, fleet.cuts.clear)
 
 
@@ -31,7 +39,7 @@
 
     :param known_after: how long after the cut e0 learns that its caller has gone.
     """
-    fleet = Fleet(2, 6)
+    fleet = Fleet(4, 8) if way == "with its data centre" else Fleet(2, 6)
     waiter = fleet.submit("e0", JOB, 2, seconds=3.0, wait=10.0)
     fleet.run(0.3)
     cut_off(fleet, "e0", way, seconds)
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -28,7 +28,7 @@
     Tick,
     WaiterLeft,
 )
-from cactuswalk.dispatch.entryisolation import check_isolation
+from cactuswalk.dispatch.entryisolation import check_isolation, must_give_up
 from cactuswalk.dispatch.entryjobs import (
     answer_job,
     find_unservable_reason,
@@ -135,6 +135,8 @@
             answer_job(state, job, JobVerdict.NOT_RUN, "no capacity in time", now)
         elif verdict is JobAction.GIVE_UP:
             answer_job(state, job, JobVerdict.UNFINISHED, "out of time", now)
+        elif must_give_up(state, job, now):
+            answer_job(state, job, JobVerdict.UNFINISHED, "its entry is cut off", now)
 
 
 def _close_interrupted_jobs(state: EntryState, now: float) -> None:
--- a/src/cactuswalk/dispatch/entryisolation.py
+++ b/src/cactuswalk/dispatch/entryisolation.py
@@ -14,7 +14,7 @@
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.jobstate import JobState
 
-__all__ = ["check_isolation", "may_place"]
+__all__ = ["check_isolation", "may_place", "must_give_up"]
 
 # An agent that was not heard for this long is not expected to be heard: it has gone.
 # An entry whose agents have lost their power together counts as isolated until then.
@@ -25,6 +25,11 @@
 # 0.2 s, and the timers of both processes add 0.1 s.
 RETURNED_SECONDS = 0.9
 
+# An entry that is isolated for this long gives up the earlier jobs that run at agents
+# which it hears. An isolation begins 0.55 s after a cut at the latest, and stops take
+# 0.08 s: together less than RESEND_SECONDS. Agents that were replaced may be back.
+GIVE_UP_SECONDS = 0.3
+
 # Messages that came while this process was paused have been handled after this time.
 READ_SECONDS = 0.15
 
@@ -43,6 +48,23 @@
     return job.arrived_at >= state.placed_from
 
 
+def must_give_up(state: EntryState, job: JobState, now: float) -> bool:
+    """Return whether a job's tasks are to be stopped, since its caller may come back.
+
+    Tasks run on at agents that are cut off together with their entry, while its callers
+    send their jobs to entries on the other side.
+    """
+    return (
+        0 < state.isolated_at <= now - GIVE_UP_SECONDS
+        and job.arrived_at < state.isolated_at - ENTRY_LEASE_SECONDS
+        and any(
+            now - state.views[task.agent_address].heard_at <= ENTRY_LEASE_SECONDS
+            for task in job.tasks
+            if task.agent_address
+        )
+    )
+
+
 def check_isolation(state: EntryState, now: float) -> None:
     """Record whether fewer agents are heard than half of those that should be."""
     heard, expected = _count_agents(state, now)
