Starts put off keepalives

Cause: a start returns the agent's stamp, and so renews the leases as a keepalive does; a keepalive 0.1 s after the last one renewed them again.

Change: while starts go to an agent, its keepalives come up to 0.15 s apart, so that ends are acknowledged before they are sent again after 0.25 s; not if a start there is to be stopped, since only keepalives repeat that. Evacuations and members come by the same keepalives, at most 0.05 s later. Without starts in 0.1 s nothing changes.

Not taken: keepalives in the same frame as a start, since the placement would send them.

--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -49,6 +49,7 @@
     :param free_cpu: reported free capacity less what was sent there since, in
         thousandths of a core; memory and accelerators likewise.
     :param unreported_starts: number of starts that the report does not cover yet.
+    :param start_sent_at: when a start was sent there last.
     :param members_sent_at: when it was last sent the list of entries.
     :param members_data_centre: the data centre that this list was chosen for.
     """
@@ -65,6 +66,7 @@
     free_memory_mb: int = 0
     free_gpu: int = 0
     unreported_starts: int = 0
+    start_sent_at: float = 0.0
     members_sent_at: float = -math.inf
     members_data_centre: str = ""
 
@@ -111,6 +113,7 @@
     def add(self, placed: PlacedTask) -> None:
         """Add a start that the agent has not reported yet."""
         self.placed[placed.start.sequence] = placed
+        self.start_sent_at = placed.sent_at
         self._reserve(placed.start)
 
     def is_open(self, now: float) -> bool:
--- a/src/cactuswalk/dispatch/entrykeepalives.py
+++ b/src/cactuswalk/dispatch/entrykeepalives.py
@@ -14,6 +14,13 @@
 # learn of it and of other entries.
 IDLE_KEEPALIVE_SECONDS = 0.4
 
+# Ticks, every 0.05 s, may come this much early.
+TIMER_SECONDS = 0.001
+
+# Longest interval of keepalives while starts renew the leases: an end is acknowledged
+# before it is sent again (``agententries.END_RESEND_SECONDS``).
+ACKNOWLEDGE_SECONDS = 0.15 - TIMER_SECONDS
+
 # Interval at which the list of entries is sent again until the agent confirms it.
 MEMBERS_INTERVAL_SECONDS = 0.3
 
@@ -21,11 +28,32 @@
 def send_keepalives(state: EntryState, now: float) -> None:
     """Send the keepalives that are due; agents with tasks of this entry get more."""
     for view in state.views.values():
-        period = _keepalive_period(state, view)
-        if now - state.keepalive_sent_at.get(view.address, 0.0) >= period - 0.001:
+        if _is_due(state, view, now):
             send_keepalive(state, view, now)
 
 
+def _is_due(state: EntryState, view: AgentView, now: float) -> bool:
+    """Return whether a keepalive is due.
+
+    A start renews the leases too, since it returns the agent's stamp. While starts go
+    there, keepalives come as late as acknowledgements allow.
+    """
+    period = _keepalive_period(state, view) - TIMER_SECONDS
+    waited = now - state.keepalive_sent_at.get(view.address, 0.0)
+    if waited < period:
+        return False
+    renewed = now - view.start_sent_at < period
+    return not renewed or waited >= ACKNOWLEDGE_SECONDS or _has_stopped(view)
+
+
+def _has_stopped(view: AgentView) -> bool:
+    """Return whether a start there is to be stopped.
+
+    A start that renews its lease doesn't tell the agent so, as a keepalive does.
+    """
+    return any(placed.task is None for placed in view.placed.values())
+
+
 def _keepalive_period(state: EntryState, view: AgentView) -> float:
     """Return the keepalive interval of an agent.
 
