--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 export PYTHONPATH = src:.
 export PYTHONHASHSEED = 0
 
-.PHONY: test demo soak mutants ablation slopes measure format clean
+.PHONY: test demo soak mutants ablation slopes measure work format clean
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt
 	python3.11 -m venv $(VENV)
@@ -42,3 +42,7 @@
 
 measure: $(VENV)/.ready
 	$(PYTHON) -m tools.latency
+
+# Rewrites the figures that dispatch_work.feature compares with.
+work: $(VENV)/.ready
+	$(PYTHON) -m tools.work
