--- a/src/cactuswalk/dispatch/agentview.py
+++ b/src/cactuswalk/dispatch/agentview.py
@@ -56,6 +56,7 @@
         thousandths of a core; memory and accelerators likewise.
     :param cost: of the worker for a task without preferences.
     :param unreported_starts: number of starts that the report does not cover yet.
+    :param start_sent_at: when a start was sent there last.
     :param members_sent_at: when it was last sent the list of entries.
     :param members_data_centre: the data centre that this list was chosen for.
     """
@@ -75,6 +76,7 @@
     free_gpu: int = 0
     cost: float = 0.0
     unreported_starts: int = 0
+    start_sent_at: float = 0.0
     members_sent_at: float = -math.inf
     members_data_centre: str = ""
 
@@ -123,6 +125,7 @@
     def add(self, placed: PlacedTask) -> None:
         """Add a start that the agent has not reported yet."""
         self.placed[placed.start.sequence] = placed
+        self.start_sent_at = placed.sent_at
         self._reserve(placed.start)
         self._recompute_cost()
 
