Known red: a confirmed stop that an ill worker doesn't carry out

An agent takes the confirmation of a stop, and a poll that doesn't list the run, for proof that an unanswered start can't be carried out any more. A worker that confirms stops without carrying them out starts the task when the network delivers the start, up to half a second later, while the task runs elsewhere.

--- a/features/dispatch_unanswered.feature
+++ b/features/dispatch_unanswered.feature
@@ -45,3 +45,13 @@
     And its caller leaves 0.01 seconds later
     And 0.2 seconds later e0 gets another one of 10 tasks of 0.5 seconds
     Then no worker was overloaded
+
+  Scenario: A stop is confirmed, and its start is carried out all the same
+    Guards against a second run after an ill worker's confirmation was taken for proof
+    that a start, which the network still held, can't be carried out any more.
+    Given a fleet of 1 entries and 2 workers
+    And workers that confirm stops without effect on starts that come later
+    When starts are carried out 0.2 seconds late for 0.005 seconds as a job of 1 tasks of 0.5 seconds comes
+    And the fleet runs on for 3 seconds
+    Then no task has run twice at once
+    And every task was started once
--- a/features/steps/dispatch_unanswered_steps.py
+++ b/features/steps/dispatch_unanswered_steps.py
@@ -1,6 +1,6 @@
 """Steps on calls to a worker that have no answer."""
 
-from behave import then, when
+from behave import given, then, when
 
 from cactuswalk.dispatch.effects import StartTask, StopTask
 from features.steps.dispatch_load_steps import step_usual
@@ -23,6 +23,11 @@
     submit_with_faults(context, lost, tasks, seconds, unanswered_share=1.0, late=late)
 
 
+@given("workers that confirm stops without effect on starts that come later")
+def step_forget_stops(context):
+    set_faults(context, {"forgets_stops": True})
+
+
 def submit_with_faults(context, lost, tasks, seconds, **faults):
     """Submit a job to workers with faults, which end after so many seconds."""
     set_faults(context, faults)
--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -73,6 +73,7 @@
     :ivar stalls: runs never end.
     :ivar stop_seconds: how long a run goes on after a stop was answered; infinite for
         to its end.
+    :ivar forgets_stops: a stop leaves no trace if its start has not arrived yet.
     :ivar unanswered_share: share of calls that are lost and get no answer.
     :ivar late: seconds after which lost calls are executed all the same; 0 for never.
     :ivar unconfirmed_share: share of calls that are executed but get no answer.
@@ -97,6 +98,7 @@
         self.fails = False
         self.stalls = False
         self.stop_seconds = 0.0
+        self.forgets_stops = False
         self.unanswered_share = 0.0
         self.late = 0.0
         self.unconfirmed_share = 0.0
@@ -246,8 +248,10 @@
         self.advance(now)
         if effect.worker != self.identifier:
             return False
-        self.highest[effect.key] = max(effect.run, self.highest.get(effect.key, 0))
         run = self.runs.get(effect.key)
+        if run is None and self.forgets_stops:
+            return True
+        self.highest[effect.key] = max(effect.run, self.highest.get(effect.key, 0))
         if run is not None and run.run <= effect.run:
             self.end_stopped(run, now)
         return True
--- a/features/support/grownfaults.py
+++ b/features/support/grownfaults.py
@@ -89,6 +89,7 @@
     def delay_stops(self):
         worker = self.any_worker()
         worker.stop_seconds = self.generator.choice((0.06, 0.3, 1.0, math.inf))
+        worker.forgets_stops = self.generator.random() < 0.5
         self.fleet.at(self.span(), lambda: self.make_well(worker))
 
     def stall_and_delay_stops(self):
@@ -97,7 +98,8 @@
         self.fleet.at(self.span(), lambda: self.make_well(worker))
 
     def make_well(self, worker):
-        worker.stalls, worker.stop_seconds = False, self.usual_stop_seconds
+        worker.stalls, worker.forgets_stops = False, False
+        worker.stop_seconds = self.usual_stop_seconds
 
     # All at once.
 
--- a/features/support/searchmixes.py
+++ b/features/support/searchmixes.py
@@ -147,6 +147,11 @@
         skew=0.6,
         stop_seconds=0.03,
     ),
+    "ill-starts": Mix(
+        (*ILL, "lose_starts", "lose_starts", "unconfirm_starts"),
+        skew=0.6,
+        stop_seconds=0.03,
+    ),
     "at-once": Mix((*AT_ONCE, "crash_worker", "lose_stops"), gap=8.0, skew=0.6),
     "late-orders": Mix(
         ("delay_orders", "delay_orders_and_restart", "kill_entry", "break_callers"),
