An unanswered start is fenced off by a higher token, not by a confirmed stop

Callers saw two runs of a task at once: a start had no answer, its worker confirmed the stop, a poll didn't list the run, and the agent had the task run elsewhere; the network then delivered the start, within its lease, to a worker that is ill and had not carried out the stop that it confirmed.

Cause: a stop that was answered was taken for one that was done. Class: the end of a run concluded from something that doesn't end it.

An agent now raises its fencing token when a start has no answer. The worker that has answered a poll with the new token refuses the start, as it refuses those of an agent's earlier incarnations; no stop is needed. Starts that were on their way are refused too and sent again at once.

dispatch_mutants: a mutant's function takes the argument that _apply_running has got.

--- a/features/dispatch_search.feature
+++ b/features/dispatch_search.feature
@@ -37,8 +37,9 @@
       | homes | eighteen |
 
     Examples: runs that stand still, and stops that are answered and not done
-      | mix | shape |
-      | ill | ten   |
+      | mix        | shape |
+      | ill        | ten   |
+      | ill-starts | ten   |
 
     Examples: all processes end at once, and come back in any order
       | mix     | shape |
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -165,11 +165,11 @@
     place_job(state, job, chooser, now)
 
 
-def ignore_unknown_runs(state, event, now):
+def ignore_unknown_runs(state, event, token, now):
     """Ignore the runs that an earlier incarnation of the agent has started."""
     known = {(held.start.key, held.run) for held in state.held.values()}
     event.running[:] = [row for row in event.running if (row.key, row.run) in known]
-    return take_running(state, event, now)
+    return take_running(state, event, token, now)
 
 
 def abandon_start(state, held, now):
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -1,5 +1,7 @@
 """Start and stop calls to the worker, and the handling of their answers."""
 
+import math
+
 from cactuswalk.dispatch.agentevents import (
     StartAnswered,
     StartVerdict,
@@ -49,6 +51,7 @@
     """Have the worker start a task under its current run number."""
     held.call_pending = True
     held.tries += 1
+    held.token, held.fenced_at = state.token, math.inf
     held.since = now
     state.runs[held.start.key] = held.run
     state.renewed_at = now
@@ -101,7 +104,7 @@
     if retryable and held.tries < MAX_START_TRIES:
         if verdict is StartVerdict.SUPERSEDED:
             held.run += RUN_NUMBER_STEP
-        if verdict is StartVerdict.FENCED:
+        if verdict is StartVerdict.FENCED and held.token == state.token:
             raise_token(state)
         state.say(
             "repeats a refused start",
@@ -152,18 +155,21 @@
     """Resolve a start without an answer: confirm that it runs, or cancel it.
 
     Perhaps only the answer was lost: if a poll lists the run, it goes on. Otherwise
-    the call may still be carried out seconds later. The worker refuses a run that was
-    stopped before its start arrived, so a confirmed stop resolves it; without one,
-    the expiry of the lease in the call does.
+    the call may still be carried out seconds later. An answered poll with a higher
+    token resolves it, since the worker refuses starts with lower tokens from then on;
+    without one, the expiry of the lease in the call does. A confirmed stop doesn't: an
+    ill worker confirms stops that it doesn't carry out.
     """
     state.observe("start_unanswered")
+    state.token += 1
+    held.fenced_at = now
     held.expires_at = now + worker_lapse_seconds()
+    state.check_requested = True
     if held.state is not HeldState.STARTING:
         request_stop(state, held, now)
         return
     held.state = HeldState.UNCONFIRMED
     held.called_at = now
-    state.check_requested = True
 
 
 def stop_run(state: AgentState, held: HeldTask, reason: str, now: float) -> None:
@@ -225,7 +231,6 @@
     # Polls sent from now on list the run as ended, or don't list it at all.
     held.expires_at = held.expires_at or now + worker_lapse_seconds()
     held.called_at = now
-    held.stop_confirmed = True
     state.check_requested |= held.state is HeldState.UNCONFIRMED
     held.state = HeldState.STOPPING
     state.poll_not_before = now
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -37,7 +37,10 @@
     :param must_end_by: when it must have ended although its entry is heard; infinite
         while that entry wants it to run (``agentleases``).
     :param call_pending: a call to the worker on this start has no answer yet.
-    :param stop_confirmed: the worker has confirmed its stop.
+    :param token: fencing token of its last start call; a worker that has answered a
+        poll with a higher one refuses that call if it arrives later.
+    :param fenced_at: from when polls have a higher token; infinite while that start
+        call has an answer, or is waited for.
     :param called_at: when it was accepted, or when a later call on it was sent or
         resolved; polls sent before then say nothing about that call.
     :param percent_at: when ``percent`` changed last.
@@ -58,7 +61,8 @@
     expires_at: float = 0.0
     must_end_by: float = math.inf
     call_pending: bool = False
-    stop_confirmed: bool = False
+    token: int = 0
+    fenced_at: float = math.inf
     called_at: float = 0.0
     percent: int = 0
     percent_at: float = 0.0
--- a/src/cactuswalk/dispatch/agentlooks.py
+++ b/src/cactuswalk/dispatch/agentlooks.py
@@ -79,6 +79,10 @@
     # have arrived kept its runs alive, they could never be declared ended. Nor is the
     # lease renewed for runs left by an earlier incarnation of this agent, which only
     # the first poll reveals.
+    if is_check:
+        state.check_token = state.token
+    else:
+        state.poll_token = state.token
     renews = state.reachable and state.ready_to_start
     lease_until = renew(state, now) if renews else 0.0
     state.effects.append(
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -49,6 +49,8 @@
     :ivar runs: highest run number used for each task.
     :ivar highest_end: highest number of an ended run that the worker has listed;
         ``acknowledged_end`` of those, the highest that a poll has acknowledged.
+    :ivar poll_token: fencing token of the waiting poll in progress; ``check_token`` of
+        the check in progress.
     :ivar check_requested: a poll that doesn't wait is to be sent.
     :ivar renewed_at: when the worker's lease was renewed last.
     :ivar renewal_withheld: the worker's lease is not renewed, so that a run ends.
@@ -103,6 +105,7 @@
         self.poll_pending = False
         self.poll_not_before = 0.0
         self.unanswered_poll_at = -math.inf
+        self.poll_token = self.check_token = token
         self.check_requested = False
         self.check_pending = False
         self.renewed_at = 0.0
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -110,11 +110,12 @@
         return
     if not state.is_current(event.worker):
         return
+    token = _token_of(state, event)
     _clear_pending_poll(state, event)
     state.answered_at = now
     state.acknowledged_end = max(state.acknowledged_end, event.acknowledged)
     _apply_ended(state, event, now)
-    unknown_runs = _apply_running(state, event, now)
+    unknown_runs = _apply_running(state, event, token, now)
     ready = state.ready_to_start or not unknown_runs
     was_reachable = state.reachable
     reachable = record_reachable(state, now)
@@ -140,14 +141,20 @@
             )
 
 
-def _apply_running(state: AgentState, event: PollAnswered, now: float) -> int:
-    """Apply the list of running runs; return how many of them are unknown."""
+def _apply_running(
+    state: AgentState, event: PollAnswered, token: int, now: float
+) -> int:
+    """Apply the list of running runs; return how many of them are unknown.
+
+    :param token: fencing token of the poll.
+    """
     running = {(row.key, row.run): row for row in event.running}
     for held in list(state.held.values()):
         row = running.pop((held.start.key, held.run), None)
         if row is not None:
             record_progress(state, held, row.percent, now)
-        elif _has_never_started(state, held, event.sent_at):
+        elif _can_never_start(held, token, event.sent_at):
+            _log_cancellation(state, held, "a poll doesn't list it", now)
             state.end(held, TaskEnd.STOPPED, 0, "never began", now)
         elif has_lapsed(state, held, event.sent_at):
             state.end(held, TaskEnd.LOST, 0, "its lease has passed", now)
@@ -160,15 +167,22 @@
     return len(running)
 
 
-def _has_never_started(state: AgentState, held: HeldTask, polled_at: float) -> bool:
+def _can_never_start(held: HeldTask, token: int, polled_at: float) -> bool:
     """Return whether a run that a poll doesn't list has not started and never will.
 
-    This holds only if the poll was sent after a confirmed stop: the worker refuses a
-    run that was stopped before its start arrived. An unanswered stop may be lost, and
-    the start carried out later, in capacity that other tasks have been given by then.
+    This holds if the poll had a higher token than the start: the worker refuses the
+    start if it arrives later. A confirmed stop is no such proof, since an ill worker
+    may start the task all the same; it would run here beside its next run.
+
+    :param token: fencing token of the poll.
     """
-    stopped = held.state is HeldState.STOPPING and not held.call_pending
-    return stopped and held.stop_confirmed and polled_at >= held.called_at
+    in_doubt = held.state in (HeldState.STOPPING, HeldState.UNCONFIRMED)
+    return in_doubt and held.token < token and polled_at >= held.fenced_at
+
+
+def _token_of(state: AgentState, event: PollAnswered | PollFailed) -> int:
+    """Return the fencing token that a poll had."""
+    return state.check_token if event.is_check else state.poll_token
 
 
 def _stop_unknown_run(state: AgentState, key, run: int) -> None:
@@ -208,14 +222,22 @@
 
 
 def _cancel_start(state: AgentState, held: HeldTask, reason: str, now: float) -> None:
-    """Have the worker refuse an unanswered start if it arrives later."""
+    """Have the worker stop an unanswered start."""
+    _log_cancellation(state, held, reason, now)
+    request_stop(state, held, now)
+
+
+def _log_cancellation(
+    state: AgentState, held: HeldTask, reason: str, now: float
+) -> None:
+    if held.state is not HeldState.UNCONFIRMED:
+        return
     state.say(
         "cancels an unanswered start",
         **held.log_fields(),
         reason=reason,
         waited=round(now - held.since, 3),
     )
-    request_stop(state, held, now)
 
 
 def handle_poll_failure(state: AgentState, event: PollFailed, now: float) -> None:
@@ -226,12 +248,14 @@
         return
     if not state.is_current(event.worker):
         return
+    token = _token_of(state, event)
     _clear_pending_poll(state, event)
     if event.gone:
         drop_worker(state, "another incarnation has answered a poll", now)
         return
     if event.fenced:
-        raise_token(state)
+        if token == state.token:
+            raise_token(state)
         return
     if event.refused:
         presume_gone(state, "its address refuses connections", now)
