An entry that resumes from a pause runs no job again that came before it

Callers could see two runs of a task at once: their entry's host stood still for longer than its leases, their connections broke, they sent their jobs to other entries, and what told the first entry so arrived more than 0.25 s after it had resumed, when it had already run the tasks again.

Cause: the wait after a pause counts on a caller's leaving being known within 0.25 s. A closed connection is told again in ever longer intervals while there is no answer, so no wait is long enough. Class: the presence of somebody concluded from silence, as in the cut-off entry.

Change: tasks of jobs that came before the end of a pause are not placed any more, as after an isolation; such a job is answered at once, 504 if it may have run. A request from a socket's buffer is what the 0.25 s are for now.

dispatch_resuming 'The leaving of callers reaches an entry long after it has resumed' (7 pauses, 3 delays) failed before and passes.

dispatch_once 'An entry freezes while tasks run, and resumes' wanted the tasks to run again at the same entry for a caller that may have gone, which is what this forbids. It now wants the job answered as unfinished within 0.1 s of resuming, nothing started there again, and the second attempt completed elsewhere. The mutant of the wait plays a request from a buffer; a new one shows that noticing the pause is needed.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -70,10 +70,14 @@
     When the proof that an entry's other incarnation is alive is disabled
     Then a late message of an entry that is gone stops the running one's tasks
 
-  Scenario: Without a wait after a pause, a caller's second attempt overlaps the first
+  Scenario: Without a wait after a pause, a request from a socket's buffer is run
     When the wait after a pause is disabled
     Then an entry that resumes runs a task that runs elsewhere
 
+  Scenario: Without noticing a pause, an entry runs jobs that came before it again
+    When noticing a pause is disabled
+    Then an entry that resumes runs a task whose caller's leaving is known late
+
   Scenario Outline: Without <safeguard>, an entry that was cut off runs tasks beside others
     The first scenarios of dispatch_isolated.feature play the same with the safeguard.
     When <safeguard> is disabled
--- a/features/dispatch_once.feature
+++ b/features/dispatch_once.feature
@@ -23,14 +23,18 @@
     And the job is completed at e1
 
   Scenario: An entry freezes while tasks run, and resumes
-    The host of an entry is paused for 3 s. Its agents stop its tasks; when it resumes
-    it learns that, and runs the tasks again for the caller, who is still waiting.
+    The host of an entry is paused for 3 s. Its agents stop its tasks. When it resumes,
+    it can't know whether the caller is still there: it answers at once that the job is
+    unfinished, and the tasks run again where the caller sends the job next.
     Given a fleet of 2 entries and 4 workers
     When a job of 4 tasks of 1 seconds comes to e0
     And e0 freezes for 3 seconds after 0.2 seconds
-    And the fleet runs on for 8 seconds
+    And the fleet runs on for 3.3 seconds
+    Then the job at e0 is answered as unfinished
+    And every task was started once
+    When the same job comes to e1 1.3 seconds later
     Then no task has run twice at once
-    And the job is completed at e0
+    And the job is completed at e1
     And every task was started twice
 
   Scenario: An agent's messages are lost while it receives everything
--- a/features/dispatch_resuming.feature
+++ b/features/dispatch_resuming.feature
@@ -24,6 +24,11 @@
   Scenario: Pauses of any length, and callers whose leaving is known late
     Then no task runs twice at once in pauses of 0.4 to 3 seconds
 
+  Scenario: The leaving of callers reaches an entry long after it has resumed
+    What tells it of a broken connection is sent again in ever longer intervals, so that
+    no wait after the pause is long enough.
+    Then no task runs twice at once in pauses of 0.6 to 3 seconds, known up to 1 later
+
   Scenario: A job whose time has passed is not placed, whatever comes first
     After a pause a message of an agent may be handled before the tick that gives up
     overdue jobs. Their callers may have sent them elsewhere.
--- a/features/steps/dispatch_resuming_steps.py
+++ b/features/steps/dispatch_resuming_steps.py
@@ -12,6 +12,10 @@
 
 PAUSES = (0.4, 0.6, 0.9, 1.2, 1.3, 1.35, 1.4, 1.6, 2.0, 3.0)
 KNOWN_AFTER = (0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2)
+# Pauses longer than a lease, and a leaving that reaches the entry late: the caller's
+# host sends it again in ever longer intervals while there is no answer.
+LONG_PAUSES = (0.6, 0.9, 1.2, 1.35, 1.6, 2.0, 3.0)
+KNOWN_LATE = (0.3, 0.5, 1.0)
 
 
 def pause_entry(fleet, waiter, seconds, known_after):
@@ -46,9 +50,19 @@
 
 @then("no task runs twice at once in pauses of 0.4 to 3 seconds")
 def step_all_pauses(context):
+    check_pauses(PAUSES, KNOWN_AFTER)
+
+
+@then("no task runs twice at once in pauses of 0.6 to 3 seconds, known up to 1 later")
+def step_long_pauses(context):
+    check_pauses(LONG_PAUSES, KNOWN_LATE)
+
+
+def check_pauses(pauses, delays):
+    """Check that no pause has a task run twice, with each delay of the leaving."""
     overlaps = []
-    for seconds in PAUSES:
-        for known_after in KNOWN_AFTER:
+    for seconds in pauses:
+        for known_after in delays:
             fleet = Fleet(2, 4)
             waiter = fleet.submit("e0", JOB, 4, seconds=3.0, wait=10.0)
             fleet.run(0.5)
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -87,8 +87,8 @@
     """Record that this process resumes from a pause that was longer than its leases.
 
     Its agents have stopped its tasks. Callers may have gone and sent their jobs to
-    another entry, which is known only when their disconnections have been handled;
-    tasks that were started before would run twice at once.
+    another entry, and what tells this one may arrive long after the pause; tasks of
+    jobs that came before it would run twice at once.
     """
     paused, state.handled_at = now - state.handled_at, now
     if paused <= MARGIN_SECONDS:
@@ -96,7 +96,7 @@
     state.paused_until, state.paused_seconds = now, paused
     if paused <= ENTRY_LEASE_SECONDS:
         return
-    state.resumed_at = now
+    state.resumed_at = state.placed_from = now
     state.say(
         "starts no tasks after a pause until it has heard of its callers",
         paused=round(paused, 3),
