Entry: one agent's restart during a cut is not taken for that of all

An entry that was cut off for longer than 2 s ended its isolation with the first agent that it heard. If that one had been replaced meanwhile, it took this for the restart of all its agents and ran old jobs again. Now more than half of the silent agents have to be heard again as new processes, within 0.5 s; otherwise it counts as a cut.

--- a/features/steps/dispatch_isolated_steps.py
+++ b/features/steps/dispatch_isolated_steps.py
@@ -23,6 +23,35 @@
     fleet.at(seconds, fleet.cuts.clear)
 
 
+@when(
+    "e0 is cut off for {seconds:g} seconds after {after:g} seconds, and {agent:w} is"
+    " replaced meanwhile"
+)
+def step_replace_during_cut(context, seconds, after, agent):
+    fleet = context.fleet
+    fleet.run(after)
+    step_cut_off(context, seconds)
+    # The link to the new agent is restored shortly before the others.
+    links = {("e0", agent), (agent, "e0")}
+    fleet.at(seconds - 0.15, lambda: fleet.cuts.difference_update(links))
+    fleet.at(0.8, lambda: fleet.kill(agent))
+    fleet.at(1.0, lambda: fleet.start_agent(agent))
+    waiter = context.waiters["e0"]
+    fleet.at(seconds + 0.3, lambda: fleet.leave("e0", waiter))
+
+
+@when(
+    "all agents are replaced after {after:g} seconds, {apart:g} seconds one after"
+    " another"
+)
+def step_replace_all(context, after, apart):
+    fleet = context.fleet
+    fleet.run(after)
+    for number, agent in enumerate(fleet.workers):
+        fleet.kill(agent)
+        fleet.at(1.0 + number * apart, lambda name=agent: fleet.start_agent(name))
+
+
 @then("e0 has logged that it heard few of its {count:d} agents, and that this is over")
 def step_logged(context, count):
     (begun,) = said_by(context.fleet, "e0", "heard few of its agents")
--- a/src/cactuswalk/dispatch/entryisolation.py
+++ b/src/cactuswalk/dispatch/entryisolation.py
@@ -28,6 +28,10 @@
 # Messages that came while this process was paused have been handled after this time.
 READ_SECONDS = 0.15
 
+# After a cut agents are heard again one after another, within two of their reports'
+# intervals of 0.2 s.
+RETURN_SECONDS = 0.5
+
 
 def may_place(state: EntryState, job: JobState, now: float) -> bool:
     """Return whether a job's tasks may be started.
@@ -50,8 +54,9 @@
         state.isolated_until = now
     if 2 * heard < expected:
         _begin(state, heard, expected, now)
-    elif heard:
-        _end(state, heard, expected, now)
+        _note_silent_agents(state, now)
+    elif heard and state.isolated_at:
+        _end_if_explained(state, heard, expected, now)
 
 
 def _count_agents(state: EntryState, now: float) -> tuple[int, int]:
@@ -94,11 +99,8 @@
     if state.isolated_at:
         return
     state.isolated_at = now
-    state.silent_incarnations = {
-        address: view.report.incarnation
-        for address, view in state.views.items()
-        if now - view.heard_at > ENTRY_LEASE_SECONDS
-    }
+    state.heard_again_at = 0.0
+    state.silent_incarnations = {}
     state.say(
         "heard few of its agents",
         heard=heard,
@@ -109,10 +111,30 @@
     )
 
 
-def _end(state: EntryState, heard: int, expected: int, now: float) -> None:
-    if not state.isolated_at:
-        return
-    restarted = _have_restarted(state)
+def _note_silent_agents(state: EntryState, now: float) -> None:
+    for address, view in state.views.items():
+        if now - view.heard_at > ENTRY_LEASE_SECONDS:
+            state.silent_incarnations.setdefault(address, view.report.incarnation)
+
+
+def _end_if_explained(state: EntryState, heard: int, expected: int, now: float) -> None:
+    """End the isolation once it is known whether it was a cut.
+
+    One agent may have been restarted during a cut, and be heard before the others.
+    """
+    silent, returned, restarted = _count_returned(state, now)
+    only_new = 0 < returned == restarted
+    is_restart = only_new and 2 * restarted > silent
+    if only_new and not is_restart:
+        state.heard_again_at = state.heard_again_at or now
+        if now - state.heard_again_at < RETURN_SECONDS:
+            return
+    _end(state, heard, expected, is_restart, now)
+
+
+def _end(
+    state: EntryState, heard: int, expected: int, is_restart: bool, now: float
+) -> None:
     state.say(
         "hears its agents again",
         heard=heard,
@@ -120,22 +142,24 @@
         seconds=round(now - state.isolated_at + ENTRY_LEASE_SECONDS, 3),
         jobs=len(state.jobs),
         waiting=len(state.waiting_jobs()),
-        restarted=restarted,
+        restarted=is_restart,
     )
     state.isolated_at = 0.0
-    if not restarted:
+    if not is_restart:
         state.isolated_until = now
         state.placed_from = now - ENTRY_LEASE_SECONDS
 
 
-def _have_restarted(state: EntryState) -> bool:
-    """Return whether the agents were silent since they had ended, not for a cut.
+def _count_returned(state: EntryState, now: float) -> tuple[int, int, int]:
+    """Return the numbers of agents that were silent, are heard again, and are new.
 
-    All that are heard again are new processes then.
+    If those that are heard again are new processes, and are most of them, the agents
+    were silent since they had ended, not for a cut.
     """
     before = state.silent_incarnations
     views = [state.views[address] for address in before if address in state.views]
-    returned = [view for view in views if view.heard_at >= state.isolated_at]
-    return bool(returned) and all(
-        view.report.incarnation != before[view.address] for view in returned
-    )
+    returned = [view for view in views if now - view.heard_at <= ENTRY_LEASE_SECONDS]
+    restarted = [
+        view for view in returned if view.report.incarnation != before[view.address]
+    ]
+    return len(views), len(returned), len(restarted)
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -56,8 +56,10 @@
     :ivar resumed_at: when the last pause of this process ended.
     :ivar isolated_at: since when few of its agents are heard; 0 while it hears them.
     :ivar isolated_until: when the last isolation ended.
-    :ivar silent_incarnations: by address, those of the agents that were silent when the
-        isolation began.
+    :ivar heard_again_at: when enough agents were heard in an isolation that may have
+        been their restart; 0 before.
+    :ivar silent_incarnations: by address, those of the agents that were silent in the
+        isolation.
     :ivar placed_from: tasks of jobs that arrived before this time are not placed.
     """
 
@@ -108,6 +110,7 @@
         self.resumed_at = -math.inf
         self.isolated_at = 0.0
         self.isolated_until = -math.inf
+        self.heard_again_at = 0.0
         self.silent_incarnations: dict[str, str] = {}
         self.placed_from = -math.inf
 
