Known red: an entry that is cut off while it is frozen runs its callers' old jobs

The cut lies within the pause, so that the entry hears its agents when it resumes, and no isolation is noticed. 0.25 s later it runs the tasks, whose caller has gone elsewhere. Not mended: answering all jobs from before a pause would keep the rule, but fails dispatch_once, "An entry freezes while tasks run, and resumes".

--- a/features/dispatch_twice.feature
+++ b/features/dispatch_twice.feature
@@ -42,6 +42,17 @@
     Then no task has run twice at once
     And the job is completed at e1
 
+  Scenario: An entry is cut off while it is frozen, and its callers have gone elsewhere
+    It has noticed no silence when it resumes, and the broken connection of its caller
+    reaches it later than it waits after a pause.
+    Given a fleet of 2 entries and 6 workers
+    When a job of 2 tasks of 3 seconds comes to e0
+    And e0 freezes for 1.4 seconds after 0.3 seconds
+    And e0 is cut off for 1.2 seconds after 0.05 seconds, from its callers 0.6 longer
+    And the same job comes to e1 1.3 seconds later
+    Then no task has run twice at once
+    And the job is completed at e1
+
   Scenario: Stops of a dead entry's tasks don't reach their worker
     The worker answers polls, which renew its lease, so that the tasks run on until
     after their caller's second attempt.
