--- a/src/cactuswalk/dispatch/agentleases.py
+++ b/src/cactuswalk/dispatch/agentleases.py
@@ -85,7 +85,8 @@
 def renewal_seconds(state: AgentState, now: float) -> float:
     """Return for how long the worker's lease may be renewed now; 0 for not at all."""
     if not state.index.limited and are_entries_heard(state, now):
-        # Runs whose entry is heard may go on for a worker lease after its own.
+        # Each run may go on until a worker lease after its entry's lease, which has
+        # not ended yet.
         return WORKER_LEASE_SECONDS
     ends_by = min(_must_end_by(state, held) for held in state.held.values())
     return max(0.0, min(WORKER_LEASE_SECONDS, (ends_by - now) / (1 + CLOCK_DRIFT)))
--- a/src/cactuswalk/dispatch/agentprogress.py
+++ b/src/cactuswalk/dispatch/agentprogress.py
@@ -23,7 +23,7 @@
 # Interval of speed measurements of a run: three polls.
 SPEED_SECONDS = 0.5
 
-# A run whose lateness rounding may hide counts as late.
+# Allows for rounding: a run that is almost late counts as late.
 ROUNDING = 1.0001
 
 
@@ -91,7 +91,8 @@
 
     Each poll asks this, and the answer is hardly ever yes.
     """
-    # A run is late if its speed times its estimate is at most this.
+    # A run of its speed takes 100 / speed seconds. It is late if that is at least
+    # slow_pace times its estimate, so if speed times estimate is at most this.
     bound = 100_000 * ROUNDING / state.health.slow_pace
     measured = late = 0
     for held in running:
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -8,9 +8,7 @@
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import StartEnded, TaskEnd
 from cactuswalk.dispatch.reducerstate import ReducerState
-from cactuswalk.dispatch.soundness import (
-    WorkerHealth,
-)
+from cactuswalk.dispatch.soundness import WorkerHealth
 
 __all__ = ["AgentState"]
 
@@ -135,7 +133,7 @@
         )
 
     def is_open(self, now: float) -> bool:
-        """Return whether the worker accepts tasks that end within ``seconds_left``."""
+        """Return whether the worker accepts tasks that can end in ``seconds_left``."""
         return (
             self.worker is not None
             and self.reachable
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -4,9 +4,7 @@
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import worker_lapse_seconds
-from cactuswalk.dispatch.entryevents import (
-    Received,
-)
+from cactuswalk.dispatch.entryevents import Received
 from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entrykeepalives import send_keepalive
 from cactuswalk.dispatch.entryoverflow import (
--- a/src/cactuswalk/dispatch/entryisolation.py
+++ b/src/cactuswalk/dispatch/entryisolation.py
@@ -36,10 +36,11 @@
 def may_place(state: EntryState, job: JobState, now: float) -> bool:
     """Return whether a job's tasks may be started.
 
-    In an isolation its caller may have gone if it arrived more than a lease ago. It may
-    also have come out of a socket's buffer; that its caller has gone is read next.
+    In an isolation its caller may have gone if it arrived more than a lease ago.
     """
     age = now - job.arrived_at
+    # A job that arrives right after an isolation may have waited in a socket's buffer.
+    # That its caller has gone is read next.
     if now - state.isolated_until < RESUME_SECONDS and age < RESUME_SECONDS:
         return False
     if state.isolated_at:
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -55,7 +55,8 @@
         the bounds allow for; ``paused_seconds`` is its length.
     :ivar resumed_at: when the last pause of this process ended.
     :ivar isolated_at: since when few of its agents are heard; 0 while it hears them.
-    :ivar isolated_until: when the last isolation ended.
+    :ivar isolated_until: when the last isolation ended, or when none of its agents was
+        heard in the current one.
     :ivar heard_again_at: when enough agents were heard in an isolation that may have
         been their restart; 0 before.
     :ivar silent_incarnations: by address, those of the agents that were silent in the
