An isolated entry gives up no job whose agent was replaced

Cause: jobs are given up if an agent that has a task of theirs is heard during an isolation, since the task may run on there. Heard was also a new process at the agent's address, which has ended the task's run: jobs whose callers still wait were answered as unfinished when all agents were replaced one after another.

--- a/src/cactuswalk/dispatch/entryisolation.py
+++ b/src/cactuswalk/dispatch/entryisolation.py
@@ -12,7 +12,7 @@
 from cactuswalk.dispatch.agentview import AgentView
 from cactuswalk.dispatch.bounds import ENTRY_LEASE_SECONDS, RESUME_SECONDS
 from cactuswalk.dispatch.entrystate import EntryState
-from cactuswalk.dispatch.jobstate import JobState
+from cactuswalk.dispatch.jobstate import JobState, TaskState
 
 __all__ = ["check_isolation", "may_place", "must_give_up"]
 
@@ -27,7 +27,7 @@
 
 # An entry that is isolated for this long gives up the earlier jobs that run at agents
 # which it hears. An isolation begins 0.55 s after a cut at the latest, and stops take
-# 0.08 s: together less than RESEND_SECONDS. Agents that were replaced may be back.
+# 0.08 s: together less than RESEND_SECONDS.
 GIVE_UP_SECONDS = 0.3
 
 # Messages that came while this process was paused have been handled after this time.
@@ -62,14 +62,22 @@
     return (
         0 < state.isolated_at <= now - GIVE_UP_SECONDS
         and job.arrived_at < state.isolated_at - ENTRY_LEASE_SECONDS
-        and any(
-            now - state.views[task.agent_address].heard_at <= ENTRY_LEASE_SECONDS
-            for task in job.tasks
-            if task.agent_address
-        )
+        and any(_runs_at_heard_agent(state, task, now) for task in job.tasks)
     )
 
 
+def _runs_at_heard_agent(state: EntryState, task: TaskState, now: float) -> bool:
+    """Return whether the process that got a task's start is heard.
+
+    A new process at its address has ended the task's run.
+    """
+    view = state.views.get(task.agent_address)
+    if view is None or now - view.heard_at > ENTRY_LEASE_SECONDS:
+        return False
+    start = view.placed[task.sequence].start
+    return start.agent_incarnation == view.report.incarnation
+
+
 def check_isolation(state: EntryState, now: float) -> None:
     """Record whether fewer agents are heard than half of those that should be."""
     heard, expected = _count_agents(state, now)
