Capacity: a refused start bounds the size that the worker most likely lacks

Cause: an agent whose worker refuses a start for lack of room bounded the worker's processors alone until its next heartbeat, also where it was memory or accelerators that the worker lacked. Tasks that need little memory were kept away though processors were free. That such a worker is sent start after start did not show on the model: each refusal lowered the bound on processors.

Change: of the sizes that the refused start needs, the one of which the worker would have used the largest part of what it announced is bounded (dispatch/agentcapacity.py), and reports show what is free within it. The log line names the size: `bounded`, `announced` and `bound` replace `announced_cpu` and `bound_cpu`. The model's workers have memory and accelerators, which count as overload too.

--- a/features/dispatch_capacity.feature
+++ b/features/dispatch_capacity.feature
@@ -51,3 +51,20 @@
     One worker runs 24 cores more than it has left, another has 30 cores free.
     Given an entry that knows workers with -24 and 30 cores free, and 30 cores waiting
     Then its queue is 1 second long
+
+  Scenario Outline: A worker has less memory, or fewer accelerators, than it announced
+    What its refusal shows must keep away the tasks that need much of it, and no others.
+    Given a fleet of 1 entries and 1 workers with 4 accelerators
+    When a0's worker shrinks to <left> right after a heartbeat
+    And large jobs of <large> and small ones of 3 cores come to e0 for 1 second
+    Then its worker has refused at most 1 starts
+    And at least 20 small jobs were completed within 0.3 seconds
+
+    Examples: too little for any large job, or for more than one
+      | left            | large                              |
+      | 4 GB of memory  | 1 cores, 8 GB and 0 accelerators   |
+      | 10 GB of memory | 1 cores, 8 GB and 0 accelerators   |
+      | 0 accelerators  | 1 cores, 1 GB and 1 accelerators   |
+      | 1 accelerators  | 1 cores, 1 GB and 1 accelerators   |
+      | 4 GB of memory  | 12 cores, 8 GB and 0 accelerators  |
+      | 10 cores        | 12 cores, 32 GB and 0 accelerators |
--- a/features/steps/dispatch_capacity_steps.py
+++ b/features/steps/dispatch_capacity_steps.py
@@ -12,12 +12,6 @@
     return worker
 
 
-@when("a0's worker shrinks to {cores:d} cores right after a heartbeat")
-def step_shrink_unseen(context, cores):
-    context.fleet.announce("a0")
-    resize(context, cores)
-
-
 @when("a0's worker {verb:w} to {cores:d} cores and sends a heartbeat")
 def step_resize_seen(context, verb, cores):
     context.fleet.run(0.1)
@@ -26,6 +20,54 @@
     context.fleet.announce("a0")
 
 
+@given("a fleet of 1 entries and 1 workers with {count:d} accelerators")
+def step_fleet_with_accelerators(context, count):
+    context.fleet = fleet = Fleet(1, 1)
+    fleet.workers["a0"].resize(gpu=count)
+    fleet.run(1.0)
+
+
+@when("a0's worker shrinks to {left:d} {of} right after a heartbeat")
+def step_size_shrinks(context, left, of):
+    context.fleet.announce("a0")
+    sizes = {
+        "cores": {"cpu": left * 1000},
+        "GB of memory": {"memory_mb": left * 1024},
+        "accelerators": {"gpu": left},
+    }
+    context.fleet.workers["a0"].resize(**sizes[of])
+
+
+@when(
+    "large jobs of {cores:d} cores, {memory:d} GB and {count:d} accelerators and small "
+    "ones of 3 cores come to e0 for 1 second"
+)
+def step_large_and_small_jobs(context, cores, memory, count):
+    fleet = context.fleet
+    context.small = []
+    for number in range(20):
+        large = f"{2 * number:016x}"
+        fleet.submit(
+            "e0", large, 1, cores * 1000, 0.1, 4.0, None, None, memory << 10, count
+        )
+        fleet.run(0.01)
+        small = f"{2 * number + 1:016x}"
+        context.small.append(fleet.submit("e0", small, 1, 3000, 0.1, 4.0))
+        fleet.run(0.04)
+
+
+@then("at least {least:d} small jobs were completed within {seconds:g} seconds")
+def step_small_completed(context, least, seconds):
+    fleet = context.fleet
+    took = [
+        fleet.took(waiter)
+        for waiter in context.small
+        if fleet.verdict(waiter) == "completed"
+    ]
+    on_time = [one for one in took if one <= seconds]
+    assert len(on_time) >= least, sorted(took)
+
+
 @when(
     "{jobs:d} jobs of 1 tasks of {seconds:g} seconds come to e0 within {span:g} second"
 )
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -137,7 +137,9 @@
         ]
     if safeguard == "learning a smaller capacity":
         return [
-            mock.patch.object(agentcalls, "_learn_smaller_capacity", lambda state: None)
+            mock.patch.object(
+                agentcalls, "_learn_smaller_capacity", lambda state, held: None
+            )
         ]
     if safeguard == "waiting for a task's earlier start":
         return [mock.patch.object(entryplacing, "_place_job", place_anyway)]
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -115,6 +115,7 @@
         self.last_arrival = {}
         self.incarnations = itertools.count(1)
         self.sizes = {}
+        self.needs = {}
         self.live_runs = {}
         self.overlaps = []
         self.overloads = 0
@@ -352,6 +353,10 @@
     def size_of(self, key):
         return self.sizes[key.job]
 
+    def needs_of(self, key):
+        """Return the processors, memory and accelerators that a task needs."""
+        return self.needs[key.job]
+
     def record_run_start(self, run, worker):
         self.starts.append((self.now, run.key, run.run, worker.name))
         other = self.live_runs.get(run.key)
@@ -390,13 +395,16 @@
         wait=5.0,
         queue_name=None,
         estimate=None,
+        memory_mb=64,
+        gpu=0,
     ):
         """Submit a job; return the waiter that is its key in ``answers``."""
         waiter = next(self.waiter)
         self.sizes[identifier] = (cpu, seconds)
+        self.needs[identifier] = (cpu, memory_mb, gpu)
         estimate_ms = int((estimate or seconds) * 1000)
         request = JobRequest(
-            identifier, "spec", (Step(tasks, cpu, 64, 0, estimate_ms),)
+            identifier, "spec", (Step(tasks, cpu, memory_mb, gpu, estimate_ms),)
         )
         chosen = next(
             (item for item in self.queues if item.name == queue_name), self.queues[0]
--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -1,6 +1,7 @@
 """Simulated worker: runs of tasks under a lease, with faults that can be enabled."""
 
 import math
+import operator
 
 from cactuswalk.dispatch.agentevents import (
     EndedRow,
@@ -103,7 +104,9 @@
         }
         self.guards = True
         self.drift = 0.0
-        self.larger_cpu = cpu
+        self.memory_mb = 65_536
+        self.gpu = 0
+        self.larger = self.capacity()
         self.shrunk_at = -math.inf
         self.back_at = -math.inf
         self.draining = False
@@ -130,9 +133,7 @@
             SERVICE,
             self.data_centre,
             ("a",),
-            self.cpu,
-            65_536,
-            0,
+            *self.capacity(),
             self.draining,
             self.leaves_in_ms,
             self.sequence,
@@ -164,18 +165,33 @@
         self.fleet.announce_departure(self.name)
         self.fleet.at(runs_on, lambda: self.crash_for(away, True))
 
-    def resize(self, cpu):
-        """Change the capacity; the next heartbeat shows it."""
-        self.larger_cpu, self.shrunk_at = max(self.cpu, cpu), self.fleet.now
-        self.cpu = cpu
+    def capacity(self):
+        """Return the processors, memory and accelerators that it has."""
+        return self.cpu, self.memory_mb, self.gpu
 
-    def judged_cpu(self):
+    def resize(self, cpu=None, memory_mb=None, gpu=None):
+        """Change the capacity; the next heartbeat shows it."""
+        before = self.capacity()
+        self.cpu = self.cpu if cpu is None else cpu
+        self.memory_mb = self.memory_mb if memory_mb is None else memory_mb
+        self.gpu = self.gpu if gpu is None else gpu
+        self.larger = tuple(map(max, before, self.capacity()))
+        self.shrunk_at = self.fleet.now
+
+    def judged_capacity(self):
         """Return the capacity that its agent can know of."""
+        judged = self.capacity()
         known = self.fleet.states[self.name].worker
-        judged = max(self.cpu, known.cpu if known else 0)
+        if known is not None:
+            judged = map(max, judged, (known.cpu, known.memory_mb, known.gpu))
         if self.fleet.now - self.shrunk_at < CAPACITY_KNOWN_SECONDS:
-            judged = max(judged, self.larger_cpu)
-        return judged
+            judged = map(max, judged, self.larger)
+        return tuple(judged)
+
+    def used_with(self, key):
+        """Return what its runs and a further task use."""
+        needs = [self.fleet.needs_of(other) for other in (*self.runs, key)]
+        return tuple(map(sum, zip(*needs, strict=True)))
 
     # Its clock, and the deadlines that a client computes for it.
 
@@ -225,11 +241,11 @@
             return StartVerdict.STARTED
         if effect.run <= self.highest.get(key, 0):
             return StartVerdict.SUPERSEDED
-        cpu, seconds = self.fleet.size_of(key)
-        used = sum(self.fleet.size_of(other)[0] for other in self.runs) + cpu
-        if used > self.judged_cpu():
+        _, seconds = self.fleet.size_of(key)
+        used = self.used_with(key)
+        if any(map(operator.gt, used, self.judged_capacity())):
             self.fleet.record_overload(self)
-        if used > self.cpu and self.guards:
+        if any(map(operator.gt, used, self.capacity())) and self.guards:
             return StartVerdict.NO_ROOM
         took = 0.001 if self.fails else seconds * self.pace
         if self.stalls:
--- a/src/cactuswalk/dispatch/agentcalls.py
+++ b/src/cactuswalk/dispatch/agentcalls.py
@@ -116,25 +116,22 @@
         "the worker refused a start", job=held.start.key.job, verdict=verdict.value
     )
     if verdict is StartVerdict.NO_ROOM:
-        _learn_smaller_capacity(state)
+        _learn_smaller_capacity(state, held)
     state.end(held, TaskEnd.DECLINED, 0, verdict.value, now)
     if verdict is StartVerdict.UNHEALTHY:
         state.health.record_failure(held.start.key.job, now)
 
 
-def _learn_smaller_capacity(state: AgentState) -> None:
-    """Bound the worker's capacity by what it has refused, until its next heartbeat.
-
-    A worker may shrink, and its heartbeat shows that up to some seconds later. Without
-    the bound it would be sent the same start again after each report.
-    """
-    state.cpu_bound = min(state.cpu_bound, state.index.cpu - 1)
+def _learn_smaller_capacity(state: AgentState, held: HeldTask) -> None:
+    """Bound the worker's capacity by what it has refused, until its next heartbeat."""
+    bounded = state.bounds.learn(state.worker, held.start, state.index)
     state.observe("capacity_refused")
     state.say(
         "the worker has less capacity than it announced",
         worker=state.worker.identifier,
-        announced_cpu=state.worker.cpu,
-        bound_cpu=state.cpu_bound,
+        bounded=bounded,
+        announced=getattr(state.worker, bounded),
+        bound=getattr(state.bounds, bounded),
         held=len(state.held),
     )
 
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cactuswalk.dispatch.agentcapacity import CapacityBounds
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldTask
 from cactuswalk.dispatch.agentindex import HeldIndex
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED, Evacuations
@@ -36,8 +37,8 @@
     :ivar drained_at: from then on a draining worker is given no tasks.
     :ivar closes_at: from then on this agent, once asked to stop, accepts no tasks; it
         ends by ``stop_by``.
-    :ivar cpu_bound: upper bound of the worker's capacity in thousandths of a core, as a
-        refused start has shown it; infinite after each heartbeat.
+    :ivar bounds: upper bounds of the worker's capacity, as refused starts have shown
+        them since its latest heartbeat.
     :ivar candidate: a new incarnation of the worker that has not answered a poll yet;
         ``candidate_at`` is when its latest heartbeat came.
     :ivar reachable: the worker answers polls, and has not announced that it leaves.
@@ -84,7 +85,7 @@
         self.refresh_at = 0.0
         self.evacuations = NOTHING_EVACUATED
         self.worker: Worker | None = None
-        self.cpu_bound = math.inf
+        self.bounds = CapacityBounds()
         self.candidate: Worker | None = None
         self.candidate_at = 0.0
         self.announced_at = 0.0
@@ -128,11 +129,9 @@
         """Return the free capacity: thousandths of a core, megabytes, accelerators."""
         if self.worker is None:
             return 0, 0, 0
-        return (
-            int(min(self.worker.cpu, self.cpu_bound)) - self.index.cpu,
-            self.worker.memory_mb - self.index.memory_mb,
-            self.worker.gpu - self.index.gpu,
-        )
+        cpu, memory_mb, gpu = self.bounds.of(self.worker)
+        index = self.index
+        return cpu - index.cpu, memory_mb - index.memory_mb, gpu - index.gpu
 
     def is_open(self, now: float) -> bool:
         """Return whether the worker accepts tasks that end within ``seconds_left``."""
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -55,7 +55,7 @@
             state.say("ignored an outdated heartbeat", sequence=worker.sequence)
             return
         state.worker = worker
-        state.cpu_bound = math.inf
+        state.bounds.clear()
         if worker.draining:
             record_draining(state, known.draining, now)
         state.announced_at = now
@@ -82,7 +82,7 @@
     )
     mark_all_crashed(state, "the worker's life ended", now)
     state.worker = worker
-    state.cpu_bound = math.inf
+    state.bounds.clear()
     state.candidate = None
     state.has_departed = False
     state.clear_presumption()
