Search: mixes in which memory and accelerators shrink and grow too

Cause: the mixes `capacity` and `capacity-unguarded` change processors alone, and no task needs much memory or an accelerator.

With the check of memory and accelerators disabled in the agent's free capacity, 5 of 5 days of `capacity-sizes-unguarded` break the guarantee (1,936 starts over capacity); with it none.

--- a/features/dispatch_search.feature
+++ b/features/dispatch_search.feature
@@ -15,10 +15,12 @@
       | crashing       |
       | crashing-kills |
 
-    Examples: capacity that shrinks and grows
-      | mix                |
-      | capacity           |
-      | capacity-unguarded |
+    Examples: capacity that shrinks and grows, of processors or of all sizes
+      | mix                      |
+      | capacity                 |
+      | capacity-unguarded       |
+      | capacity-sizes           |
+      | capacity-sizes-unguarded |
 
     Examples: messages that come after their process has gone
       | mix          |
--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -77,6 +77,7 @@
             seconds=seconds,
             wait=wait,
             queue_name=self.generator.choice(("checks", "lookups")),
+            **self.needs(identifier),
         )
         self.calls.append([waiter, entry, identifier, tasks, seconds, True])
         if self.generator.random() < 0.05:
@@ -84,6 +85,10 @@
                 self.generator.uniform(0.01, 0.5), lambda: self.leave(self.calls[-1])
             )
 
+    def needs(self, identifier):
+        """Return what a job's tasks need beside processors."""
+        return {}
+
     def leave(self, call):
         if call[5] and call[0] not in self.fleet.answers:
             call[5] = False
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -20,6 +20,10 @@
 # How soon a caller notices its answer.
 LOOK_SECONDS = 0.005
 
+# What tasks need and workers have, in mixes of all sizes.
+NEEDS_MB = (64, 4_096, 12_288)
+CAPACITIES_MB = (8_192, 16_384, 32_768, 65_536)
+
 CALLS = {"start": StartTask, "stop": StopTask, "poll": PollWorker}
 
 
@@ -36,6 +40,7 @@
     :ivar guards: workers refuse what exceeds their capacity.
     :ivar read_callers: seconds after a freeze in which an entry learns whose connection
         has broken.
+    :ivar sizes: some tasks need much memory, or an accelerator; each worker has four.
     :ivar again: seconds after which callers send a job again that was refused or not
         finished; None for never.
     """
@@ -51,6 +56,7 @@
         guards=True,
         read_callers=0.002,
         again=None,
+        sizes=False,
     ):
         self.faults = faults
         self.gap = gap
@@ -61,6 +67,7 @@
         self.guards = guards
         self.read_callers = read_callers
         self.again = again
+        self.sizes = sizes
 
 
 def play_days(first, last, mix, seconds):
@@ -88,6 +95,8 @@
         self.fault_gap, self.job_gap = self.mix.gap, self.mix.job_gap
         for worker in self.fleet.workers.values():
             worker.drift, worker.guards = self.mix.drift, self.mix.guards
+            if self.mix.sizes:
+                worker.resize(gpu=4)
         self.fleet.read_callers_seconds = self.mix.read_callers
         self.cut_until = {}
         self.open_calls = []
@@ -110,6 +119,13 @@
                 self.last_wait + PATIENCE_SECONDS, lambda call=call: self.give_up(call)
             )
 
+    def needs(self, identifier):
+        """Return what a job's tasks need, the same at each of its attempts."""
+        if not self.mix.sizes:
+            return {}
+        number = int(identifier, 16)
+        return {"memory_mb": NEEDS_MB[number % len(NEEDS_MB)], "gpu": number % 2}
+
     def give_up(self, call):
         fleet, entry = self.fleet, call[1]
         if not call[5] or call[0] in fleet.answers:
@@ -222,6 +238,12 @@
     def resize_worker(self):
         self.any_worker().resize(self.generator.choice((6_000, 12_000, 24_000, 32_000)))
 
+    def resize_memory(self):
+        self.any_worker().resize(memory_mb=self.generator.choice(CAPACITIES_MB))
+
+    def resize_accelerators(self):
+        self.any_worker().resize(gpu=self.generator.choice((0, 1, 2, 4)))
+
     def depart_worker(self):
         runs_on = self.generator.uniform(0.02, 0.5)
         self.any_worker().depart(runs_on, self.span())
@@ -297,7 +319,7 @@
         self.fleet.crashing.clear()
         for worker in self.fleet.workers.values():
             worker.refuses = not worker.up
-            worker.resize(32_000)
+            worker.resize(32_000, 65_536, 4 if self.mix.sizes else 0)
             worker.call_faults = {kind: CallFaults() for kind in CALLS.values()}
 
     # Verdict.
@@ -337,6 +359,7 @@
 )
 CALLERS = ("break_callers", "freeze_entry_and_break", "cut_entry_and_break")
 WORKERS = ("take_worker_down", "resize_worker", "crash_worker")
+RESIZED = ("resize_worker", "resize_memory", "resize_accelerators", "crash_worker")
 LATE = ("hold_up_agent", "hold_up_entry", "hold_up_and_restart", "hold_up_and_reboot")
 
 # Mixes with few kinds isolate a cause, and "rest" leaves out what is known to break a
@@ -354,6 +377,8 @@
     ),
     "capacity": Mix(("resize_worker", "crash_worker")),
     "capacity-unguarded": Mix(("resize_worker", "crash_worker"), guards=False),
+    "capacity-sizes": Mix(RESIZED, sizes=True),
+    "capacity-sizes-unguarded": Mix(RESIZED, guards=False, sizes=True),
     "restarts": Mix(("hold_up_and_restart", "hold_up_agent")),
     "reboots": Mix(("hold_up_and_reboot", "reboot_agent")),
     "entries-late": Mix(("hold_up_entry", "kill_entry", "hold_up_agent")),
