--- a/features/support/fleetscript.py
+++ b/features/support/fleetscript.py
@@ -76,6 +76,7 @@
             seconds=seconds,
             wait=wait,
             queue_name=self.generator.choice(("checks", "lookups")),
+            **self.needs(identifier),
         )
         self.calls.append([waiter, entry, identifier, tasks, seconds, True])
         if self.generator.random() < 0.05:
@@ -86,6 +87,10 @@
     def choose_entry(self, alive):
         return self.generator.choice(alive)
 
+    def needs(self, identifier):
+        """Return what a job's tasks need beside processors."""
+        return {}
+
     def leave(self, call):
         if call[5] and call[0] not in self.fleet.answers:
             call[5] = False
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -21,6 +21,9 @@
 # How soon a caller notices its answer.
 LOOK_SECONDS = 0.005
 
+# What tasks need, in mixes of all sizes.
+NEEDS_MB = (64, 4_096, 12_288)
+
 
 # How soon a caller that finds no entry tries again.
 RETRY_SECONDS = 0.05
@@ -62,6 +65,8 @@
         for worker in self.fleet.workers.values():
             worker.stop_seconds = self.usual_stop_seconds
             worker.drift, worker.guards = self.mix.drift, self.mix.guards
+            if self.mix.sizes:
+                worker.resize(gpu=4)
         self.fleet.read_callers_seconds = self.mix.read_callers
         self.open_calls = []
         if self.mix.again is not None:
@@ -97,6 +102,13 @@
             alive = near or alive
         return super().choose_entry(alive)
 
+    def needs(self, identifier):
+        """Return what a job's tasks need, the same at each of its attempts."""
+        if not self.mix.sizes:
+            return {}
+        number = int(identifier, 16)
+        return {"memory_mb": NEEDS_MB[number % len(NEEDS_MB)], "gpu": number % 2}
+
     def give_up(self, call):
         fleet, entry = self.fleet, call[1]
         if not call[5] or call[0] in fleet.answers:
--- a/features/support/searchfaults.py
+++ b/features/support/searchfaults.py
@@ -8,6 +8,9 @@
 
 CALLS = {"start": StartTask, "stop": StopTask, "poll": PollWorker}
 
+# What workers have, in mixes of all sizes.
+CAPACITIES_MB = (8_192, 16_384, 32_768, 65_536)
+
 
 class SearchFaults(RandomDay):
     """Loses single kinds of calls, and has processes and workers go and come back.
@@ -89,6 +92,12 @@
     def resize_worker(self):
         self.any_worker().resize(self.generator.choice((6_000, 12_000, 24_000, 32_000)))
 
+    def resize_memory(self):
+        self.any_worker().resize(memory_mb=self.generator.choice(CAPACITIES_MB))
+
+    def resize_accelerators(self):
+        self.any_worker().resize(gpu=self.generator.choice((0, 1, 2, 4)))
+
     def depart_worker(self):
         runs_on = self.generator.uniform(0.02, 0.5)
         self.any_worker().depart(runs_on, self.span())
@@ -158,5 +167,5 @@
         self.fleet.crashing.clear()
         for worker in self.fleet.workers.values():
             worker.refuses = not worker.up
-            worker.resize(32_000)
+            worker.resize(32_000, 65_536, 4 if self.mix.sizes else 0)
             worker.call_faults = {kind: CallFaults() for kind in CALLS.values()}
--- a/features/support/searchmixes.py
+++ b/features/support/searchmixes.py
@@ -24,6 +24,7 @@
     :ivar skew: share of the jobs that come to the entries of one data centre, another
         one each second, so that its agents are full while others have room.
     :ivar stop_seconds: how long a run goes on after its stop was answered.
+    :ivar sizes: some tasks need much memory, or an accelerator; each worker has four.
     :ivar again: seconds after which callers send a job again that was refused or not
         finished; None for never.
     """
@@ -40,6 +41,7 @@
         read_callers=0.002,
         again=None,
         read_after_cut=True,
+        sizes=False,
         skew=0.0,
         stop_seconds=0.0,
     ):
@@ -53,6 +55,7 @@
         self.read_callers = read_callers
         self.again = again
         self.read_after_cut = read_after_cut
+        self.sizes = sizes
         self.skew = skew
         self.stop_seconds = stop_seconds
 
@@ -62,6 +65,7 @@
 )
 CALLERS = ("break_callers", "freeze_entry_and_break", "cut_entry_and_break")
 WORKERS = ("take_worker_down", "resize_worker", "crash_worker")
+RESIZED = ("resize_worker", "resize_memory", "resize_accelerators", "crash_worker")
 LATE = ("hold_up_agent", "hold_up_entry", "hold_up_and_restart", "hold_up_and_reboot")
 
 MEMBERS = ("silence_entry", "silence_links", "restart_entry", "take_entry_away")
@@ -89,6 +93,8 @@
     ),
     "capacity": Mix(("resize_worker", "crash_worker")),
     "capacity-unguarded": Mix(("resize_worker", "crash_worker"), guards=False),
+    "capacity-sizes": Mix(RESIZED, sizes=True),
+    "capacity-sizes-unguarded": Mix(RESIZED, guards=False, sizes=True),
     "restarts": Mix(("hold_up_and_restart", "hold_up_agent")),
     "reboots": Mix(("hold_up_and_reboot", "reboot_agent")),
     "entries-late": Mix(("hold_up_entry", "kill_entry", "hold_up_agent")),
