--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -106,6 +106,16 @@
         is_suspect(task.crashed),
     )
     view.add(PlacedTask(start, task, now))
+    _log_placement(state, task, view, start, now)
+    state.send(view.address, start)
+
+
+def _log_placement(
+    state: EntryState, task: TaskState, view: AgentView, start: Start, now: float
+) -> None:
+    if not state.logs_debug:
+        return
+    job = task.job
     state.say_debug(
         "placed a task",
         job=job.request.identifier,
@@ -119,7 +129,6 @@
         free_cpu=view.free_cpu,
         waited=round(now - job.arrived_at, 4),
     )
-    state.send(view.address, start)
 
 
 def end_start(
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -93,6 +93,7 @@
             settings.far_factor,
             settings.grace_seconds,
         )
+        self.state.logs_debug = settings.logs.level == "debug"
         # A pause before the first event counts as well.
         self.state.handled_at = read_boottime()
         self.runtime = DispatchRuntime(
