A worker that is heard again after a silence has not crashed

Cause: the end of a run by its silent worker's lease counts as a crash, since a crashed worker may be silent, and nothing took it back when the worker was heard again: three such ends of one task give its job up. Class: an end concluded from silence.

Change: the entry keeps agent, worker and time of each crash of a task, and forgets those whose worker is in use again as the same incarnation, before it places the task and before it counts the next crash. Silent workers that don't come back count as before.

dispatch_crashes 'Workers that are cut off, and come back, have not crashed' failed before (given up after three starts) and passes; its other 11 scenarios and process_dispatch_crashes pass.

--- a/features/dispatch_crashes.feature
+++ b/features/dispatch_crashes.feature
@@ -48,6 +48,14 @@
       | its agent restarts                |
       | its agent and worker lose power   |
 
+  Scenario: Workers that are cut off, and come back, have not crashed
+    A silent worker may have crashed. If one that is heard again still counted, a sound
+    job would be answered as failed after three cuts.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 1 tasks of 0.5 seconds comes to e0
+    And 3 times, when it runs, its worker is cut off
+    Then the job is completed at e0
+
   Scenario Outline: Tasks that crash their workers come beside the users' load
     Several such jobs come within seconds, and any task on a crashed worker may be to
     blame. A sound job must lose nothing but the time of a rerun.
--- a/features/steps/dispatch_crashes_steps.py
+++ b/features/steps/dispatch_crashes_steps.py
@@ -130,7 +130,17 @@
     fleet.reboot(worker.name, 0.3)
 
 
+def cut_off(fleet, worker):
+    worker.cut = True
+
+    def restore():
+        worker.cut = False
+
+    fleet.at(1.0, restore)
+
+
 ENDINGS = {
+    "its worker is cut off": cut_off,
     "its worker leaves": leave,
     "its draining worker is gone": drain_and_go,
     "its agent restarts": restart_agent,
--- a/src/cactuswalk/dispatch/crashes.py
+++ b/src/cactuswalk/dispatch/crashes.py
@@ -9,7 +9,7 @@
 A task is suspected once a worker has crashed under it. Two suspected tasks never share
 a worker, so a second crash says more than the first. A task is given up after the
 second crash if it was to blame in both as far as its agent can tell, else after the
-third.
+third. A worker that was silent may have crashed, and counts until it is heard again.
 """
 
 import msgspec
@@ -17,8 +17,8 @@
 __all__ = [
     "MAX_CRASHES",
     "CrashRecord",
+    "WorkerCrash",
     "is_suspect",
-    "record_crash",
     "should_give_up",
 ]
 
@@ -29,31 +29,43 @@
 MAX_BLAMED_CRASHES = 2
 
 
+class WorkerCrash(msgspec.Struct, frozen=True):
+    """The end of a run whose worker has crashed, or was silent until its lease passed.
+
+    :param agent: address of the worker's agent.
+    :param worker: its incarnation.
+    :param ended_at: when the end was received.
+    :param blamed: the task was among the last ones that the worker had started, or the
+        first whose starts it left unanswered.
+    """
+
+    agent: str
+    worker: str
+    ended_at: float
+    blamed: bool
+
+
 class CrashRecord(msgspec.Struct):
     """The crashes of workers under one task, as its entry knows them.
 
-    :param crashes: how often a worker crashed that had the task.
-    :param blamed: in how many of them the task was among the last ones that the worker
-        had started, or the first whose starts it left unanswered.
+    :param crashes: those that are not known to be none.
     """
 
-    crashes: int = 0
-    blamed: int = 0
-
+    crashes: list[WorkerCrash] = []
 
-def record_crash(record: CrashRecord, blamed: bool) -> None:
-    """Add a crash to a task's record."""
-    record.crashes += 1
-    record.blamed += blamed
+    @property
+    def blamed(self) -> int:
+        """In how many of the crashes the task was probably to blame."""
+        return sum(crash.blamed for crash in self.crashes)
 
 
 def is_suspect(record: CrashRecord) -> bool:
     """Return whether a task may crash the next worker too."""
-    return record.crashes > 0
+    return bool(record.crashes)
 
 
 def should_give_up(record: CrashRecord) -> bool:
     """Return whether a task must not be started again."""
-    if record.crashes >= MAX_CRASHES:
+    if len(record.crashes) >= MAX_CRASHES:
         return True
     return record.blamed >= MAX_BLAMED_CRASHES
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -2,7 +2,11 @@
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.crashes import is_suspect
-from cactuswalk.dispatch.entrycrashes import clear_suspicion, suspect_task
+from cactuswalk.dispatch.entrycrashes import (
+    clear_suspicion,
+    drop_refuted_crashes,
+    suspect_task,
+)
 from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entryjobs import answer_job
 from cactuswalk.dispatch.entrystate import EntryState
@@ -63,6 +67,7 @@
             # The job was submitted before, and that run of the task may still go on.
             left.append(task)
             continue
+        drop_refuted_crashes(state, task)
         view = chooser.choose_worker(task, job.queue.service)
         if view is None:
             left.append(task)
@@ -165,7 +170,7 @@
             task.avoided_agents.add(view.address)
         job.lost_runs += 1
         _log_rerun(state, view, task, end, reason, now)
-    verdict = _record_bad_end(state, task, placed, end, ran_ms, blamed)
+    verdict = _record_bad_end(state, task, placed, end, ran_ms, blamed, now)
     if verdict:
         answer_job(state, job, JobVerdict.FAILED, verdict, now)
         return
@@ -201,13 +206,16 @@
     end: TaskEnd,
     ran_ms: int,
     blamed: bool,
+    now: float,
 ) -> str:
     """Record a failure or a crash; return why the job has failed, if it has."""
     if end is TaskEnd.FAILED:
         task.failures += 1
         if task.failures >= task.job.queue.attempts:
             return "a task has failed"
-    if end is TaskEnd.CRASHED and suspect_task(state, task, placed, ran_ms, blamed):
+    if end is not TaskEnd.CRASHED:
+        return ""
+    if suspect_task(state, task, placed, ran_ms, blamed, now):
         return "a task crashes its workers"
     return ""
 
