--- a/src/cactuswalk/decisions/admission.py
+++ b/src/cactuswalk/decisions/admission.py
@@ -105,7 +105,7 @@
     :param mean_seconds: mean run time of the service's tasks.
     :param constrained_wait: predicted wait in seconds for the few workers that can take
         a job which needs memory or accelerators; 0 for other jobs.
-    :param margin: factor by which waits have lately exceeded their prediction.
+    :param margin: factor by which waits have recently exceeded their prediction.
     :param sustained: the service is in a sustained overload, see ``overload``.
     """
 
--- a/src/cactuswalk/decisions/estimation.py
+++ b/src/cactuswalk/decisions/estimation.py
@@ -6,7 +6,7 @@
 that can't be answered in time.
 
 A declared time is compared on a logarithmic scale with what callers usually declare,
-and weighted by how well declarations have lately predicted run times: the slope of a
+and weighted by how well declarations have recently predicted run times: the slope of a
 running regression. If all callers are off by the same factor, the factor cancels out.
 If declarations carry no information, the slope goes to zero and the mean run time
 remains.
@@ -104,7 +104,7 @@
 
     @property
     def has_informative_declarations(self) -> bool:
-        """Return whether declared times have lately predicted run times."""
+        """Return whether declared times have recently predicted run times."""
         variances = self.declared_variance * self.run_variance
         if variances < 1e-9 or self.covariance <= 0:
             return False
--- a/src/cactuswalk/decisions/longtasks.py
+++ b/src/cactuswalk/decisions/longtasks.py
@@ -2,7 +2,7 @@
 
 Load pattern: a batch of tasks of several seconds arrives among lookups of 50 ms. Once
 every slot holds a long task, nothing ends for seconds and every lookup waits. So long
-tasks may hold only the slots that short tasks have lately left free, minus a reserve.
+tasks may hold only the slots that short tasks have recently left free, minus a reserve.
 They don't starve: half of the slots are always open to them in the ordinary order.
 
 The limit only helps if declared run times distinguish long tasks from short ones, so it
--- a/src/cactuswalk/decisions/service.py
+++ b/src/cactuswalk/decisions/service.py
@@ -38,7 +38,7 @@
     :param high_percentile: run time beyond which a request may be hedged.
     :param jobs_queued: number of jobs that have tasks queued.
     :param long_running: number of running long tasks.
-    :param short_average: average number of slots that short tasks have lately held.
+    :param short_average: average number of slots that short tasks have recently held.
     :param reservation: the worker that is reserved for a large task, if any.
     """
 
--- a/src/cactuswalk/dispatch/agentcapacity.py
+++ b/src/cactuswalk/dispatch/agentcapacity.py
@@ -22,7 +22,7 @@
         self.clear()
 
     def clear(self) -> None:
-        """Believe what the worker announces."""
+        """Remove all bounds, since the worker has announced its capacity."""
         self.cpu = self.memory_mb = self.gpu = math.inf
 
     def of(self, worker: Worker) -> tuple[int, int, int]:
--- a/src/cactuswalk/dispatch/membership.py
+++ b/src/cactuswalk/dispatch/membership.py
@@ -30,7 +30,7 @@
 # three, two can stop or stall at once before an agent has none.
 MAX_HOME_ENTRIES = 3
 
-# Entries in other data centres that an agent is told of: enough to choose from if all
+# Entries in other data centres on the list that an agent gets: enough if all
 # entries in its own are gone, and some of these too.
 MAX_FAR_CANDIDATES = 8
 
