Entry: only waiting jobs are looked at for a placement that an isolation rules out

Cause: each event that asks for a placement copied the list of all jobs, also where no isolation ever was. The jobs that wait are known without a walk, and no others can need a placement. Same jobs answered; with several at once the order of their answers may differ.

--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -142,11 +142,8 @@
 
 def _close_interrupted_jobs(state: EntryState, now: float) -> None:
     """Answer the jobs that would need a placement which an isolation has ruled out."""
-    for job in list(state.jobs.values()):
-        if job.arrived_at >= state.placed_from:
-            # Jobs are in the order of their arrival.
-            return
-        if job.waiting:
+    for job in state.waiting_jobs():
+        if job.arrived_at < state.placed_from:
             verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
             answer_job(state, job, verdict, "its entry was cut off", now)
 
