--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -271,6 +271,14 @@
     assert not left, "the tasks run on"
 
 
+def check_overlaps_at_e1(fleet):
+    """Check that a caller's second attempt, at e1, runs beside the first."""
+    fleet.run(RESEND_SECONDS)
+    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
+    fleet.run(6.0)
+    assert fleet.overlaps, "no task ran twice at once"
+
+
 @then("an entry that resumes runs a task that runs elsewhere")
 def step_resumed(context):
     fleet = Fleet(2, 4)
@@ -279,10 +287,7 @@
     fleet.freeze("e0", 1.5)
     waiter = fleet.submit("e0", JOB, 4, seconds=3.0, wait=10.0)
     fleet.at(1.52, lambda: fleet.leave("e0", waiter))
-    fleet.run(RESEND_SECONDS)
-    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
-    fleet.run(6.0)
-    assert fleet.overlaps, "no task ran twice at once"
+    check_overlaps_at_e1(fleet)
 
 
 @then("an entry that resumes runs a task whose caller's leaving is known late")
@@ -292,10 +297,7 @@
     fleet.run(0.5)
     fleet.freeze("e0", 1.35)
     fleet.at(1.85, lambda: fleet.leave("e0", waiter))
-    fleet.run(RESEND_SECONDS)
-    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
-    fleet.run(6.0)
-    assert fleet.overlaps, "no task ran twice at once"
+    check_overlaps_at_e1(fleet)
 
 
 @then(
@@ -328,10 +330,7 @@
     fleet.kill("e0")
     if restart_seconds is not None:
         fleet.at(restart_seconds, lambda: fleet.start_entry("e0", "d0"))
-    fleet.run(RESEND_SECONDS)
-    fleet.submit("e1", JOB, 4, seconds=3.0, wait=10.0)
-    fleet.run(6.0)
-    assert fleet.overlaps, "no task ran twice at once"
+    check_overlaps_at_e1(fleet)
 
 
 @then("a random day violates a guarantee")
