A job that a caller submits to a second entry waits for the end of its first attempt

What callers saw: a connection broke while its entry was cut off for less than its leases last, the entry never learnt of it, and the job that the caller sent again 1.3 s later, to another entry, ran beside the first attempt.

Cause: an entry knows of its caller's leaving by the connection alone. What tells of it can be lost in a cut that ends no lease. Nothing that this entry sees differs from a caller that waits; the second attempt does, at the other entry.

Change: statuses, which entries send anyway, list the jobs that are 0.4 s old. An entry that gets a listed job has the attempt ended (EndAttempt, AttemptEnded) and places the job afterwards, or 1.11 s after the last list.

--- a/features/dispatch_mutants.feature
+++ b/features/dispatch_mutants.feature
@@ -90,6 +90,11 @@
       | withholding starts that were sent before the end | 0.9     | from it              |
       | giving up jobs at agents that are cut off too    | 1.1     | with its data centre |
 
+  Scenario: Without lists of jobs, a second attempt overlaps one whose caller has gone
+    dispatch_attempts.feature plays the same with the lists.
+    When listing jobs to other entries is disabled
+    Then a task runs twice at once when a caller's leaving is never known
+
   Scenario: Without a wait after a cut, a request from a socket's buffer is run
     When the wait after a cut is disabled
     Then a task runs twice at once when its request comes out of a buffer after a cut
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -18,6 +18,7 @@
     entryagents,
     entryisolation,
     entrykeepalives,
+    entrypeers,
     entryplacing,
     entrystate,
     placement,
@@ -33,7 +34,7 @@
 from cactuswalk.platform import workerclock
 from features.support.agentbesideworker import AgentBesideWorker, take
 from features.support.crashday import CrashDay
-from features.support.cutoff import play_cut, play_late_request
+from features.support.cutoff import play_cut, play_late_request, play_unread_cut
 from features.support.fleet import JOB, Fleet
 from features.support.fleetscript import RandomDay
 from features.support.fleetsearch import SearchDay
@@ -109,6 +110,19 @@
 }
 
 
+# Without lists of jobs. In these cases they keep a second attempt waiting while the
+# first one runs on, and would hide that the safeguard is missing.
+NO_LISTS = mock.patch.object(entrypeers, "list_jobs", lambda *arguments: [])
+HIDDEN_BY_LISTS = (
+    "the limit on renewals for runs that an entry wants stopped",
+    "the list of starts to stop in keepalives",
+    "watching how many agents an entry hears",
+    "watching whether agents hear their entry",
+    "withholding starts that were sent before the end",
+    "giving up jobs at agents that are cut off too",
+)
+
+
 def make_patches(safeguard):
     """Return the patches that disable a safeguard."""
     if safeguard == "an entry's lease at its agents":
@@ -146,6 +160,8 @@
 
 def make_other_patches(safeguard):
     """Return the patches that disable one of the other safeguards."""
+    if safeguard == "listing jobs to other entries":
+        return [NO_LISTS]
     if safeguard == "the limit on renewals for runs that are to end":
         return [NO_LIMIT_ON_RENEWALS]
     if safeguard == "the limit on renewals for runs that an entry wants stopped":
@@ -211,6 +227,8 @@
         patches = [patch_presumption(PRESUMPTIONS[safeguard])]
     else:
         patches = make_patches(safeguard)
+    if safeguard in HIDDEN_BY_LISTS:
+        patches.append(NO_LISTS)
     for patch in patches:
         patch.start()
     context.clean_ups = [patch.stop for patch in patches]
@@ -307,6 +325,11 @@
     assert play_cut(way, seconds, 0.5).overlaps, "no task ran twice at once"
 
 
+@then("a task runs twice at once when a caller's leaving is never known")
+def step_unread_overlaps(context):
+    assert play_unread_cut("both ways", 0.2, 0.3).overlaps, "no task ran twice at once"
+
+
 @then("a task runs twice at once when its request comes out of a buffer after a cut")
 def step_late_request_overlaps(context):
     assert play_late_request().overlaps, "no task ran twice at once"
--- a/features/support/cutoff.py
+++ b/features/support/cutoff.py
@@ -5,7 +5,14 @@
 from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from features.support.fleet import JOB, Fleet
 
-__all__ = ["CUT_SECONDS", "KNOWN_AFTER", "cut_off", "play_cut", "play_late_request"]
+__all__ = [
+    "CUT_SECONDS",
+    "KNOWN_AFTER",
+    "cut_off",
+    "play_cut",
+    "play_late_request",
+    "play_unread_cut",
+]
 
 CUT_SECONDS = (0.2, 0.4, 0.45, 0.5, 0.55, 0.6, 0.7, 0.9, 1.1, 1.3, 1.5, 2.0, 3.0, 12.0)
 KNOWN_AFTER = (0.01, 0.1, 0.3, 0.5)
@@ -51,6 +58,22 @@
     return fleet
 
 
+def play_unread_cut(way, seconds, begins):
+    """Play a cut of e0 in which what tells of its caller's leaving is lost for good.
+
+    :param begins: how long after the job's arrival.
+    """
+    fleet = Fleet(2, 6)
+    fleet.submit("e0", JOB, 2, seconds=3.0, wait=10.0)
+    fleet.run(begins)
+    cut_off(fleet, "e0", way, seconds)
+    fleet.run(RESEND_SECONDS)
+    again = fleet.submit("e1", JOB, 2, seconds=3.0, wait=10.0)
+    fleet.run(9.0)
+    assert fleet.verdict(again) == "completed"
+    return fleet
+
+
 def play_late_request():
     """Play a request that waits in e0's socket during a cut, while its caller goes."""
     fleet = Fleet(2, 6)
--- a/features/support/fleetsearch.py
+++ b/features/support/fleetsearch.py
@@ -141,7 +141,7 @@
             call[5] = False
             delay = 0.0
             if self.mix.read_after_cut:
-                read_after = self.generator.uniform(0.01, 0.5)
+                read_after = self.generator.uniform(*self.mix.read_after_cut)
                 delay = healed_at - self.fleet.now + read_after
             self.fleet.at(delay, lambda: self.fleet.leave(call[1], call[0]))
 
--- a/features/support/searchmixes.py
+++ b/features/support/searchmixes.py
@@ -19,8 +19,8 @@
     :ivar guards: workers refuse what exceeds their capacity.
     :ivar read_callers: seconds after a freeze in which an entry learns whose connection
         has broken.
-    :ivar read_after_cut: an entry that was cut off from its callers learns only some
-        time after the cut which of them have gone; otherwise at once.
+    :ivar read_after_cut: least and most seconds after a cut in which an entry learns
+        which of its callers have gone; None if it learns that at once.
     :ivar skew: share of the jobs that come to the entries of one data centre, another
         one each second, so that its agents are full while others have room.
     :ivar stop_seconds: how long a run goes on after its stop was answered.
@@ -40,7 +40,7 @@
         guards=True,
         read_callers=0.002,
         again=None,
-        read_after_cut=True,
+        read_after_cut=(0.01, 0.5),
         sizes=False,
         skew=0.0,
         stop_seconds=0.0,
@@ -68,6 +68,9 @@
 RESIZED = ("resize_worker", "resize_memory", "resize_accelerators", "crash_worker")
 LATE = ("hold_up_agent", "hold_up_entry", "hold_up_and_restart", "hold_up_and_reboot")
 
+# Longer than most days: an entry learns late or never that its callers have gone.
+UNREAD_SECONDS = (1.0, 9.0)
+
 MEMBERS = ("silence_entry", "silence_links", "restart_entry", "take_entry_away")
 ILL = ("stall_worker", "delay_stops", "stall_and_delay_stops")
 AT_ONCE = ("kill_all", "power_off_all", "kill_centre")
@@ -99,6 +102,9 @@
     "reboots": Mix(("hold_up_and_reboot", "reboot_agent")),
     "entries-late": Mix(("hold_up_entry", "kill_entry", "hold_up_agent")),
     "callers-broken": Mix(("break_callers", "cut_entry_and_break")),
+    "callers-late": Mix(
+        ("break_callers", "cut_entry_and_break"), read_after_cut=UNREAD_SECONDS
+    ),
     "callers-paused": Mix(("freeze_entry_and_break",)),
     "callers-cut": Mix(("cut_entry_and_break",), gap=1.0),
     "callers-paused-late": Mix(("freeze_entry_and_break",), read_callers=0.05),
@@ -123,6 +129,12 @@
         job_gap=0.2,
         crashing_share=0.02,
     ),
+    "all-late": Mix(
+        (*FAULTS, *CALL_LOSSES, *CALLERS, *WORKERS, *LATE, "reboot_agent"),
+        gap=0.25,
+        crashing_share=0.01,
+        read_after_cut=UNREAD_SECONDS,
+    ),
     "rest": Mix(
         (
             *(name for name in FAULTS if not name.startswith("freeze_entry")),
@@ -141,12 +153,12 @@
         guards=False,
         drift=0.02,
     ),
-    "homes": Mix((*MEMBERS, "kill_agent"), gap=1.0, skew=0.6, read_after_cut=False),
+    "homes": Mix((*MEMBERS, "kill_agent"), gap=1.0, skew=0.6, read_after_cut=None),
     "homes-long": Mix(
         (*MEMBERS, "kill_agent", "take_entry_away_for_long"),
         gap=4.0,
         skew=0.6,
-        read_after_cut=False,
+        read_after_cut=None,
     ),
     "ill": Mix(
         (*ILL, "kill_entry", "kill_agent", "break_callers", "freeze_agent"),
@@ -179,7 +191,7 @@
         gap=0.25,
         crashing_share=0.01,
         drift=0.02,
-        read_after_cut=False,
+        read_after_cut=None,
         skew=0.6,
         stop_seconds=0.03,
     ),
@@ -191,7 +203,7 @@
         job_gap=0.2,
         crashing_share=0.01,
         drift=0.02,
-        read_after_cut=False,
+        read_after_cut=None,
         skew=0.6,
         stop_seconds=0.03,
     ),
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -16,6 +16,7 @@
     expire_or_resend,
     handle_message,
 )
+from cactuswalk.dispatch.entryattempts import request_ends
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
     EntriesListed,
@@ -117,6 +118,7 @@
     check_isolation(state, now)
     _close_overdue_jobs(state, now)
     expire_or_resend(state, now)
+    request_ends(state, now)
     send_keepalives(state, now)
     if now - state.status_sent_at >= ENTRY_STATUS_SECONDS:
         send_status_by_turns(state, now)
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -4,8 +4,10 @@
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import worker_lapse_seconds
+from cactuswalk.dispatch.entryattempts import handle_attempt_ended
 from cactuswalk.dispatch.entryevents import Received
 from cactuswalk.dispatch.entryisolation import may_place
+from cactuswalk.dispatch.entryjobs import handle_end_attempt
 from cactuswalk.dispatch.entrykeepalives import send_keepalive
 from cactuswalk.dispatch.entryoverflow import (
     handle_capacity_offer,
@@ -15,8 +17,10 @@
 from cactuswalk.dispatch.entryplacing import end_start
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.messages import (
+    AttemptEnded,
     CapacityOffer,
     CapacityRequest,
+    EndAttempt,
     EntryStatus,
     MemberList,
     Report,
@@ -237,4 +241,6 @@
     MemberList: handle_member_list,
     CapacityRequest: handle_capacity_request,
     CapacityOffer: handle_capacity_offer,
+    EndAttempt: handle_end_attempt,
+    AttemptEnded: handle_attempt_ended,
 }
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -3,6 +3,7 @@
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.effects import Answer
+from cactuswalk.dispatch.entryattempts import find_earlier_attempt
 from cactuswalk.dispatch.entryevents import (
     JobArrived,
     JobCancelled,
@@ -11,6 +12,7 @@
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
+from cactuswalk.dispatch.messages import AttemptEnded, EndAttempt
 from cactuswalk.dispatch.ordering import (
     QUEUEING_SLACK_SHARE,
     critical_path_seconds,
@@ -23,6 +25,7 @@
     "answer_job",
     "find_unservable_reason",
     "handle_cancellation",
+    "handle_end_attempt",
     "handle_job_arrival",
     "handle_waiter_left",
 ]
@@ -46,6 +49,7 @@
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
     make_tasks(job)
+    find_earlier_attempt(state, job, now)
     state.note_waiting(job)
     state.observe("jobs", event.queue.name)
     state.placement_needed = True
@@ -112,6 +116,19 @@
     answer_job(state, job, verdict, "cancelled", now)
 
 
+def handle_end_attempt(
+    state: EntryState, sender: str, message: EndAttempt, now: float
+) -> None:
+    """End this entry's attempt at a job, and tell the sender once it has ended."""
+    job = state.jobs.get(message.job)
+    if job is not None:
+        verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
+        reason = "its caller has submitted it to another entry"
+        answer_job(state, job, verdict, reason, now)
+    if not any(key.job == message.job for key in state.stopping_tasks):
+        state.send(sender, AttemptEnded(message.job, message.stamp))
+
+
 def answer_job(
     state: EntryState, job: JobState, verdict: JobVerdict, reason: str, now: float
 ) -> None:
--- a/src/cactuswalk/dispatch/entryknown.py
+++ b/src/cactuswalk/dispatch/entryknown.py
@@ -15,9 +15,12 @@
     :param free_cpu: of its home agents as of its latest status, in thousandths of a
         core.
     :param members_sent_at: when it was last sent the list of entries.
+    :param jobs: those that it listed in its latest status, at ``jobs_listed_at``.
     """
 
     heard_at: float
     data_centre: str = ""
     free_cpu: int = 0
     members_sent_at: float = -math.inf
+    jobs: frozenset[str] = frozenset()
+    jobs_listed_at: float = -math.inf
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -7,6 +7,7 @@
 
 import itertools
 
+from cactuswalk.dispatch.entryattempts import list_jobs
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
     EntriesListed,
@@ -58,6 +59,7 @@
     entry.heard_at = now
     entry.data_centre = status.data_centre
     entry.free_cpu = status.free_cpu
+    entry.jobs, entry.jobs_listed_at = frozenset(status.jobs), now
     _apply_evacuations(state, status.evacuations, sender, now)
     if status.version > state.version:
         state.send(sender, ConfigurationRequest(state.version))
@@ -172,8 +174,19 @@
         return
     first = state.next_status_index % len(addresses)
     state.next_status_index = first + count
-    turn = itertools.islice(itertools.cycle(addresses), first, first + count)
-    send_status(state, list(turn), now)
+    turn = set(itertools.islice(itertools.cycle(addresses), first, first + count))
+    if state.jobs:
+        # A caller's second attempt comes to its own data centre first.
+        turn.update(_nearby_entries(state))
+    send_status(state, sorted(turn), now)
+
+
+def _nearby_entries(state: EntryState) -> list[str]:
+    return [
+        address
+        for address, entry in state.entries.items()
+        if entry.data_centre == state.data_centre
+    ]
 
 
 def send_status(state: EntryState, addresses: list[str], now: float) -> None:
@@ -185,6 +198,7 @@
         state.members_digest,
         state.free_cpu(now),
         state.evacuations,
+        list_jobs(state, now),
     )
     for address in addresses:
         state.send(address, status)
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -2,6 +2,7 @@
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.crashes import is_suspect
+from cactuswalk.dispatch.entryattempts import has_earlier_attempt
 from cactuswalk.dispatch.entrycrashes import (
     clear_suspicion,
     drop_refuted_crashes,
@@ -39,7 +40,9 @@
     waiting = [
         job
         for job in state.waiting_jobs()
-        if not is_out_of_time(job, now) and may_place(state, job, now)
+        if not is_out_of_time(job, now)
+        and may_place(state, job, now)
+        and not has_earlier_attempt(state, job, now)
     ]
     if not waiting:
         return
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -55,6 +55,8 @@
     :param pending_starts: number of starts that were sent and have not ended.
     :param may_have_run: a task has run, or may have.
     :param first_start_at: when the first of its starts was sent; 0 before.
+    :param earlier_entry: address of an entry that may still run an earlier attempt at
+        it; empty for none.
     """
 
     request: JobRequest
@@ -76,6 +78,7 @@
     last_task: TaskState | None = None
     lost_runs: int = 0
     declined_runs: int = 0
+    earlier_entry: str = ""
 
     @property
     def has_started(self) -> bool:
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -15,10 +15,12 @@
 from cactuswalk.frames import FrameCodec
 
 __all__ = [
+    "AttemptEnded",
     "CapacityOffer",
     "CapacityRequest",
     "ConfigurationCopy",
     "ConfigurationRequest",
+    "EndAttempt",
     "EntryStatus",
     "Envelope",
     "Keepalive",
@@ -184,6 +186,7 @@
     :param members: digest of the entries that it knows, itself included.
     :param free_cpu: of its home agents, in thousandths of a core.
     :param evacuations: the newest that the sender knows of.
+    :param jobs: identifiers of jobs of which tasks may run for the sender.
     """
 
     incarnation: str
@@ -192,6 +195,7 @@
     members: int
     free_cpu: int
     evacuations: Evacuations
+    jobs: list[str] = []
 
 
 class ConfigurationRequest(msgspec.Struct, array_like=True, tag=7):
@@ -232,6 +236,26 @@
     agents: list[str]
 
 
+class EndAttempt(msgspec.Struct, array_like=True, tag=12):
+    """Ask an entry to end its attempt at a job that the sender has now.
+
+    :param stamp: the sender's clock in milliseconds, which the answer returns.
+    """
+
+    job: str
+    stamp: int
+
+
+class AttemptEnded(msgspec.Struct, array_like=True, tag=13):
+    """The sender runs nothing of a job any more.
+
+    :param stamp: from the request.
+    """
+
+    job: str
+    stamp: int
+
+
 Message = (
     Report
     | Keepalive
@@ -244,6 +268,8 @@
     | MemberList
     | CapacityRequest
     | CapacityOffer
+    | EndAttempt
+    | AttemptEnded
 )
 
 
