--- a/src/cactuswalk/state/recovery.py
+++ b/src/cactuswalk/state/recovery.py
@@ -37,7 +37,12 @@
             state.replaced.add(member.incarnation)
     for member in state.record.roster:
         state.peers[member.incarnation] = Peer(member)
-    state.log("took over the cell", owner=state.member.worker)
+    state.log(
+        "took over the cell",
+        owner=state.member.worker,
+        incarnation=state.member.incarnation,
+        earlier_epoch=earlier.epoch if earlier else 0,
+    )
     recover(state, now)
 
 
@@ -183,6 +188,7 @@
     _inherit_running(state, state.recovered.all(), now)
     state.log(
         "serves",
+        incarnation=state.member.incarnation,
         records=state.recovered.count,
         unsure_of=[member.worker for member in state.unrecorded_members],
         missing=[member.worker for member in _unfenced_members(state)],
