A cell that is begun anew leaves out the epochs that no entry may have heard of

What callers saw: agents that stopped with invariant_violated, "epoch 2 has two owners", and unknown outcomes of all that only they had records of.

Cause: a new cell's epoch was one above what the entries had heard. An owner that took the old one over a moment before the service lost its data, and was frozen before an entry heard it, has just that epoch; when it wakes, each agent that hears both stops.

Change: a new cell leaves out 1,000 epochs if entries knew an earlier one. The old owner hears a higher epoch then and steps down.

--- a/features/once_lost.feature
+++ b/features/once_lost.feature
@@ -42,7 +42,7 @@
     When the service loses its data and all agents are replaced
     And the directed job is submitted again at the other entry
     Then the directed job is told that it is too old, and nothing of it starts again
-    And the directed cell has served again under the next epoch
+    And the directed cell has served again under an epoch that its earlier owners can't have
     And a new directed job is answered
     And no promise was broken in the directed run
 
@@ -99,5 +99,5 @@
     first message, while the service is away or loses replies. A cell that is begun anew
     beside what is left of the old one would run a booking twice.
     Then no promise is broken in 60 random orders of lost data
-    And none in orders 1353 and 1461, in which cells were begun anew
+    And none in orders 1353, 1461, 1508, 2277 and 2929, in which cells were begun anew
     And owners were frozen, replaced and cut off in them, and cells were taken over
--- a/features/steps/once_directed_judging_steps.py
+++ b/features/steps/once_directed_judging_steps.py
@@ -3,6 +3,7 @@
 from behave import then
 
 from cactuswalk.model import Outcome
+from cactuswalk.state.founding import UNHEARD_EPOCHS
 from features.support.directed import (
     outcome,
     serving,
@@ -69,6 +70,16 @@
     assert stored(context.bag).epoch == context.epoch + 1
 
 
+@then(
+    "the directed cell has served again under an epoch that its earlier owners can't"
+    " have"
+)
+def step_new_cell_epoch(context):
+    epoch = context.epoch + UNHEARD_EPOCHS
+    assert [one.record.epoch for one in serving(context.bag)] == [epoch]
+    assert stored(context.bag).epoch == epoch
+
+
 @then("the directed cell has one serving owner that the service names")
 def step_one_owner(context):
     owners = serving(context.bag)
--- a/features/steps/once_lost_steps.py
+++ b/features/steps/once_lost_steps.py
@@ -195,7 +195,10 @@
     context.orders = [play_order(seed) for seed in range(1, count + 1)]
 
 
-@then("none in orders {first:d} and {second:d}, in which cells were begun anew")
+@then(
+    "none in orders {first:d}, {second:d}, {third:d}, {fourth:d} and {fifth:d}, in"
+    " which cells were begun anew"
+)
 def step_chosen_orders(context, **seeds):
     context.orders += [play_order(seed) for seed in seeds.values()]
 
--- a/src/cactuswalk/state/founding.py
+++ b/src/cactuswalk/state/founding.py
@@ -13,12 +13,17 @@
 from cactuswalk.state.effects import Effect, Send
 
 __all__ = [
+    "UNHEARD_EPOCHS",
     "Absence",
     "make_first_record",
     "make_owner_queries",
     "rebuild_record",
 ]
 
+# Takeovers that an earlier cell may have had since the entries last heard its owner. If
+# its owner lives and has the epoch of the new one, agents that hear both stop.
+UNHEARD_EPOCHS = 1000
+
 
 class Absence(msgspec.Struct):
     """What an agent knows while the service has no record of its cell.
@@ -68,12 +73,12 @@
 ) -> CellRecord:
     """Return the record of a new cell with one member.
 
-    :param epoch: the highest known epoch of an earlier cell of this name.
+    :param epoch: the highest known epoch of an earlier cell of this name; 0 for none.
     :param wall_ms: the wall clock.
     """
     return CellRecord(
         cell,
-        epoch + 1,
+        epoch + UNHEARD_EPOCHS if epoch else 1,
         member,
         [member],
         [],
--- a/tools/mutants.py
+++ b/tools/mutants.py
@@ -246,6 +246,13 @@
         "    elif False:\n",
         LOST,
     ),
+    Mutant(
+        "a cell that is begun anew takes the next epoch",
+        f"{STATE}/founding.py",
+        "        epoch + UNHEARD_EPOCHS if epoch else 1,\n",
+        "        epoch + 1,\n",
+        LOST,
+    ),
     Mutant(
         "a key from the future is taken",
         f"{STATE}/callers.py",
