Real processes: a job is submitted to a second entry while the first one runs it

The first entry's caller stays connected, so that it never learns of the second attempt by its connection.

--- a/features/process_dispatch.feature
+++ b/features/process_dispatch.feature
@@ -109,3 +109,13 @@
     When the store falls silent and jobs arrive at entry 0 until it has stopped
     Then each of them was done, refused as not run, or could not connect
     And it has stopped within its grace period of 6 seconds
+
+  Scenario: A job is submitted to a second entry while the first one runs it
+    What tells the first entry of its caller's leaving never comes. The tasks run on
+    there, and the caller's second attempt must wait for their end.
+    Given a deployment of 2 entries and 3 workers
+    When a job of 4 tasks of 2500 ms is in progress at entry 0
+    And the job is submitted to entry 1 after 1.3 seconds, and its caller stays at entry 0
+    Then it is answered with 200 and the state completed
+    And the workers' records show no overlapping runs of a task
+    And the job in progress is told 504
--- a/features/steps/process_dispatch_steps.py
+++ b/features/steps/process_dispatch_steps.py
@@ -50,6 +50,19 @@
 def step_kill_and_resend(context, name, entry, s):
     context.deployment[name].kill()
     time.sleep(s)
+    submit_again(context, entry)
+
+
+@when(
+    "the job is submitted to entry {entry:d} after {s:g} seconds, and its caller stays"
+    " at entry 0"
+)
+def step_resend(context, entry, s):
+    time.sleep(s)
+    submit_again(context, entry)
+
+
+def submit_again(context, entry):
     context.result = context.deployment.submit(
         entry, context.tasks, context.ms, identifier=JOB_IDENTIFIER
     )
@@ -172,6 +185,13 @@
     step_answered(context, status, state)
 
 
+@then("the job in progress is told {status:d}")
+def step_pending_status(context, status):
+    context.pending.join(20)
+    assert context.pending.result is not None, "the connection broke"
+    assert context.pending.result[0] == status, context.pending.result
+
+
 @then("the workers' records show {count:d} runs, none of them overlapping")
 def step_runs(context, count):
     assert len(context.deployment.list_started_tasks()) == count
