Entries tell each other of the crashes under their tasks

What callers saw: a task that crashes its workers took down three more with each entry that died on its job, and every other task there lost the time of a rerun.

Cause: the count lived in the entry that had the job. Change: statuses, which entries send anyway, tell of the crashes under the tasks of their jobs. An entry that gets such a job goes on counting, and answers it as failed at once if the count is reached.

The test failed before: two entries die in turn, each with its third crash: 6 starts after the third crash, 3 allowed.

--- a/features/dispatch_crashes.feature
+++ b/features/dispatch_crashes.feature
@@ -22,6 +22,16 @@
     And the caller sends it to e1 1.3 seconds later
     Then it was started at most 2 times after three workers had crashed
 
+  Scenario: Two entries die on such a task, one after the other
+    Its workers are silent when they crash, so that each entry starts it three times. If
+    nothing outlived an entry, nine workers would go down for one job.
+    Given a fleet of 4 entries and 16 workers
+    When a job of 4 tasks whose first crashes its workers, which are then silent, comes to e0
+    And e0 is killed once 3 workers have crashed
+    And the caller sends it to e1, which is killed with its third crash or after 6 seconds
+    And the caller sends it to e2 1.3 seconds later
+    Then it was started at most 3 times after three workers had crashed
+
   Scenario: Two suspected tasks never share a worker
     A worker crashes under two tasks. If they ran together again and crashed the next
     worker, nothing would tell which of them is to blame.
--- a/features/steps/dispatch_crashes_steps.py
+++ b/features/steps/dispatch_crashes_steps.py
@@ -2,6 +2,7 @@
 
 from behave import then, when
 
+from cactuswalk.dispatch.bounds import RESEND_SECONDS
 from features.support.crashday import CrashDay, crashed_starts
 from features.support.fleet import JOB
 
@@ -35,6 +36,20 @@
     context.fleet.run(8.0)
 
 
+@when(
+    "the caller sends it to {entry}, which is killed with its third crash or after"
+    " {seconds:g} seconds"
+)
+def step_send_and_kill(context, entry, seconds):
+    fleet = context.fleet
+    fleet.run(RESEND_SECONDS)
+    before, until = len(crashed_starts(fleet, JOB)), fleet.now + seconds
+    fleet.submit(entry, JOB, context.tasks, wait=seconds)
+    while len(crashed_starts(fleet, JOB)) < before + 3 and fleet.now < until:
+        fleet.run(0.001)
+    fleet.kill(entry)
+
+
 @then("it has crashed at most {most:d} workers")
 def step_crashed_at_most(context, most):
     context.fleet.run(8.0)
--- a/src/cactuswalk/dispatch/crashes.py
+++ b/src/cactuswalk/dispatch/crashes.py
@@ -17,6 +17,7 @@
 __all__ = [
     "MAX_CRASHES",
     "CrashRecord",
+    "KnownCrashes",
     "WorkerCrash",
     "is_suspect",
     "should_give_up",
@@ -45,6 +46,13 @@
     blamed: bool
 
 
+class KnownCrashes(msgspec.Struct):
+    """What another entry has told of the crashes under a task, last at ``heard_at``."""
+
+    heard_at: float
+    crashes: list[WorkerCrash]
+
+
 class CrashRecord(msgspec.Struct):
     """The crashes of workers under one task, as its entry knows them.
 
--- a/src/cactuswalk/dispatch/entrycrashes.py
+++ b/src/cactuswalk/dispatch/entrycrashes.py
@@ -1,11 +1,32 @@
-"""Suspicion of tasks under which workers crashed, at the entry that has their job."""
+"""Suspicion of tasks under which workers crashed, at the entry that has their job.
+
+Entries tell one another of the crashes. Otherwise the count would end with its entry,
+and each further entry that gets the job would let the task crash as many workers again.
+"""
 
 from cactuswalk.dispatch.agentview import PlacedTask
-from cactuswalk.dispatch.crashes import WorkerCrash, is_suspect, should_give_up
+from cactuswalk.dispatch.crashes import (
+    KnownCrashes,
+    WorkerCrash,
+    is_suspect,
+    should_give_up,
+)
 from cactuswalk.dispatch.entrystate import EntryState
-from cactuswalk.dispatch.jobstate import TaskState
+from cactuswalk.dispatch.jobstate import JobState, TaskState
+from cactuswalk.dispatch.messages import TaskCrash
+
+__all__ = [
+    "clear_suspicion",
+    "drop_refuted_crashes",
+    "forget_known_crashes",
+    "list_crashes",
+    "note_known_crashes",
+    "restore_crashes",
+    "suspect_task",
+]
 
-__all__ = ["clear_suspicion", "drop_refuted_crashes", "suspect_task"]
+# How long another entry's crashes are remembered: callers come back sooner.
+KNOWN_CRASHES_SECONDS = 30.0
 
 
 def suspect_task(
@@ -64,6 +85,48 @@
     )
 
 
+def list_crashes(state: EntryState) -> list[TaskCrash]:
+    """Return the crashes under the tasks of this entry's jobs."""
+    return [
+        TaskCrash(task.key, crash.agent, crash.worker, crash.blamed)
+        for job in state.jobs.values()
+        for task in job.tasks
+        for crash in task.crashed.crashes
+    ]
+
+
+def note_known_crashes(state: EntryState, crashes: list[TaskCrash], now: float) -> None:
+    """Remember the crashes that another entry has told of."""
+    for crash in crashes:
+        known = state.known_crashes.setdefault(crash.key, KnownCrashes(now, []))
+        known.heard_at = now
+        if all(crash.worker != other.worker for other in known.crashes):
+            known.crashes.append(
+                WorkerCrash(crash.agent, crash.worker, now, crash.blamed)
+            )
+
+
+def forget_known_crashes(state: EntryState, now: float) -> None:
+    """Forget the crashes that no entry has told of for long."""
+    for key, known in list(state.known_crashes.items()):
+        if now - known.heard_at > KNOWN_CRASHES_SECONDS:
+            del state.known_crashes[key]
+
+
+def restore_crashes(state: EntryState, job: JobState) -> bool:
+    """Give a new job's tasks the crashes known of them; return whether to give up."""
+    gives_up = False
+    for task in job.tasks if state.known_crashes else ():
+        known = state.known_crashes.get(task.key)
+        if known is None:
+            continue
+        task.crashed.crashes.extend(known.crashes)
+        drop_refuted_crashes(state, task)
+        gives_up |= should_give_up(task.crashed)
+        state.say("a task has crashed workers at another entry", **_fields(task))
+    return gives_up
+
+
 def clear_suspicion(state: EntryState, task: TaskState) -> None:
     """Log that a suspected task has ended well."""
     if is_suspect(task.crashed):
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -4,6 +4,7 @@
 from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.effects import Answer
 from cactuswalk.dispatch.entryattempts import find_earlier_attempt
+from cactuswalk.dispatch.entrycrashes import restore_crashes
 from cactuswalk.dispatch.entryevents import (
     JobArrived,
     JobCancelled,
@@ -49,9 +50,12 @@
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
     make_tasks(job)
+    state.observe("jobs", event.queue.name)
+    if restore_crashes(state, job):
+        answer_job(state, job, JobVerdict.FAILED, "a task crashes its workers", now)
+        return
     find_earlier_attempt(state, job, now)
     state.note_waiting(job)
-    state.observe("jobs", event.queue.name)
     state.placement_needed = True
 
 
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -8,6 +8,11 @@
 import itertools
 
 from cactuswalk.dispatch.entryattempts import list_jobs
+from cactuswalk.dispatch.entrycrashes import (
+    forget_known_crashes,
+    list_crashes,
+    note_known_crashes,
+)
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
     EntriesListed,
@@ -60,6 +65,7 @@
     entry.data_centre = status.data_centre
     entry.free_cpu = status.free_cpu
     entry.jobs, entry.jobs_listed_at = frozenset(status.jobs), now
+    note_known_crashes(state, status.crashes, now)
     _apply_evacuations(state, status.evacuations, sender, now)
     if status.version > state.version:
         state.send(sender, ConfigurationRequest(state.version))
@@ -199,6 +205,7 @@
         state.free_cpu(now),
         state.evacuations,
         list_jobs(state, now),
+        list_crashes(state),
     )
     for address in addresses:
         state.send(address, status)
@@ -206,6 +213,7 @@
 
 def forget_silent_peers(state: EntryState, now: float) -> None:
     """Remove entries and agents that have been silent for too long."""
+    forget_known_crashes(state, now)
     for address, entry in list(state.entries.items()):
         kept = address in state.listed_entries or address in state.seeds
         if not kept and now - entry.heard_at > FORGET_ENTRY_SECONDS:
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -5,6 +5,7 @@
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import RESUME_SECONDS
+from cactuswalk.dispatch.crashes import KnownCrashes
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED
 from cactuswalk.dispatch.job import TaskKey
@@ -43,6 +44,7 @@
     :ivar stopping_tasks: tasks of removed jobs whose starts have not ended.
     :ivar listed_entries: addresses of the entries that the store lists.
     :ivar members: the entries that others are told of, sorted.
+    :ivar known_crashes: of workers under tasks of other entries' jobs.
     :ivar overflow_until: until when each overflow agent is used, by address.
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
@@ -88,6 +90,7 @@
         self.stopping_tasks: set[TaskKey] = set()
         self.entries = {seed: KnownEntry(-math.inf) for seed in self.seeds}
         self.next_status_index = 0
+        self.known_crashes: dict[TaskKey, KnownCrashes] = {}
         self.listed_entries: set[str] = set()
         self.members: list[Member] = []
         self.members_digest = 0
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -30,6 +30,7 @@
     "Start",
     "StartEnded",
     "Stop",
+    "TaskCrash",
     "TaskEnd",
     "decode",
     "encode",
@@ -179,6 +180,20 @@
     blamed: bool = False
 
 
+class TaskCrash(msgspec.Struct, array_like=True):
+    """A worker has crashed under a task.
+
+    :param agent: address of the worker's agent.
+    :param worker: its incarnation.
+    :param blamed: the task was a probable cause of the crash.
+    """
+
+    key: TaskKey
+    agent: str
+    worker: str
+    blamed: bool
+
+
 class EntryStatus(msgspec.Struct, array_like=True, tag=6):
     """An entry tells another that it is alive, and the versions of what it knows.
 
@@ -187,6 +202,7 @@
     :param free_cpu: of its home agents, in thousandths of a core.
     :param evacuations: the newest that the sender knows of.
     :param jobs: identifiers of jobs of which tasks may run for the sender.
+    :param crashes: of workers under the tasks of its jobs.
     """
 
     incarnation: str
@@ -196,6 +212,7 @@
     free_cpu: int
     evacuations: Evacuations
     jobs: list[str] = []
+    crashes: list[TaskCrash] = []
 
 
 class ConfigurationRequest(msgspec.Struct, array_like=True, tag=7):
