A list of jobs that comes right after a second attempt holds it back too

What callers saw: the second entry was paused, handled the request before the lists that had come meanwhile, and ran the job beside the first attempt.

Cause: lists were looked at when a job arrives only. Right after a pause or a cut nothing is asked of other entries: the request may be one whose caller has gone to them.

--- a/features/dispatch_attempts.feature
+++ b/features/dispatch_attempts.feature
@@ -32,6 +32,11 @@
       | all-late     | 9515  | 9515 |
       | all-late     | 9527  | 9527 |
 
+  Scenario: The second entry is paused, and reads the request before the lists
+    It handles its callers first when it resumes, and knows of no earlier attempt then.
+    Then search days 7004 and 7004 of all-late keep every guarantee
+    And day 7103 of all-late in the shape ten keeps every guarantee
+
   Scenario: A caller comes back while its first entry still runs the job
     It gets no "not run", since tasks have run, and no second run beside the first.
     Given a fleet of 2 entries and 6 workers
--- a/src/cactuswalk/dispatch/entryattempts.py
+++ b/src/cactuswalk/dispatch/entryattempts.py
@@ -19,6 +19,7 @@
     "handle_attempt_ended",
     "has_earlier_attempt",
     "list_jobs",
+    "note_listed_jobs",
     "request_ends",
 ]
 
@@ -60,22 +61,44 @@
 
 def find_earlier_attempt(state: EntryState, job: JobState, now: float) -> None:
     """Note the entry that lists a job which has just arrived here."""
-    identifier = job.request.identifier
     for address, entry in state.entries.items():
-        if not _lists(entry, identifier, now):
-            continue
-        job.earlier_entry = address
-        # Its tasks have run there, so that it can't be refused as not run.
-        job.may_have_run = True
-        state.observe("earlier_attempts")
-        state.say(
-            "waits for the end of a job's earlier attempt",
-            job=identifier,
-            entry=address,
-            listed_ago=round(now - entry.jobs_listed_at, 3),
-        )
-        _request_end(state, job, now)
-        return
+        if _lists(entry, job.request.identifier, now):
+            _note_earlier_attempt(state, job, address, now)
+            return
+
+
+def note_listed_jobs(
+    state: EntryState, address: str, listed: list[str], now: float
+) -> None:
+    """Store the jobs that another entry lists, and note earlier attempts among them.
+
+    A list may come right after the second attempt, as to an entry that was paused. A
+    job that has been here for as long as listed ones have been there is the earlier
+    attempt itself.
+    """
+    entry = state.entries[address]
+    entry.jobs, entry.jobs_listed_at = frozenset(listed), now
+    for identifier in entry.jobs & state.jobs.keys():
+        job = state.jobs[identifier]
+        if not job.earlier_entry and now - job.arrived_at < LISTED_AGE_SECONDS:
+            _note_earlier_attempt(state, job, address, now)
+
+
+def _note_earlier_attempt(
+    state: EntryState, job: JobState, address: str, now: float
+) -> None:
+    state.observe("earlier_attempts")
+    state.say(
+        "waits for the end of a job's earlier attempt",
+        job=job.request.identifier,
+        entry=address,
+        listed_ago=round(now - state.entries[address].jobs_listed_at, 3),
+        started=job.has_started,
+    )
+    job.earlier_entry = address
+    # Its tasks have run there, so that it can't be refused as not run.
+    job.may_have_run = True
+    _request_end(state, job, now)
 
 
 def has_earlier_attempt(state: EntryState, job: JobState, now: float) -> bool:
@@ -107,6 +130,13 @@
 
 
 def _request_end(state: EntryState, job: JobState, now: float) -> None:
+    """Ask for the end of an earlier attempt, once the job may be placed here.
+
+    Right after a pause or a cut this may be a request out of a socket's buffer, whose
+    caller has gone to the other entry since.
+    """
+    if state.waits_after_pause(now) or not may_place(state, job, now):
+        return
     request = EndAttempt(job.request.identifier, int(now * 1000))
     state.send(job.earlier_entry, request)
 
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -7,7 +7,7 @@
 
 import itertools
 
-from cactuswalk.dispatch.entryattempts import list_jobs
+from cactuswalk.dispatch.entryattempts import list_jobs, note_listed_jobs
 from cactuswalk.dispatch.entrycrashes import (
     forget_known_crashes,
     list_crashes,
@@ -64,7 +64,7 @@
     entry.heard_at = now
     entry.data_centre = status.data_centre
     entry.free_cpu = status.free_cpu
-    entry.jobs, entry.jobs_listed_at = frozenset(status.jobs), now
+    note_listed_jobs(state, sender, status.jobs, now)
     note_known_crashes(state, status.crashes, now)
     _apply_evacuations(state, status.evacuations, sender, now)
     if status.version > state.version:
