Agents read the evacuations themselves while their entries can't reach the store

What callers saw: tasks started in a data centre that was being evacuated, and were lost when it was switched off. The store turned all entries away and served the agents, so that nobody knew of the request.

Cause: agents took evacuations from entries alone.

Agents read nothing while one of their entries reaches the store, and at most 10 times in an outage of 20 s.

--- a/features/dispatch_evacuation.feature
+++ b/features/dispatch_evacuation.feature
@@ -64,6 +64,38 @@
     And the data centres get 0.5 times what the workers can do for 3 seconds
     Then nothing has started in data centre d0 later than 1.6 seconds after that
 
+  Scenario: The store turns all entries away, and agents reach it
+    No entry learns of the evacuation. Their agents would start tasks in the data centre
+    until it is switched off.
+    Given a fleet of 3 entries in 3 data centres and 6 workers
+    When no entry can reach the store
+    And data centre d0 is evacuated
+    And the data centres get 0.5 times what the workers can do for 8 seconds
+    Then nothing has started in data centre d0 later than 4 seconds after that
+    And every job is done, and no task has run twice
+
+  Scenario: The store turns all entries away while an evacuation ends
+    Given a fleet of 3 entries in 3 data centres and 6 workers
+    When data centre d0 is evacuated
+    And the fleet runs on for 1 seconds
+    And no entry can reach the store
+    And the evacuation of data centre d0 ends
+    And the fleet runs on for 4 seconds
+    Then the agents of data centre d0 take tasks again
+
+  Scenario: Agents don't read the store while one of their entries reaches it
+    Given a fleet of 3 entries in 3 data centres and 6 workers
+    When entries e1 and e2 can't reach the store
+    And the fleet runs on for 10 seconds
+    Then no agent has read the evacuations
+
+  Scenario: Agents read the store rarely while it is down
+    Hundreds of agents that ask a store which doesn't answer would cost calls for nothing.
+    Given a fleet of 3 entries in 3 data centres and 6 workers
+    When the store is down for everybody
+    And the fleet runs on for 20 seconds
+    Then each agent has read the evacuations at most 10 times
+
   Scenario: A data centre is used as soon as its evacuation ends
     Given a fleet of 3 entries in 3 data centres and 6 workers
     When data centre d0 is evacuated
--- a/features/steps/dispatch_evacuation_steps.py
+++ b/features/steps/dispatch_evacuation_steps.py
@@ -52,6 +52,40 @@
     context.fleet.cut_from_store = {first, second}
 
 
+@when("no entry can reach the store")
+def step_no_entry(context):
+    context.fleet.cut_from_store = set(context.fleet.entry_names)
+
+
+@when("the store is down for everybody")
+def step_store_down(context):
+    context.fleet.cut_from_store = set(context.fleet.states)
+
+
+@then("the agents of data centre {centre:w} take tasks again")
+def step_open_again(context, centre):
+    states = context.fleet.states
+    names = [
+        name
+        for name, worker in context.fleet.workers.items()
+        if worker.data_centre == centre
+    ]
+    assert names
+    assert not any(states[name].is_evacuated() for name in names)
+
+
+@then("no agent has read the evacuations")
+def step_no_reads(context):
+    assert not context.fleet.store_reads, context.fleet.store_reads
+
+
+@then("each agent has read the evacuations at most {most:d} times")
+def step_few_reads(context, most):
+    reads = context.fleet.store_reads
+    assert set(reads) == set(context.fleet.workers), reads
+    assert max(reads.values()) <= most, reads
+
+
 @when("the links from {entry:w} to the other entries are cut")
 def step_cut_entries(context, entry):
     others = set(context.fleet.entry_names) - {entry}
--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -14,6 +14,7 @@
     Announced,
     Departed,
     EntriesRead,
+    EvacuationsListed,
     Received as AgentReceived,
     StopRequested as AgentStopRequested,
     Tick as AgentTick,
@@ -23,6 +24,7 @@
     Answer,
     PollWorker,
     ReadEntries,
+    ReadEvacuations,
     Say,
     SendMessage,
     StartTask,
@@ -34,6 +36,7 @@
     JobArrived,
     Received,
     StopRequested,
+    StoreAnswered,
     Tick,
     WaiterLeft,
 )
@@ -59,6 +62,8 @@
 MESSAGE_SECONDS = 0.0006
 HEARTBEAT_SECONDS = 1.5
 STORE_SECONDS = 0.005
+# A watch of the store that brings no change is answered after this time.
+WATCH_SECONDS = 1.2
 GRACE_SECONDS = 6.0
 BOOT_SECONDS = 0.5
 CRASH_SECONDS = 0.002
@@ -150,10 +155,12 @@
         # Entries named in the settings, and entries listed by the store.
         self.seeds = seeds or self.entry_names
         self.listed_names = self.entry_names
-        # Evacuations in the store, and the entries that can't reach the store.
+        # Evacuations in the store, and the processes that can't reach the store.
         self.evacuated = set()
         self.store_revision = 1
         self.cut_from_store = set()
+        # Agents' reads of the evacuations.
+        self.store_reads = collections.Counter()
         # Number of messages by sender and type.
         self.sent = collections.Counter()
         self.workers = {}
@@ -179,9 +186,18 @@
         self.states[name] = state
         self.deliver(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
         self.at(0.0, lambda: self.tick(name, state))
+        self.at(STORE_SECONDS, lambda: self.answer_watch(name, state))
         if self.store_revision > 1:
             self.read_store(name)
 
+    def answer_watch(self, name, state):
+        """Answer an entry's watch of the store, if the entry can reach it."""
+        if self.states.get(name) is not state or name in self.dead:
+            return
+        if name not in self.cut_from_store:
+            self.deliver(name, StoreAnswered())
+        self.at(WATCH_SECONDS, lambda: self.answer_watch(name, state))
+
     def evacuate(self, centre):
         """Evacuate a data centre; entries that can reach the store learn of it."""
         self.evacuated.add(centre)
@@ -207,6 +223,16 @@
             lambda: self.deliver_if_same(name, state, EvacuationsRead(known)),
         )
 
+    def list_evacuations(self, name, state):
+        """Answer an agent's read of the evacuations, if it can reach the store."""
+        known = Evacuations(self.store_revision, tuple(sorted(self.evacuated)))
+        if name in self.cut_from_store:
+            known = None
+        self.at(
+            STORE_SECONDS,
+            lambda: self.deliver_if_same(name, state, EvacuationsListed(known)),
+        )
+
     def add_worker(self, name, cpu, data_centre):
         self.workers[name] = SimulatedWorker(
             self, name, cpu, data_centre, random.Random(self.generator.random())
@@ -358,6 +384,9 @@
                     ),
                 ),
             )
+        elif isinstance(effect, ReadEvacuations):
+            self.store_reads[name] += 1
+            self.list_evacuations(name, state)
         elif isinstance(effect, Say):
             self.lines.append((self.now, name, effect))
 
--- a/src/cactuswalk/dispatch/agent.py
+++ b/src/cactuswalk/dispatch/agent.py
@@ -16,11 +16,16 @@
     handle_message,
     resend_ends,
 )
+from cactuswalk.dispatch.agentevacuations import (
+    handle_evacuations,
+    request_evacuations,
+)
 from cactuswalk.dispatch.agentevents import (
     AgentEvent,
     Announced,
     Departed,
     EntriesRead,
+    EvacuationsListed,
     PollAnswered,
     PollFailed,
     Received,
@@ -88,6 +93,7 @@
     _check_worker(state, now)
     refresh_peers(state, now)
     request_entries(state, now)
+    request_evacuations(state, now)
     close_if_idle(state, now)
     for peer in state.entries.values():
         works = peer.address in state.index.sequences
@@ -133,6 +139,7 @@
     PollAnswered: handle_poll_answer,
     PollFailed: handle_poll_failure,
     EntriesRead: handle_entries,
+    EvacuationsListed: handle_evacuations,
     StopRequested: handle_stop_request,
     Tick: _tick,
 }
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -1,6 +1,7 @@
 """Messages between an agent and the entries."""
 
 from cactuswalk.dispatch.agentcalls import request_start, stop_run
+from cactuswalk.dispatch.agentevacuations import note_store_contact
 from cactuswalk.dispatch.agentevents import Received
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldState, HeldTask
 from cactuswalk.dispatch.agentleases import (
@@ -52,6 +53,7 @@
         for sequence in keepalive.stopped:
             _stop_start(state, peer, sequence, now)
     state.apply_evacuations(keepalive.evacuations, sender)
+    note_store_contact(state, keepalive, now)
     peer.data_centre = keepalive.data_centre
     for sequence in keepalive.acknowledged:
         peer.pending_ends.pop(sequence, None)
--- a/src/cactuswalk/dispatch/agentevents.py
+++ b/src/cactuswalk/dispatch/agentevents.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.job import TaskKey, Worker
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Message
@@ -14,6 +15,7 @@
     "Departed",
     "EndedRow",
     "EntriesRead",
+    "EvacuationsListed",
     "PollAnswered",
     "PollFailed",
     "Received",
@@ -154,6 +156,12 @@
     members: list[Member] | None
 
 
+class EvacuationsListed(msgspec.Struct):
+    """The evacuations that the platform's store lists; None if it didn't answer."""
+
+    evacuations: Evacuations | None
+
+
 class StopRequested(msgspec.Struct):
     """This process was asked to stop."""
 
@@ -171,6 +179,7 @@
     | PollAnswered
     | PollFailed
     | EntriesRead
+    | EvacuationsListed
     | StopRequested
     | Tick
 )
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -57,6 +57,9 @@
     :ivar renewed_at: when the worker's lease was renewed last.
     :ivar renewal_withheld: the worker's lease is not renewed, so that a run ends.
     :ivar entries_asked_at: when the store was asked for the entries last.
+    :ivar informed_at: when an entry that reaches the store was last heard.
+    :ivar evacuations_asked_at: when the evacuations were last read here; they are read
+        at most each ``evacuations_interval`` seconds.
     """
 
     def __init__(
@@ -114,6 +117,9 @@
         self.answered_at = 0.0
         self.stopping = False
         self.entries_asked_at = 0.0
+        self.informed_at = 0.0
+        self.evacuations_asked_at = -math.inf
+        self.evacuations_interval = 0.0
 
     def is_idle(self, now: float) -> bool:
         """Return whether all runs have ended and every reachable entry knows the ends.
@@ -177,7 +183,7 @@
     def apply_evacuations(self, evacuations: Evacuations, entry: str) -> None:
         """Replace the known evacuations by newer ones.
 
-        :param entry: address of the entry that sent them.
+        :param entry: address of the entry that sent them, or "the store".
         """
         if not evacuations.is_newer_than(self.evacuations):
             return
--- a/src/cactuswalk/dispatch/effects.py
+++ b/src/cactuswalk/dispatch/effects.py
@@ -11,6 +11,7 @@
     "Observe",
     "PollWorker",
     "ReadEntries",
+    "ReadEvacuations",
     "Say",
     "SendMessage",
     "StartTask",
@@ -87,6 +88,10 @@
     """Read the entries from the platform's store; results in ``EntriesRead``."""
 
 
+class ReadEvacuations(msgspec.Struct):
+    """Read the evacuations from the store; results in ``EvacuationsListed``."""
+
+
 class Say(msgspec.Struct):
     """Write a log line: one short sentence, and the values that led to it."""
 
@@ -110,6 +115,7 @@
     | StopTask
     | PollWorker
     | ReadEntries
+    | ReadEvacuations
     | Say
     | Observe
 )
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -26,6 +26,7 @@
     JobCancelled,
     Received,
     StopRequested,
+    StoreAnswered,
     Tick,
     WaiterLeft,
 )
@@ -113,6 +114,10 @@
         state.say("a planned stop begins", jobs=len(state.jobs))
 
 
+def _store_answered(state: EntryState, _: StoreAnswered, now: float) -> None:
+    state.store_answered_at = now
+
+
 def _tick(state: EntryState, _: Tick, now: float) -> None:
     log_pause(state, now)
     check_isolation(state, now)
@@ -170,6 +175,7 @@
     ConfigurationRead: handle_configuration,
     EntriesListed: handle_entries,
     EvacuationsRead: handle_evacuations,
+    StoreAnswered: _store_answered,
     StopRequested: _stop_requested,
     Tick: _tick,
 }
--- a/src/cactuswalk/dispatch/entryevents.py
+++ b/src/cactuswalk/dispatch/entryevents.py
@@ -17,6 +17,7 @@
     "JobCancelled",
     "Received",
     "StopRequested",
+    "StoreAnswered",
     "Tick",
     "WaiterLeft",
 ]
@@ -73,6 +74,10 @@
     evacuations: Evacuations
 
 
+class StoreAnswered(msgspec.Struct):
+    """The platform's store has answered this entry's watch, with changes or without."""
+
+
 class StopRequested(msgspec.Struct):
     """This process was asked to stop."""
 
@@ -89,6 +94,7 @@
     | ConfigurationRead
     | EntriesListed
     | EvacuationsRead
+    | StoreAnswered
     | StopRequested
     | Tick
 )
--- a/src/cactuswalk/dispatch/entrykeepalives.py
+++ b/src/cactuswalk/dispatch/entrykeepalives.py
@@ -91,6 +91,7 @@
         # A keepalive renews the lease of all starts here. If a stop were lost and
         # keepalives arrived, the agent would run its task on.
         _stopped_sequences(view),
+        state.reaches_store(now),
     )
     state.send(view.address, keepalive)
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -27,6 +27,9 @@
 # it an entry that is up before its agents would refuse jobs that could wait for them.
 DISCOVERY_SECONDS = 0.3
 
+# The store answers a watch each 1.2 s at the latest, or 0.2 s later where it is slow.
+STORE_SILENT_SECONDS = 1.8
+
 # Assumed length of the queue if no worker is known.
 MAX_QUEUED_SECONDS = 5.0
 
@@ -51,6 +54,7 @@
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar median_pace: of the live workers, as of the last tick.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
+    :ivar store_answered_at: when the platform's store answered this entry last.
     :ivar handled_at: when an event was handled last; before the first, when the process
         started.
     :ivar paused_until: when the last gap between two events ended that was longer than
@@ -108,6 +112,7 @@
         self.keepalive_sent_at: dict[str, float] = {}
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
+        self.store_answered_at = -math.inf
         self.handled_at = math.inf
         self.paused_until = -math.inf
         self.paused_seconds = 0.0
@@ -142,6 +147,10 @@
             return False
         return self.has_live_agent(now)
 
+    def reaches_store(self, now: float) -> bool:
+        """Return whether the platform's store has answered this entry recently."""
+        return now - self.store_answered_at < STORE_SILENT_SECONDS
+
     def waits_after_pause(self, now: float) -> bool:
         """Return whether no task may be placed yet, since this process was paused."""
         return now - self.resumed_at < RESUME_SECONDS
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -113,6 +113,7 @@
     :param evacuations: the newest that the sender knows of.
     :param entry_stamp: the sender's clock in milliseconds, which a report echoes.
     :param stopped: sequences of starts that the sender wants stopped, as in ``Stop``.
+    :param reaches_store: the platform's store has answered the sender recently.
     """
 
     incarnation: str
@@ -125,6 +126,7 @@
     evacuations: Evacuations
     entry_stamp: int = 0
     stopped: list[int] = []
+    reaches_store: bool = True
 
 
 class Start(msgspec.Struct, array_like=True, tag=3):
--- a/src/cactuswalk/platform/names.py
+++ b/src/cactuswalk/platform/names.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATIONS_PREFIX",
     "OPERATORS_PREFIX",
     "SETTINGS_VARIABLE",
     "parse_evacuated_data_centre",
@@ -23,7 +24,7 @@
 OPERATORS_PREFIX = "op/"
 
 # Followed by a data centre's name, which is evacuated while the key exists.
-EVACUATION_PREFIX = "op/evacuate/"
+EVACUATIONS_PREFIX = "op/evacuate/"
 
 # The second part of a task's name is the repetition of its job, 0 without any.
 FIRST_REPETITION = "0"
@@ -31,9 +32,9 @@
 
 def parse_evacuated_data_centre(key: str) -> str | None:
     """Return the data centre that a key evacuates, or None for another key."""
-    if not key.startswith(EVACUATION_PREFIX):
+    if not key.startswith(EVACUATIONS_PREFIX):
         return None
-    return key.removeprefix(EVACUATION_PREFIX) or None
+    return key.removeprefix(EVACUATIONS_PREFIX) or None
 
 
 def format_task_name(key: TaskKey) -> str:
--- a/src/cactuswalk/runtime/dispatchagent.py
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -12,15 +12,27 @@
     Announced,
     Departed,
     EntriesRead,
+    EvacuationsListed,
     Received,
     StopRequested,
     Tick,
 )
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.effects import PollWorker, ReadEntries, StartTask, StopTask
+from cactuswalk.dispatch.effects import (
+    PollWorker,
+    ReadEntries,
+    ReadEvacuations,
+    StartTask,
+    StopTask,
+)
+from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.observations import Part
 from cactuswalk.platform.announcements import AnnouncementHandler
 from cactuswalk.platform.errors import PlatformError
+from cactuswalk.platform.names import (
+    EVACUATIONS_PREFIX,
+    parse_evacuated_data_centre,
+)
 from cactuswalk.platform.worker import WorkerClient
 from cactuswalk.runtime.dispatch import DispatchRuntime, read_boottime
 from cactuswalk.runtime.storewatch import ENTRIES_PREFIX, decode_member
@@ -74,6 +86,7 @@
             StopTask: lambda effect: self._spawn_call(self.worker.stop(effect)),
             PollWorker: lambda effect: self._spawn_call(self.worker.poll(effect)),
             ReadEntries: lambda effect: self._spawn_call(self._list_entries()),
+            ReadEvacuations: lambda effect: self._spawn_call(self._list_evacuations()),
         }
 
     async def run(self) -> None:
@@ -126,5 +139,14 @@
         read = [decode_member(item.value) for item in items]
         return EntriesRead([member for member in read if member is not None])
 
+    async def _list_evacuations(self) -> EvacuationsListed:
+        try:
+            revision, items = await self.runtime.store.list(EVACUATIONS_PREFIX)
+        except PlatformError as error:
+            self.runtime.say("can't read the evacuations", reason=str(error))
+            return EvacuationsListed(None)
+        names = {parse_evacuated_data_centre(item.key) for item in items}
+        return EvacuationsListed(Evacuations(revision, tuple(sorted(names - {None}))))
+
     def _log_unusable_heartbeat(self, error: PlatformError) -> None:
         self.runtime.say("rejects a heartbeat of the worker", reason=error.message)
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -18,6 +18,7 @@
     JobCancelled,
     Received,
     StopRequested,
+    StoreAnswered,
     Tick,
     WaiterLeft,
 )
@@ -218,6 +219,7 @@
                 OPERATORS_WATCH_SECONDS,
                 self._apply_operators_update,
                 make_backoff("configuration"),
+                lambda: self.application.feed(StoreAnswered()),
             )
         )
         self.application.spawn(
--- a/src/cactuswalk/runtime/storewatch.py
+++ b/src/cactuswalk/runtime/storewatch.py
@@ -100,9 +100,12 @@
     wait_seconds: float,
     on_update: Callable[[PrefixUpdate], None],
     backoff: StoreBackoff,
+    on_answer: Callable[[], None] = lambda: None,
 ) -> None:
     """Call ``on_update`` with all changes under a prefix, without end.
 
+    ``on_answer`` is called after each answer of the store, with changes or without.
+
     The first update, and each one after the store has compacted the history in
     between, is a snapshot of all keys.
     """
@@ -130,6 +133,7 @@
             await backoff.wait_after(error, started)
             continue
         backoff.record_success()
+        on_answer()
 
 
 def decode_member(value: bytes) -> Member | None:
