Each caller of a job is answered in its own time

What callers saw: one that sent its job again to the same entry, where an earlier connection of it was still open, had no answer before it stopped waiting.

Cause: a job had one time until which its callers wait, the latest of them. A request that was in the socket of a paused entry is handled seconds late, and seems to have all its time left. Change: the time is kept for each caller; one whose time is over is told 504, since the job may still run for the others, and goes on for them.

--- a/features/dispatch_attempts.feature
+++ b/features/dispatch_attempts.feature
@@ -77,3 +77,11 @@
     And the same job comes to e1 1.3 seconds later, which waits for e0
     And an answer of e0 to a request before that reaches e1
     Then e1 still waits for the end of the attempt at e0
+
+  Scenario: Two entries are cut off in turn, and neither hears the other's lists: day 7303
+    Both hear some of their agents all the while. The lists of the first are too old when
+    the second one places the job, and the first has its tasks run again.
+    Then day 7303 of callers-late in the shape ten keeps every guarantee
+
+  Scenario: Two entries are cut off in turn, and neither hears the other's lists: day 7306
+    Then day 7306 of callers-late in the shape ten keeps every guarantee
--- a/features/dispatch_load.feature
+++ b/features/dispatch_load.feature
@@ -75,3 +75,12 @@
     Given a fleet of 1 entries and 2 workers
     When a job with a task of 64 cores comes to e0
     Then it is refused as not run without delay
+
+  Scenario: A caller joins a job whose earlier caller would have waited longer
+    It came back to the same entry, and the earlier connection is still open there. It is
+    answered in its own time; without an answer it could not come back sooner.
+    Given a fleet of 1 entries and 2 workers
+    When a job of 2 tasks of 5 seconds comes to e0
+    And its caller submits it to e0 again after 0.5 seconds, and waits for 1 second
+    Then that caller is told within 1 second that it is unfinished
+    And the first caller gets the result
--- a/features/dispatch_search.feature
+++ b/features/dispatch_search.feature
@@ -27,6 +27,10 @@
       | restarts     |
       | entries-late |
 
+  Scenario: A day on which callers join jobs that came before a pause
+    A caller had no answer in its own time, since an earlier one would have waited longer.
+    Then search days 7001 and 7001 of callers-paused-late keep every guarantee
+
   Scenario Outline: Random days of a fleet with many entries: <mix>, <shape>
     Agents have eight home entries of ten, or only those of their own data centre, and
     entries use agents elsewhere while theirs are full. None of this is in play in the
--- a/features/steps/dispatch_load_steps.py
+++ b/features/steps/dispatch_load_steps.py
@@ -4,6 +4,7 @@
 
 from behave import given, then, when
 
+from features.support.fleet import JOB
 from features.support.fleetload import SEED, Load, users_fleet
 
 # The shares of a single seed vary by about 0.03 around the mean.
@@ -179,3 +180,27 @@
 def step_refused_at_once(context):
     assert context.fleet.verdict(context.waiter) == "not_run"
     assert context.fleet.took(context.waiter) == 0.0
+
+
+@when(
+    "its caller submits it to e0 again after {after:g} seconds, and waits for"
+    " {seconds:g} second"
+)
+def step_join(context, after, seconds):
+    fleet = context.fleet
+    fleet.run(after)
+    context.again = fleet.submit("e0", JOB, context.tasks, seconds=5.0, wait=seconds)
+
+
+@then("that caller is told within {seconds:g} second that it is unfinished")
+def step_told_unfinished(context, seconds):
+    fleet = context.fleet
+    fleet.run(seconds)
+    assert context.again in fleet.answers, "it has no answer"
+    assert fleet.verdict(context.again) == "unfinished"
+
+
+@then("the first caller gets the result")
+def step_first_completed(context):
+    context.fleet.run(8.0)
+    assert context.fleet.verdict(context.waiters["e0"]) == "completed"
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -33,6 +33,7 @@
 from cactuswalk.dispatch.entryisolation import check_isolation, must_give_up
 from cactuswalk.dispatch.entryjobs import (
     answer_job,
+    answer_overdue_waiters,
     find_unservable_reason,
     handle_cancellation,
     handle_job_arrival,
@@ -136,6 +137,7 @@
 def _close_overdue_jobs(state: EntryState, now: float) -> None:
     is_discovering_workers = state.is_discovering_workers(now)
     for job in list(state.jobs.values()):
+        answer_overdue_waiters(state, job, now)
         verdict = choose_action(job, now, is_discovering_workers)
         if state.stop_at and now > state.stop_at - STOP_MARGIN_SECONDS:
             verdict = JobAction.GIVE_UP if job.has_started else JobAction.REFUSE
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -15,6 +15,7 @@
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
 from cactuswalk.dispatch.messages import AttemptEnded, EndAttempt
 from cactuswalk.dispatch.ordering import (
+    ANSWER_MARGIN_SECONDS,
     QUEUEING_SLACK_SHARE,
     critical_path_seconds,
     retry_after_seconds,
@@ -24,6 +25,7 @@
 
 __all__ = [
     "answer_job",
+    "answer_overdue_waiters",
     "find_unservable_reason",
     "handle_cancellation",
     "handle_end_attempt",
@@ -36,8 +38,7 @@
     """Accept or refuse a job, or add a caller to one that is in progress."""
     known = state.jobs.get(event.request.identifier)
     if known is not None:
-        known.waiters.append(event.waiter)
-        known.give_up_at = max(known.give_up_at, now + event.wait_seconds)
+        known.waiters[event.waiter] = now + event.wait_seconds
         return
     job = _make_job(state, event, now)
     if state.stop_at and job.due_at > state.stop_at - STOP_MARGIN_SECONDS:
@@ -89,12 +90,11 @@
     return JobState(
         event.request,
         queue,
-        [event.waiter],
+        {event.waiter: now + event.wait_seconds},
         now,
         expected_seconds,
         now + (aim - expected_seconds) * QUEUEING_SLACK_SHARE,
         now + aim,
-        now + event.wait_seconds,
     )
 
 
@@ -103,12 +103,24 @@
     job = state.jobs.get(event.job)
     if job is None or event.waiter not in job.waiters:
         return
-    job.waiters.remove(event.waiter)
-    if not job.waiters:
-        state.say(
-            "the caller has disconnected", job=event.job, waited=now - job.arrived_at
-        )
-        _remove_job(state, job, now)
+    if len(job.waiters) > 1:
+        del job.waiters[event.waiter]
+        return
+    state.say("the caller has disconnected", job=event.job, waited=now - job.arrived_at)
+    _remove_job(state, job, now)
+
+
+def answer_overdue_waiters(state: EntryState, job: JobState, now: float) -> None:
+    """Answer the callers of a job who stop waiting before the last one does."""
+    if len(job.waiters) == 1:
+        return
+    last = job.give_up_at
+    for waiter, until in list(job.waiters.items()):
+        if until < last and now >= until - ANSWER_MARGIN_SECONDS:
+            # The job may run for the others, though it has not started yet.
+            unfinished = Answer(waiter, JobVerdict.UNFINISHED, "out of time")
+            state.effects.append(unfinished)
+            del job.waiters[waiter]
 
 
 def handle_cancellation(state: EntryState, event: JobCancelled, now: float) -> None:
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -43,11 +43,10 @@
 class JobState(msgspec.Struct, eq=False):
     """One job, from its arrival to its answer.
 
-    :param waiters: callers' connections that wait for the answer.
+    :param waiters: until when each caller waits for the answer, by its connection.
     :param expected_seconds: expected run time of its longest chain of steps.
     :param latest_start_at: until when it may wait to be started.
     :param due_at: until when its answer is on time.
-    :param give_up_at: when its caller stops waiting.
     :param waiting: tasks that wait for a worker.
     :param remaining: by step, the number of tasks that are not done.
     :param longest_ms: by step, the run time of its longest task so far.
@@ -61,12 +60,11 @@
 
     request: JobRequest
     queue: Queue
-    waiters: list[int]
+    waiters: dict[int, float]
     arrived_at: float
     expected_seconds: float
     latest_start_at: float
     due_at: float
-    give_up_at: float
     tasks: list[TaskState] = msgspec.field(default_factory=list)
     waiting: list[TaskState] = msgspec.field(default_factory=list)
     remaining: list[int] = msgspec.field(default_factory=list)
@@ -80,6 +78,11 @@
     declined_runs: int = 0
     earlier_entry: str = ""
 
+    @property
+    def give_up_at(self) -> float:
+        """When the last of its callers stops waiting."""
+        return max(self.waiters.values())
+
     @property
     def has_started(self) -> bool:
         """Whether a task may have run or may be about to."""
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -17,6 +17,7 @@
 from cactuswalk.dispatch.jobstate import JobState
 
 __all__ = [
+    "ANSWER_MARGIN_SECONDS",
     "QUEUEING_SLACK_SHARE",
     "JobAction",
     "choose_action",
