--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -14,7 +14,6 @@
     Announced,
     Departed,
     EntriesRead,
-    EvacuationsListed,
     Received as AgentReceived,
     StopRequested as AgentStopRequested,
     Tick as AgentTick,
@@ -32,20 +31,18 @@
 )
 from cactuswalk.dispatch.entryevents import (
     ConfigurationRead,
-    EvacuationsRead,
     JobArrived,
     Received,
     StopRequested,
-    StoreAnswered,
     Tick,
     WaiterLeft,
 )
 from cactuswalk.dispatch.entrystate import EntryState
-from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.job import JobRequest, Step
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.routing import Queue, Queues
 from features.support.fleetcalls import WorkerCalls
+from features.support.fleetstore import STORE_SECONDS, FleetStore
 from features.support.fleetworker import SERVICE, Run, SimulatedWorker
 
 __all__ = [
@@ -61,9 +58,6 @@
 TICK = 0.05
 MESSAGE_SECONDS = 0.0006
 HEARTBEAT_SECONDS = 1.5
-STORE_SECONDS = 0.005
-# A watch of the store that brings no change is answered after this time.
-WATCH_SECONDS = 1.2
 GRACE_SECONDS = 6.0
 BOOT_SECONDS = 0.5
 CRASH_SECONDS = 0.002
@@ -83,7 +77,7 @@
     )
 
 
-class Fleet:
+class Fleet(FleetStore):
     """The processes, their clock, and the record of what they did.
 
     :ivar cuts: links that lose all messages, as pairs of sender and receiver.
@@ -116,6 +110,7 @@
         centres=None,
         seeds=None,
     ):
+        super().__init__()
         self.generator = random.Random(seed)
         self.now = 0.0
         self.events = []
@@ -155,12 +150,6 @@
         # Entries named in the settings, and entries listed by the store.
         self.seeds = seeds or self.entry_names
         self.listed_names = self.entry_names
-        # Evacuations in the store, and the processes that can't reach the store.
-        self.evacuated = set()
-        self.store_revision = 1
-        self.cut_from_store = set()
-        # Agents' reads of the evacuations.
-        self.store_reads = collections.Counter()
         # Number of messages by sender and type.
         self.sent = collections.Counter()
         self.workers = {}
@@ -190,49 +179,6 @@
         if self.store_revision > 1:
             self.read_store(name)
 
-    def answer_watch(self, name, state):
-        """Answer an entry's watch of the store, if the entry can reach it."""
-        if self.states.get(name) is not state or name in self.dead:
-            return
-        if name not in self.cut_from_store:
-            self.deliver(name, StoreAnswered())
-        self.at(WATCH_SECONDS, lambda: self.answer_watch(name, state))
-
-    def evacuate(self, centre):
-        """Evacuate a data centre; entries that can reach the store learn of it."""
-        self.evacuated.add(centre)
-        self.write_store()
-
-    def take_back(self, centre):
-        self.evacuated.discard(centre)
-        self.write_store()
-
-    def write_store(self):
-        self.store_revision += 1
-        for name in self.living():
-            self.read_store(name)
-
-    def read_store(self, name):
-        """Have an entry read the current state of the store, if it can reach it."""
-        if name in self.cut_from_store:
-            return
-        known = Evacuations(self.store_revision, tuple(sorted(self.evacuated)))
-        state = self.states[name]
-        self.at(
-            STORE_SECONDS,
-            lambda: self.deliver_if_same(name, state, EvacuationsRead(known)),
-        )
-
-    def list_evacuations(self, name, state):
-        """Answer an agent's read of the evacuations, if it can reach the store."""
-        known = Evacuations(self.store_revision, tuple(sorted(self.evacuated)))
-        if name in self.cut_from_store:
-            known = None
-        self.at(
-            STORE_SECONDS,
-            lambda: self.deliver_if_same(name, state, EvacuationsListed(known)),
-        )
-
     def add_worker(self, name, cpu, data_centre):
         self.workers[name] = SimulatedWorker(
             self, name, cpu, data_centre, random.Random(self.generator.random())
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -132,26 +132,7 @@
     peer = _refresh_peer(state, sender, start.incarnation, returned_stamp, now)
     if peer is None:
         return
-    if start.sequence <= peer.last_sequence:
-        # A later start has overtaken it, unless it is a copy: the entry learns by a
-        # report that it was not accepted.
-        peer.urgent = True
-        return
-    if (start.incarnation, start.sequence) in state.index.by_sequence:
-        # A repeated copy, after a message of another incarnation of the entry has reset
-        # what is known of this one.
-        return
-    if start.agent_incarnation != state.incarnation:
-        # Another copy of it may have been accepted by that incarnation, and its run may
-        # go on. The entry ends the start when it learns of this incarnation.
-        peer.outdated = True
-        state.say_debug(
-            "ignored a start for an earlier incarnation",
-            entry=sender,
-            job=start.key.job,
-            sequence=start.sequence,
-            agent_incarnation=start.agent_incarnation,
-        )
+    if _is_to_be_ignored(state, peer, start):
         return
     peer.last_sequence = start.sequence
     peer.dirty = True
@@ -160,6 +141,36 @@
     if reason:
         _decline(state, peer, start, reason, now)
         return
+    _accept_start(state, sender, start, now)
+
+
+def _is_to_be_ignored(state: AgentState, peer: EntryPeer, start: Start) -> bool:
+    """Return whether a start gets no answer; the entry learns why from a report."""
+    if start.sequence <= peer.last_sequence:
+        # A later start has overtaken it, unless it is a copy: the entry learns by a
+        # report that it was not accepted.
+        peer.urgent = True
+        return True
+    if (start.incarnation, start.sequence) in state.index.by_sequence:
+        # A repeated copy, after a message of another incarnation of the entry has reset
+        # what is known of this one.
+        return True
+    if start.agent_incarnation == state.incarnation:
+        return False
+    # Another copy of it may have been accepted by that incarnation, and its run may
+    # go on. The entry ends the start when it learns of this incarnation.
+    peer.outdated = True
+    state.say_debug(
+        "ignored a start for an earlier incarnation",
+        entry=peer.address,
+        job=start.key.job,
+        sequence=start.sequence,
+        agent_incarnation=start.agent_incarnation,
+    )
+    return True
+
+
+def _accept_start(state: AgentState, sender: str, start: Start, now: float) -> None:
     run = max(start.run, state.runs.get(start.key, 0) + 1)
     held = HeldTask(
         state.next_handle, sender, start, run, HeldState.STARTING, now, called_at=now
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -87,17 +87,27 @@
 def _start_task(
     state: EntryState, task: TaskState, view: AgentView, now: float
 ) -> None:
-    job = task.job
     task.runs += 1
     task.agent_address = view.address
     task.placed_at = now
     task.sequence = state.next_sequence
     state.next_sequence += 1
+    _record_job_start(state, task.job, now)
+    start = _make_start(state, task, view)
+    view.add(PlacedTask(start, task, now))
+    _log_placement(state, task, view, start, now)
+    state.send(view.address, start)
+
+
+def _record_job_start(state: EntryState, job: JobState, now: float) -> None:
     job.pending_starts += 1
     if not job.first_start_at:
         job.first_start_at = now
         state.observe("first_start_seconds", job.queue.name, now - job.arrived_at)
-    start = Start(
+
+
+def _make_start(state: EntryState, task: TaskState, view: AgentView) -> Start:
+    return Start(
         state.incarnation,
         view.report.incarnation,
         view.report.stamp,
@@ -105,7 +115,7 @@
         view.report.worker,
         task.key,
         task.runs,
-        job.request.spec,
+        task.job.request.spec,
         task.step.cpu,
         task.step.memory_mb,
         task.step.gpu,
@@ -113,9 +123,6 @@
         len(task.avoided_agents) < MAX_RETURNS,
         is_suspect(task.crashed),
     )
-    view.add(PlacedTask(start, task, now))
-    _log_placement(state, task, view, start, now)
-    state.send(view.address, start)
 
 
 def _log_placement(
@@ -157,28 +164,38 @@
         state.stopping_tasks.discard(placed.start.key)
         return
     task.agent_address, task.last_agent_address = "", view.address
-    job = task.job
-    job.pending_starts -= 1
-    if end is not TaskEnd.DECLINED:
-        job.may_have_run = True
+    task.job.pending_starts -= 1
     if end is TaskEnd.DONE:
+        task.job.may_have_run = True
         _task_done(state, task, ran_ms, now)
         return
     if end is TaskEnd.DECLINED:
         view.skip_until_report(now)
-        job.declined_runs += 1
+        task.job.declined_runs += 1
     else:
-        if end is not TaskEnd.CRASHED:
-            # A worker that comes back after a crash is a new one.
-            task.avoided_agents.add(view.address)
-        job.lost_runs += 1
-        _log_rerun(state, view, task, end, reason, now)
+        _record_lost_run(state, view, task, end, reason, now)
     verdict = _record_bad_end(state, task, placed, end, ran_ms, blamed, now)
     if verdict:
-        answer_job(state, job, JobVerdict.FAILED, verdict, now)
+        answer_job(state, task.job, JobVerdict.FAILED, verdict, now)
         return
-    job.waiting.append(task)
-    state.note_waiting(job)
+    task.job.waiting.append(task)
+    state.note_waiting(task.job)
+
+
+def _record_lost_run(
+    state: EntryState,
+    view: AgentView,
+    task: TaskState,
+    end: TaskEnd,
+    reason: str,
+    now: float,
+) -> None:
+    task.job.may_have_run = True
+    task.job.lost_runs += 1
+    if end is not TaskEnd.CRASHED:
+        # A worker that comes back after a crash is a new one.
+        task.avoided_agents.add(view.address)
+    _log_rerun(state, view, task, end, reason, now)
 
 
 def _log_rerun(
