Own engine: a caller that joins a submission is answered in its own time

What callers saw: one that sent its key again to the same entry, for a shorter time than the first caller waits, had no answer until the submission ended.

Change: a waiter that joined is told unknown (timed_out) when its own deadline passes, and the submission goes on for the others.

The test failed before: once_directed_answers, "A caller joins a submission whose first caller waits longer".

--- a/features/once_directed_answers.feature
+++ b/features/once_directed_answers.feature
@@ -136,6 +136,14 @@
     When a result under another attempt arrives at the owner while the task runs
     Then the directed caller gets the upstream's true answer
 
+  Scenario: A caller joins a submission whose first caller waits longer
+    It sends its key again to the same entry. It must be answered in its own time, though
+    the submission goes on for the other.
+    Given a directed pair of entries
+    When a directed job of 3 s is submitted, and again by a caller that waits for 1 s
+    Then the second directed caller is told within 1.1 s that the outcome is unknown
+    And the first directed caller gets the upstream's true answer
+
   Scenario: A copy of a start that its agent declined
     An agent's slots are taken, so it declines a start. The network delivers the
     start again when a slot is free. The owner has placed the task elsewhere.
--- a/features/steps/once_directed_answers_steps.py
+++ b/features/steps/once_directed_answers_steps.py
@@ -32,6 +32,29 @@
     context.bag.run(1.0)
 
 
+@when("a directed job of 3 s is submitted, and again by a caller that waits for 1 s")
+def step_join(context):
+    bag = context.bag
+    context.job = bag.job(tasks=3, duration_ms=3000)
+    context.handed = bag.submit("entry-0", context.job, 8000)
+    bag.run(0.5)
+    context.again = bag.submit("entry-0", context.job, 1000)
+
+
+@then("the second directed caller is told within 1.1 s that the outcome is unknown")
+def step_told_in_time(context):
+    context.bag.run(1.1)
+    assert outcome(context.again) is Outcome.UNKNOWN, context.again.reply
+    assert code(context.again) == "timed_out"
+
+
+@then("the first directed caller gets the upstream's true answer")
+def step_first_answered(context):
+    context.bag.run(SETTLE_S)
+    assert outcome(context.handed) is Outcome.ANSWERED, context.handed.reply
+    assert violations(context.bag) == []
+
+
 @given("a directed submission whose true answer is under way")
 def step_under_way(context):
     step_entries(context)
--- a/src/cactuswalk/state/callers.py
+++ b/src/cactuswalk/state/callers.py
@@ -50,7 +50,7 @@
         return
     pending = state.pending.get(job.submission)
     if pending is not None:
-        _join(state, pending, event)
+        _join(state, pending, event, now)
         return
     if event.minted:
         mint_for_healthy_cell(state, job, now)
@@ -143,7 +143,9 @@
     )
 
 
-def _join(state: EntryState, pending: Pending, event: CallerSubmitted) -> None:
+def _join(
+    state: EntryState, pending: Pending, event: CallerSubmitted, now: float
+) -> None:
     """Add a resubmission to the waiters, if its body is the same."""
     if pending.job.fingerprint != event.job.fingerprint:
         refusal = Refusal(RefusalCode.KEY_REUSED, "the key is in use with another body")
@@ -152,6 +154,7 @@
         )
         return
     pending.waiters.append(event.waiter)
+    pending.joined_deadlines[event.waiter] = now + event.remaining_ms / 1000
     state.effects.append(Count("entry.joined"))
 
 
--- a/src/cactuswalk/state/entryview.py
+++ b/src/cactuswalk/state/entryview.py
@@ -89,6 +89,7 @@
 class Pending(msgspec.Struct):
     """A submission that callers wait for at this entry.
 
+    :param joined_deadlines: of the waiters that joined later, by waiter.
     :param attempts: every attempt sent, so that a late answer to one of them is
         recognised; all attempts of a submission have the same answer.
     :param sent: whether it was sent to a process that has not denied holding it.
@@ -104,6 +105,7 @@
     deadline: float
     submitted_at: float
     waiters: list[str] = []
+    joined_deadlines: dict[str, float] = {}
     attempts: set[int] = set()
     sent: bool = False
     sent_epoch: int = 0
--- a/src/cactuswalk/state/waiting.py
+++ b/src/cactuswalk/state/waiting.py
@@ -30,6 +30,7 @@
     make_no_owner_refusal,
     outcome_if_unsent,
     refuse_pending,
+    refuse_waiter,
 )
 from cactuswalk.state.listening import is_silent, record_stamp, repeat_request
 
@@ -159,6 +160,7 @@
 
 def maintain_pending(state: EntryState, pending: Pending, now: float) -> None:
     """Send, query or give up a pending submission."""
+    _refuse_overdue_waiters(state, pending, now)
     view = state.cells[pending.cell]
     if now >= pending.deadline + (DEADLINE_GRACE_SECONDS if pending.sent else 0.0):
         _give_up_overdue(state, pending, view)
@@ -197,6 +199,20 @@
         state.effects.append(Count("entry.query.sent"))
 
 
+def _refuse_overdue_waiters(state: EntryState, pending: Pending, now: float) -> None:
+    """Answer the callers that joined and stop waiting before the submission ends."""
+    for waiter, deadline in list(pending.joined_deadlines.items()):
+        if now < deadline or deadline >= pending.deadline:
+            continue
+        del pending.joined_deadlines[waiter]
+        pending.waiters.remove(waiter)
+        refusal = Refusal(
+            RefusalCode.TIMED_OUT, "its deadline passed while an earlier submission ran"
+        )
+        name = pending.job.submission
+        refuse_waiter(state, waiter, name, Outcome.UNKNOWN, refusal)
+
+
 def _give_up_overdue(state: EntryState, pending: Pending, view: CellView) -> None:
     """Give up a submission whose deadline has passed without an owner's answer."""
     if not pending.sent:
