A request whose connection has been reset isn't run

What callers saw: a job ran twice at once (TWICE), the two runs some milliseconds apart.

The trace of: a connection that is reset before its entry has accepted it sends its caller to another entry at once, not after 1.3 s; the first entry reads the request all the same, starts its tasks and learns of the reset 1 to 30 ms later.

Change: before a job is submitted, the entry asks the socket whether the connection has been closed or reset by now.

The test failed before (3 of 3; now passes 3 of 3): process_dispatch, "A request is read from a connection that has been reset".

--- a/features/process_dispatch.feature
+++ b/features/process_dispatch.feature
@@ -110,6 +110,15 @@
     Then each of them was done, refused as not run, or could not connect
     And it has stopped within its grace period of 6 seconds
 
+  Scenario: A request is read from a connection that has been reset
+    The entry was busy for a moment. Its caller's connection broke before the entry
+    accepted it, so that the caller sent the job to another entry at once.
+    Given a deployment of 2 entries and 3 workers
+    When entry-0 stands still for 0.3 seconds, and a caller with a job of 4 tasks of 1000 ms is reset and goes to entry 1
+    Then it is answered with 200 and the state completed
+    And the workers' records show no overlapping runs of a task
+    And entry-0 has logged "ignores a job whose caller has gone"
+
   Scenario: A job is submitted to a second entry while the first one runs it
     What tells the first entry of its caller's leaving never comes. The tasks run on
     there, and the caller's second attempt must wait for their end.
--- a/features/steps/process_dispatch_steps.py
+++ b/features/steps/process_dispatch_steps.py
@@ -53,6 +53,27 @@
     submit_again(context, entry)
 
 
+@when(
+    "entry-0 stands still for {seconds:g} seconds, and a caller with a job of"
+    " {tasks:d} tasks of {ms:d} ms is reset and goes to entry 1"
+)
+def step_reset_caller(context, seconds, tasks, ms):
+    deployment = context.deployment
+    context.tasks, context.ms = tasks, ms
+    deployment["entry-0"].freeze()
+    deployment.submit_and_reset(0, tasks, ms, JOB_IDENTIFIER)
+    pending = deployment.submit_later(1, tasks, ms, identifier=JOB_IDENTIFIER)
+    time.sleep(seconds)
+    deployment["entry-0"].unfreeze()
+    pending.join(20)
+    context.result = pending.result
+
+
+@then('{name:S} has logged "{text}"')
+def step_logged(context, name, text):
+    assert context.deployment.has_logged(name, text), context.deployment[name].tail()
+
+
 @when(
     "the job is submitted to entry {entry:d} after {s:g} seconds, and its caller stays"
     " at entry 0"
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -64,8 +64,8 @@
 # keepalives: what the entry sends is lost, even if it still hears the agent.
 UNHEARD_SECONDS = 1.0
 
-# Earliest time at which a caller sends a job again after its connection broke (given
-# by the platform: 1,300 ms).
+# Earliest time at which a caller sends a job again after a connection broke that its
+# entry had accepted (given by the platform: 1,300 ms).
 RESEND_SECONDS = 1.3
 
 # An entry that was paused for longer than its leases at the agents starts no tasks for
--- a/src/cactuswalk/platform/callers.py
+++ b/src/cactuswalk/platform/callers.py
@@ -3,6 +3,7 @@
 They translate requests and responses; all decisions are the backend's.
 """
 
+import select
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -61,6 +62,9 @@
     def count_queued(self, queue: Queue) -> int:
         """Return the number of waiting jobs of a queue."""
 
+    def ignore(self, job: str) -> None:
+        """Record that a job is not submitted, since its caller has gone."""
+
     def is_stopping(self) -> bool:
         """Return whether the process stops and connections should be closed."""
 
@@ -120,6 +124,9 @@
             return error_response(503, error.code, error.show(), 10)
         except CactuswalkError as error:
             return error_response(400, error.code, error.show())
+        if _has_gone(request):
+            self.backend.ignore(job_id)
+            return error_response(503, "caller_gone", "the connection has broken", 1)
         result = await self.backend.submit(queue, job, _read_wait_seconds(request))
         if result.verdict in STATE_NAMES:
             return json_response(200, {"state": STATE_NAMES[result.verdict]})
@@ -129,6 +136,21 @@
         )
 
 
+def _has_gone(request: BaseRequest) -> bool:
+    """Return whether a request's connection has been closed or reset by now.
+
+    What came before can still be read from it, and the event loop tells of its end only
+    in a later turn. A caller whose connection is reset before it was accepted doesn't
+    wait for RESEND_SECONDS: its job may run at another entry at this moment.
+    """
+    transport = request.transport
+    if transport is None or transport.is_closing():
+        return True
+    poll = select.poll()
+    poll.register(transport.get_extra_info("socket"), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 def _read_wait_seconds(request: BaseRequest) -> float:
     try:
         return float(request.headers[DEADLINE_HEADER]) / 1000
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -171,6 +171,10 @@
         """Return whether connections should be closed after their responses."""
         return self.state.stop_at > 0
 
+    def ignore(self, job: str) -> None:
+        """Record that a job is not submitted, since its caller has gone."""
+        self.runtime.say("ignores a job whose caller has gone", job=job)
+
     def cancel(self, job: str) -> bool:
         """Cancel a job; return whether it was known."""
         known = job in self.state.jobs
--- a/tools/deployment.py
+++ b/tools/deployment.py
@@ -15,6 +15,8 @@
 import itertools
 import json
 import shutil
+import socket
+import struct
 import tempfile
 import threading
 import urllib.error
@@ -216,6 +218,21 @@
         body = make_job_body(tasks, ms, **spec)
         return call_json(self.caller_url(entry) + name, body, host=HOST)
 
+    def submit_and_reset(self, entry: int, tasks: int, ms: int, name: str) -> None:
+        """Send a job to an entry, and reset the connection at once."""
+        body = json.dumps(make_job_body(tasks, ms)).encode()
+        lines = (
+            f"POST {PREFIX}{name} HTTP/1.1",
+            f"Host: {HOST}",
+            "Content-Type: application/json",
+            f"Content-Length: {len(body)}",
+        )
+        address = (self.entry_host(entry), self.ports["callers"])
+        with socket.create_connection(address) as connection:
+            connection.sendall("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            linger = struct.pack("ii", 1, 0)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     def submit_later(self, entry: int, tasks: int, ms: int, **spec) -> "PendingCall":
         """Submit a job in a separate thread."""
         pending = PendingCall(lambda: self.submit(entry, tasks, ms, **spec))
