--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -132,7 +132,7 @@
     peer = _refresh_peer(state, sender, start.incarnation, returned_stamp, now)
     if peer is None:
         return
-    if _is_to_be_ignored(state, peer, start):
+    if _ignore_if_outdated(state, peer, start):
         return
     peer.last_sequence = start.sequence
     peer.dirty = True
@@ -144,8 +144,11 @@
     _accept_start(state, sender, start, now)
 
 
-def _is_to_be_ignored(state: AgentState, peer: EntryPeer, start: Start) -> bool:
-    """Return whether a start gets no answer; the entry learns why from a report."""
+def _ignore_if_outdated(state: AgentState, peer: EntryPeer, start: Start) -> bool:
+    """Ignore a start that was overtaken, repeated or meant for an earlier incarnation.
+
+    Returns whether it is ignored: the entry then learns from a report what became of it.
+    """
     if start.sequence <= peer.last_sequence:
         # A later start has overtaken it, unless it is a copy: the entry learns by a
         # report that it was not accepted.
