--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -147,7 +147,7 @@
 def _ignore_if_outdated(state: AgentState, peer: EntryPeer, start: Start) -> bool:
     """Ignore a start that was overtaken, repeated or meant for an earlier incarnation.
 
-    Returns whether it is ignored: the entry then learns from a report what became of it.
+    Return whether it is ignored. The entry learns from a report what became of it.
     """
     if start.sequence <= peer.last_sequence:
         # A later start has overtaken it, unless it is a copy: the entry learns by a
