--- a/src/cactuswalk/dispatch/entryattempts.py
+++ b/src/cactuswalk/dispatch/entryattempts.py
@@ -1,9 +1,9 @@
 """Attempts at one job at several entries.
 
 A caller whose connection has broken submits its job to another entry. The entry that
-has the job may learn of that late, or never: what tells of it can be lost in a cut
-that ends no lease. Its tasks would then run beside those of the second attempt.
-So entries list their jobs to one another. An entry that gets a job which another one
+has the job may learn of that late, or never: the packets that close a connection can be
+lost in a cut that ends no lease. Its tasks would then run beside those of the second
+attempt. So entries list their jobs to one another. An entry that gets a job which another one
 lists asks for the end of that attempt, and places the job afterwards.
 """
 
@@ -48,7 +48,7 @@
 def _may_run(state: EntryState, job: JobState, now: float) -> bool:
     """Return whether a task of a job runs for this entry, or may be started.
 
-    At an agent that has been silent for so long the leases of its starts have expired.
+    The leases of starts at an agent have expired when it was silent for this time.
     """
     if job.waiting and may_place(state, job, now):
         return True
--- a/src/cactuswalk/platform/callers.py
+++ b/src/cactuswalk/platform/callers.py
@@ -139,7 +139,7 @@
 def _has_gone(request: BaseRequest) -> bool:
     """Return whether a request's connection has been closed or reset by now.
 
-    What came before can still be read from it, and the event loop tells of its end only
+    What came before can still be read from it, and the event loop reports its end only
     in a later turn. A caller whose connection is reset before it was accepted doesn't
     wait for RESEND_SECONDS: its job may run at another entry at this moment.
     """
