--- a/src/cactuswalk/dispatch/entryattempts.py
+++ b/src/cactuswalk/dispatch/entryattempts.py
@@ -3,8 +3,8 @@
 A caller whose connection has broken submits its job to another entry. The entry that
 has the job may learn of that late, or never: the packets that close a connection can be
 lost in a cut that ends no lease. Its tasks would then run beside those of the second
-attempt. So entries list their jobs to one another. An entry that gets a job which another one
-lists asks for the end of that attempt, and places the job afterwards.
+attempt. So entries list their jobs to one another. An entry that gets a job which
+another one lists asks for the end of that attempt, and places the job afterwards.
 """
 
 from cactuswalk.dispatch.bounds import agent_lapse_seconds
