--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -35,6 +35,7 @@
     answer_job,
     answer_overdue_waiters,
     find_unservable_reason,
+    give_up_job,
     handle_cancellation,
     handle_job_arrival,
     handle_waiter_left,
@@ -153,8 +154,7 @@
     """Answer the jobs that would need a placement which an isolation has ruled out."""
     for job in state.waiting_jobs():
         if job.arrived_at < state.placed_from:
-            verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
-            answer_job(state, job, verdict, "its entry was cut off", now)
+            give_up_job(state, job, "its entry was cut off", now)
 
 
 def _refuse_unservable(state: EntryState, now: float) -> None:
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -27,6 +27,7 @@
     "answer_job",
     "answer_overdue_waiters",
     "find_unservable_reason",
+    "give_up_job",
     "handle_cancellation",
     "handle_end_attempt",
     "handle_job_arrival",
@@ -128,8 +129,7 @@
     job = state.jobs.get(event.job)
     if job is None:
         return
-    verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
-    answer_job(state, job, verdict, "cancelled", now)
+    give_up_job(state, job, "cancelled", now)
 
 
 def handle_end_attempt(
@@ -138,13 +138,18 @@
     """End this entry's attempt at a job, and tell the sender once it has ended."""
     job = state.jobs.get(message.job)
     if job is not None:
-        verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
         reason = "its caller has submitted it to another entry"
-        answer_job(state, job, verdict, reason, now)
+        give_up_job(state, job, reason, now)
     if not any(key.job == message.job for key in state.stopping_tasks):
         state.send(sender, AttemptEnded(message.job, message.stamp))
 
 
+def give_up_job(state: EntryState, job: JobState, reason: str, now: float) -> None:
+    """Answer a job that is not completed, by whether a task may have run."""
+    verdict = JobVerdict.UNFINISHED if job.has_started else JobVerdict.NOT_RUN
+    answer_job(state, job, verdict, reason, now)
+
+
 def answer_job(
     state: EntryState, job: JobState, verdict: JobVerdict, reason: str, now: float
 ) -> None:
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -195,17 +195,6 @@
     if end is not TaskEnd.CRASHED:
         # A worker that comes back after a crash is a new one.
         task.avoided_agents.add(view.address)
-    _log_rerun(state, view, task, end, reason, now)
-
-
-def _log_rerun(
-    state: EntryState,
-    view: AgentView,
-    task: TaskState,
-    end: TaskEnd,
-    reason: str,
-    now: float,
-) -> None:
     state.say(
         "a task runs again",
         job=task.key.job,
