--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -39,6 +39,7 @@
 )
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobRequest, Step
+from cactuswalk.dispatch.loadpolicy import DEFAULT_LOAD_POLICY
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.routing import Queue, Queues
 from features.support.fleetcalls import WorkerCalls
@@ -109,8 +110,10 @@
         queues=None,
         centres=None,
         seeds=None,
+        policy=DEFAULT_LOAD_POLICY,
     ):
         super().__init__()
+        self.policy = policy
         self.generator = random.Random(seed)
         self.now = 0.0
         self.events = []
@@ -171,6 +174,7 @@
             1.5,
             GRACE_SECONDS,
         )
+        state.policy = self.policy
         state.handled_at = self.clock(name)
         self.states[name] = state
         self.deliver(name, ConfigurationRead(Queues(1, self.queues, 1 << 20)))
@@ -197,6 +201,7 @@
             GRACE_SECONDS,
             DRAIN_SECONDS,
         )
+        state.policy = self.policy
         self.states[name] = state
         self.at(0.0, lambda: self.tick(name, state))
 
--- a/src/cactuswalk/dispatch/reducerstate.py
+++ b/src/cactuswalk/dispatch/reducerstate.py
@@ -3,6 +3,7 @@
 import math
 
 from cactuswalk.dispatch.effects import Effect, Observe, Say, SendMessage
+from cactuswalk.dispatch.loadpolicy import DEFAULT_LOAD_POLICY
 from cactuswalk.dispatch.messages import Message
 
 __all__ = ["ReducerState"]
@@ -11,6 +12,7 @@
 class ReducerState:
     """Collects the effects of an event, until the reducer returns them.
 
+    :ivar policy: the decisions under load that the settings switch on.
     :ivar ticked_at: when the periodic timer fired last.
     :ivar logs_debug: whether lines of the level ``debug`` are written.
     :ivar pauses: number of late ticks that have not been logged; ``longest_pause`` in
@@ -19,6 +21,7 @@
 
     def __init__(self) -> None:
         self.effects: list[Effect] = []
+        self.policy = DEFAULT_LOAD_POLICY
         self.ticked_at = math.inf
         self.logs_debug = True
         self.pauses = 0
--- a/src/cactuswalk/runtime/dispatchagent.py
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -70,6 +70,7 @@
             settings.drain_seconds - DRAIN_MARGIN_SECONDS,
         )
         self.state.logs_debug = settings.logs.level == "debug"
+        self.state.policy = settings.policy
         self.runtime = DispatchRuntime(
             settings,
             Part.AGENT,
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -95,6 +95,7 @@
             settings.grace_seconds,
         )
         self.state.logs_debug = settings.logs.level == "debug"
+        self.state.policy = settings.policy
         # A pause before the first event counts as well.
         self.state.handled_at = read_boottime()
         self.runtime = DispatchRuntime(
--- a/src/cactuswalk/settings/converters.py
+++ b/src/cactuswalk/settings/converters.py
@@ -24,6 +24,7 @@
     "integer",
     "one_of",
     "peer_address",
+    "switch",
     "non_empty_text",
     "token_digest",
     "url",
@@ -47,6 +48,13 @@
     return raw
 
 
+def switch(raw: str) -> bool:
+    """Accept ``on`` or ``off``."""
+    if raw not in ("on", "off"):
+        raise RejectedValueError("is not a switch", "Write 'on' or 'off'.")
+    return raw == "on"
+
+
 def is_name(raw: str) -> bool:
     """Return whether a text is a valid name."""
     return _NAME.fullmatch(raw) is not None
--- a/src/cactuswalk/settings/dispatch.py
+++ b/src/cactuswalk/settings/dispatch.py
@@ -8,7 +8,14 @@
 
 import msgspec
 
-from cactuswalk.settings.converters import integer, list_of, name, non_empty_text
+from cactuswalk.dispatch.loadpolicy import LoadPolicy
+from cactuswalk.settings.converters import (
+    integer,
+    list_of,
+    name,
+    non_empty_text,
+    switch,
+)
 from cactuswalk.settings.reader import Reader, RejectedValueError
 from cactuswalk.settings.shared import (
     LogSettings,
@@ -47,6 +54,7 @@
     :param messages: the address at which this process receives messages.
     :param seeds: message addresses of some entries, from which the others are found.
     :param grace_seconds: time that a planned stop may take.
+    :param policy: the decisions under load that are in force.
     """
 
     name: str
@@ -56,6 +64,7 @@
     seeds: list[str]
     store: Endpoint
     grace_seconds: float
+    policy: LoadPolicy
     statsd: StatsdSettings | None
     logs: LogSettings
 
@@ -135,11 +144,23 @@
         "grace_seconds": reader.get(
             "bounds", "grace_seconds", decimal(1, MAX_GRACE_SECONDS)
         ),
+        "policy": _read_policy(reader),
         "statsd": read_statsd(reader),
         "logs": read_logs(reader),
     }
 
 
+def _read_policy(reader: Reader) -> LoadPolicy:
+    """Read the optional section of decisions under load; each is off by default."""
+    return LoadPolicy(
+        divides_room=reader.get("load", "divide_room", switch, False),
+        predicts_admission=reader.get("load", "predict_admission", switch, False),
+        measures_headroom=reader.get("load", "measure_headroom", switch, False),
+        serves_late=reader.get("load", "serve_late", switch, False),
+        places_by_end=reader.get("load", "place_by_end", switch, False),
+    )
+
+
 def endpoint(raw: str) -> Endpoint:
     """Accept ``ip:port``."""
     host, _, port = raw.rpartition(":")
