Stopping entries accept what will probably end; changed priorities and targets hold for waiting jobs

A changed priority or target held only for jobs that came later. Change: the expected end with a margin of a fifth decides; entryrequeue applies a newer configuration to the jobs that have not started.

--- a/features/dispatch_once.feature
+++ b/features/dispatch_once.feature
@@ -120,6 +120,15 @@
     And the fleet runs on for 2 seconds
     Then the job is completed at e0
 
+  Scenario: A stopping entry accepts a long job that will probably end in time
+    Its target is 1.6 times its run time. If that had to pass before the stop, long jobs
+    would be refused for a second more at each host of a round of planned stops.
+    Given a fleet of 1 entries and 2 workers
+    When e0 is told to stop and 2.5 seconds pass
+    And a job of 2 tasks of 1.8 seconds comes to e0
+    And the fleet runs on for 2 seconds
+    Then the job is completed at e0
+
   Scenario: The bounds end the first runs before the second ones can begin
     Then tasks of a dead entry have ended before its callers retry
     And an entry waits longer for a silent agent than the agent keeps its tasks
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -13,10 +13,11 @@
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
+from cactuswalk.dispatch.leaving import ends_before_stop
 from cactuswalk.dispatch.messages import AttemptEnded, EndAttempt
 from cactuswalk.dispatch.ordering import (
     ANSWER_MARGIN_SECONDS,
-    QUEUEING_SLACK_SHARE,
+    compute_time_limits,
     critical_path_seconds,
     retry_after_seconds,
 )
@@ -42,7 +43,9 @@
         known.waiters[event.waiter] = now + event.wait_seconds
         return
     job = _make_job(state, event, now)
-    if state.stop_at and job.due_at > state.stop_at - STOP_MARGIN_SECONDS:
+    if state.stop_at and not ends_before_stop(
+        job.expected_seconds, state.stop_at - STOP_MARGIN_SECONDS - now
+    ):
         _refuse_waiters(state, job, "this entry is stopping")
         return
     reason = find_unservable_reason(state, event.request, event.queue)
@@ -87,15 +90,15 @@
         state.estimates[queue.name] = estimate
     seconds = [estimate.predict(step.estimate_ms) for step in event.request.steps]
     expected_seconds = critical_path_seconds(event.request, seconds)
-    aim = queue.stretch * expected_seconds + queue.allowance_ms / 1000
+    limits = compute_time_limits(queue, expected_seconds, now)
     return JobState(
         event.request,
         queue,
         {event.waiter: now + event.wait_seconds},
         now,
         expected_seconds,
-        now + (aim - expected_seconds) * QUEUEING_SLACK_SHARE,
-        now + aim,
+        limits.latest_start_at,
+        limits.due_at,
     )
 
 
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -19,6 +19,7 @@
     EvacuationsRead,
 )
 from cactuswalk.dispatch.entryknown import KnownEntry
+from cactuswalk.dispatch.entryrequeue import update_waiting_jobs
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.evacuation import Evacuations
 from cactuswalk.dispatch.membership import FORGET_ENTRY_SECONDS, Member, digest_members
@@ -128,6 +129,7 @@
         return
     state.say("a configuration is in force", version=version, was=state.version)
     state.queues = event.queues
+    update_waiting_jobs(state, event.queues)
     send_status(state, list(state.entries), now)
 
 
--- a/src/cactuswalk/dispatch/leaving.py
+++ b/src/cactuswalk/dispatch/leaving.py
@@ -12,12 +12,21 @@
 
 from cactuswalk.dispatch.soundness import MIN_PROGRESS_SECONDS, Progress
 
-__all__ = ["OVERRUN_FACTOR", "can_finish_in_time", "cannot_finish"]
+__all__ = [
+    "OVERRUN_FACTOR",
+    "can_finish_in_time",
+    "cannot_finish",
+    "ends_before_stop",
+]
 
 # Callers' estimates are off by 40%, and losing a task costs more than placing it a
 # moment later.
 OVERRUN_FACTOR = 1.5
 
+# The same for a job of an entry that stops: lower, since a job that is not done by then
+# is answered in any case, and its caller has waited for a probable result.
+STOP_OVERRUN_FACTOR = 1.2
+
 # Covers the transit of the report, of the start and of the end message.
 MESSAGE_DELAY_MS = 200
 
@@ -45,3 +54,11 @@
     if task.seconds < MIN_PROGRESS_SECONDS:
         return False
     return task.remaining_ms > SHORTFALL_FACTOR * remaining_ms + SHORTFALL_MS
+
+
+def ends_before_stop(expected_seconds: float, remaining_seconds: float) -> bool:
+    """Return whether a job that arrives now will probably end before its entry stops.
+
+    :param remaining_seconds: time until the entry answers what is unfinished.
+    """
+    return STOP_OVERRUN_FACTOR * expected_seconds <= remaining_seconds
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -13,14 +13,19 @@
 import enum
 import math
 
+import msgspec
+
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.jobstate import JobState
+from cactuswalk.dispatch.routing import Queue
 
 __all__ = [
     "ANSWER_MARGIN_SECONDS",
     "QUEUEING_SLACK_SHARE",
     "JobAction",
+    "TimeLimits",
     "choose_action",
+    "compute_time_limits",
     "critical_path_seconds",
     "is_out_of_time",
     "retry_after_seconds",
@@ -49,6 +54,25 @@
     GIVE_UP = "give up"
 
 
+class TimeLimits(msgspec.Struct, frozen=True):
+    """Until when a job may wait to be started, and until when its answer is on time."""
+
+    latest_start_at: float
+    due_at: float
+
+
+def compute_time_limits(
+    queue: Queue, expected_seconds: float, arrived_at: float
+) -> TimeLimits:
+    """Return a job's time limits under its queue's target.
+
+    :param expected_seconds: run time of its longest chain of steps.
+    """
+    aim = queue.stretch * expected_seconds + queue.allowance_ms / 1000
+    slack = aim - expected_seconds
+    return TimeLimits(arrived_at + slack * QUEUEING_SLACK_SHARE, arrived_at + aim)
+
+
 def critical_path_seconds(request: JobRequest, seconds: list[float]) -> float:
     """Return the run time of the longest chain of dependent steps.
 
--- a/src/cactuswalk/dispatch/routing.py
+++ b/src/cactuswalk/dispatch/routing.py
@@ -32,6 +32,7 @@
     def __init__(self, version: int, queues: list[Queue], body_bytes: int) -> None:
         self.version = version
         self.body_bytes = body_bytes
+        self.by_name = {queue.name: queue for queue in queues}
         self.by_host: dict[str, list[Queue]] = {}
         for queue in sorted(queues, key=lambda queue: -len(queue.prefix)):
             self.by_host.setdefault(queue.host.lower(), []).append(queue)
