A starting entry holds requests until it has read the configuration

Cause: after a power failure callers are connected before the store has answered; each got 503 and, by Retry-After, came back a second later at the earliest. Change: requests wait for the first configuration for 0.3 s at most.

--- a/features/dispatch_starting.feature
+++ b/features/dispatch_starting.feature
@@ -37,3 +37,16 @@
   Scenario: An address in use is reported with a remedy
     Given a socket that listens
     Then another one can't listen there, and the error names the remedy
+
+  Scenario: A job that comes before the first configuration is served once it arrives
+    After a power failure callers are there before the store has answered. Refused, they
+    would come back a second later at the earliest.
+    Given an entry without a configuration
+    When a job comes, and the configuration 0.05 seconds later
+    Then the job is submitted
+
+  Scenario: A job that comes while no configuration arrives is refused
+    The platform's store is down, and no other entry has the configuration yet.
+    Given an entry without a configuration
+    When a job comes, and no configuration
+    Then the job is refused with status 503 within 0.5 seconds
--- a/features/steps/dispatch_starting_steps.py
+++ b/features/steps/dispatch_starting_steps.py
@@ -1,12 +1,18 @@
 """Steps on the startup of a process."""
 
+import asyncio
 import subprocess
 import sys
+import time
+from unittest import mock
 
-from behave import given, then
+from behave import given, then, when
 
+from cactuswalk.dispatch.job import JobVerdict
+from cactuswalk.platform.callers import CallerHandler, JobResult
+from cactuswalk.runtime.dispatchentry import DispatchEntryProcess
 from cactuswalk.runtime.listening import ListenError, listen
-from cactuswalk.settings.dispatch import Endpoint
+from cactuswalk.settings.dispatch import Endpoint, load_dispatch_entry
 
 IMPORT_SCRIPT = "import sys, {module}; print('{unneeded}' in sys.modules)"
 
@@ -55,3 +61,74 @@
         raise AssertionError("both listen at one address")
     finally:
         context.listener.close()
+
+
+JOB_BODY = b'{"spec":"s","best_effort":true,"steps":[{"count":1,"cpu":9,"mem_mb":1}]}'
+ROUTE = b'{"name":"q","host":"h","path_prefix":"/q/","service":"s"}'
+CONFIGURATION = b'{"version":1,"routes":[' + ROUTE + b"]}"
+
+
+class WaitingRequest:
+    """A caller's request for a job, with the attributes that the handler reads."""
+
+    method = "POST"
+    path = "/q/00000000000000aa"
+    content_length = None
+
+    def __init__(self):
+        self.headers = {"Host": "h"}
+        self.transport = mock.Mock()
+        self.transport.is_closing.return_value = False
+
+    async def read(self):
+        return JOB_BODY
+
+
+@given("an entry without a configuration")
+def step_unconfigured(context):
+    context.submitted = []
+
+    async def submit(queue, request, wait_seconds):
+        context.submitted.append((queue.name, request.identifier))
+        return JobResult(JobVerdict.COMPLETED, "", 0.0)
+
+    context.submit = submit
+
+
+async def answer(context, configured_after):
+    settings = load_dispatch_entry("examples/dispatch-entry.ini")
+    process = DispatchEntryProcess(settings)
+    process.submit = context.submit
+    # Its messages have no open sockets to go to.
+    process.state.entries.clear()
+    if configured_after is not None:
+        asyncio.get_running_loop().call_later(
+            configured_after, process._apply_configuration, CONFIGURATION
+        )
+    asked_at = time.monotonic()
+    with mock.patch("cactuswalk.platform.callers._has_gone", return_value=False):
+        context.response = await CallerHandler(process).handle(WaitingRequest())
+    context.took = time.monotonic() - asked_at
+
+
+@when("a job comes, and the configuration {seconds:g} seconds later")
+def step_configured_later(context, seconds):
+    asyncio.run(answer(context, seconds))
+
+
+@when("a job comes, and no configuration")
+def step_never_configured(context):
+    asyncio.run(answer(context, None))
+
+
+@then("the job is submitted")
+def step_submitted(context):
+    assert context.submitted == [("q", "00000000000000aa")], context.response.body
+    assert context.response.status == 200
+
+
+@then("the job is refused with status {status:d} within {seconds:g} seconds")
+def step_refused_in_time(context, status, seconds):
+    assert not context.submitted
+    assert context.response.status == status, context.response.status
+    assert context.took < seconds, context.took
--- a/src/cactuswalk/platform/callers.py
+++ b/src/cactuswalk/platform/callers.py
@@ -48,8 +48,8 @@
 class JobBackend(Protocol):
     """What the handler calls to serve requests."""
 
-    def queues(self) -> Queues | None:
-        """Return the current queues, or None before a configuration is known."""
+    async def wait_for_queues(self) -> Queues | None:
+        """Return the current queues, or None if no configuration becomes known."""
 
     async def submit(
         self, queue: Queue, request: JobRequest, wait_seconds: float
@@ -83,7 +83,7 @@
         return response
 
     async def _respond(self, request: BaseRequest) -> Response:
-        queues = self.backend.queues()
+        queues = await self.backend.wait_for_queues()
         if queues is None:
             return error_response(
                 503, "no_configuration", "no configuration has been read yet", 1
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -1,6 +1,7 @@
 """The dispatch entry process."""
 
 import asyncio
+import contextlib
 import functools
 import itertools
 import random
@@ -73,6 +74,11 @@
 
 STOP_MARGIN_SECONDS = 0.5
 
+# A starting entry reads the configuration within some milliseconds. Requests that come
+# before wait for it this long: a refused caller comes back after a second at the
+# earliest. If it takes longer, the store is probably unavailable.
+CONFIGURATION_WAIT_SECONDS = 0.3
+
 
 class DispatchEntryProcess:
     """Runs an entry, which accepts callers' requests.
@@ -115,6 +121,7 @@
         self.waiters: dict[int, asyncio.Future] = {}
         self.waiter_ids = itertools.count(1)
         self.configuration = b""
+        self.configured = asyncio.Event()
         self.members: dict[str, Member] = {}
         self.evacuated: set[str] = set()
         self.stop_began_at = 0.0
@@ -160,8 +167,12 @@
 
     # The interface of the callers' HTTP handler.
 
-    def queues(self) -> Queues | None:
-        """Return the queues in force."""
+    async def wait_for_queues(self) -> Queues | None:
+        """Return the queues in force, waiting briefly for the first configuration."""
+        if self.state.queues is None:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(CONFIGURATION_WAIT_SECONDS):
+                    await self.configured.wait()
         return self.state.queues
 
     def count_queued(self, queue: Queue) -> int:
@@ -283,6 +294,7 @@
         if known is None or queues.version > known.version:
             self.configuration = value
             self.application.feed(ConfigurationRead(queues))
+            self.configured.set()
 
     def _apply_entries(self, update: PrefixUpdate) -> None:
         if update.is_snapshot:
