Worker incarnations that share a name are told apart by their birth

A worker that restarted under its id was taken for the same incarnation: its runs were held until their leases or entries ended them, and heartbeats with a lower sequence were ignored. The adapter joins id and born into the identifier of the incarnation. A later one ends the runs that polls have listed; a start that the next incarnation may have carried out is held until that one has answered a poll with a higher token. Heartbeats of earlier incarnations and without born are ignored, and a DELETE, which names no incarnation, closes the agent until the next heartbeat.

--- a/features/support/fleet.py
+++ b/features/support/fleet.py
@@ -269,7 +269,7 @@
         self.deliver(name, Announced(worker.announcement()))
 
     def announce_departure(self, name):
-        self.deliver(name, Departed(self.workers[name].identifier))
+        self.deliver(name, Departed(self.workers[name].announced_name))
 
     def reboot(self, name, seconds):
         """Reboot an agent's host: its clock begins anew, and its worker ends."""
--- a/features/support/fleetcalls.py
+++ b/features/support/fleetcalls.py
@@ -8,7 +8,7 @@
     StopAnswered,
 )
 from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
-from cactuswalk.dispatch.effects import StartTask, StopTask
+from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
 from cactuswalk.platform.workerclock import (
     ClockReading,
     convert_to_worker_ms,
@@ -140,15 +140,19 @@
             self.answer(name, state, worker, effect, event)
             return
         ends_at = fleet.now + effect.wait_ms / 1000
-        self.wait_for_end(name, state, worker, effect, sent_at, ends_at)
+        born = worker.born
+        self.wait_for_end(name, state, worker, effect, sent_at, ends_at, born)
 
     def answer(self, name, state, worker, effect, event):
         """Deliver a worker's answer, with which its clock is measured."""
         clock_ms = int(worker.clock(self.fleet.now) * 1000)
         identifier = worker.identifier
+        if worker.is_called_by(effect) and not isinstance(effect, PollWorker):
+            # Only answers to polls tell which incarnation has sent them.
+            identifier = effect.worker
 
         def deliver():
-            if effect.worker == identifier:
+            if worker.is_called_by(effect):
                 self.record_clock(name, identifier, clock_ms)
             self.fleet.deliver_if_same(name, state, event)
 
@@ -163,7 +167,7 @@
             return StartAnswered(effect.worker, effect.handle, verdict)
         if isinstance(effect, StopTask):
             return StopAnswered(effect.worker, effect.handle, worker.stop(effect, now))
-        if effect.worker != worker.identifier:
+        if not worker.is_called_by(effect):
             return PollFailed(effect.worker, False, True, effect.is_check)
         if effect.token < worker.token:
             return PollFailed(effect.worker, True, False, effect.is_check)
@@ -174,6 +178,11 @@
         return self.make_poll_answer(worker, effect, sent_at)
 
     def make_poll_answer(self, worker, effect, sent_at):
+        if effect.worker != worker.identifier:
+            other = worker.identifier
+            return PollFailed(
+                effect.worker, False, False, effect.is_check, answered_by=other
+            )
         running, ended = worker.rows(self.fleet.now)
         return PollAnswered(
             effect.worker,
@@ -184,11 +193,11 @@
             effect.is_check,
         )
 
-    def wait_for_end(self, name, state, worker, effect, sent_at, ends_at):
+    def wait_for_end(self, name, state, worker, effect, sent_at, ends_at, born):
         fleet = self.fleet
         worker.advance(fleet.now)
-        gone = effect.worker != worker.identifier and worker.up
-        broken = worker.cut or not worker.up
+        gone = not worker.is_called_by(effect) and worker.up
+        broken = worker.cut or not worker.up or worker.born != born
         if gone or broken or worker.ended or fleet.now >= ends_at:
             event = PollFailed(effect.worker, False, gone, effect.is_check)
             if not gone and not broken:
@@ -199,7 +208,9 @@
         step = min([0.01, ends_at - fleet.now, *(end - fleet.now for end in ends)])
         fleet.at(
             max(step, 0.0002),
-            lambda: self.wait_for_end(name, state, worker, effect, sent_at, ends_at),
+            lambda: self.wait_for_end(
+                name, state, worker, effect, sent_at, ends_at, born
+            ),
         )
 
 
--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -10,6 +10,7 @@
     StartVerdict,
 )
 from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
+from cactuswalk.dispatch.incarnations import join_incarnation, split_incarnation
 from cactuswalk.dispatch.job import Worker
 
 __all__ = ["CALL_SECONDS", "SERVICE", "Run", "SimulatedWorker"]
@@ -65,6 +66,9 @@
 class SimulatedWorker:
     """A worker whose runs need a lease, with faults that can be enabled.
 
+    :ivar born: Unix time of its start in milliseconds, which it reports; None if it
+        belongs to an earlier version of the platform, and restarts under another name.
+    :ivar service: that it belongs to.
     :ivar up: it runs; if not, calls get no answer.
     :ivar refuses: connections are refused: it is down, or a cut rejects them.
     :ivar announces: it sends heartbeats.
@@ -91,6 +95,9 @@
         self.data_centre = data_centre
         self.generator = generator
         self.incarnation = 1
+        self.born = None
+        self.service = SERVICE
+        self.clock_began = 0.0
         self.up = True
         self.refuses = False
         self.announces = True
@@ -128,14 +135,26 @@
         self.token = 0
 
     @property
-    def identifier(self):
+    def announced_name(self):
         return f"{self.name}-{self.incarnation}"
 
+    @property
+    def identifier(self):
+        return join_incarnation(self.announced_name, self.born)
+
+    def is_called_by(self, effect):
+        """Return whether a call names it: a call names no incarnation."""
+        return split_incarnation(effect.worker)[0] == self.announced_name
+
+    def report_born(self):
+        """Report its start from now on, and restart under its name."""
+        self.born = int(self.fleet.now * 1000)
+
     def announcement(self):
         self.sequence += 1
         return Worker(
             self.identifier,
-            SERVICE,
+            self.service,
             self.data_centre,
             ("a",),
             *self.capacity(),
@@ -147,7 +166,12 @@
     def crash(self):
         for run in self.runs.values():
             self.fleet.record_run_end(run)
-        self.incarnation += 1
+        if self.born is None:
+            self.incarnation += 1
+        else:
+            self.born = max(self.born + 1, int(self.fleet.now * 1000))
+            self.sequence = 0
+            self.clock_began = self.fleet.now
         self.reset()
 
     def crash_for(self, seconds, refuses):
@@ -201,7 +225,7 @@
     # Its clock, and the deadlines that a client computes for it.
 
     def clock(self, now):
-        return now * (1 - self.drift)
+        return (now - self.clock_began) * (1 - self.drift)
 
     def lease_end(self, deadline, now):
         """Return when a lease ends.
@@ -209,7 +233,7 @@
         :param deadline: on this worker's clock, as its client has converted it.
         """
         deadline = min(deadline, self.clock(now) + MAXIMUM_LEASE_SECONDS)
-        return deadline / (1 - self.drift)
+        return self.clock_began + deadline / (1 - self.drift)
 
     # Runs.
 
@@ -232,7 +256,7 @@
 
     def start(self, effect, deadline, now):
         self.advance(now)
-        if effect.worker != self.identifier:
+        if not self.is_called_by(effect):
             return StartVerdict.GONE
         if effect.token < self.token:
             return StartVerdict.FENCED
@@ -262,7 +286,7 @@
 
     def stop(self, effect, now):
         self.advance(now)
-        if effect.worker != self.identifier:
+        if not self.is_called_by(effect):
             return False
         run = self.runs.get(effect.key)
         if run is None and self.forgets_stops:
@@ -286,7 +310,7 @@
 
     def renew(self, effect, deadline, now):
         self.advance(now)
-        if deadline and effect.worker == self.identifier:
+        if deadline and self.is_called_by(effect):
             self.lease_until = max(self.lease_until, self.lease_end(deadline, now))
         self.ended = [row for row in self.ended if row.number > effect.acknowledged]
 
--- a/src/cactuswalk/dispatch/agentcrashes.py
+++ b/src/cactuswalk/dispatch/agentcrashes.py
@@ -4,7 +4,13 @@
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.messages import TaskEnd
 
-__all__ = ["blamed_handles", "end_lapsed", "mark_all_crashed"]
+__all__ = [
+    "blamed_handles",
+    "end_crashed",
+    "end_lapsed",
+    "is_planned_end",
+    "mark_all_crashed",
+]
 
 # Starts this close to the last one are to blame as well: the tasks of a job come to a
 # worker within a few milliseconds, and the crash may take as long.
@@ -15,7 +21,7 @@
     """End all runs of a worker that has certainly ended."""
     blamed = state.blamed or blamed_handles(list(state.held.values()))
     for held in list(state.held.values()):
-        _end_crashed(state, held, reason, held.handle in blamed, now)
+        end_crashed(state, held, reason, held.handle in blamed, now)
 
 
 def end_lapsed(state: AgentState, held: HeldTask, now: float) -> None:
@@ -26,17 +32,24 @@
     Unless the worker's address has refused connections, nothing tells which of them is
     to blame.
     """
-    _end_crashed(state, held, "its lease has passed", held.handle in state.blamed, now)
+    end_crashed(state, held, "its lease has passed", held.handle in state.blamed, now)
 
 
-def _end_crashed(
+def is_planned_end(state: AgentState) -> bool:
+    """Return whether the worker has said that it leaves, or drains."""
+    if state.has_departed or state.may_have_departed:
+        return True
+    return state.worker is not None and state.worker.draining
+
+
+def end_crashed(
     state: AgentState, held: HeldTask, reason: str, blamed: bool, now: float
 ) -> None:
     """End a run whose worker has crashed, or must be taken to have crashed.
 
     A worker that drains or leaves has said so: its runs are lost with it.
     """
-    if state.has_departed or (state.worker is not None and state.worker.draining):
+    if is_planned_end(state):
         state.end(held, TaskEnd.LOST, 0, reason, now)
         return
     ran_ms = 0
--- a/src/cactuswalk/dispatch/agentevents.py
+++ b/src/cactuswalk/dispatch/agentevents.py
@@ -90,9 +90,9 @@
 
 
 class Departed(msgspec.Struct):
-    """The worker has announced that it leaves."""
+    """A worker has announced that it leaves, by its name alone."""
 
-    identifier: str
+    name: str
 
 
 class Received(msgspec.Struct):
@@ -141,6 +141,8 @@
     :param gone: another incarnation answers.
     :param is_check: it was sent next to a waiting poll, and didn't wait.
     :param refused: the connection was refused, by the host or by a network.
+    :param answered_by: identifier of another incarnation of the worker, which has the
+        same name and has answered; empty if none has.
     """
 
     worker: str
@@ -148,6 +150,7 @@
     gone: bool
     is_check: bool = False
     refused: bool = False
+    answered_by: str = ""
 
 
 class EntriesRead(msgspec.Struct):
--- a/src/cactuswalk/dispatch/agentgone.py
+++ b/src/cactuswalk/dispatch/agentgone.py
@@ -12,6 +12,7 @@
 from cactuswalk.dispatch.agentevents import Departed
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import worker_lapse_seconds
+from cactuswalk.dispatch.incarnations import split_incarnation
 
 __all__ = [
     "drop_worker",
@@ -24,7 +25,13 @@
 
 def handle_departure(state: AgentState, event: Departed, now: float) -> None:
     """Handle the worker's announcement that it leaves; its runs may go on for now."""
-    if not state.is_current(event.identifier) or state.has_departed:
+    if state.worker is None or state.has_departed:
+        return
+    name, born = split_incarnation(state.worker.identifier)
+    if name != event.name:
+        return
+    if born is not None:
+        _record_doubtful_departure(state, now)
         return
     state.has_departed = True
     # Runs that can't end within the rest of the lease are stopped if the worker still
@@ -34,6 +41,18 @@
     presume_gone(state, "it has announced that it leaves", now)
 
 
+def _record_doubtful_departure(state: AgentState, now: float) -> None:
+    """Give the worker no tasks until its next heartbeat, which one that leaves omits.
+
+    An announcement names no incarnation, so that it may be of an earlier one.
+    """
+    if state.may_have_departed:
+        return
+    state.may_have_departed = True
+    state.say("the worker leaves, or has restarted", **_worker_fields(state, now))
+    state.mark_entries_dirty()
+
+
 def presume_gone(state: AgentState, evidence: str, now: float) -> None:
     """Give the worker no tasks and renew no lease until it is known what has ended."""
     if state.presumed_gone == evidence:
@@ -87,7 +106,7 @@
     state.say("the worker is gone", **_worker_fields(state, now), reason=reason)
     mark_all_crashed(state, reason, now)
     state.worker = None
-    state.has_departed = False
+    state.has_departed = state.may_have_departed = False
     state.clear_presumption()
     state.reachable = False
     state.ready_to_start = False
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -7,7 +7,7 @@
 
 from cactuswalk.dispatch.bounds import UNHEARD_SECONDS
 from cactuswalk.dispatch.membership import Member
-from cactuswalk.dispatch.messages import Start, StartEnded
+from cactuswalk.dispatch.messages import Start, StartEnded, TaskEnd
 
 __all__ = ["EntryPeer", "HeldState", "HeldTask"]
 
@@ -36,6 +36,10 @@
         that it has ended for certain; 0 while its state is not in doubt.
     :param must_end_by: when it must have ended although its entry is heard; infinite
         while that entry wants it to run (``agentleases``).
+    :param is_listed: a poll of the worker's current incarnation has listed its run.
+    :param previous_end: how it has ended unless the current incarnation runs it: its
+        start was sent to the one before, which has ended. None if there was none.
+    :param blamed: it is probably to blame if that incarnation has crashed.
     :param call_pending: a call to the worker on this start has no answer yet.
     :param token: fencing token of its last start call; a worker that has answered a
         poll with a higher one refuses that call if it arrives later.
@@ -60,6 +64,9 @@
     since: float
     expires_at: float = 0.0
     must_end_by: float = math.inf
+    is_listed: bool = False
+    previous_end: TaskEnd | None = None
+    blamed: bool = False
     call_pending: bool = False
     token: int = 0
     fenced_at: float = math.inf
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -6,6 +6,7 @@
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldTask
 from cactuswalk.dispatch.agentindex import HeldIndex
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED, Evacuations
+from cactuswalk.dispatch.incarnations import KnownIncarnations
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import StartEnded, TaskEnd
 from cactuswalk.dispatch.reducerstate import ReducerState
@@ -35,6 +36,11 @@
     :ivar drained_at: from then on a draining worker is given no tasks.
     :ivar closes_at: from then on this agent, once asked to stop, accepts no tasks; it
         ends by ``stop_by``.
+    :ivar incarnations: the latest incarnation of each worker that was used here.
+    :ivar is_announced: a heartbeat of the worker's current incarnation has come, so
+        that its capacity and its service are known.
+    :ivar may_have_departed: a departure was announced under the worker's name, perhaps
+        by its earlier incarnation, and no heartbeat has come since.
     :ivar bounds: upper bounds of the worker's capacity, as refused starts have shown
         them since its latest heartbeat.
     :ivar usual_cpu: average size of the latest starts, in thousandths of a core.
@@ -89,6 +95,9 @@
         self.refresh_at = 0.0
         self.evacuations = NOTHING_EVACUATED
         self.worker: Worker | None = None
+        self.incarnations = KnownIncarnations()
+        self.is_announced = False
+        self.may_have_departed = False
         self.bounds = CapacityBounds()
         self.usual_cpu = 0
         self.candidate: Worker | None = None
@@ -146,6 +155,8 @@
         """Return whether the worker accepts tasks that can end in ``seconds_left``."""
         return (
             self.worker is not None
+            and self.is_announced
+            and not self.may_have_departed
             and self.reachable
             and self.ready_to_start
             and not self.is_evacuated()
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -1,9 +1,6 @@
 """Handling of the worker's announcements and of its answers to polls."""
 
-import math
-
 from cactuswalk.dispatch.agentcalls import raise_token, request_stop
-from cactuswalk.dispatch.agentcrashes import mark_all_crashed
 from cactuswalk.dispatch.agentevents import (
     Announced,
     PollAnswered,
@@ -16,9 +13,15 @@
     record_reachable,
 )
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
+from cactuswalk.dispatch.agentincarnations import (
+    adopt_worker,
+    announce_worker,
+    end_unstarted,
+    follow_announced,
+    follow_unannounced,
+)
 from cactuswalk.dispatch.agentleases import has_lapsed
 from cactuswalk.dispatch.agentleaving import record_draining, stop_unfinishable_runs
-from cactuswalk.dispatch.agentlooks import poll
 from cactuswalk.dispatch.agentprogress import record_progress, stop_runs_if_slow
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.bounds import worker_lapse_seconds
@@ -26,11 +29,9 @@
     PollWorker,
     StopTask,
 )
+from cactuswalk.dispatch.incarnations import is_later
 from cactuswalk.dispatch.job import Worker
 from cactuswalk.dispatch.messages import TaskEnd
-from cactuswalk.dispatch.soundness import (
-    WorkerHealth,
-)
 
 __all__ = [
     "handle_heartbeat",
@@ -49,20 +50,17 @@
 def handle_heartbeat(state: AgentState, event: Announced, now: float) -> None:
     """Handle a heartbeat of the worker."""
     worker = event.worker
-    known = state.worker
-    if known is not None and known.identifier == worker.identifier:
-        if worker.sequence < known.sequence:
-            state.say("ignored an outdated heartbeat", sequence=worker.sequence)
-            return
-        state.worker = worker
-        state.bounds.clear()
-        if worker.draining:
-            record_draining(state, known.draining, now)
-        state.announced_at = now
-        state.mark_entries_dirty()
+    if state.is_current(worker.identifier):
+        _handle_current_heartbeat(state, worker, now)
+        return
+    if state.incarnations.is_outdated(worker.identifier):
+        state.say("ignored an earlier incarnation", worker=worker.identifier)
+        return
+    if state.worker is None:
+        adopt_worker(state, worker, now)
         return
-    if known is None:
-        _adopt_worker(state, worker, now)
+    if is_later(worker.identifier, state.worker.identifier):
+        follow_announced(state, worker, now)
         return
     # This may be a delayed heartbeat of an earlier incarnation, which must not end the
     # runs of the current one: the other incarnation has to answer a poll first, which
@@ -71,34 +69,22 @@
     state.effects.append(PollWorker(worker.identifier, state.token, 0, 0, 0.0))
 
 
-def _adopt_worker(state: AgentState, worker: Worker, now: float) -> None:
-    """Switch to a new incarnation of the worker; all earlier runs have ended."""
-    previous = state.worker.identifier if state.worker else ""
-    state.say(
-        "found a worker",
-        worker=worker.identifier,
-        previous=previous,
-        held=len(state.held),
-    )
-    mark_all_crashed(state, "the worker's life ended", now)
+def _handle_current_heartbeat(state: AgentState, worker: Worker, now: float) -> None:
+    known = state.worker
+    if not state.is_announced:
+        announce_worker(state, worker, now)
+        state.mark_entries_dirty()
+        return
+    if worker.sequence < known.sequence:
+        state.say("ignored an outdated heartbeat", sequence=worker.sequence)
+        return
     state.worker = worker
+    state.may_have_departed = False
     state.bounds.clear()
-    state.candidate = None
-    state.has_departed = False
-    state.clear_presumption()
+    if worker.draining:
+        record_draining(state, known.draining, now)
     state.announced_at = now
-    # A worker that is draining already may have been so for long: it gets no tasks.
-    state.leaves_at = now + worker.leaves_in_ms / 1000
-    state.drained_at = now
-    state.reachable = True
-    state.ready_to_start = False
-    state.health = WorkerHealth()
-    state.runs.clear()
-    state.acknowledged_end = state.highest_end = 0
-    state.poll_not_before = state.answered_at = now
-    state.unanswered_poll_at = -math.inf
-    state.check_requested = state.check_pending = False
-    poll(state, now, 0.0)
+    state.mark_entries_dirty()
 
 
 def handle_poll_answer(state: AgentState, event: PollAnswered, now: float) -> None:
@@ -106,7 +92,7 @@
     if state.candidate is not None and state.candidate.identifier == event.worker:
         # An older poll's answer, which was held up, may be of an earlier incarnation.
         if event.sent_at >= state.candidate_at:
-            _adopt_worker(state, state.candidate, now)
+            adopt_worker(state, state.candidate, now)
         return
     if not state.is_current(event.worker):
         return
@@ -116,7 +102,9 @@
     state.acknowledged_end = max(state.acknowledged_end, event.acknowledged)
     _apply_ended(state, event, now)
     unknown_runs = _apply_running(state, event, token, now)
-    ready = state.ready_to_start or not unknown_runs
+    # What is held before it is ready may be run by this incarnation, though it was
+    # started for the one before.
+    ready = state.ready_to_start or not (unknown_runs or state.held)
     was_reachable = state.reachable
     reachable = record_reachable(state, now)
     if reachable != was_reachable or ready != state.ready_to_start:
@@ -151,10 +139,11 @@
     for held in list(state.held.values()):
         row = running.pop((held.start.key, held.run), None)
         if row is not None:
+            held.is_listed, held.previous_end = True, None
             record_progress(state, held, row.percent, now)
         elif _can_never_start(held, token, event.sent_at):
             _log_cancellation(state, held, "a poll doesn't list it", now)
-            state.end(held, TaskEnd.STOPPED, 0, "never began", now)
+            end_unstarted(state, held, now)
         elif has_lapsed(state, held, event.sent_at):
             state.end(held, TaskEnd.LOST, 0, "its lease has passed", now)
         elif _is_unconfirmed(held) and event.sent_at >= held.called_at:
@@ -247,6 +236,9 @@
         return
     if not state.is_current(event.worker):
         return
+    if is_later(event.answered_by, event.worker):
+        follow_unannounced(state, event.answered_by, now)
+        return
     token = _token_of(state, event)
     _clear_pending_poll(state, event)
     if event.gone:
--- a/src/cactuswalk/dispatch/bounds.py
+++ b/src/cactuswalk/dispatch/bounds.py
@@ -20,6 +20,7 @@
     "UNHEARD_SECONDS",
     "WORKER_LEASE_SECONDS",
     "agent_lapse_seconds",
+    "longest_lapse_seconds",
     "orphan_lapse_seconds",
     "worker_lapse_seconds",
 ]
@@ -38,6 +39,9 @@
 # POLL_WAIT_SECONDS apart; the platform allows a second at most.
 WORKER_LEASE_SECONDS = 0.5
 
+# The longest lease that a worker accepts (given by the platform), in seconds.
+MAX_WORKER_LEASE_SECONDS = 1.0
+
 # Fraction by which a worker's clock may run slow (given by the platform). A lease is
 # converted to the worker's clock with a reading of that clock, and made shorter by
 # this fraction of the time from the reading to the lease's end.
@@ -86,6 +90,15 @@
     return WORKER_LEASE_SECONDS * (1 + CLOCK_DRIFT)
 
 
+def longest_lapse_seconds() -> float:
+    """Return how long a run may go on whose lease isn't known, in seconds.
+
+    A call's lease is converted with one incarnation's clock. If the worker's next
+    incarnation carries the call out, only the platform's maximum bounds it.
+    """
+    return MAX_WORKER_LEASE_SECONDS * (1 + CLOCK_DRIFT)
+
+
 def orphan_lapse_seconds() -> float:
     """Return how long tasks may run after their entry's last sign of life, in seconds.
 
--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -16,6 +16,7 @@
 )
 from cactuswalk.dispatch.bounds import CALL_TIMEOUT_SECONDS
 from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
+from cactuswalk.dispatch.incarnations import join_incarnation, split_incarnation
 from cactuswalk.platform.names import format_task_name
 from cactuswalk.platform.workerclock import (
     ClockReading,
@@ -27,9 +28,8 @@
 from cactuswalk.platform.workerreplies import (
     MISDIRECTED_REQUEST,
     Reply,
-    decode_ended,
     decode_reply,
-    decode_running,
+    decode_runs,
     decode_verdict,
 )
 
@@ -39,8 +39,9 @@
 STOP_PATH = "/v1/run-stop"
 POLL_PATH = "/v1/hold"
 
-# Names the expected incarnation of the worker, which the platform calls an instance.
-# Another incarnation refuses the call with MISDIRECTED_REQUEST.
+# Names the expected worker, which the platform calls an instance. Another one refuses
+# the call with MISDIRECTED_REQUEST. One that has restarted under its name carries it
+# out, which shows in the response's ``born`` alone.
 INSTANCE_HEADER = "X-Expected-Instance"
 
 # For concurrent starts; opening a connection has a cost. Stops and polls have
@@ -94,6 +95,9 @@
             refused = error.refused
             verdict = StartVerdict.UNREACHED if refused else StartVerdict.UNKNOWN
             return StartAnswered(effect.worker, effect.handle, verdict)
+        if find_other_incarnation(effect.worker, status, reply):
+            # A poll will find out what became of it.
+            return StartAnswered(effect.worker, effect.handle, StartVerdict.UNKNOWN)
         verdict = decode_verdict(status, reply.reason)
         return StartAnswered(effect.worker, effect.handle, verdict)
 
@@ -105,12 +109,13 @@
             "fencing_token": effect.token,
         }
         try:
-            status, _ = await self._call(
+            status, reply = await self._call(
                 STOP_PATH, effect.worker, body, CALL_TIMEOUT_SECONDS
             )
         except WorkerCallError:
             return StopAnswered(effect.worker, effect.handle, False)
-        return StopAnswered(effect.worker, effect.handle, status == 200)
+        other = find_other_incarnation(effect.worker, status, reply)
+        return StopAnswered(effect.worker, effect.handle, status == 200 and not other)
 
     async def poll(self, effect: PollWorker) -> AgentEvent:
         """Renew the lease, and list the running and ended runs."""
@@ -133,19 +138,7 @@
             return PollFailed(
                 effect.worker, False, False, effect.is_check, error.refused
             )
-        if status != 200:
-            fenced = reply.reason == "fence"
-            return PollFailed(
-                effect.worker, fenced, status == MISDIRECTED_REQUEST, effect.is_check
-            )
-        return PollAnswered(
-            effect.worker,
-            sent_at,
-            [decode_running(row) for row in reply.running],
-            [decode_ended(row) for row in reply.finished],
-            effect.acknowledged,
-            effect.is_check,
-        )
+        return interpret_poll(effect, sent_at, status, reply)
 
     async def close(self) -> None:
         """Close the connections."""
@@ -195,18 +188,56 @@
         except ValueError as error:
             raise WorkerCallError(False) from error
         if reply.clock_ms is not None and status != MISDIRECTED_REQUEST:
-            self.readings[worker] = ClockReading(reply.clock_ms, self.clock())
+            sender = find_other_incarnation(worker, status, reply) or worker
+            self.readings[sender] = ClockReading(reply.clock_ms, self.clock())
         return status, reply
 
     def _format_request(self, path: str, worker: str, data: bytes) -> bytes:
-        if not worker.isprintable():
+        name, _ = split_incarnation(worker)
+        if not name.isprintable():
             # It would end its header.
             raise WorkerCallError(False)
         head = (
             f"POST {path} HTTP/1.1\r\n"
             f"Host: {self.address}\r\n"
-            f"{INSTANCE_HEADER}: {worker}\r\n"
+            f"{INSTANCE_HEADER}: {name}\r\n"
             "Content-Type: application/json\r\n"
             f"Content-Length: {len(data)}\r\n\r\n"
         )
         return head.encode() + data
+
+
+def find_other_incarnation(worker: str, status: int, reply: Reply) -> str:
+    """Return the identifier of the incarnation that answered, if it is another one.
+
+    :param worker: the one that was called; another name's response tells only that.
+    """
+    if reply.born is msgspec.UNSET or status == MISDIRECTED_REQUEST:
+        return ""
+    name, born = split_incarnation(worker)
+    return "" if reply.born == born else join_incarnation(name, reply.born)
+
+
+def interpret_poll(
+    effect: PollWorker, sent_at: float, status: int, reply: Reply
+) -> PollAnswered | PollFailed:
+    """Return the event for a response to a poll."""
+    other = find_other_incarnation(effect.worker, status, reply)
+    if other:
+        return PollFailed(
+            effect.worker, False, False, effect.is_check, answered_by=other
+        )
+    if status != 200:
+        fenced, gone = reply.reason == "fence", status == MISDIRECTED_REQUEST
+        return PollFailed(effect.worker, fenced, gone, effect.is_check)
+    _, born = split_incarnation(effect.worker)
+    try:
+        if born is not None and reply.born is msgspec.UNSET:
+            raise ValueError("it doesn't tell which incarnation has sent it")
+        running, ended = decode_runs(reply)
+    except ValueError:
+        return PollFailed(effect.worker, False, False, effect.is_check)
+    acknowledged = effect.acknowledged
+    return PollAnswered(
+        effect.worker, sent_at, running, ended, acknowledged, effect.is_check
+    )
--- a/src/cactuswalk/platform/workerreplies.py
+++ b/src/cactuswalk/platform/workerreplies.py
@@ -8,14 +8,14 @@
     RunningRow,
     StartVerdict,
 )
+from cactuswalk.platform.heartbeats import Size
 from cactuswalk.platform.names import parse_task_name
 
 __all__ = [
     "MISDIRECTED_REQUEST",
     "Reply",
-    "decode_ended",
     "decode_reply",
-    "decode_running",
+    "decode_runs",
     "decode_verdict",
 ]
 
@@ -35,9 +35,14 @@
 
 
 class Reply(msgspec.Struct):
-    """The fields of all the worker's responses; ``clock_ms`` is its monotonic clock."""
+    """The fields of all the worker's responses; ``clock_ms`` is its monotonic clock.
+
+    ``born`` is the Unix time of the worker's start in milliseconds. Earlier versions of
+    the platform don't send it, and later ones need to only in responses to polls.
+    """
 
     clock_ms: float | None = None
+    born: Size | msgspec.UnsetType = msgspec.UNSET
     reason: str = ""
     running: list[list] = []
     finished: list[list] = []
@@ -51,7 +56,10 @@
 
     :raises ValueError: if it can't be decoded.
     """
-    return _decoder.decode(data) if data else Reply()
+    try:
+        return _decoder.decode(data) if data else Reply()
+    except RecursionError as error:
+        raise ValueError("the body is nested too deeply") from error
 
 
 def decode_verdict(status: int, reason: str) -> StartVerdict:
@@ -67,14 +75,30 @@
     return StartVerdict.INVALID if status == 400 else StartVerdict.UNKNOWN
 
 
-def decode_running(row: list) -> RunningRow:
-    """Return a row of the running runs."""
-    return RunningRow(parse_task_name(row[0]), row[0], row[1], row[3])
+def decode_runs(reply: Reply) -> tuple[list[RunningRow], list[EndedRow]]:
+    """Return the running and the ended runs of a response to a poll.
+
+    :raises ValueError: if a row can't be read. The others are no use without it: what
+        is not listed as running may run elsewhere.
+    """
+    try:
+        running = [_decode_running(row) for row in reply.running]
+        return running, [_decode_ended(row) for row in reply.finished]
+    except (LookupError, TypeError, AttributeError) as error:
+        raise ValueError("a row of runs can't be read") from error
+
+
+def _decode_running(row: list) -> RunningRow:
+    return RunningRow(parse_task_name(row[0]), row[0], _check(row[1]), _check(row[3]))
 
 
-def decode_ended(row: list) -> EndedRow:
-    """Return a row of the ended runs."""
+def _decode_ended(row: list) -> EndedRow:
     number, name, run, how, _ = row
-    return EndedRow(
-        number, parse_task_name(name), run, RUN_ENDS.get(how, RunEnd.LAPSED)
-    )
+    end = RUN_ENDS.get(how, RunEnd.LAPSED)
+    return EndedRow(_check(number), parse_task_name(name), _check(run), end)
+
+
+def _check(number: object) -> int | float:
+    if not isinstance(number, int | float):
+        raise TypeError("not a number")
+    return number
