Unreadable keys of the store don't disturb the others

A value that isn't base64, a value that is nested too deeply, or an entry's address that ZeroMQ refuses raised an error that ended the watch or the process. Such a value now reads as empty or is ignored, and messages to such an address are dropped and counted.

--- a/src/cactuswalk/platform/configuration.py
+++ b/src/cactuswalk/platform/configuration.py
@@ -60,7 +60,7 @@
     """
     try:
         body = _decoder.decode(value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise UnreadableConfigurationError(
             f"the configuration can't be decoded: {error}",
             "Write a valid configuration; the last valid one stays in effect.",
--- a/src/cactuswalk/platform/metadata.py
+++ b/src/cactuswalk/platform/metadata.py
@@ -233,7 +233,11 @@
 
 
 def _decode_value(value: str) -> bytes:
-    return base64.b64decode(value)
+    """Return a key's value; nothing if its writer hasn't encoded it."""
+    try:
+        return base64.b64decode(value)
+    except ValueError:
+        return b""
 
 
 def _lapsed_error(lease: int) -> LeaseLapsedError:
--- a/src/cactuswalk/runtime/storewatch.py
+++ b/src/cactuswalk/runtime/storewatch.py
@@ -143,7 +143,7 @@
     """
     try:
         return msgspec.json.decode(value, type=Member)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return None
 
 
--- a/src/cactuswalk/runtime/transport.py
+++ b/src/cactuswalk/runtime/transport.py
@@ -267,7 +267,13 @@
             socket.close()
             self.count("transport.key_refused", 1)
             return None
-        socket.connect(strip_key(address))
+        try:
+            socket.connect(strip_key(address))
+        except zmq.ZMQError:
+            # The address comes from a message or from the store.
+            socket.close()
+            self.count("transport.unusable_address", 1)
+            return None
         return socket
 
     def _set_heartbeat(self, socket: zmq.Socket) -> None:
