--- a/features/support/plainworker.py
+++ b/features/support/plainworker.py
@@ -64,13 +64,16 @@
 
     Each answer's clock is the number of its call, by which it is known.
 
-    :ivar calls: number of the connection and path of each call.
+    :ivar calls: number of the connection and path of each call; ``heads`` are those of
+        the calls, and ``bodies`` their bodies.
     :ivar open: numbers of the connections that are open.
     :ivar called: set once a call has come.
     """
 
     def __init__(self):
         self.calls = []
+        self.heads = []
+        self.bodies = []
         self.connections = 0
         self.open = set()
         self.called = asyncio.Event()
@@ -104,7 +107,8 @@
     async def serve_call(self, connection, reader, writer):
         head = (await reader.readuntil(b"\r\n\r\n")).decode()
         size = head.lower().partition("content-length:")[2].partition("\r\n")[0]
-        await reader.readexactly(int(size))
+        self.bodies.append(await reader.readexactly(int(size)))
+        self.heads.append(head)
         self.calls.append((connection, head.split()[1]))
         self.called.set()
         await self.answer(len(self.calls), writer)
@@ -113,6 +117,10 @@
         body = msgspec.json.encode({"clock_ms": number})
         writer.write(OK + b"Content-Length: %d\r\n\r\n" % len(body) + body)
 
+    async def answer_json(self, number, writer, status, body):
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
+
     async def answer_late(self, number, writer, seconds):
         if number == 1:
             await asyncio.sleep(seconds)
