--- a/features/steps/dispatch_restarts_steps.py
+++ b/features/steps/dispatch_restarts_steps.py
@@ -366,10 +366,10 @@
 def step_end_all(context):
     follow = agentincarnations._follow
 
-    def end_all(state, worker, now):
+    def end_all(state, *arguments):
         for held in state.held.values():
             held.is_listed = True
-        follow(state, worker, now)
+        follow(state, *arguments)
 
     patch = mock.patch.object(agentincarnations, "_follow", end_all)
     patch.start()
--- a/src/cactuswalk/dispatch/agentincarnations.py
+++ b/src/cactuswalk/dispatch/agentincarnations.py
@@ -47,7 +47,7 @@
 
 def follow_announced(state: AgentState, worker: Worker, now: float) -> None:
     """Switch to a later incarnation of the current worker, which sent a heartbeat."""
-    _follow(state, worker, now)
+    _follow(state, worker, "heartbeat", now)
     announce_worker(state, worker, now)
 
 
@@ -67,7 +67,7 @@
         sequence=0,
         clock_ms=None,
     )
-    _follow(state, unknown, now)
+    _follow(state, unknown, "poll", now)
 
 
 def announce_worker(state: AgentState, worker: Worker, now: float) -> None:
@@ -80,7 +80,8 @@
     state.drained_at = now
 
 
-def _follow(state: AgentState, worker: Worker, now: float) -> None:
+def _follow(state: AgentState, worker: Worker, evidence: str, now: float) -> None:
+    state.observe("worker_restarted", evidence)
     _log_worker(state, worker)
     blamed = state.blamed or blamed_handles(list(state.held.values()))
     unsure_end = TaskEnd.LOST if is_planned_end(state) else TaskEnd.CRASHED
