Placement by expected end: workers are chosen by whether a task ends in time there

Workers at half the speed of others got tasks of any kind, or probes only; jobs that take seven times as long made healthy workers look slow. With place_by_end an entry takes the workers where a task is expected to end in time, and agents report a pace in which single long runs count little.

--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -89,6 +89,7 @@
         self.name = name
         self.cpu = cpu
         self.data_centre = data_centre
+        self.labels = ("a",)
         self.generator = generator
         self.incarnation = 1
         self.up = True
@@ -137,7 +138,7 @@
             self.identifier,
             SERVICE,
             self.data_centre,
-            ("a",),
+            self.labels,
             *self.capacity(),
             self.draining,
             self.leaves_in_ms,
--- a/src/cactuswalk/dispatch/agentprogress.py
+++ b/src/cactuswalk/dispatch/agentprogress.py
@@ -1,5 +1,6 @@
 """Progress of the runs at a worker; stalled and slow ones are stopped."""
 
+from cactuswalk.decisions.usualpace import pace_of_most_jobs
 from cactuswalk.dispatch.agentcalls import stop_run
 from cactuswalk.dispatch.agentheld import HeldState, HeldTask
 from cactuswalk.dispatch.agentstate import AgentState
@@ -73,7 +74,7 @@
     if not state.health.is_slow and not _is_half_late(state, running, now):
         return
     tasks = [progress(held, now) for held in running]
-    expected_pace = pace_from_progress(tasks)
+    expected_pace = _predict_pace(state, tasks)
     if state.health.detect_slowdown(expected_pace):
         state.say(
             "the worker is slow", worker=state.worker.identifier, pace=expected_pace
@@ -86,6 +87,19 @@
             stop_run(state, held, "its worker drags", now)
 
 
+def _predict_pace(state: AgentState, tasks: list[Progress]) -> float:
+    """Return the pace that the running tasks predict, or 0 if they are too few."""
+    if not state.policy.places_by_end:
+        return pace_from_progress(tasks)
+    return pace_of_most_jobs(
+        [
+            (task.job, task.total_ms / task.estimate_ms)
+            for task in tasks
+            if task.seconds >= MIN_PROGRESS_SECONDS and task.estimate_ms > 0
+        ]
+    )
+
+
 def _is_half_late(state: AgentState, running: list[HeldTask], now: float) -> bool:
     """Return whether at least half of the runs are so late that the worker may be slow.
 
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -98,7 +98,7 @@
         free_cpu=cpu,
         free_memory_mb=memory_mb,
         free_gpu=gpu,
-        pace=round(state.health.pace, 3),
+        pace=round(state.reported_pace(), 3),
         acknowledged_members=0,
         home=False,
         leaves_in_ms=0 if left == math.inf else max(1, int(left * 1000)),
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cactuswalk.decisions.usualpace import UsualPace
 from cactuswalk.dispatch.agentcapacity import CapacityBounds
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldTask
 from cactuswalk.dispatch.agentindex import HeldIndex
@@ -100,6 +101,7 @@
         self.blamed: set[int] = set()
         self.ready_to_start = False
         self.health = WorkerHealth()
+        self.usual_pace = UsualPace()
         self.held: dict[int, HeldTask] = {}
         self.index = HeldIndex()
         self.runs: dict[object, int] = {}
@@ -121,6 +123,12 @@
         self.evacuations_asked_at = -math.inf
         self.evacuations_interval = 0.0
 
+    def reported_pace(self) -> float:
+        """Return the worker's pace as the entries are told."""
+        if self.policy.places_by_end and not self.health.is_restricted:
+            return self.usual_pace.pace
+        return self.health.pace
+
     def is_idle(self, now: float) -> bool:
         """Return whether all runs have ended and every reachable entry knows the ends.
 
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cactuswalk.decisions.usualpace import UsualPace
 from cactuswalk.dispatch.agentcalls import raise_token, request_stop
 from cactuswalk.dispatch.agentcrashes import mark_all_crashed
 from cactuswalk.dispatch.agentevents import (
@@ -93,6 +94,7 @@
     state.reachable = True
     state.ready_to_start = False
     state.health = WorkerHealth()
+    state.usual_pace = UsualPace()
     state.runs.clear()
     state.acknowledged_end = state.highest_end = 0
     state.poll_not_before = state.answered_at = now
@@ -197,6 +199,7 @@
     ran_ms = max(0.0, now - held.since) * 1000
     if end is RunEnd.DONE:
         state.health.record_success(held.start.estimate_ms, ran_ms, held.since)
+        state.usual_pace.record(held.start.estimate_ms, ran_ms)
         state.end(held, TaskEnd.DONE, int(ran_ms), "", now)
     elif end is RunEnd.FAILED:
         if state.health.record_failure(held.start.key.job, now):
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -45,6 +45,7 @@
     release_overflow_agents,
     request_any_agents,
     request_capacity,
+    request_capacity_early,
 )
 from cactuswalk.dispatch.entrypeers import (
     forget_silent_peers,
@@ -132,6 +133,7 @@
     release_overflow_agents(state, now)
     forget_silent_peers(state, now)
     state.update_median_pace(now)
+    request_capacity_early(state, now)
     state.placement_needed = True
 
 
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -51,6 +51,9 @@
         return
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
+    if state.policy.places_by_end:
+        mean = state.estimates[event.queue.name].mean
+        state.shortest_kind.record(event.queue.service, event.queue.name, mean, now)
     make_tasks(job)
     state.observe("jobs", event.queue.name)
     if restore_crashes(state, job):
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -1,9 +1,14 @@
 """The use of overflow agents: agents that are not home agents of this entry."""
 
+from cactuswalk.decisions.spill import RoomNear, should_ask_early
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.messages import CapacityOffer, CapacityRequest, Keepalive
 from cactuswalk.dispatch.ordering import sort_by_urgency
-from cactuswalk.dispatch.overflow import choose_agents_to_offer, choose_entries_to_ask
+from cactuswalk.dispatch.overflow import (
+    choose_agents_to_offer,
+    choose_entries_to_ask,
+    most_free_elsewhere,
+)
 
 __all__ = [
     "handle_capacity_offer",
@@ -11,6 +16,7 @@
     "release_overflow_agents",
     "request_any_agents",
     "request_capacity",
+    "request_capacity_early",
 ]
 
 # How long a job waits before capacity is requested for it. Home agents free capacity
@@ -42,6 +48,38 @@
         )
 
 
+def request_capacity_early(state: EntryState, now: float) -> None:
+    """Ask other entries for agents before jobs wait, if the known ones are full."""
+    if not state.policy.places_by_end or not state.jobs:
+        return
+    if not _can_request(state, now):
+        return
+    latest = state.jobs[next(reversed(state.jobs))]
+    service, step = latest.queue.service, latest.request.steps[0]
+    views = [
+        view
+        for view in state.usable_views()
+        if view.report.service == service and view.is_open(now)
+    ]
+    near = RoomNear(
+        sum(view.report.cpu for view in views),
+        sum(max(0, view.free_cpu) for view in views),
+        step.cpu,
+    )
+    elsewhere = most_free_elsewhere(state.entries, state.data_centre, now)
+    if should_ask_early(near, elsewhere):
+        state.observe("room_asked_early")
+        state.say_debug(
+            "asks for agents before jobs wait",
+            free_cpu=near.free_cpu,
+            cpu=near.cpu,
+            free_elsewhere=elsewhere,
+        )
+        _send_request(
+            state, CapacityRequest(service, step.cpu, step.memory_mb, step.gpu), now
+        )
+
+
 def request_any_agents(state: EntryState, now: float) -> None:
     """Ask other entries for any agents, if no usable one is heard here.
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -1,5 +1,7 @@
 """Placement of tasks on workers, and the handling of their ends."""
 
+import math
+
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.entryattempts import has_earlier_attempt
@@ -8,6 +10,7 @@
     drop_refuted_crashes,
     suspect_task,
 )
+from cactuswalk.dispatch.entryends import make_expected_ends, usual_run_time
 from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entryjobs import answer_job
 from cactuswalk.dispatch.entrystate import EntryState
@@ -46,13 +49,15 @@
     ]
     if not waiting:
         return
+    ends = make_expected_ends(state, now)
     chooser = WorkerChooser(
         state.usable_views(),
         min([task.step.cpu for job in waiting for task in job.waiting]),
-        SLOW_FACTOR * state.median_pace,
+        SLOW_FACTOR * state.median_pace if ends is None else math.inf,
         state.far_factor,
         state.urgent_priorities(now),
         now,
+        ends,
     )
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
@@ -81,6 +86,8 @@
             continue
         _start_task(state, task, view, now)
         chooser.record_start(view)
+        if chooser.ends is not None:
+            state.observe("placed_by_end", chooser.ends.purpose.value)
     job.waiting = left
 
 
@@ -167,7 +174,8 @@
     task.job.pending_starts -= 1
     if end is TaskEnd.DONE:
         task.job.may_have_run = True
-        _task_done(state, task, ran_ms, now)
+        usual_ms = usual_run_time(state, view, ran_ms)
+        _task_done(state, task, ran_ms, usual_ms, now)
         return
     if end is TaskEnd.DECLINED:
         view.skip_until_report(now)
@@ -229,14 +237,16 @@
     return ""
 
 
-def _task_done(state: EntryState, task: TaskState, ran_ms: int, now: float) -> None:
+def _task_done(
+    state: EntryState, task: TaskState, ran_ms: int, usual_ms: int, now: float
+) -> None:
     job = task.job
     task.done = True
     clear_suspicion(state, task)
     task.outstanding_seconds = now - task.placed_at
     task.ran_ms = ran_ms
     job.last_task = task
-    job.longest_ms[task.key.step] = max(job.longest_ms[task.key.step], ran_ms)
+    job.longest_ms[task.key.step] = max(job.longest_ms[task.key.step], usual_ms)
     job.remaining[task.key.step] -= 1
     if job.remaining[task.key.step]:
         return
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -3,6 +3,7 @@
 import math
 
 from cactuswalk.decisions.estimation import DurationEstimate
+from cactuswalk.decisions.expectedend import ShortestKind
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import RESUME_SECONDS
 from cactuswalk.dispatch.crashes import KnownCrashes
@@ -50,6 +51,7 @@
     :ivar known_crashes: of workers under tasks of other entries' jobs.
     :ivar overflow_until: until when each overflow agent is used, by address.
     :ivar arrived_at: when the latest job arrived, by service and priority.
+    :ivar shortest_kind: kinds of recent jobs, to choose probes (``place_by_end``).
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar median_pace: of the live workers, as of the last tick.
@@ -103,6 +105,7 @@
         self.search = CapacitySearch()
         self.estimates: dict[str, DurationEstimate] = {}
         self.arrived_at: dict[tuple[str, int], float] = {}
+        self.shortest_kind = ShortestKind()
         self.next_sequence = 1
         self.next_agent_number = 1
         self.stop_at = 0.0
--- a/src/cactuswalk/dispatch/overflow.py
+++ b/src/cactuswalk/dispatch/overflow.py
@@ -16,7 +16,12 @@
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.messages import CapacityRequest
 
-__all__ = ["CapacitySearch", "choose_agents_to_offer", "choose_entries_to_ask"]
+__all__ = [
+    "CapacitySearch",
+    "choose_agents_to_offer",
+    "choose_entries_to_ask",
+    "most_free_elsewhere",
+]
 
 # Asked at a time. Their free capacity is only known as of about a second ago, so one
 # of them may have none left.
@@ -25,6 +30,10 @@
 # An entry that was last heard longer ago may have stopped: two rounds of statuses.
 ENTRY_LIVE_SECONDS = 5.0
 
+# What an entry has reported free is out of date after this time: a status comes each
+# second or so, and a wave of demand rises within seconds.
+FREE_CPU_SECONDS = 2.0
+
 # Agent addresses in one offer.
 MAX_OFFERED_AGENTS = 4
 
@@ -83,6 +92,24 @@
     ]
 
 
+def most_free_elsewhere(
+    entries: Mapping[str, KnownEntry], data_centre: str, now: float
+) -> int:
+    """Return the most that an entry of another data centre reports free.
+
+    In thousandths of a core; entries that were not heard recently don't count.
+    """
+    return max(
+        (
+            entry.free_cpu
+            for entry in entries.values()
+            if entry.data_centre not in ("", data_centre)
+            and now - entry.heard_at < FREE_CPU_SECONDS
+        ),
+        default=0,
+    )
+
+
 def choose_agents_to_offer(
     views: Iterable[AgentView], request: CapacityRequest, turn: int, now: float
 ) -> list[str]:
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -25,6 +25,7 @@
 
 from cactuswalk.dispatch.agentview import AgentView
 from cactuswalk.dispatch.crashes import is_suspect
+from cactuswalk.dispatch.expectedends import Choice, ExpectedEnds
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.leaving import can_finish_in_time
@@ -68,6 +69,7 @@
     :param slow_pace: pace from which a worker gets probe tasks only.
     :param far_factor: by which a task takes longer outside its data's rack.
     :param urgent_priorities: by service, the most urgent priority of recent jobs.
+    :param ends: by which workers are chosen; None to choose them by cost alone.
     :ivar ranking: the agents whose workers may have room, the cheapest first.
     """
 
@@ -79,8 +81,10 @@
         far_factor: float,
         urgent_priorities: dict[str, int],
         now: float,
+        ends: ExpectedEnds | None = None,
     ) -> None:
         self.views = views
+        self.ends = ends
         self.slow_pace = slow_pace
         self.far_factor = far_factor
         self.urgent_priorities = urgent_priorities
@@ -88,32 +92,61 @@
         self.ranking = sorted(
             [view for view in views if view.free_cpu >= least_cpu], key=BY_COST
         )
-        # By service, and whether a share is reserved, the last size that no worker
-        # could take; equal or larger tasks are skipped. In a burst hundreds of tasks
-        # wait, and trying each of them on all workers in every round would take longer
-        # than placing those that fit.
-        self.unplaceable_sizes: dict[tuple[str, bool], tuple[int, int, int]] = {}
+        # By service, whether a share is reserved, and the choice by expected end, the
+        # last size that no worker could take; equal or larger tasks are skipped. In a
+        # burst hundreds of tasks wait, and trying each of them on all workers in every
+        # round would take longer than placing those that fit.
+        self.unplaceable_sizes: dict[
+            tuple[str, bool, Choice | None], tuple[int, int, int]
+        ] = {}
+        if ends is not None:
+            ends.rank(self.ranking, views)
 
     def record_start(self, view: AgentView) -> None:
         """Note that a task was sent to a worker, which costs more from now on."""
         self.ranking.remove(view)
         bisect.insort(self.ranking, view, key=BY_COST_AND_NUMBER)
+        if self.ends is not None:
+            self.ends.record_start(view)
 
     def choose_worker(self, task: TaskState, service: str) -> AgentView | None:
         """Return the agent for a task, or None if the task has to wait."""
         step = task.step
         size = (step.cpu, step.memory_mb, step.gpu)
         reserves_room = self._reserves_room(task, service)
-        least = self.unplaceable_sizes.get((service, reserves_room))
+        choice = self.ends.choice_of(task) if self.ends is not None else None
+        kind = (service, reserves_room, choice)
+        least = self.unplaceable_sizes.get(kind)
         if least is not None and all(map(operator.ge, size, least)):
             return None
-        best = self._find_cheapest(task, service, reserves_room)
-        if best is None and not (step.label or step.per_worker or has_own_choice(task)):
-            self.unplaceable_sizes[service, reserves_room] = size
+        if choice is None:
+            best = self._find_cheapest(task, service, reserves_room, self.ranking)
+        else:
+            best = self._find_by_end(task, service, reserves_room, choice)
+        is_alone = step.label or step.per_worker or has_own_choice(task)
+        if best is None and not is_alone and not (choice and step.rack):
+            self.unplaceable_sizes[kind] = size
         return best
 
+    def _find_by_end(
+        self, task: TaskState, service: str, reserves_room: bool, choice: Choice
+    ) -> AgentView | None:
+        """Return the first worker of those that the expected ends allow."""
+        for ranking, highest_pace in self.ends.rankings(task, choice):
+            best = self._find_cheapest(
+                task, service, reserves_room, ranking, highest_pace
+            )
+            if best is not None:
+                return None if self.ends.waits_for_rack(task, best) else best
+        return None
+
     def _find_cheapest(
-        self, task: TaskState, service: str, reserves_room: bool
+        self,
+        task: TaskState,
+        service: str,
+        reserves_room: bool,
+        ranking: list[AgentView],
+        highest_pace: float = math.inf,
     ) -> AgentView | None:
         trusted_only = self._needs_trusted_worker(task, service)
         step = task.step
@@ -121,7 +154,7 @@
         has_preferences = bool(step.rack or task.avoided_agents)
         best = None
         best_cost = math.inf
-        for view in self.ranking:
+        for view in ranking:
             if view.cost > best_cost:
                 # Preferences make a worker dearer, never cheaper.
                 break
@@ -131,7 +164,7 @@
                 continue
             if not view.fits(cpu, step.memory_mb, step.gpu):
                 continue
-            if not self._is_eligible(view, task):
+            if not self._is_eligible(view, task, highest_pace):
                 continue
             if trusted_only and not _is_trusted(view, task):
                 continue
@@ -171,10 +204,21 @@
             cost *= SLOW_FACTOR
         return cost
 
-    def _is_eligible(self, view: AgentView, task: TaskState) -> bool:
+    def _pace_for(self, view: AgentView, step: Step) -> float:
+        """Return a worker's pace, longer if it is far from the step's data."""
+        pace = view.report.pace
+        if step.rack and step.rack not in view.report.labels:
+            pace *= self.far_factor
+        return pace
+
+    def _is_eligible(
+        self, view: AgentView, task: TaskState, highest_pace: float
+    ) -> bool:
         if not view.is_open(self.now):
             return False
         step = task.step
+        if self._pace_for(view, step) > highest_pace:
+            return False
         if step.label and step.label not in view.report.labels:
             return False
         if view.report.trial and view.placed:
