--- a/src/cactuswalk/dispatch/expectedends.py
+++ b/src/cactuswalk/dispatch/expectedends.py
@@ -57,7 +57,8 @@
     :param median_pace: of the known workers.
     :param far_factor: by which a task takes longer outside its data's rack.
     :ivar purpose: of the ranking that was yielded last.
-    :ivar patient: the agents in the order in which patient tasks try them.
+    :ivar patient: the agents in the order in which patient tasks try them; None until
+        there is such a task.
     :ivar probed: agents whose workers are far too slow, and empty.
     """
 
@@ -75,14 +76,13 @@
         self.purpose = Purpose.IN_TIME
         self.views: list[AgentView] = []
         self.ranking: list[AgentView] = []
-        self.patient: list[AgentView] = []
+        self.patient: list[AgentView] | None = None
         self.probed: list[AgentView] = []
 
     def rank(self, ranking: list[AgentView], views: list[AgentView]) -> None:
         """Take over the agents that may have room, the cheapest first."""
         self.views = views
         self.ranking = ranking
-        self.patient = sorted(ranking, key=self._patient_key)
         limit = PROBED_RATIO * self.median_pace
         self.probed = [
             view
@@ -92,8 +92,9 @@
 
     def record_start(self, view: AgentView) -> None:
         """Note that a task was sent to a worker."""
-        self.patient.remove(view)
-        bisect.insort(self.patient, view, key=self._patient_key)
+        if self.patient is not None:
+            self.patient.remove(view)
+            bisect.insort(self.patient, view, key=self._patient_key)
         if view in self.probed:
             self.probed.remove(view)
 
@@ -120,7 +121,7 @@
         has_preferences = task.step.rack or task.avoided_agents
         self.purpose = Purpose.IN_TIME
         if is_patient(choice.task_class) and not has_preferences:
-            yield self.patient, limit
+            yield self._rank_for_patient(), limit
         else:
             yield self.ranking, limit
         if choice.may_probe:
@@ -132,6 +133,11 @@
         elif not self._can_end_anywhere(task, limit):
             yield self.ranking, math.inf
 
+    def _rank_for_patient(self) -> list[AgentView]:
+        if self.patient is None:
+            self.patient = sorted(self.ranking, key=self._patient_key)
+        return self.patient
+
     def _is_probe_due(self, view: AgentView) -> bool:
         return self.now - view.start_sent_at >= PROBE_SECONDS
 
