--- a/features/support/fleetworker.py
+++ b/features/support/fleetworker.py
@@ -93,6 +93,7 @@
         self.name = name
         self.cpu = cpu
         self.data_centre = data_centre
+        self.labels = ("a",)
         self.generator = generator
         self.incarnation = 1
         self.born = None
@@ -156,7 +157,7 @@
             self.identifier,
             self.service,
             self.data_centre,
-            ("a",),
+            self.labels,
             *self.capacity(),
             self.draining,
             self.leaves_in_ms,
--- a/src/cactuswalk/dispatch/agentincarnations.py
+++ b/src/cactuswalk/dispatch/agentincarnations.py
@@ -11,6 +11,7 @@
 
 import msgspec
 
+from cactuswalk.decisions.usualpace import UsualPace
 from cactuswalk.dispatch.agentcalls import request_stop
 from cactuswalk.dispatch.agentcrashes import (
     blamed_handles,
@@ -132,6 +133,7 @@
     state.reachable = True
     state.ready_to_start = False
     state.health = WorkerHealth()
+    state.usual_pace = UsualPace()
     state.acknowledged_end = state.highest_end = 0
     state.poll_not_before = state.answered_at = now
     state.unanswered_poll_at = -math.inf
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -186,6 +186,7 @@
     ran_ms = max(0.0, now - held.since) * 1000
     if end is RunEnd.DONE:
         state.health.record_success(held.start.estimate_ms, ran_ms, held.since)
+        state.usual_pace.record(held.start.estimate_ms, ran_ms)
         state.end(held, TaskEnd.DONE, int(ran_ms), "", now)
     elif end is RunEnd.FAILED:
         if state.health.record_failure(held.start.key.job, now):
