Entry: with serve_late, jobs of an outage that are late but still useful are run

Cause: while an entry knows no worker it holds a job only until it can't be on time any more, and refuses it then.

Change: decisions/recovery.py decides, from the entry's start until the queue of the outage is served, whether late jobs are kept. They come after all jobs that can be on time, leave the reserved share of each worker free, and begin only if all their tasks fit. A job that can't be useful to its caller is refused when it arrives. The discovery time moves from EntryState to Recovery.

With the setting off no rule applies.

--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -84,6 +84,7 @@
         if state.waiting_jobs():
             place_tasks(state, now)
             request_capacity(state, now)
+        state.recovery.update(bool(state.waiting_jobs()), now)
     return state.take_effects()
 
 
@@ -137,9 +138,10 @@
 
 def _close_overdue_jobs(state: EntryState, now: float) -> None:
     is_discovering_workers = state.is_discovering_workers(now)
+    keeps_late_jobs = state.keeps_late_jobs(now)
     for job in list(state.jobs.values()):
         answer_overdue_waiters(state, job, now)
-        verdict = choose_action(job, now, is_discovering_workers)
+        verdict = choose_action(job, now, is_discovering_workers, keeps_late_jobs)
         if state.stop_at and now > state.stop_at - STOP_MARGIN_SECONDS:
             verdict = JobAction.GIVE_UP if job.has_started else JobAction.REFUSE
         if verdict is JobAction.REFUSE:
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -70,7 +70,7 @@
     # every agent.
     state.placement_needed |= view.update_report(report, now)
     if report.open:
-        state.first_open_worker_at = min(state.first_open_worker_at, now)
+        state.recovery.record_open_worker(now)
     if not view.placed:
         return
     if report.open:
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -18,6 +18,7 @@
     ANSWER_MARGIN_SECONDS,
     QUEUEING_SLACK_SHARE,
     critical_path_seconds,
+    is_still_useful,
     retry_after_seconds,
 )
 from cactuswalk.dispatch.placement import any_large_enough, can_ever_run
@@ -49,6 +50,9 @@
     if reason:
         _refuse_waiters(state, job, reason)
         return
+    if state.policy.serves_late and not is_still_useful(job, now):
+        _refuse_waiters(state, job, "can't end while its caller waits")
+        return
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
     make_tasks(job)
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -19,6 +19,7 @@
 )
 from cactuswalk.dispatch.ordering import (
     is_out_of_time,
+    mark_late_jobs,
     sort_by_urgency,
 )
 from cactuswalk.dispatch.placement import (
@@ -57,8 +58,11 @@
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
+    if state.policy.serves_late:
+        mark_late_jobs(waiting, now)
     for job in sort_by_urgency(waiting):
-        _place_job(state, job, chooser, now)
+        if not job.is_late or job.has_started or chooser.has_spare_room(job):
+            _place_job(state, job, chooser, now)
 
 
 def _place_job(
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -3,6 +3,7 @@
 import math
 
 from cactuswalk.decisions.estimation import DurationEstimate
+from cactuswalk.decisions.recovery import Recovery, WorkerSupply, keeps_late_jobs
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import RESUME_SECONDS
 from cactuswalk.dispatch.crashes import KnownCrashes
@@ -23,10 +24,6 @@
 # short pause other jobs don't take the capacity that the next one needs.
 URGENT_SECONDS = 1.0
 
-# Processes that were powered on together discover each other within this time. Without
-# it an entry that is up before its agents would refuse jobs that could wait for them.
-DISCOVERY_SECONDS = 0.3
-
 # The store answers a watch each 1.2 s at the latest, or 0.2 s later where it is slow.
 STORE_SILENT_SECONDS = 1.8
 
@@ -51,7 +48,7 @@
     :ivar overflow_until: until when each overflow agent is used, by address.
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
-    :ivar first_open_worker_at: when a worker that takes tasks was first known.
+    :ivar recovery: from the start of this entry until its first queue is served.
     :ivar median_pace: of the live workers, as of the last tick.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
     :ivar store_answered_at: when the platform's store answered this entry last.
@@ -111,7 +108,7 @@
         self.recheck_requested = False
         self.keepalive_sent_at: dict[str, float] = {}
         self.status_sent_at = 0.0
-        self.first_open_worker_at = math.inf
+        self.recovery = Recovery()
         self.store_answered_at = -math.inf
         self.handled_at = math.inf
         self.paused_until = -math.inf
@@ -203,8 +200,18 @@
         )
 
     def is_discovering_workers(self, now: float) -> bool:
-        """Return whether no open worker was known until just now."""
-        return now - self.first_open_worker_at < DISCOVERY_SECONDS
+        """Return whether no open worker was known until just now.
+
+        An entry that is up before its agents would otherwise refuse jobs that could
+        wait for them.
+        """
+        return self.recovery.is_discovering(now)
+
+    def keeps_late_jobs(self, now: float) -> bool:
+        """Return whether jobs that can't be on time any more are kept."""
+        if not self.policy.serves_late or self.recovery.has_ended:
+            return False
+        return keeps_late_jobs(self.recovery, self._worker_supply(now), now)
 
     def count_queued_jobs(self, name: str) -> int:
         """Return the number of a queue's jobs here that have not started."""
@@ -235,6 +242,14 @@
         )
         return waiting / capacity if capacity > 0 else MAX_QUEUED_SECONDS
 
+    def _worker_supply(self, now: float) -> WorkerSupply:
+        views = [view for view in self.usable_views() if view.is_open(now)]
+        return WorkerSupply(
+            sum(view.report.cpu for view in views),
+            sum(max(0, view.own_cpu()) for view in views),
+            self.queued_seconds(),
+        )
+
     def send_stop(self, view: AgentView, placed: PlacedTask, now: float) -> None:
         """Ask an agent to stop the task of a start."""
         placed.stop_sent_at = now
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -56,6 +56,7 @@
     :param first_start_at: when the first of its starts was sent; 0 before.
     :param earlier_entry: address of an entry that may still run an earlier attempt at
         it; empty for none.
+    :param is_late: it could not be on time any more when it had not started.
     """
 
     request: JobRequest
@@ -77,6 +78,7 @@
     lost_runs: int = 0
     declined_runs: int = 0
     earlier_entry: str = ""
+    is_late: bool = False
 
     @property
     def give_up_at(self) -> float:
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -7,12 +7,14 @@
 Jobs are sorted by the operators' priority, then started jobs before others, then by
 the latest start that still meets the due time. A job that has missed its latest start
 is refused at once if none of its tasks has started: the capacity goes to jobs that
-can still be on time, and the caller can still react.
+can still be on time, and the caller can still react. Where late jobs are kept
+(``decisions.recovery``), they come after all others.
 """
 
 import enum
 import math
 
+from cactuswalk.decisions.recovery import can_be_on_time, can_be_useful, useful_until
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.jobstate import JobState
 
@@ -23,6 +25,8 @@
     "choose_action",
     "critical_path_seconds",
     "is_out_of_time",
+    "is_still_useful",
+    "mark_late_jobs",
     "retry_after_seconds",
     "sort_by_urgency",
 ]
@@ -65,21 +69,47 @@
     """Return the jobs that wait for capacity, the most urgent first."""
     return sorted(
         jobs,
-        key=lambda job: (job.queue.priority, not job.has_started, job.latest_start_at),
+        key=lambda job: (
+            job.is_late,
+            job.queue.priority,
+            not job.has_started,
+            job.latest_start_at,
+        ),
     )
 
 
+def mark_late_jobs(jobs: list[JobState], now: float) -> None:
+    """Note which jobs can't be on time any more and have not started."""
+    for job in jobs:
+        if not job.has_started:
+            job.is_late = not can_be_on_time(job.due_at, job.expected_seconds, now)
+
+
+def is_still_useful(job: JobState, now: float) -> bool:
+    """Return whether a job that starts now may end while its answer is useful."""
+    give_up_at = job.give_up_at - ANSWER_MARGIN_SECONDS
+    until = useful_until(job.arrived_at, job.due_at, give_up_at)
+    return can_be_useful(until, job.expected_seconds, now)
+
+
 def is_out_of_time(job: JobState, now: float) -> bool:
     """Return whether a job's caller stops waiting before an answer can arrive."""
     return now >= job.give_up_at - ANSWER_MARGIN_SECONDS
 
 
-def choose_action(job: JobState, now: float, is_discovering_workers: bool) -> JobAction:
+def choose_action(
+    job: JobState,
+    now: float,
+    is_discovering_workers: bool,
+    keeps_late_jobs: bool = False,
+) -> JobAction:
     """Return whether a job keeps waiting, is refused, or is given up.
 
     :param is_discovering_workers: the entry has just begun to hear of workers, so
         capacity may appear without another job ending. A job then waits for as long as
         it can still be on time.
+    :param keeps_late_jobs: a job that can't be on time any more waits for as long as
+        its answer can still be useful.
     """
     if is_out_of_time(job, now):
         return JobAction.GIVE_UP if job.has_started else JobAction.REFUSE
@@ -88,9 +118,11 @@
         if is_discovering_workers
         else job.latest_start_at
     )
-    if not job.has_started and now > latest:
-        return JobAction.REFUSE
-    return JobAction.WAIT
+    if job.has_started or now <= latest:
+        return JobAction.WAIT
+    if keeps_late_jobs and is_still_useful(job, now):
+        return JobAction.WAIT
+    return JobAction.REFUSE
 
 
 def retry_after_seconds(queued_seconds: float) -> float:
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -23,10 +23,11 @@
 import operator
 import statistics
 
+from cactuswalk.decisions.recovery import count_free_slots
 from cactuswalk.dispatch.agentview import AgentView
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.job import Step
-from cactuswalk.dispatch.jobstate import TaskState
+from cactuswalk.dispatch.jobstate import JobState, TaskState
 from cactuswalk.dispatch.leaving import can_finish_in_time
 
 __all__ = [
@@ -99,6 +100,17 @@
         self.ranking.remove(view)
         bisect.insort(self.ranking, view, key=BY_COST_AND_NUMBER)
 
+    def has_spare_room(self, job: JobState) -> bool:
+        """Return whether a job's waiting tasks fit beside the reserved shares."""
+        workers = [
+            (view.free_cpu, view.report.cpu)
+            for view in self.ranking
+            if view.report.service == job.queue.service and view.is_open(self.now)
+        ]
+        task_cpu = max(task.step.cpu for task in job.waiting)
+        slots = count_free_slots(workers, task_cpu, RESERVED_SHARE)
+        return slots >= len(job.waiting)
+
     def choose_worker(self, task: TaskState, service: str) -> AgentView | None:
         """Return the agent for a task, or None if the task has to wait."""
         step = task.step
@@ -159,6 +171,8 @@
 
     def _reserves_room(self, task: TaskState, service: str) -> bool:
         """Return whether a task leaves the reserved share to more urgent ones."""
+        if task.job.is_late:
+            return True
         priority = task.job.queue.priority
         return priority > self.urgent_priorities.get(service, priority)
 
