Recovery: late jobs are kept while workers are being discovered, whoever uses the first ones

Cause: the share of the known workers that is free or the entry's own was also required in the first 0.3 s.

Change: that share counts only after the discovery time.

--- a/features/decision_recovery.feature
+++ b/features/decision_recovery.feature
@@ -13,7 +13,8 @@
       | has known empty workers for 0.1 seconds, one by one   | 5     | keeps         |
       | has known empty workers for 0.5 seconds               | 0.2   | keeps         |
       | has known empty workers for 0.5 seconds               | 0.4   | doesn't keep  |
-      | has known full workers for 0.1 seconds                | 0.2   | doesn't keep  |
+      | has known full workers for 0.1 seconds                | 0.2   | keeps         |
+      | has known full workers for 0.5 seconds                | 0.2   | doesn't keep  |
       | has known empty workers for 2.1 seconds               | 0.2   | doesn't keep  |
       | has served its first queue after 0.4 seconds          | 0.2   | doesn't keep  |
 
@@ -80,10 +81,10 @@
     Then the job is refused as not run at e0 within 0.01 seconds
 
   Scenario: A full worker is discovered by an entry that starts alone
-    Its workers run other entries' tasks. To hold late jobs would only delay their
-    refusal.
+    Its workers run other entries' tasks. To hold late jobs for longer than the workers
+    are discovered would only delay their refusal.
     Given a fleet of 2 entries and 2 workers that serves late jobs: on
     When e0 keeps all workers full, and e1 is killed and started again
     And a job of 4 tasks of 0.4 seconds comes to e1
-    And the fleet runs on for 0.36 seconds
+    And the fleet runs on for 0.45 seconds
     Then the job is refused as not run at e1
--- a/src/cactuswalk/decisions/recovery.py
+++ b/src/cactuswalk/decisions/recovery.py
@@ -96,11 +96,12 @@
         return True
     if recovery.has_ended or recovery.is_overdue(now):
         return False
-    if supply.own_cpu < MIN_OWN_SHARE * supply.cpu:
-        return False
     if recovery.is_discovering(now):
+        # The first known workers are filled by the entry that knows them first, and
+        # the others are about to be known.
         return True
-    return supply.queued_seconds <= SHORT_QUEUE_SECONDS
+    has_room = supply.own_cpu >= MIN_OWN_SHARE * supply.cpu
+    return has_room and supply.queued_seconds <= SHORT_QUEUE_SECONDS
 
 
 def useful_until(arrived_at: float, due_at: float, give_up_at: float) -> float:
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -58,10 +58,10 @@
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
-    if state.policy.serves_late:
+    if state.policy.serves_late and not state.recovery.has_ended:
         mark_late_jobs(waiting, now)
     for job in sort_by_urgency(waiting):
-        if not job.is_late or job.has_started or chooser.has_spare_room(job):
+        if chooser.has_room_to_begin(job):
             _place_job(state, job, chooser, now)
 
 
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -14,7 +14,11 @@
 import enum
 import math
 
-from cactuswalk.decisions.recovery import can_be_on_time, can_be_useful, useful_until
+from cactuswalk.decisions.recovery import (
+    can_be_on_time,
+    can_be_useful,
+    useful_until,
+)
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.jobstate import JobState
 
@@ -87,9 +91,12 @@
 
 def is_still_useful(job: JobState, now: float) -> bool:
     """Return whether a job that starts now may end while its answer is useful."""
+    return can_be_useful(_useful_until(job), job.expected_seconds, now)
+
+
+def _useful_until(job: JobState) -> float:
     give_up_at = job.give_up_at - ANSWER_MARGIN_SECONDS
-    until = useful_until(job.arrived_at, job.due_at, give_up_at)
-    return can_be_useful(until, job.expected_seconds, now)
+    return useful_until(job.arrived_at, job.due_at, give_up_at)
 
 
 def is_out_of_time(job: JobState, now: float) -> bool:
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -100,8 +100,13 @@
         self.ranking.remove(view)
         bisect.insort(self.ranking, view, key=BY_COST_AND_NUMBER)
 
-    def has_spare_room(self, job: JobState) -> bool:
-        """Return whether a job's waiting tasks fit beside the reserved shares."""
+    def has_room_to_begin(self, job: JobState) -> bool:
+        """Return whether a late job's tasks all fit beside the reserved shares.
+
+        A job that has begun can't be refused any more; other jobs begin with any task.
+        """
+        if job.has_started or not job.is_late:
+            return True
         workers = [
             (view.free_cpu, view.report.cpu)
             for view in self.ranking
