Dispatch programs: shorter start, and a log line and a metric for each of its phases

Cause: after a power failure no task runs until the first agents have loaded, on half a core. Agents loaded eliot, click, statsd, the entries' placement and the settings of all programs.

Change: the usual command line is read without click; settings are loaded by the module that is used; the StatsD client is loaded where a server is set; the reserved share moves to costs.py, so that agents don't load placement; eliot is loaded in a thread 3 s after the start, and until then another encoder writes the same lines. The entry feeds its first tick, with its first status, as soon as its sockets listen. Each phase (process, settings, modules, sockets, configuration, first agent, first open worker, first placement; at agents first entry and first worker) is logged and measured as startup_seconds since the process's start.

--- a/features/dispatch_starting.feature
+++ b/features/dispatch_starting.feature
@@ -23,6 +23,15 @@
       | cactuswalk.runtime.dispatchagent  | aiohttp.web_app                |
       | cactuswalk.runtime.dispatchentry  | prometheus_client              |
       | cactuswalk.runtime.dispatchentry  | aiohttp.web_app                |
+      | cactuswalk.runtime.dispatchagent  | eliot                          |
+      | cactuswalk.runtime.dispatchentry  | eliot                          |
+      | cactuswalk.runtime.dispatchagent  | statsd                         |
+      | cactuswalk.runtime.dispatchentry  | statsd                         |
+      | cactuswalk.runtime.dispatchagent  | cactuswalk.settings.entry      |
+      | cactuswalk.runtime.dispatchentry  | cactuswalk.settings.agent      |
+      | cactuswalk.runtime.dispatchagent  | cactuswalk.dispatch.placement  |
+      | cactuswalk.commands.dispatch_agent | click                         |
+      | cactuswalk.commands.dispatch_entry | click                         |
 
   Scenario Outline: A process listens before the slow imports
     Otherwise a worker's heartbeats are refused and repeated at ever longer intervals;
@@ -34,6 +43,17 @@
       | dispatch_agent | examples/dispatch-agent.ini |
       | dispatch_entry | examples/dispatch-entry.ini |
 
+  Scenario: Each phase of a start is logged and measured once
+    The operators see from it what a recovery waited for. A phase that is reached again,
+    as an agent's restart is, is not part of the start.
+    Given an entry whose process started 0.3 seconds before its reducer
+    When it hears of its first agent after 0.1 seconds, and of another one
+    Then the phase "first agent" is logged and measured once, at 0.4 seconds
+    And a process whose start is not measured logs no phases
+
+  Scenario: The start of a process is read from the system
+    Then the start of this process is not later than now and not before the host's
+
   Scenario: An address in use is reported with a remedy
     Given a socket that listens
     Then another one can't listen there, and the error names the remedy
--- a/features/http_logs_metrics.feature
+++ b/features/http_logs_metrics.feature
@@ -6,6 +6,26 @@
     Then the log file has one line whose message is "owner: task 0 of vets/a starts on w7: most free slots"
     And the log line keeps the process, the part, the level and every field
 
+  Scenario: A dispatch process logs the same line without eliot
+    Its encoder raises for what isn't Unicode and for subclasses of built-in types. A
+    log line must not end the process, or be lost.
+    Given a log file of the dispatch process "dingwall-5" at level "info"
+    When a decision of the owner is logged with fields that are hard to encode
+    Then the log file has one line whose message is "owner: task 0 of vets/a starts on w7: most free slots"
+    And the log line keeps the process, the part, the level and every field
+    And its task's identifier is a UUID of version 4
+
+  Scenario: A dispatch process goes over to eliot once it has started
+    Lines that wait to be written, or are written at that time, must not be lost.
+    Given a log file of the dispatch process "dingwall-5" at level "info"
+    When 3 decisions are logged, eliot encodes the lines that follow, and 3 more are logged
+    Then the log file has 6 lines of the same fields, numbered in order
+
+  Scenario: A dispatch process logs text that is not Unicode
+    Given a log file of the dispatch process "dingwall-5" at level "info"
+    When a line with text that is not Unicode is logged
+    Then the log file has one line whose message is "entry: refuses a job"
+
   Scenario: Lines below the level are omitted, warnings of libraries are not
     Given a log file of the process "dingwall-5" at level "warning"
     When a decision of the owner is logged with fields that are hard to encode
--- a/features/process_dispatch.feature
+++ b/features/process_dispatch.feature
@@ -61,6 +61,13 @@
     Then it is answered with 200 and the state completed
     And the workers' records show no overlapping runs of a task
 
+  Scenario: The phases of a start are logged and measured
+    Given a deployment of 1 entries and 1 workers
+    When a job of 2 tasks of 50 ms is submitted to entry 0
+    Then entry-0 has logged the phases "process, settings, modules, sockets, configuration, first agent, first open worker, first placement"
+    And agent-0 has logged the phases "process, settings, modules, sockets, first entry, first worker, first open worker, first placement"
+    And the metrics of entry 0 and of agent 0 have each of them
+
   Scenario: An agent is killed with tasks running
     Given a deployment of 2 entries and 2 workers
     When a job of 6 tasks of 1500 ms is in progress at entry 0
--- a/features/steps/dispatch_starting_steps.py
+++ b/features/steps/dispatch_starting_steps.py
@@ -3,9 +3,12 @@
 import subprocess
 import sys
 
-from behave import given, then
+from behave import given, then, when
 
+from cactuswalk.dispatch.effects import Observe, Say
+from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.runtime.listening import ListenError, listen
+from cactuswalk.runtime.startclock import read_boottime, read_process_start
 from cactuswalk.settings.dispatch import Endpoint
 
 IMPORT_SCRIPT = "import sys, {module}; print('{unneeded}' in sys.modules)"
@@ -55,3 +58,37 @@
         raise AssertionError("both listen at one address")
     finally:
         context.listener.close()
+
+
+@given("an entry whose process started {seconds:g} seconds before its reducer")
+def step_started(context, seconds):
+    context.state = ReducerState()
+    context.state.started_at = 100.0 - seconds
+
+
+@when("it hears of its first agent after {seconds:g} seconds, and of another one")
+def step_first_agent(context, seconds):
+    context.state.reach_phase("first agent", 100.0 + seconds)
+    context.state.reach_phase("first agent", 101.0)
+
+
+@then('the phase "{phase}" is logged and measured once, at {seconds:g} seconds')
+def step_phase(context, phase, seconds):
+    line, measured = context.state.take_effects()
+    assert isinstance(line, Say) and line.fields == {
+        "phase": phase,
+        "seconds": seconds,
+    }, line
+    assert measured == Observe("startup_seconds", phase, seconds), measured
+
+
+@then("a process whose start is not measured logs no phases")
+def step_not_measured(context):
+    state = ReducerState()
+    state.reach_phase("first agent", 1.0)
+    assert not state.take_effects()
+
+
+@then("the start of this process is not later than now and not before the host's")
+def step_process_start(context):
+    assert 0 <= read_process_start() <= read_boottime() + 0.01
--- a/features/steps/logs_metrics_steps.py
+++ b/features/steps/logs_metrics_steps.py
@@ -5,11 +5,14 @@
 import math
 import socket
 import tempfile
+import uuid
 from pathlib import Path
 
 from behave import given, then, when
 
 from cactuswalk.errors import SettingsError
+from cactuswalk.runtime.eliotlines import EliotLines
+from cactuswalk.runtime.loglines import JsonLines
 from cactuswalk.runtime.logs import open_logs
 from cactuswalk.runtime.metrics import make_metrics
 from cactuswalk.settings import LogSettings, StatsdSettings
@@ -26,6 +29,49 @@
     add_clean_up(context, context.logs.close)
 
 
+@given('a log file of the dispatch process "{process}" at level "{level}"')
+def step_dispatch_log(context, process, level):
+    directory = tempfile.TemporaryDirectory()
+    add_clean_up(context, directory.cleanup)
+    context.log_path = Path(directory.name) / "log"
+    settings = LogSettings(level, str(context.log_path))
+    context.logs = open_logs(settings, process, JsonLines())
+    add_clean_up(context, context.logs.close)
+
+
+@when(
+    "{count:d} decisions are logged, eliot encodes the lines that follow, and {more:d}"
+    " more are logged"
+)
+def step_changed_encoder(context, count, more):
+    async def say():
+        log_numbered_lines(context, count)
+        context.logs.encode_with(EliotLines())
+        log_numbered_lines(context, more)
+        await until(lambda: len(read_lines(context)) == count + more)
+
+    run(context, say())
+
+
+@then("the log file has {count:d} lines of the same fields, numbered in order")
+def step_same_fields(context, count):
+    lines = [json.loads(line) for line in read_lines(context)]
+    assert len(lines) == count, lines
+    assert all(line.keys() == lines[0].keys() for line in lines), lines
+    identifiers = [line["task_uuid"] for line in lines]
+    assert identifiers == sorted(identifiers) and len(set(identifiers)) == count
+
+
+@when("a line with text that is not Unicode is logged")
+def step_not_unicode(context):
+    context.logs.say(Part.ENTRY, "refuses a job", {"job": "\udc80"})
+
+
+@then("its task's identifier is a UUID of version 4")
+def step_uuid(context):
+    assert uuid.UUID(context.line["task_uuid"]).version == 4, context.line
+
+
 @when("a decision of the owner is logged with fields that are hard to encode")
 def step_write(context):
     sentence = "task 0 of vets/a starts on w7: most free slots"
--- a/features/steps/process_dispatch_steps.py
+++ b/features/steps/process_dispatch_steps.py
@@ -12,6 +12,7 @@
     make_job_body,
 )
 from tools.processes import wait_until
+from tools.startup import read_phases
 
 JOB_IDENTIFIER = "00000000000000bb"
 
@@ -74,6 +75,29 @@
     assert context.deployment.has_logged(name, text), context.deployment[name].tail()
 
 
+@then('{name:S} has logged the phases "{phases}"')
+def step_phases(context, name, phases):
+    wanted = set(phases.split(", "))
+    wait_until(
+        lambda: set(read_phases(context.deployment[name], 0)) == wanted, 5.0, "phases"
+    )
+    context.phases = getattr(context, "phases", {}) | {name: wanted}
+
+
+@then("the metrics of entry 0 and of agent 0 have each of them")
+def step_phase_metrics(context):
+    deployment = context.deployment
+    hosts = {
+        "entry-0": deployment.entry_host(0),
+        "agent-0": deployment.worker_host(0),
+    }
+    for name, phases in context.phases.items():
+        text = deployment.metrics(hosts[name])
+        for phase in phases:
+            row = f'cactuswalk_startup_seconds_count{{label="{phase}"}} 1.0'
+            assert row in text, (name, phase)
+
+
 @when(
     "the job is submitted to entry {entry:d} after {s:g} seconds, and its caller stays"
     " at entry 0"
--- a/src/cactuswalk/commands/dispatch_agent.py
+++ b/src/cactuswalk/commands/dispatch_agent.py
@@ -3,6 +3,7 @@
 from cactuswalk.commands.process import fast_imports, make_daemon_command
 from cactuswalk.platform.names import SETTINGS_VARIABLE
 from cactuswalk.runtime.listening import listen
+from cactuswalk.runtime.startclock import StartClock
 
 __all__ = ["main"]
 
@@ -17,9 +18,12 @@
 
 
 def _make(path: str) -> object:
+    clock = StartClock()
+    clock.reach("process")
     from cactuswalk.settings.dispatch import load_dispatch_agent
 
     settings = load_dispatch_agent(path)
+    clock.reach("settings")
     # Listens before the imports: a worker whose heartbeat is refused doubles its delay
     # each time and would be found long after the agent has started. A connection that
     # is accepted now is answered as soon as the imports are done.
@@ -28,7 +32,8 @@
     with fast_imports():
         from cactuswalk.runtime.dispatchagent import DispatchAgentProcess
 
-    return DispatchAgentProcess(settings, listener)
+    clock.reach("modules")
+    return DispatchAgentProcess(settings, listener, clock)
 
 
 main = make_daemon_command(
--- a/src/cactuswalk/commands/dispatch_entry.py
+++ b/src/cactuswalk/commands/dispatch_entry.py
@@ -3,6 +3,7 @@
 from cactuswalk.commands.process import fast_imports, make_daemon_command
 from cactuswalk.platform.names import SETTINGS_VARIABLE
 from cactuswalk.runtime.listening import listen
+from cactuswalk.runtime.startclock import StartClock
 
 __all__ = ["main"]
 
@@ -17,9 +18,12 @@
 
 
 def _make(path: str) -> object:
+    clock = StartClock()
+    clock.reach("process")
     from cactuswalk.settings.dispatch import load_dispatch_entry
 
     settings = load_dispatch_entry(path)
+    clock.reach("settings")
     # Listens before the imports: the balancer checks once a second, and a check that
     # is accepted now is answered after the imports instead of a second later.
     listener = listen(settings.readiness)
@@ -27,7 +31,8 @@
     with fast_imports():
         from cactuswalk.runtime.dispatchentry import DispatchEntryProcess
 
-    return DispatchEntryProcess(settings, listener)
+    clock.reach("modules")
+    return DispatchEntryProcess(settings, listener, clock)
 
 
 main = make_daemon_command(
--- a/src/cactuswalk/commands/process.py
+++ b/src/cactuswalk/commands/process.py
@@ -8,10 +8,8 @@
 import sys
 from collections.abc import Callable, Iterator
 
-import click
 import uvloop
 
-import cactuswalk
 from cactuswalk.errors import CactuswalkError
 from cactuswalk.runtime.signals import STOP_SIGNALS
 
@@ -24,7 +22,7 @@
 
 def make_daemon_command(
     name: str, help_text: str, make: Callable, variable: str | None = None
-) -> click.Command:
+) -> Callable[[], None]:
     """Return the command of a daemon.
 
     :param make: called with the path of the settings; returns the process object.
@@ -32,17 +30,7 @@
         option is not given.
     """
 
-    @click.command(name, help=help_text)
-    @click.version_option(cactuswalk.__version__, prog_name=name)
-    @click.option(
-        "--settings",
-        "path",
-        required=True,
-        envvar=variable,
-        type=click.Path(exists=True, dir_okay=False),
-        help="The INI file with this process's settings.",
-    )
-    def command(path: str) -> None:
+    def run(path: str) -> None:
         try:
             process = make(path)
             with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
@@ -53,15 +41,37 @@
                 for number in STOP_SIGNALS:
                     signal.signal(number, signal.SIG_IGN)
         except CactuswalkError as error:
-            click.echo(error.show(), err=True)
+            print(error.show(), file=sys.stderr)
             sys.exit(error.exit_code)
         except OSError as error:
-            click.echo(f"Error [host]: {error}", err=True)
+            print(f"Error [host]: {error}", file=sys.stderr)
             sys.exit(1)
 
+    def command() -> None:
+        path = _find_settings(sys.argv[1:], variable)
+        if path is not None:
+            run(path)
+            return
+        # Not loaded for the usual command line, as a supervisor gives it: after a power
+        # failure callers wait until the modules have loaded.
+        from cactuswalk.commands.daemonoptions import run_with_options
+
+        run_with_options(name, help_text, run, variable)
+
     return command
 
 
+def _find_settings(arguments: list[str], variable: str | None) -> str | None:
+    """Return the path of the settings if nothing else has to be parsed or reported."""
+    if not arguments and variable:
+        path = os.environ.get(variable, "")
+    elif len(arguments) == 2 and arguments[0] == "--settings":
+        path = arguments[1]
+    else:
+        return None
+    return path if os.path.isfile(path) and os.access(path, os.R_OK) else None
+
+
 @contextlib.contextmanager
 def fast_imports() -> Iterator[None]:
     """Import a process's modules without garbage collection and TLS authorities.
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -88,6 +88,7 @@
         state.entries[address] = peer
     peer.echoed_stamp = max(peer.echoed_stamp, returned_stamp)
     peer.heard_at = now
+    state.reach_phase("first entry", now)
     return peer
 
 
@@ -180,6 +181,7 @@
     )
     state.next_handle += 1
     state.hold(held)
+    state.reach_phase("first placement", now)
     if state.health.is_slow:
         state.health.last_trial_at = now
     _log_accepted_start(state, held, now)
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -7,8 +7,8 @@
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentleases import renewal_seconds
 from cactuswalk.dispatch.agentstate import AgentState
+from cactuswalk.dispatch.costs import RESERVED_SHARE
 from cactuswalk.dispatch.messages import Report
-from cactuswalk.dispatch.placement import RESERVED_SHARE
 
 __all__ = ["report_if_dirty"]
 
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -80,6 +80,7 @@
         previous=previous,
         held=len(state.held),
     )
+    state.reach_phase("first worker", now)
     mark_all_crashed(state, "the worker's life ended", now)
     state.worker = worker
     state.bounds.clear()
@@ -122,6 +123,8 @@
     if reachable != was_reachable or ready != state.ready_to_start:
         state.ready_to_start = ready
         state.mark_entries_dirty()
+    if state.is_open(now):
+        state.reach_phase("first open worker", now)
 
 
 def _apply_ended(state: AgentState, event: PollAnswered, now: float) -> None:
--- a/src/cactuswalk/dispatch/costs.py
+++ b/src/cactuswalk/dispatch/costs.py
@@ -4,7 +4,11 @@
 placement compares it.
 """
 
-__all__ = ["base_cost"]
+__all__ = ["RESERVED_SHARE", "base_cost"]
+
+# Share of each worker that less urgent tasks leave free. With more, long tasks lose
+# more than short ones gain.
+RESERVED_SHARE = 0.1
 
 # Cost factor of a worker in another data centre.
 REMOTE_FACTOR = 1.3
--- a/src/cactuswalk/dispatch/entryagents.py
+++ b/src/cactuswalk/dispatch/entryagents.py
@@ -71,6 +71,7 @@
     state.placement_needed |= view.update_report(report, now)
     if report.open:
         state.recovery.record_open_worker(now)
+        state.reach_phase("first open worker", now)
     if not view.placed:
         return
     if report.open:
@@ -89,6 +90,7 @@
         address, report, now, state.next_agent_number, state.data_centre
     )
     state.next_agent_number += 1
+    state.reach_phase("first agent", now)
     state.say(
         "discovered an agent", agent=address, worker=report.worker, home=report.home
     )
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -128,6 +128,7 @@
         return
     state.say("a configuration is in force", version=version, was=state.version)
     state.queues = event.queues
+    state.reach_phase("configuration", now)
     send_status(state, list(state.entries), now)
 
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -105,6 +105,7 @@
 
 def _record_job_start(state: EntryState, job: JobState, now: float) -> None:
     job.pending_starts += 1
+    state.reach_phase("first placement", now)
     if not job.first_start_at:
         job.first_start_at = now
         state.observe("first_start_seconds", job.queue.name, now - job.arrived_at)
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -25,6 +25,7 @@
 
 from cactuswalk.decisions.recovery import count_free_slots
 from cactuswalk.dispatch.agentview import AgentView
+from cactuswalk.dispatch.costs import RESERVED_SHARE
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import JobState, TaskState
@@ -43,10 +44,6 @@
 # is on time within 1.6 times its run time.
 SLOW_FACTOR = 2.0
 
-# Share of each worker that less urgent tasks leave free. With more, long tasks lose
-# more than short ones gain.
-RESERVED_SHARE = 0.1
-
 # Tasks that each entry sends to a slow worker at a time, to detect its recovery.
 MAX_PROBES = 1
 
--- a/src/cactuswalk/dispatch/reducerstate.py
+++ b/src/cactuswalk/dispatch/reducerstate.py
@@ -13,6 +13,8 @@
     """Collects the effects of an event, until the reducer returns them.
 
     :ivar policy: the decisions under load that the settings switch on.
+    :ivar started_at: when the process started; infinite if that is not measured.
+    :ivar phases: the phases of its start that it has reached.
     :ivar ticked_at: when the periodic timer fired last.
     :ivar logs_debug: whether lines of the level ``debug`` are written.
     :ivar pauses: number of late ticks that have not been logged; ``longest_pause`` in
@@ -22,6 +24,8 @@
     def __init__(self) -> None:
         self.effects: list[Effect] = []
         self.policy = DEFAULT_LOAD_POLICY
+        self.started_at = math.inf
+        self.phases: set[str] = set()
         self.ticked_at = math.inf
         self.logs_debug = True
         self.pauses = 0
@@ -46,6 +50,15 @@
         if self.logs_debug:
             self.effects.append(Say(sentence, fields, "debug"))
 
+    def reach_phase(self, phase: str, now: float) -> None:
+        """Log and measure when a phase of the start is reached for the first time."""
+        if phase in self.phases or self.started_at == math.inf:
+            return
+        self.phases.add(phase)
+        seconds = round(now - self.started_at, 3)
+        self.say("has reached a phase of its start", phase=phase, seconds=seconds)
+        self.observe("startup_seconds", phase, seconds)
+
     def observe(self, name: str, label: str = "", seconds: float | None = None) -> None:
         """Count an event, or record a duration."""
         self.effects.append(Observe(name, label, seconds))
--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -1,18 +1,22 @@
 """Shared parts of dispatch entries and agents: log, metrics, messages, HTTP."""
 
+import asyncio
+import importlib
 import socket
-import time
 from collections.abc import Callable
 
 from cactuswalk.dispatch import messages
 from cactuswalk.dispatch.effects import Observe, Say, SendMessage
+from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.observations import Log, Part
 from cactuswalk.platform.metadata import MetadataStore
 from cactuswalk.runtime.application import Application
 from cactuswalk.runtime.exposition import Exposition
+from cactuswalk.runtime.loglines import JsonLines
 from cactuswalk.runtime.logs import open_logs
 from cactuswalk.runtime.metrics import make_metrics
 from cactuswalk.runtime.serving import Handler, HttpService
+from cactuswalk.runtime.startclock import StartClock, read_boottime
 from cactuswalk.runtime.transport import Transport
 from cactuswalk.settings.dispatch import (
     DispatchAgentSettings,
@@ -28,20 +32,15 @@
 # the messages.
 HEARTBEAT_MS = 500
 
+# The recovery after a full outage takes 2 s (``decisions.recovery``).
+ELIOT_AFTER_SECONDS = 3.0
+ELIOT_MODULE = "cactuswalk.runtime.eliotlines"
+
 # Interval at which a process with many messages receives them. While jobs wait at an
 # entry, each message may bring room, and is received at once.
 BATCH_SECONDS = 0.004
 
 
-def read_boottime() -> float:
-    """Return seconds of a monotonic clock that includes time in suspension.
-
-    Leases must have expired when a suspended host resumes; ``time.monotonic`` stands
-    still during suspension.
-    """
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class DispatchRuntime:
     """The parts of a process that don't depend on its role.
 
@@ -66,7 +65,7 @@
     ) -> None:
         self.settings = settings
         self.part = part
-        self.log = open_logs(settings.logs, settings.name)
+        self.log = open_logs(settings.logs, settings.name, JsonLines())
         self.metrics = make_metrics(settings.statsd)
         self.exposition = Exposition()
         self.store = MetadataStore(str(settings.store))
@@ -127,6 +126,7 @@
 
         async def start() -> None:
             self._say(Say("starts", {"address": self.transport.address}))
+            self.application.spawn(self._load_eliot())
 
         async def stop() -> None:
             await self.store.close()
@@ -136,10 +136,32 @@
 
         self.application.add_hook(start, stop)
 
+    def add_start_phases(self, state: ReducerState, clock: StartClock) -> None:
+        """Have the phases of the start logged and measured, the last one here."""
+        state.started_at = clock.started_at
+
+        async def start() -> None:
+            clock.reach("sockets")
+            for phase, at in clock.phases:
+                state.reach_phase(phase, at)
+            self.application.feed(self.application.make_tick())
+
+        async def stop() -> None:
+            """Do nothing: a start has no end of its own."""
+
+        self.application.add_hook(start, stop)
+
     def say(self, sentence: str, **fields: object) -> None:
         """Write a log line of this process, with the given fields."""
         self._say(Say(sentence, fields))
 
+    async def _load_eliot(self) -> None:
+        """Have eliot encode the log lines, once jobs don't wait for the start."""
+        await asyncio.sleep(ELIOT_AFTER_SECONDS)
+        # In a thread: in the loop it would delay messages by a tick.
+        module = await asyncio.to_thread(importlib.import_module, ELIOT_MODULE)
+        self.log.encode_with(module.EliotLines())
+
     def _send(self, effect: SendMessage) -> None:
         self.transport.send(effect.address, effect.message, read_boottime())
 
--- a/src/cactuswalk/runtime/dispatchagent.py
+++ b/src/cactuswalk/runtime/dispatchagent.py
@@ -35,6 +35,7 @@
 )
 from cactuswalk.platform.worker import WorkerClient
 from cactuswalk.runtime.dispatch import DispatchRuntime, read_boottime
+from cactuswalk.runtime.startclock import StartClock
 from cactuswalk.runtime.storewatch import ENTRIES_PREFIX, decode_member
 from cactuswalk.settings.dispatch import DispatchAgentSettings
 
@@ -49,13 +50,18 @@
     """Runs the agent of one worker.
 
     :param listener: a socket that already listens for the worker's heartbeats.
+    :param clock: has the phases of the start so far.
     """
 
     def __init__(
-        self, settings: DispatchAgentSettings, listener: socket.socket | None = None
+        self,
+        settings: DispatchAgentSettings,
+        listener: socket.socket | None = None,
+        clock: StartClock | None = None,
     ) -> None:
         self.settings = settings
         self.listener = listener
+        self.clock = clock or StartClock()
         # Only an earlier incarnation of this agent has given the worker a token, from
         # an earlier time of day. If the clock was set back since, the worker refuses
         # the token, and AgentState raises it.
@@ -107,7 +113,9 @@
         self.runtime.add_http_service(
             self.settings.metrics, self.runtime.exposition.make_handler()
         )
-        self.application.add_hook(self._feed_first_tick, self.worker.close)
+        self.application.add_hook(_do_nothing, self.worker.close)
+        # Its first tick looks up the entries at once, not 50 ms later.
+        self.runtime.add_start_phases(self.state, self.clock)
         await self.application.run()
 
     def is_stopped(self) -> bool:
@@ -121,10 +129,6 @@
             self.worker.record_heartbeat(event.worker.identifier, event.worker.clock_ms)
         self.application.feed(event)
 
-    async def _feed_first_tick(self) -> None:
-        """Look up the entries at once, not at the first tick 50 ms later."""
-        self.application.feed(Tick())
-
     def _spawn_call(self, work: Awaitable) -> None:
         self.application.spawn(self._feed_result(work))
 
@@ -151,3 +155,7 @@
 
     def _log_unusable_heartbeat(self, error: PlatformError) -> None:
         self.runtime.say("rejects a heartbeat of the worker", reason=error.message)
+
+
+async def _do_nothing() -> None:
+    """Serve as the start of a part that is started by its first use."""
--- a/src/cactuswalk/runtime/dispatchentry.py
+++ b/src/cactuswalk/runtime/dispatchentry.py
@@ -40,6 +40,7 @@
     parse_evacuated_data_centre,
 )
 from cactuswalk.runtime.dispatch import DispatchRuntime, read_boottime
+from cactuswalk.runtime.startclock import StartClock
 from cactuswalk.runtime.storewatch import (
     ENTRIES_PREFIX,
     PrefixUpdate,
@@ -78,13 +79,18 @@
     """Runs an entry, which accepts callers' requests.
 
     :param listener: a socket that already listens for the balancer's readiness checks.
+    :param clock: has the phases of the start so far.
     """
 
     def __init__(
-        self, settings: DispatchEntrySettings, listener: socket.socket | None = None
+        self,
+        settings: DispatchEntrySettings,
+        listener: socket.socket | None = None,
+        clock: StartClock | None = None,
     ) -> None:
         self.settings = settings
         self.listener = listener
+        self.clock = clock or StartClock()
         address = message_url(settings.messages)
         self.state = EntryState(
             address,
@@ -136,6 +142,7 @@
         self.application.add_hook(self._start_store_watches, self._deregister)
         # Started last and stopped first, so that every accepted caller is answered.
         self.runtime.add_http_service(self.settings.callers, CallerHandler(self).handle)
+        self.runtime.add_start_phases(self.state, self.clock)
         await self.application.run()
 
     def is_stopped(self) -> bool:
--- a/src/cactuswalk/runtime/logs.py
+++ b/src/cactuswalk/runtime/logs.py
@@ -1,4 +1,4 @@
-"""Logs with eliot: JSON lines, each with a short message prefixed by its part.
+"""Logs in eliot's format: JSON lines, each with a short message prefixed by its part.
 
 {"level": "info", "message": "owner: task 3 of a/b starts on w7: most free
 slots", "part": "owner", "worker": "w7", ...}
@@ -14,14 +14,12 @@
 import sys
 import time
 import uuid
-from typing import TextIO
-
-import eliot
+from typing import Protocol, TextIO
 
 from cactuswalk.errors import SettingsError
 from cactuswalk.logfields import LINE_FIELDS
 from cactuswalk.observations import Log, Part
-from cactuswalk.settings import LogSettings
+from cactuswalk.settings.shared import LogSettings
 
 __all__ = ["Logs", "open_logs"]
 
@@ -30,7 +28,7 @@
 MESSAGE_TYPE = "cactuswalk"
 
 
-# eliot's encoder accepts 64-bit integers; a larger one would lose the whole line.
+# The encoders accept 64-bit integers; a larger one would lose the whole line.
 MAX_INTEGER = (1 << 63) - 1
 
 # Types of most values, which are written as they are.
@@ -56,16 +54,16 @@
     Without a running event loop, each line is written at once.
 
     :param process: the entry's or the worker's name, a field of every line.
+    :param lines: encodes the lines.
     """
 
-    def __init__(self, settings: LogSettings, process: str) -> None:
+    def __init__(
+        self, settings: LogSettings, process: str, lines: "EncodedLines"
+    ) -> None:
         self.level = LEVELS[settings.level]
         self.process = process
         self.stream, self.owns_stream = _open_destination(settings.destination)
-        self.buffer = LineBuffer()
-        self.destination = eliot.FileDestination(file=self.buffer)
-        eliot.add_destinations(self.destination)
-        self.logger = eliot.Logger()
+        self.lines = lines
         # A random identifier for each line would cost more than encoding the line.
         self.task_prefix = str(uuid.uuid4())[:24]
         self.serial = itertools.count()
@@ -131,14 +129,20 @@
         for line in waiting:
             line["task_uuid"] = f"{self.task_prefix}{next(self.serial):012x}"
             line["task_level"] = [1]
-            self.logger.write(line)
-        lines, self.buffer.lines = self.buffer.lines, []
+            self.lines.add(line)
+        lines = self.lines.take()
         if lines:
             self._write_out("".join(lines))
         if self.dropped_lines and self._is_writable():
             dropped_lines, self.dropped_lines = self.dropped_lines, 0
             self.say(Part.PROCESS, "log lines were dropped", {"lines": dropped_lines})
 
+    def encode_with(self, lines: "EncodedLines") -> None:
+        """Encode the lines that follow in another way."""
+        self.flush()
+        self.lines.close()
+        self.lines = lines
+
     def close(self) -> None:
         """Write all waiting lines, stop logging, and close the file opened here."""
         if self.closed:
@@ -146,7 +150,7 @@
         self.closed = True
         logging.getLogger().removeHandler(self.handler)
         self.flush()
-        eliot.remove_destination(self.destination)
+        self.lines.close()
         if self.owns_stream:
             self.stream.close()
 
@@ -192,28 +196,32 @@
     return chunk
 
 
-class LineBuffer:
-    """File-like buffer of encoded lines; eliot writes and flushes them one by one."""
+class EncodedLines(Protocol):
+    """Encodes log lines until they are taken."""
 
-    def __init__(self) -> None:
-        self.lines: list[str] = []
+    def add(self, line: dict[str, object]) -> None:
+        """Encode a line."""
 
-    def write(self, text: str | bytes) -> None:
-        """Append a line; raise TypeError for bytes, as a text file does."""
-        if isinstance(text, bytes):
-            raise TypeError("log lines must be str, not bytes")
-        self.lines.append(text)
+    def take(self) -> list[str]:
+        """Return the encoded lines, and collect anew."""
 
-    def flush(self) -> None:
-        """Do nothing: ``Logs.flush`` writes the buffered lines together."""
+    def close(self) -> None:
+        """Release what was registered."""
 
 
-def open_logs(settings: LogSettings, process: str) -> Logs:
+def open_logs(
+    settings: LogSettings, process: str, lines: EncodedLines | None = None
+) -> Logs:
     """Open the log of a process.
 
+    :param lines: encodes the lines until others do; by default eliot does.
     :raises SettingsError: if its file can't be opened.
     """
-    return Logs(settings, process)
+    if lines is None:
+        from cactuswalk.runtime.eliotlines import EliotLines
+
+        lines = EliotLines()
+    return Logs(settings, process, lines)
 
 
 def _open_destination(destination: str) -> tuple[TextIO, bool]:
--- a/src/cactuswalk/runtime/metrics.py
+++ b/src/cactuswalk/runtime/metrics.py
@@ -5,10 +5,12 @@
 """
 
 import asyncio
+import typing
 
-import statsd
+from cactuswalk.settings.shared import StatsdSettings
 
-from cactuswalk.settings import StatsdSettings
+if typing.TYPE_CHECKING:
+    import statsd
 
 __all__ = ["Metrics", "NoMetrics", "make_metrics"]
 
@@ -48,7 +50,7 @@
     itself. Without a running event loop, ``flush`` has to be called.
     """
 
-    def __init__(self, client: statsd.StatsClient) -> None:
+    def __init__(self, client: "statsd.StatsClient") -> None:
         self.client = client
         self.counters: dict[str, int] = {}
         self.gauges: dict[str, float] = {}
@@ -104,6 +106,9 @@
     """Return the metrics client for the settings."""
     if settings is None:
         return NoMetrics()
+    # Only deployments with a StatsD server load its client.
+    import statsd
+
     client = statsd.StatsClient(
         host=settings.host,
         port=settings.port,
--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -33,7 +33,7 @@
 MECHANISMS = [
     SourceChange(
         "room kept for the most urgent kind",
-        f"{DISPATCH}/placement.py",
+        f"{DISPATCH}/costs.py",
         "RESERVED_SHARE = 0.1",
         "RESERVED_SHARE = 0.0",
     ),
