--- a/features/support/outageload.py
+++ b/features/support/outageload.py
@@ -3,7 +3,8 @@
 import collections
 import random
 
-from cactuswalk.dispatch.effects import Answer
+from cactuswalk.dispatch.agentevents import EntriesRead
+from cactuswalk.dispatch.effects import Answer, ReadEntries
 from cactuswalk.dispatch.job import JobVerdict
 from features.support.fleet import BOOT_SECONDS, Fleet, queue
 from features.support.shiftedload import (
@@ -29,6 +30,7 @@
 SERVED_AFTER_SECONDS = 0.3
 # Within this time after the power is back jobs are counted.
 COUNTED_SECONDS = 2.5
+STORE_TIMEOUT_SECONDS = 1.0
 # Until the last counted job has ended or is useless.
 DRAIN_SECONDS = 9.0
 
@@ -37,19 +39,21 @@
     """A fleet whose callers go to entries that are up, as the balancer sends them.
 
     :ivar unconfigured: entries that have not read the configuration yet.
+    :ivar store_back_at: until when the store answers nobody.
     :ivar turned_away: number of jobs that came when no entry served.
-    :ivar blind_refusals: waiters that were refused while their entry knew no worker,
-        with the seconds that they had waited.
+    :ivar blind_refusals: seconds that jobs had waited which were refused while their
+        entry knew no worker, by waiter.
     """
 
-    def __init__(self, seed, policy):
+    def __init__(self, seed, policy, entries=ENTRIES, workers=WORKERS):
         self.unconfigured = set()
-        self.configured_after = 0.0
+        self.store_back_at = 0.0
         self.turned_away = 0
         self.blind_refusals = {}
+        self.failures = 0
         queues = [queue("lookups", 0), queue("rebuilds", 2, 2), queue("checks", 1, 3)]
         super().__init__(
-            ENTRIES, WORKERS, seed, queues=queues, centres=CENTRES, policy=policy
+            entries, workers, seed, queues=queues, centres=CENTRES, policy=policy
         )
         self.balancer = random.Random(seed)
         self.in_order = True
@@ -68,6 +72,12 @@
         return super().submit(entry, *arguments, **options)
 
     def perform(self, name, state, effect):
+        if isinstance(effect, ReadEntries) and self.now < self.store_back_at:
+            self.at(
+                STORE_TIMEOUT_SECONDS,
+                lambda: self.deliver_if_same(name, state, EntriesRead(None)),
+            )
+            return
         super().perform(name, state, effect)
         is_refusal = isinstance(effect, Answer) and effect.verdict is JobVerdict.NOT_RUN
         if is_refusal and state.recovery.knows_no_worker():
@@ -75,30 +85,37 @@
 
     def cut_power(self):
         """Power all hosts off."""
+        self.failures += 1
         for name in self.states:
             self.kill(name)
         for worker in self.workers.values():
             worker.crash()
             worker.up = False
-        self.now_off = self.now
 
     def start_all(self, late_agents=(), late_seconds=0.0):
         """Start all hosts; some agents' hosts come back later."""
         for name in self.entry_names:
             after = self.balancer.uniform(*ENTRY_UP_SECONDS)
-            self.at(after, lambda name=name: self.boot_entry(name))
+            self.boot_after(after, self.boot_entry, name)
         for name in self.workers:
             after = self.balancer.uniform(*AGENT_UP_SECONDS)
             if name in late_agents:
                 after += late_seconds
-            self.at(after, lambda name=name: self.boot_agent(name))
+            self.boot_after(after, self.boot_agent, name)
+
+    def boot_after(self, seconds, boot, name):
+        """Boot a host after some seconds, unless the power fails again before."""
+        failures = self.failures
+        self.at(seconds, lambda: boot(name) if failures == self.failures else None)
 
     def boot_entry(self, name):
         self.clock_offsets[name] = BOOT_SECONDS - self.now
         self.start_entry(name, self.states[name].data_centre)
-        if self.configured_after:
+        if self.now < self.store_back_at:
             self.unconfigured.add(name)
-            self.at(self.configured_after, lambda: self.unconfigured.discard(name))
+            self.at(
+                self.store_back_at - self.now, lambda: self.unconfigured.discard(name)
+            )
 
     def boot_agent(self, name):
         self.workers[name].up = True
@@ -111,35 +128,38 @@
     :ivar back_at: when the power was back the last time.
     """
 
-    def __init__(self, seed, policy, rate=USUAL_RATE):
-        self.fleet = OutageFleet(seed, policy)
+    def __init__(self, seed, policy, entries=ENTRIES, workers=WORKERS):
+        self.fleet = OutageFleet(seed, policy, entries, workers)
+        rate = USUAL_RATE * workers / WORKERS
         self.load = WaveLoad(self.fleet, rate, 60.0, seed)
         self.back_at = 0.0
 
-    def play(self, late_share=0.0, late_seconds=0.0, again_after=0.0):
+    def play(self, late_share=0.0, late_seconds=0.0, again_after=0.0, store_down=0.0):
         """Play the failure, and its variants.
 
         :param late_share: of the hosts that come back ``late_seconds`` later.
         :param again_after: seconds after which the power fails again; 0 for never.
+        :param store_down: seconds from when the power is back for which the store
+            answers nobody.
         """
         fleet = self.fleet
         fleet.run(WARM_SECONDS)
-        self.fail(late_share, late_seconds)
+        self.fail(late_share, late_seconds, store_down)
         if again_after:
             fleet.run(again_after)
-            self.fail(late_share, late_seconds)
+            self.fail(late_share, late_seconds, store_down)
         fleet.run(COUNTED_SECONDS)
         self.load.until = fleet.now
         fleet.run(DRAIN_SECONDS)
 
-    def fail(self, late_share, late_seconds):
+    def fail(self, late_share, late_seconds, store_down):
         fleet = self.fleet
         fleet.cut_power()
         fleet.run(OFF_SECONDS)
-        # Starts that were scheduled before the second failure don't happen.
         names = list(fleet.workers)
         late = names[: round(late_share * len(names))]
         self.back_at = fleet.now
+        fleet.store_back_at = fleet.now + store_down
         fleet.start_all(late, late_seconds)
 
     def counts(self, first, last):
@@ -162,6 +182,24 @@
         """Return how the jobs ended that should be on time."""
         return self.counts(SERVED_AFTER_SECONDS, COUNTED_SECONDS)
 
+    def useful_blind_refusals(self):
+        """Return the refused jobs that might have ended usefully.
+
+        They were refused while their entry knew no worker, and a start then would have
+        ended within the time in which their answers were worth something.
+        """
+        return [
+            waiter
+            for waiter, waited in self.fleet.blind_refusals.items()
+            if waited + self.fleet.arrivals[waiter][2] <= self.useless_after(waiter)
+        ]
+
+    def useless_after(self, waiter):
+        """Return after how many seconds a job's answer is worth nothing."""
+        _, chosen, seconds, _ = self.fleet.arrivals[waiter]
+        limit = chosen.stretch * seconds + chosen.allowance_ms / 1000
+        return LATE_FACTOR * limit
+
     def end_of(self, waiter):
         fleet = self.fleet
         if waiter not in fleet.answers:
@@ -170,6 +208,5 @@
             return fleet.verdict(waiter)
         if fleet.is_on_time(waiter):
             return "on time"
-        _, chosen, seconds, _ = fleet.arrivals[waiter]
-        limit = chosen.stretch * seconds + chosen.allowance_ms / 1000
-        return "late" if fleet.took(waiter) <= LATE_FACTOR * limit else "useless"
+        is_useful = fleet.took(waiter) <= self.useless_after(waiter)
+        return "late" if is_useful else "useless"
