--- a/features/steps/dispatch_starting_steps.py
+++ b/features/steps/dispatch_starting_steps.py
@@ -8,10 +8,13 @@
 
 from behave import given, then, when
 
+from cactuswalk.dispatch.effects import Observe, Say
 from cactuswalk.dispatch.job import JobVerdict
+from cactuswalk.dispatch.reducerstate import ReducerState
 from cactuswalk.platform.callers import CallerHandler, JobResult
 from cactuswalk.runtime.dispatchentry import DispatchEntryProcess
 from cactuswalk.runtime.listening import ListenError, listen
+from cactuswalk.runtime.startclock import read_boottime, read_process_start
 from cactuswalk.settings.dispatch import Endpoint, load_dispatch_entry
 
 IMPORT_SCRIPT = "import sys, {module}; print('{unneeded}' in sys.modules)"
@@ -132,3 +135,37 @@
     assert not context.submitted
     assert context.response.status == status, context.response.status
     assert context.took < seconds, context.took
+
+
+@given("an entry whose process started {seconds:g} seconds before its reducer")
+def step_started(context, seconds):
+    context.state = ReducerState()
+    context.state.started_at = 100.0 - seconds
+
+
+@when("it hears of its first agent after {seconds:g} seconds, and of another one")
+def step_first_agent(context, seconds):
+    context.state.reach_phase("first agent", 100.0 + seconds)
+    context.state.reach_phase("first agent", 101.0)
+
+
+@then('the phase "{phase}" is logged and measured once, at {seconds:g} seconds')
+def step_phase(context, phase, seconds):
+    line, measured = context.state.take_effects()
+    assert isinstance(line, Say) and line.fields == {
+        "phase": phase,
+        "seconds": seconds,
+    }, line
+    assert measured == Observe("startup_seconds", phase, seconds), measured
+
+
+@then("a process whose start is not measured logs no phases")
+def step_not_measured(context):
+    state = ReducerState()
+    state.reach_phase("first agent", 1.0)
+    assert not state.take_effects()
+
+
+@then("the start of this process is not later than now and not before the host's")
+def step_process_start(context):
+    assert 0 <= read_process_start() <= read_boottime() + 0.01
--- a/src/cactuswalk/dispatch/agentincarnations.py
+++ b/src/cactuswalk/dispatch/agentincarnations.py
@@ -39,6 +39,7 @@
 def adopt_worker(state: AgentState, worker: Worker, now: float) -> None:
     """Switch to a new incarnation of the worker; all earlier runs have ended."""
     _log_worker(state, worker)
+    state.reach_phase("first worker", now)
     mark_all_crashed(state, "the worker's life ended", now)
     state.runs.clear()
     _use(state, worker, now)
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -110,6 +110,8 @@
     if reachable != was_reachable or ready != state.ready_to_start:
         state.ready_to_start = ready
         state.mark_entries_dirty()
+    if state.is_open(now):
+        state.reach_phase("first open worker", now)
 
 
 def _apply_ended(state: AgentState, event: PollAnswered, now: float) -> None:
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -130,6 +130,7 @@
     state.say("a configuration is in force", version=version, was=state.version)
     state.queues = event.queues
     update_waiting_jobs(state, event.queues)
+    state.reach_phase("configuration", now)
     send_status(state, list(state.entries), now)
 
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -22,6 +22,7 @@
 )
 from cactuswalk.dispatch.ordering import (
     is_out_of_time,
+    mark_late_jobs,
     sort_by_urgency,
 )
 from cactuswalk.dispatch.placement import (
@@ -62,8 +63,11 @@
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
+    if state.policy.serves_late and not state.recovery.has_ended:
+        mark_late_jobs(waiting, now)
     for job in sort_by_urgency(waiting):
-        _place_job(state, job, chooser, now)
+        if chooser.has_room_to_begin(job):
+            _place_job(state, job, chooser, now)
 
 
 def _place_job(
@@ -108,6 +112,7 @@
 
 def _record_job_start(state: EntryState, job: JobState, now: float) -> None:
     job.pending_starts += 1
+    state.reach_phase("first placement", now)
     if not job.first_start_at:
         job.first_start_at = now
         state.observe("first_start_seconds", job.queue.name, now - job.arrived_at)
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -23,11 +23,13 @@
 import operator
 import statistics
 
+from cactuswalk.decisions.recovery import count_free_slots
 from cactuswalk.dispatch.agentview import AgentView
+from cactuswalk.dispatch.costs import RESERVED_SHARE
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.expectedends import Choice, ExpectedEnds
 from cactuswalk.dispatch.job import Step
-from cactuswalk.dispatch.jobstate import TaskState
+from cactuswalk.dispatch.jobstate import JobState, TaskState
 from cactuswalk.dispatch.leaving import can_finish_in_time
 
 __all__ = [
@@ -43,10 +45,6 @@
 # is on time within 1.6 times its run time.
 SLOW_FACTOR = 2.0
 
-# Share of each worker that less urgent tasks leave free. With more, long tasks lose
-# more than short ones gain.
-RESERVED_SHARE = 0.1
-
 # Tasks that each entry sends to a slow worker at a time, to detect its recovery.
 MAX_PROBES = 1
 
@@ -109,6 +107,22 @@
         if self.ends is not None:
             self.ends.record_start(view)
 
+    def has_room_to_begin(self, job: JobState) -> bool:
+        """Return whether a late job's tasks all fit beside the reserved shares.
+
+        A job that has begun can't be refused any more; other jobs begin with any task.
+        """
+        if job.has_started or not job.is_late:
+            return True
+        workers = [
+            (view.free_cpu, view.report.cpu)
+            for view in self.ranking
+            if view.report.service == job.queue.service and view.is_open(self.now)
+        ]
+        task_cpu = max(task.step.cpu for task in job.waiting)
+        slots = count_free_slots(workers, task_cpu, RESERVED_SHARE)
+        return slots >= len(job.waiting)
+
     def choose_worker(self, task: TaskState, service: str) -> AgentView | None:
         """Return the agent for a task, or None if the task has to wait."""
         step = task.step
@@ -192,6 +206,8 @@
 
     def _reserves_room(self, task: TaskState, service: str) -> bool:
         """Return whether a task leaves the reserved share to more urgent ones."""
+        if task.job.is_late:
+            return True
         priority = task.job.queue.priority
         return priority > self.urgent_priorities.get(service, priority)
 
