Agents divide scarce capacity among waiting entries (divide_room)

With several entries waiting, each freed task size was reported to three entries, and two of their three starts were declined. The agent now grants it to one of them; entries report their backlog in starts and keepalives.

--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -1,6 +1,7 @@
 """Messages between an agent and the entries."""
 
 from cactuswalk.dispatch.agentcalls import request_start, stop_run
+from cactuswalk.dispatch.agentdivision import record_backlog, record_granted_start
 from cactuswalk.dispatch.agentevacuations import note_store_contact
 from cactuswalk.dispatch.agentevents import Received
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldState, HeldTask
@@ -55,6 +56,7 @@
     state.apply_evacuations(keepalive.evacuations, sender)
     note_store_contact(state, keepalive, now)
     peer.data_centre = keepalive.data_centre
+    record_backlog(state, peer, keepalive, now)
     for sequence in keepalive.acknowledged:
         peer.pending_ends.pop(sequence, None)
         peer.end_sent_at.pop(sequence, None)
@@ -136,8 +138,10 @@
         return
     peer.last_sequence = start.sequence
     peer.dirty = True
-    state.usual_cpu += (start.cpu - state.usual_cpu) // AVERAGED_STARTS
     reason = _decline_reason(state, start, now)
+    record_backlog(state, peer, start, now)
+    record_granted_start(state, peer, start, bool(reason))
+    state.usual_cpu += (start.cpu - state.usual_cpu) // AVERAGED_STARTS
     if reason:
         _decline(state, peer, start, reason, now)
         return
--- a/src/cactuswalk/dispatch/agentheld.py
+++ b/src/cactuswalk/dispatch/agentheld.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from cactuswalk.decisions.division import EntryShare
 from cactuswalk.dispatch.bounds import UNHEARD_SECONDS
 from cactuswalk.dispatch.membership import Member
 from cactuswalk.dispatch.messages import Start, StartEnded
@@ -89,13 +90,15 @@
     :param pending_ends: ends that it has not acknowledged, by sequence;
         ``end_sent_at`` has the time when each was sent last.
     :param dirty: a start has come or ended since the last report; ``outdated``: the
-        worker or the agent has changed; ``urgent``: something that it waits for.
+        worker or the agent has changed; ``urgent``: something that it waits for;
+        ``freed``: one of its own starts has ended, and the capacity is divided.
     :param candidate: another incarnation that has sent a message, and has to return a
         later stamp before it counts as newer.
     :param reported_cpu: free capacity in the last report, in thousandths of a core.
     :param home: it is a home entry of this agent; other entries get reports only
         while they send messages to the agent.
     :param members: the entries that it listed last; ``members_version`` of that list.
+    :param share: its backlog and its part of the free capacity.
     """
 
     address: str
@@ -112,10 +115,12 @@
     dirty: bool = True
     outdated: bool = False
     urgent: bool = False
+    freed: bool = False
     candidate: str = ""
     home: bool = False
     members: list[Member] = []
     members_version: int = 0
+    share: EntryShare = msgspec.field(default_factory=EntryShare)
 
     def is_heard(self, now: float) -> bool:
         """Return whether it was heard recently, and so probably receives messages."""
--- a/src/cactuswalk/dispatch/agentreports.py
+++ b/src/cactuswalk/dispatch/agentreports.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from cactuswalk.dispatch.agentdivision import divide_room, has_room_gone, told_cpu
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentleases import renewal_seconds
 from cactuswalk.dispatch.agentstate import AgentState
@@ -23,14 +24,16 @@
 
 def report_if_dirty(state: AgentState, now: float) -> None:
     """Send a report to each entry that waits for one or whose interval has passed."""
+    divide_room(state, now)
     due = [peer for peer in state.entries.values() if _is_due(state, peer, now)]
     if not due:
         return
     general = _general_report(state, now)
     for peer in due:
-        peer.dirty = peer.outdated = peer.urgent = False
+        peer.dirty = peer.outdated = peer.urgent = peer.freed = False
         peer.reported_at = now
-        peer.reported_cpu = general.free_cpu
+        peer.reported_cpu = told_cpu(state, peer, general.free_cpu)
+        peer.share.record_report(peer.reported_cpu)
         held = list(state.index.sequences.get(peer.address, {}).values())
         report = _address(general, peer, held, now)
         state.send(peer.address, report)
@@ -39,6 +42,10 @@
 def _is_due(state: AgentState, peer: EntryPeer, now: float) -> bool:
     if peer.urgent:
         return True
+    if peer.freed and _has_room_again(state, peer):
+        return True
+    if peer.dirty and has_room_gone(state, peer):
+        return True
     waited = now - peer.reported_at
     if waited < CHANGE_REPORT_SECONDS:
         return False
@@ -54,7 +61,8 @@
     """
     if state.worker is None:
         return False
-    free, told = state.free_resources()[0], peer.reported_cpu
+    free = told_cpu(state, peer, state.free_resources()[0])
+    told = peer.reported_cpu
     urgent = state.usual_cpu
     other = urgent + int(RESERVED_SHARE * state.worker.cpu)
     return told < urgent <= free or told < other <= free
@@ -71,6 +79,7 @@
         acknowledged_members=peer.members_version,
         home=peer.home,
         entry_stamp=peer.entry_stamp,
+        free_cpu=peer.reported_cpu,
     )
 
 
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -2,6 +2,7 @@
 
 import math
 
+from cactuswalk.decisions.division import Division
 from cactuswalk.dispatch.agentcapacity import CapacityBounds
 from cactuswalk.dispatch.agentheld import EntryPeer, HeldTask
 from cactuswalk.dispatch.agentindex import HeldIndex
@@ -38,6 +39,7 @@
     :ivar bounds: upper bounds of the worker's capacity, as refused starts have shown
         them since its latest heartbeat.
     :ivar usual_cpu: average size of the latest starts, in thousandths of a core.
+    :ivar division: of the free capacity among the entries, if ``policy.divides_room``.
     :ivar candidate: a new incarnation of the worker that has not answered a poll yet;
         ``candidate_at`` is when its latest heartbeat came.
     :ivar reachable: the worker answers polls, and has not announced that it leaves.
@@ -91,6 +93,7 @@
         self.worker: Worker | None = None
         self.bounds = CapacityBounds()
         self.usual_cpu = 0
+        self.division = Division()
         self.candidate: Worker | None = None
         self.candidate_at = 0.0
         self.announced_at = 0.0
@@ -227,7 +230,11 @@
         """Send an end to an entry, and keep it until it is acknowledged."""
         peer.pending_ends[ended.sequence] = ended
         peer.end_sent_at[ended.sequence] = now
-        peer.urgent = True
+        if self.policy.divides_room and ended.end is TaskEnd.DONE:
+            # A report may bring it nothing: the capacity may be granted to another.
+            peer.dirty = peer.freed = True
+        else:
+            peer.urgent = True
         self.send(peer.address, ended)
 
     def end(
--- a/src/cactuswalk/dispatch/entrykeepalives.py
+++ b/src/cactuswalk/dispatch/entrykeepalives.py
@@ -27,6 +27,10 @@
 
 def send_keepalives(state: EntryState, now: float) -> None:
     """Send the keepalives that are due; agents with tasks of this entry get more."""
+    if state.policy.divides_room:
+        state.waiting_cpu = sum(
+            [task.step.cpu for job in state.waiting_jobs() for task in job.waiting]
+        )
     for view in state.views.values():
         if _is_due(state, view, now):
             send_keepalive(state, view, now)
@@ -92,6 +96,7 @@
         # keepalives arrived, the agent would run its task on.
         _stopped_sequences(view),
         state.reaches_store(now),
+        state.waiting_cpu,
     )
     state.send(view.address, keepalive)
 
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -46,9 +46,12 @@
     ]
     if not waiting:
         return
+    sizes = [task.step.cpu for job in waiting for task in job.waiting]
+    if state.policy.divides_room:
+        state.waiting_cpu = sum(sizes)
     chooser = WorkerChooser(
         state.usable_views(),
-        min([task.step.cpu for job in waiting for task in job.waiting]),
+        min(sizes),
         SLOW_FACTOR * state.median_pace,
         state.far_factor,
         state.urgent_priorities(now),
@@ -57,12 +60,26 @@
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
+    starts: list[Start] = []
     for job in sort_by_urgency(waiting):
-        _place_job(state, job, chooser, now)
+        _place_job(state, job, chooser, starts, now)
+    if state.policy.divides_room:
+        _fill_in_backlog(state, starts)
+
+
+def _fill_in_backlog(state: EntryState, starts: list[Start]) -> None:
+    """Fill in what still waits after a round, in the starts that it has sent."""
+    state.waiting_cpu -= sum([start.cpu for start in starts])
+    for start in starts:
+        start.waiting_cpu = state.waiting_cpu
 
 
 def _place_job(
-    state: EntryState, job: JobState, chooser: WorkerChooser, now: float
+    state: EntryState,
+    job: JobState,
+    chooser: WorkerChooser,
+    starts: list[Start],
+    now: float,
 ) -> None:
     left = []
     for number, task in enumerate(job.waiting):
@@ -79,14 +96,14 @@
                 left.extend(job.waiting[number + 1 :])
                 break
             continue
-        _start_task(state, task, view, now)
+        starts.append(_start_task(state, task, view, now))
         chooser.record_start(view)
     job.waiting = left
 
 
 def _start_task(
     state: EntryState, task: TaskState, view: AgentView, now: float
-) -> None:
+) -> Start:
     task.runs += 1
     task.agent_address = view.address
     task.placed_at = now
@@ -97,6 +114,7 @@
     view.add(PlacedTask(start, task, now))
     _log_placement(state, task, view, start, now)
     state.send(view.address, start)
+    return start
 
 
 def _record_job_start(state: EntryState, job: JobState, now: float) -> None:
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -54,6 +54,8 @@
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar median_pace: of the live workers, as of the last tick.
     :ivar recheck_requested: waiting jobs may fit no known worker any more.
+    :ivar waiting_cpu: size of the tasks that wait for a worker, in thousandths of a
+        core, as of the last placement round or tick; 0 unless ``policy.divides_room``.
     :ivar store_answered_at: when the platform's store answered this entry last.
     :ivar handled_at: when an event was handled last; before the first, when the process
         started.
@@ -109,6 +111,7 @@
         self.median_pace = 1.0
         self.placement_needed = False
         self.recheck_requested = False
+        self.waiting_cpu = 0
         self.keepalive_sent_at: dict[str, float] = {}
         self.status_sent_at = 0.0
         self.first_open_worker_at = math.inf
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -114,6 +114,8 @@
     :param entry_stamp: the sender's clock in milliseconds, which a report echoes.
     :param stopped: sequences of starts that the sender wants stopped, as in ``Stop``.
     :param reaches_store: the platform's store has answered the sender recently.
+    :param waiting_cpu: size of the tasks that wait for a worker at the sender, in
+        thousandths of a core.
     """
 
     incarnation: str
@@ -127,6 +129,7 @@
     entry_stamp: int = 0
     stopped: list[int] = []
     reaches_store: bool = True
+    waiting_cpu: int = 0
 
 
 class Start(msgspec.Struct, array_like=True, tag=3):
@@ -135,6 +138,7 @@
     :param is_returnable: the agent may return the task if its worker would take long.
     :param is_suspect: a worker has crashed under the task; two such tasks must not
         share a worker.
+    :param waiting_cpu: as in ``Keepalive``, after the sender's placement round.
     """
 
     incarnation: str
@@ -151,6 +155,7 @@
     estimate_ms: int
     is_returnable: bool = True
     is_suspect: bool = False
+    waiting_cpu: int = 0
 
 
 class Stop(msgspec.Struct, array_like=True, tag=4):
