--- /dev/null
+++ b/features/decision_division.feature
@@ -0,0 +1,95 @@
+Feature: How an agent divides its free capacity among entries
+
+  Scenario: One entry at a time is told of one task's capacity
+    Otherwise each of three entries sends a start, and two are declined.
+    Given entries a, b and c with 60, 60 and 60 cores waiting
+    When 6 cores are free, and tasks take 6
+    Then one entry is told 6 cores and the others 0
+
+  Scenario: Grants follow the backlogs
+    Otherwise an entry with few callers would get as much as one with many.
+    Given entries a, b and c with 60, 40 and 20 cores waiting
+    When 6 cores are freed 60 times, and each grant is used
+    Then a, b and c have got 30, 20 and 10 grants, give or take 1
+
+  Scenario: Capacity that covers all backlogs is told to all
+    Otherwise a job that arrives would wait for a grant beside idle capacity.
+    Given entries a, b and c with 6, 0 and 0 cores waiting
+    When 24 cores are free, and tasks take 6
+    Then every entry is told 24 cores
+
+  Scenario: Entries without waiting tasks are told what is left
+    Given entries a, b and c with 6, 0 and 0 cores waiting
+    When 8 cores are free, and tasks take 6
+    Then a is told 8 cores
+    And b is told 2 cores
+
+  Scenario: A grant of two tasks ends with the second start
+    Otherwise its second start would find the capacity granted to another entry.
+    Given entries a, b and c with 60, 0 and 0 cores waiting
+    When 12 cores are free, and tasks take 6
+    And a sends a start of 5 cores
+    Then a has a grant of 7 cores
+    When a sends a start of 6 cores
+    Then a has a grant of 0 cores
+
+  Scenario: A grant expires, and its entry gets no other before it is heard
+    A crashed or frozen entry may block capacity for 30 ms only.
+    Given entries a and b with 60 and 60 cores waiting
+    When 6 cores are free, and tasks take 6
+    And 0.031 seconds pass
+    Then b is told 6 cores
+    When b sends a start of 6 cores
+    And 6 cores are free, and tasks take 6
+    Then b is told 6 cores
+    When b sends a start of 6 cores
+    And b has nothing waiting any more
+    And 12 cores are free, and tasks take 6
+    Then every entry is told 12 cores
+    When a echoes a report of 0.05 seconds later
+    And 12 cores are free, and tasks take 6
+    Then a is told 12 cores
+    And b is told 0 cores
+
+  Scenario: A backlog that is not confirmed for 0.3 seconds gets no grants
+    Given entries a and b with 60 and 60 cores waiting
+    When 0.31 seconds pass
+    And 6 cores are free, and tasks take 6
+    Then every entry is told 6 cores
+
+  Scenario: Capacity that waiting tasks leave unused is told to all for a second
+    Long tasks leave room for urgent ones. If that were granted again and again, an
+    urgent task at another entry would wait beside idle capacity.
+    Given entries a, b and c with 60, 0 and 0 cores waiting
+    When 6 cores are free, and tasks take 6
+    And 0.031 seconds pass
+    And a echoes a report of 0.05 seconds later
+    And 6 cores are free, and tasks take 6
+    Then every entry is told 6 cores
+    When 1.05 seconds pass
+    And a echoes a report of 0 seconds later
+    And 6 cores are free, and tasks take 6
+    Then a is told 6 cores
+    And b is told 0 cores
+
+  Scenario: An urgent task that was declined gets the capacity that others leave
+    Given entries a and b with 60 and 60 cores waiting
+    And both have left 9 cores unused
+    When 7 cores are free, and tasks take 6
+    Then every entry is told 7 cores
+    When a sends a start of 6 cores that is declined
+    And 7 cores are free, and tasks take 6
+    Then a is told 7 cores
+    And b is told 1 cores
+
+  Scenario: Two grants are made only if both leave room for urgent tasks
+    Otherwise neither entry could start its task before both grants expire.
+    Given entries a and b with 60 and 60 cores waiting
+    When 13 cores are free, tasks take 6, and 6 are for urgent ones
+    Then one entry is told 13 cores and the others 7
+
+  Scenario: A larger task that does not fit its grants is told all that is free
+    Given entries a and b with 31 and 60 cores waiting
+    And both have left 16 cores unused
+    When 32 cores are free, and tasks take 6
+    Then some entry is told at least 31 cores, now or after the grants have expired
