--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -50,10 +50,13 @@
     ]
     if not waiting:
         return
+    sizes = [task.step.cpu for job in waiting for task in job.waiting]
+    if state.policy.divides_room:
+        state.waiting_cpu = sum(sizes)
     ends = make_expected_ends(state, now)
     chooser = WorkerChooser(
         state.usable_views(),
-        min([task.step.cpu for job in waiting for task in job.waiting]),
+        min(sizes),
         SLOW_FACTOR * state.median_pace if ends is None else math.inf,
         state.far_factor,
         state.urgent_priorities(now),
@@ -65,13 +68,27 @@
         return
     if state.policy.serves_late and not state.recovery.has_ended:
         mark_late_jobs(waiting, now)
+    starts: list[Start] = []
     for job in sort_by_urgency(waiting):
         if chooser.has_room_to_begin(job):
-            _place_job(state, job, chooser, now)
+            _place_job(state, job, chooser, starts, now)
+    if state.policy.divides_room:
+        _fill_in_backlog(state, starts)
+
+
+def _fill_in_backlog(state: EntryState, starts: list[Start]) -> None:
+    """Fill in what still waits after a round, in the starts that it has sent."""
+    state.waiting_cpu -= sum([start.cpu for start in starts])
+    for start in starts:
+        start.waiting_cpu = state.waiting_cpu
 
 
 def _place_job(
-    state: EntryState, job: JobState, chooser: WorkerChooser, now: float
+    state: EntryState,
+    job: JobState,
+    chooser: WorkerChooser,
+    starts: list[Start],
+    now: float,
 ) -> None:
     left = []
     for number, task in enumerate(job.waiting):
@@ -88,7 +105,7 @@
                 left.extend(job.waiting[number + 1 :])
                 break
             continue
-        _start_task(state, task, view, now)
+        starts.append(_start_task(state, task, view, now))
         chooser.record_start(view)
         if chooser.ends is not None:
             state.observe("placed_by_end", chooser.ends.purpose.value)
@@ -97,7 +114,7 @@
 
 def _start_task(
     state: EntryState, task: TaskState, view: AgentView, now: float
-) -> None:
+) -> Start:
     task.runs += 1
     task.agent_address = view.address
     task.placed_at = now
@@ -108,6 +125,7 @@
     view.add(PlacedTask(start, task, now))
     _log_placement(state, task, view, start, now)
     state.send(view.address, start)
+    return start
 
 
 def _record_job_start(state: EntryState, job: JobState, now: float) -> None:
