--- a/src/cactuswalk/decisions/admission.py
+++ b/src/cactuswalk/decisions/admission.py
@@ -21,70 +21,21 @@
 
 import msgspec
 
+from cactuswalk.decisions.waitmargin import INITIAL_WAIT_MARGIN
 from cactuswalk.model import Refusal, RefusalCode
 
-__all__ = ["Backlog", "WaitMargin", "check_admission", "retry_after_ms"]
-
-# Bounds and initial value of the factor that the predicted wait is multiplied by.
-MIN_WAIT_MARGIN = 2.0
-MAX_WAIT_MARGIN = 10.0
-INITIAL_WAIT_MARGIN = 2.0
+__all__ = ["Backlog", "check_admission", "retry_after_ms"]
 
 # In a peak the job with the nearest deadline goes first, so only the sum of the queued
 # work matters, and that sum is estimated without bias.
 PEAK_WAIT_MARGIN = 1.0
 
-# Target: one admitted job in fifty waits longer than predicted with the margin. Each
-# job moves the margin by up to 5%. A job that is shed from the queue moves it by 10%,
-# because that refusal reaches its caller seconds late.
-TARGET_UNDERESTIMATED_PART = 0.02
-MARGIN_STEP = 0.05
-SHED_MARGIN_STEP = 0.1
-
-# A shorter predicted wait amounts to a few messages and a fraction of a run time, and
-# tells nothing about the margin.
-MIN_WAIT_TO_LEARN_SECONDS = 0.1
-
 # A task counts as unable to meet its deadline only if less than this part of its
 # expected run time is left: with heavy-tailed run times most tasks are shorter than the
 # mean.
 MIN_RUN_TIME_PART = 0.5
 
 
-class WaitMargin(msgspec.Struct):
-    """Learns by what factor the predicted wait falls short of the actual one.
-
-    Overtaking by other jobs, errors of declared run times and the drain rate can't be
-    known beforehand. The factor grows with each admitted job that waited longer than
-    predicted or was shed, and shrinks with each other job, so that one in fifty waits
-    longer (stochastic approximation of a percentile).
-    """
-
-    factor: float = INITIAL_WAIT_MARGIN
-
-    def record_start(self, waited: float, predicted_wait: float) -> None:
-        """Update the margin for an admitted job whose last task now has a slot.
-
-        :param waited: in seconds.
-        :param predicted_wait: without the margin, in seconds.
-        """
-        if predicted_wait < MIN_WAIT_TO_LEARN_SECONDS:
-            return
-        if waited > predicted_wait * self.factor:
-            self.adjust(MARGIN_STEP * (1 - TARGET_UNDERESTIMATED_PART))
-        else:
-            self.adjust(-MARGIN_STEP * TARGET_UNDERESTIMATED_PART)
-
-    def record_shed(self) -> None:
-        """Update the margin for an admitted job that was shed from the queue."""
-        self.adjust(SHED_MARGIN_STEP)
-
-    def adjust(self, step: float) -> None:
-        """Change the margin by a relative step, within its bounds."""
-        moved = self.factor * (1 + step)
-        self.factor = min(MAX_WAIT_MARGIN, max(MIN_WAIT_MARGIN, moved))
-
-
 class Backlog(msgspec.Struct, frozen=True):
     """The queue that a new job would join, in slot seconds of expected work.
 
--- a/src/cactuswalk/decisions/service.py
+++ b/src/cactuswalk/decisions/service.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from cactuswalk.decisions.admission import Backlog, WaitMargin
+from cactuswalk.decisions.admission import Backlog
 from cactuswalk.decisions.budget import Budget, hedge_budget, retry_budget
 from cactuswalk.decisions.estimation import DurationEstimate, SizeEstimate
 from cactuswalk.decisions.fairness import (
@@ -17,6 +17,7 @@
 from cactuswalk.decisions.queueing import Lane, LaneKey, QueuedJob, lane_key
 from cactuswalk.decisions.reservation import Reservation
 from cactuswalk.decisions.shedding import DeadlineQueue
+from cactuswalk.decisions.waitmargin import WaitMargin
 from cactuswalk.model import TaskSpec
 
 __all__ = ["Service"]
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -12,6 +12,7 @@
     STOP_MARGIN_SECONDS,
 )
 from cactuswalk.dispatch.effects import Effect
+from cactuswalk.dispatch.entryadmission import record_missed_start, record_round
 from cactuswalk.dispatch.entryagents import (
     expire_or_resend,
     handle_message,
@@ -84,6 +85,7 @@
         if state.waiting_jobs():
             place_tasks(state, now)
             request_capacity(state, now)
+        record_round(state, now)
     return state.take_effects()
 
 
@@ -143,6 +145,7 @@
         if state.stop_at and now > state.stop_at - STOP_MARGIN_SECONDS:
             verdict = JobAction.GIVE_UP if job.has_started else JobAction.REFUSE
         if verdict is JobAction.REFUSE:
+            record_missed_start(state, job)
             answer_job(state, job, JobVerdict.NOT_RUN, "no capacity in time", now)
         elif verdict is JobAction.GIVE_UP:
             answer_job(state, job, JobVerdict.UNFINISHED, "out of time", now)
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -3,6 +3,11 @@
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.effects import Answer
+from cactuswalk.dispatch.entryadmission import (
+    find_late_reason,
+    prospect_fields,
+    retry_pause,
+)
 from cactuswalk.dispatch.entryattempts import find_earlier_attempt
 from cactuswalk.dispatch.entrycrashes import restore_crashes
 from cactuswalk.dispatch.entryevents import (
@@ -18,7 +23,6 @@
     ANSWER_MARGIN_SECONDS,
     QUEUEING_SLACK_SHARE,
     critical_path_seconds,
-    retry_after_seconds,
 )
 from cactuswalk.dispatch.placement import any_large_enough, can_ever_run
 from cactuswalk.dispatch.routing import Queue
@@ -57,6 +61,10 @@
         answer_job(state, job, JobVerdict.FAILED, "a task crashes its workers", now)
         return
     find_earlier_attempt(state, job, now)
+    late_reason = find_late_reason(state, job, now)
+    if late_reason:
+        answer_job(state, job, JobVerdict.NOT_RUN, late_reason, now)
+        return
     state.note_waiting(job)
     state.placement_needed = True
 
@@ -156,7 +164,7 @@
     """Answer the callers of a job and remove it."""
     pause = 0.0
     if verdict is not JobVerdict.COMPLETED:
-        pause = retry_after_seconds(state.queued_seconds())
+        pause = retry_pause(state, job, now)
     for waiter in job.waiters:
         state.effects.append(Answer(waiter, verdict, reason, pause))
     state.observe("answers", f"{job.queue.name} {verdict.value}")
@@ -215,6 +223,7 @@
     ]
     open_views = [view for view in views if view.is_open(now)]
     return {
+        **prospect_fields(job),
         "workers": len(views),
         "open_workers": len(open_views),
         "free_cpu": sum(view.free_cpu for view in open_views),
--- a/src/cactuswalk/dispatch/entryknown.py
+++ b/src/cactuswalk/dispatch/entryknown.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from cactuswalk.dispatch.messages import QueuedWork
+
 __all__ = ["KnownEntry"]
 
 
@@ -16,6 +18,7 @@
         core.
     :param members_sent_at: when it was last sent the list of entries.
     :param jobs: those that it listed in its latest status, at ``jobs_listed_at``.
+    :param queued: what waited there as of its latest status.
     """
 
     heard_at: float
@@ -24,3 +27,4 @@
     members_sent_at: float = -math.inf
     jobs: frozenset[str] = frozenset()
     jobs_listed_at: float = -math.inf
+    queued: list[QueuedWork] = []
--- a/src/cactuswalk/dispatch/entrypeers.py
+++ b/src/cactuswalk/dispatch/entrypeers.py
@@ -7,6 +7,7 @@
 
 import itertools
 
+from cactuswalk.dispatch.entryadmission import list_queued
 from cactuswalk.dispatch.entryattempts import list_jobs, note_listed_jobs
 from cactuswalk.dispatch.entrycrashes import (
     forget_known_crashes,
@@ -64,6 +65,7 @@
     entry.heard_at = now
     entry.data_centre = status.data_centre
     entry.free_cpu = status.free_cpu
+    entry.queued = status.queued
     note_listed_jobs(state, sender, status.jobs, now)
     note_known_crashes(state, status.crashes, now)
     _apply_evacuations(state, status.evacuations, sender, now)
@@ -206,6 +208,7 @@
         state.evacuations,
         list_jobs(state, now),
         list_crashes(state),
+        list_queued(state),
     )
     for address in addresses:
         state.send(address, status)
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -2,7 +2,9 @@
 
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.crashes import is_suspect
+from cactuswalk.dispatch.entryadmission import may_begin, record_task_start
 from cactuswalk.dispatch.entryattempts import has_earlier_attempt
+from cactuswalk.dispatch.entrychooser import make_chooser
 from cactuswalk.dispatch.entrycrashes import (
     clear_suspicion,
     drop_refuted_crashes,
@@ -21,11 +23,7 @@
     is_out_of_time,
     sort_by_urgency,
 )
-from cactuswalk.dispatch.placement import (
-    SLOW_FACTOR,
-    WorkerChooser,
-    has_own_choice,
-)
+from cactuswalk.dispatch.placement import WorkerChooser, has_own_choice
 
 __all__ = ["end_start", "place_tasks"]
 
@@ -46,19 +44,14 @@
     ]
     if not waiting:
         return
-    chooser = WorkerChooser(
-        state.usable_views(),
-        min([task.step.cpu for job in waiting for task in job.waiting]),
-        SLOW_FACTOR * state.median_pace,
-        state.far_factor,
-        state.urgent_priorities(now),
-        now,
-    )
+    least_cpu = min([task.step.cpu for job in waiting for task in job.waiting])
+    chooser = make_chooser(state, least_cpu, now)
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
     for job in sort_by_urgency(waiting):
-        _place_job(state, job, chooser, now)
+        if may_begin(state, job, chooser, now):
+            _place_job(state, job, chooser, now)
 
 
 def _place_job(
@@ -81,6 +74,8 @@
             continue
         _start_task(state, task, view, now)
         chooser.record_start(view)
+        is_last = not left and number == len(job.waiting) - 1
+        record_task_start(state, job, task, is_last, now)
     job.waiting = left
 
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -3,6 +3,7 @@
 import math
 
 from cactuswalk.decisions.estimation import DurationEstimate
+from cactuswalk.decisions.prospects import Prospects
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import RESUME_SECONDS
 from cactuswalk.dispatch.crashes import KnownCrashes
@@ -68,6 +69,7 @@
     :ivar silent_incarnations: by address, those of the agents that were silent in the
         isolation.
     :ivar placed_from: tasks of jobs that arrived before this time are not placed.
+    :ivar prospects: from which the admission of jobs is predicted.
     """
 
     def __init__(
@@ -122,6 +124,7 @@
         self.heard_again_at = 0.0
         self.silent_incarnations: dict[str, str] = {}
         self.placed_from = -math.inf
+        self.prospects = Prospects()
 
     @property
     def version(self) -> int:
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cactuswalk.decisions.prospects import Prospect
 from cactuswalk.dispatch.crashes import CrashRecord
 from cactuswalk.dispatch.job import JobRequest, Step, TaskKey
 from cactuswalk.dispatch.routing import Queue
@@ -56,6 +57,7 @@
     :param first_start_at: when the first of its starts was sent; 0 before.
     :param earlier_entry: address of an entry that may still run an earlier attempt at
         it; empty for none.
+    :param prospect: what was predicted when it arrived; None for nothing.
     """
 
     request: JobRequest
@@ -77,6 +79,7 @@
     lost_runs: int = 0
     declined_runs: int = 0
     earlier_entry: str = ""
+    prospect: Prospect | None = None
 
     @property
     def give_up_at(self) -> float:
--- a/src/cactuswalk/dispatch/messages.py
+++ b/src/cactuswalk/dispatch/messages.py
@@ -26,6 +26,7 @@
     "Keepalive",
     "MemberList",
     "Message",
+    "QueuedWork",
     "Report",
     "Start",
     "StartEnded",
@@ -196,6 +197,19 @@
     blamed: bool
 
 
+class QueuedWork(msgspec.Struct, array_like=True, frozen=True):
+    """Tasks of one priority that wait for a worker at an entry.
+
+    :param cpu: of all of them, in thousandths of a core.
+    :param work: the same times their expected run times, in core-milliseconds.
+    """
+
+    priority: int
+    cpu: int
+    work: int
+    service: str = ""
+
+
 class EntryStatus(msgspec.Struct, array_like=True, tag=6):
     """An entry tells another that it is alive, and the versions of what it knows.
 
@@ -205,6 +219,7 @@
     :param evacuations: the newest that the sender knows of.
     :param jobs: identifiers of jobs of which tasks may run for the sender.
     :param crashes: of workers under the tasks of its jobs.
+    :param queued: what waits at the sender, by service and priority.
     """
 
     incarnation: str
@@ -215,6 +230,7 @@
     evacuations: Evacuations
     jobs: list[str] = []
     crashes: list[TaskCrash] = []
+    queued: list[QueuedWork] = []
 
 
 class ConfigurationRequest(msgspec.Struct, array_like=True, tag=7):
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -112,6 +112,26 @@
             self.unplaceable_sizes[service, reserves_room] = size
         return best
 
+    def count_fitting(self, task: TaskState, service: str, most: int) -> int:
+        """Return how many tasks like one fit the workers now, up to a number."""
+        step = task.step
+        size = (step.cpu, step.memory_mb, step.gpu)
+        reserves_room = self._reserves_room(task, service)
+        least = self.unplaceable_sizes.get((service, reserves_room))
+        if least is not None and all(map(operator.ge, size, least)):
+            return 0
+        count = 0
+        for view in self.ranking:
+            if view.free_cpu < step.cpu or view.report.service != service:
+                continue
+            if reserves_room and not _has_reserve(view, step.cpu):
+                continue
+            if self._is_eligible(view, task):
+                count += _count_in(view, step, reserves_room)
+                if count >= most:
+                    return most
+        return count
+
     def _find_cheapest(
         self, task: TaskState, service: str, reserves_room: bool
     ) -> AgentView | None:
@@ -201,6 +221,19 @@
     return view.free_cpu >= cpu + reserve or view.is_empty()
 
 
+def _count_in(view: AgentView, step: Step, reserves_room: bool) -> int:
+    """Return how many tasks of a step a worker has room for."""
+    free_cpu = view.free_cpu
+    if reserves_room:
+        free_cpu -= int(RESERVED_SHARE * view.report.cpu)
+    count = max(1, free_cpu // max(1, step.cpu))
+    if step.memory_mb:
+        count = min(count, view.free_memory_mb // step.memory_mb)
+    if step.gpu:
+        count = min(count, view.free_gpu // step.gpu)
+    return min(count, step.per_worker) if step.per_worker else count
+
+
 def has_own_choice(task: TaskState) -> bool:
     """Return whether fewer workers may run a task than others of its size."""
     return bool(task.avoided_agents) or is_suspect(task.crashed)
