--- a/src/cactuswalk/decisions/prospects.py
+++ b/src/cactuswalk/decisions/prospects.py
@@ -30,6 +30,11 @@
 # The margin starts from the unbiased prediction: the slack that an admitted job has
 # beyond its latest start covers the deviations until the margin is learnt.
 MIN_MARGIN = 1.0
+INITIAL = 1.0
+
+# Longest predicted wait: no caller waits for a minute, and logs and metrics have no
+# infinite numbers.
+MAX_WAIT_SECONDS = 60.0
 
 # A predicted wait below this tells nothing about the margin. Jobs of the shortest kind
 # may wait for a twentieth of a second.
@@ -66,7 +71,7 @@
 class Prospect(msgspec.Struct, frozen=True):
     """When there is expected to be capacity for all tasks of a job.
 
-    :param wait: seconds until then, without the margin; infinite if nothing drains.
+    :param wait: seconds until then, without the margin.
     :param margin: factor by which waits have recently exceeded their prediction.
     :param rate: of the backlog's drain, in thousandths of a core per second.
     """
@@ -154,7 +159,7 @@
         rate = drain.rate(now) if drain else None
         if rate is None:
             return None
-        wait = missing / rate if rate > 0 else math.inf
+        wait = min(MAX_WAIT_SECONDS, missing / max(1.0, rate))
         return Prospect(demand, wait, margin, rate)
 
     def margin(self, key: tuple[str, int]) -> WaitMargin:
@@ -162,7 +167,7 @@
         margin = self.margins.get(key)
         if margin is None:
             margin = self.margins[key] = WaitMargin(
-                MIN_MARGIN, MIN_MARGIN, MIN_WAIT_TO_LEARN_SECONDS
+                INITIAL, MIN_MARGIN, MIN_WAIT_TO_LEARN_SECONDS
             )
         return margin
 
--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -36,6 +36,8 @@
 # Share of its slack that an admitted job may wait. It is admitted by a shorter one
 # (``QUEUEING_SLACK_SHARE``), and a refusal would come late for its caller.
 ADMITTED_SLACK_SHARE = 0.8
+LIMIT = 0.4
+ELSE = 1
 
 
 def find_late_reason(state: EntryState, job: JobState, now: float) -> str:
@@ -51,13 +53,14 @@
     admitted_until = job.latest_start_at
     slack = job.due_at - job.expected_seconds - job.arrived_at
     job.latest_start_at = job.arrived_at + slack * ADMITTED_SLACK_SHARE
+    limit = job.arrived_at + slack * LIMIT
     key = _key(job)
     job.prospect = state.prospects.predict(key, _demand(state, job, now), now)
     if job.prospect is None:
         job.latest_start_at = admitted_until
         return ""
     state.observe("predicted_wait_seconds", job.queue.name, job.prospect.wait)
-    if not job.prospect.exceeds(admitted_until - now):
+    if not job.prospect.exceeds(limit - now):
         return ""
     state.observe("refused_at_arrival", job.queue.name)
     return "no capacity for all of its tasks is predicted in time"
@@ -93,9 +96,7 @@
     task = job.waiting[0]
     cpu = task.step.cpu
     most = len(job.waiting)
-    fitting = make_chooser(state, cpu, now).count_fitting(
-        task, job.queue.service, most
-    )
+    fitting = make_chooser(state, cpu, now).count_fitting(task, job.queue.service, most)
     ahead_cpu = _ahead_cpu(state, job)
     elsewhere_cpu = 0
     if fitting < most or ahead_cpu:
@@ -152,7 +153,7 @@
             free_cpu = max(entry.free_cpu, most.get(entry.data_centre, 0))
             most[entry.data_centre] = free_cpu
     own = state.free_cpu(now)
-    return sum(max(0, free_cpu - own) for free_cpu in most.values()) // sharers
+    return sum(max(0, free_cpu - own) for free_cpu in most.values()) // (sharers * ELSE)
 
 
 def may_begin(
@@ -257,9 +258,7 @@
     capacity = sum(max(0, view.report.cpu) for view in state.usable_views())
     if capacity <= 0:
         return MAX_RETRY_SECONDS
-    own = sum(
-        _waiting_cpu(job) * job.expected_seconds for job in state.waiting_jobs()
-    )
+    own = sum(_waiting_cpu(job) * job.expected_seconds for job in state.waiting_jobs())
     neighbours = sum(
         row.work
         for entry in state.entries.values()
