--- a/features/support/admissionload.py
+++ b/features/support/admissionload.py
@@ -37,6 +37,7 @@
     "1.6": (1.6, 0, 0, {}, False),
     "burst": (0.65, 2.0, 6.0, {"rebuilds": 3.15}, False),
     "evacuated": (0.85, 2.0, 6.0, {}, True),
+    "subsided": (0.5, 0.0, 3.0, dict.fromkeys(KINDS, 3.2), False),
 }
 LOAD_SECONDS = 7.0
 
@@ -180,9 +181,14 @@
         return max(self.by_entry.values()) / least if least else float("inf")
 
 
-def play(shape, seed, policy):
-    """Play a load; return the fleet, the load and the figures."""
+def play(shape, seed, policy, prepare=None):
+    """Play a load; return the fleet, the load and the figures.
+
+    :param prepare: is called with the fleet before the load begins, to break something.
+    """
     fleet = admission_fleet(seed, policy)
+    if prepare is not None:
+        prepare(fleet)
     load = AdmissionLoad(fleet, shape, seed)
     fleet.run(LOAD_SECONDS + 8.0)
     return fleet, load, judge(fleet, load)
--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -23,6 +23,7 @@
     "find_late_reason",
     "list_queued",
     "may_begin",
+    "neighbours_cpu",
     "prospect_fields",
     "record_missed_start",
     "record_round",
@@ -101,7 +102,7 @@
     elsewhere_cpu = 0
     if fitting < most or ahead_cpu:
         elsewhere_cpu = _elsewhere_cpu(state, now)
-    neighbours = _neighbours_cpu(state, now)
+    neighbours = neighbours_cpu(state, now)
     return Demand(
         _waiting_cpu(job),
         ahead_cpu,
@@ -123,7 +124,7 @@
     )
 
 
-def _neighbours_cpu(state: EntryState, now: float) -> dict[tuple[str, int], int]:
+def neighbours_cpu(state: EntryState, now: float) -> dict[tuple[str, int], int]:
     """Return what waits at the other entries of this data centre."""
     totals: dict[tuple[str, int], int] = {}
     for entry in state.entries.values():
@@ -224,7 +225,7 @@
     for job in waiting:
         key = _key(job)
         own[key] = own.get(key, 0) + _waiting_cpu(job)
-    neighbours = _neighbours_cpu(state, now) if own else {}
+    neighbours = neighbours_cpu(state, now) if own else {}
     state.prospects.record_backlogs(own, neighbours, now)
 
 
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -185,6 +185,7 @@
         declined=job.declined_runs,
         **_last_task(job),
         **_room_seen(state, job, verdict, now),
+        **_prospect_seen(job, verdict, now),
         version=state.version,
     )
     _remove_job(state, job, now)
@@ -223,7 +224,6 @@
     ]
     open_views = [view for view in views if view.is_open(now)]
     return {
-        **prospect_fields(job),
         "workers": len(views),
         "open_workers": len(open_views),
         "free_cpu": sum(view.free_cpu for view in open_views),
@@ -235,6 +235,14 @@
     }
 
 
+def _prospect_seen(
+    job: JobState, verdict: JobVerdict, now: float
+) -> dict[str, object]:
+    """Return log fields on what was predicted, unless the job is on time."""
+    is_on_time = verdict is JobVerdict.COMPLETED and now <= job.due_at
+    return {} if is_on_time else prospect_fields(job)
+
+
 def _last_task(job: JobState) -> dict[str, object]:
     """Return log fields on how long a job's last task waited and ran."""
     task = job.last_task
