--- a/features/steps/dispatch_admission_steps.py
+++ b/features/steps/dispatch_admission_steps.py
@@ -13,7 +13,7 @@
 from features.support.admissionload import play
 from features.support.fleet import Fleet, queue
 
-SEEDS = (1, 2, 3)
+SEEDS = (1, 2)
 ON = LoadPolicy(predicts_admission=True)
 OFF = LoadPolicy()
 SUBSIDED_SECONDS = 4.0
--- a/features/support/admissionload.py
+++ b/features/support/admissionload.py
@@ -46,16 +46,22 @@
     """A fleet that notes at each refusal whether the job would have fitted.
 
     :ivar fitting: the waiters of refused jobs for whose tasks workers were free.
+    :ivar widths: number of tasks, by job.
+    :ivar when_refused: is called with the answer to each refused job.
     """
 
     def __init__(self, *arguments, **options):
         self.fitting = set()
+        self.widths = {}
+        self.when_refused = None
         super().__init__(*arguments, **options)
 
     def perform(self, name, state, effect):
         if isinstance(effect, Answer) and effect.verdict.value == "not_run":
             if self.would_fit(self.arrivals[effect.waiter][3]):
                 self.fitting.add(effect.waiter)
+            if self.when_refused is not None:
+                self.when_refused(effect)
         super().perform(name, state, effect)
 
     def would_fit(self, job):
@@ -75,7 +81,6 @@
         ENTRIES, WORKERS, seed, queues=queues, centres=CENTRES, policy=policy
     )
     fleet.in_order = True
-    fleet.widths = {}
     for number, worker in enumerate(fleet.workers.values()):
         worker.cpu = CPU
         if number // CENTRES % 3 == 2:
@@ -96,6 +101,7 @@
     """Arrivals of the three kinds at all entries, by one of ``SHAPES``.
 
     :ivar jobs: waiter, kind, entry and worth of each job.
+    :ivar retried: the waiters of jobs that have come back after a refusal.
     """
 
     def __init__(self, fleet, shape, seed):
@@ -106,6 +112,7 @@
         self.generator = random.Random(seed)
         self.number = 0
         self.jobs = []
+        self.retried = set()
         if evacuates:
             fleet.at(self.begins, lambda: fleet.evacuate("d0"))
             fleet.at(self.ends, lambda: fleet.take_back("d0"))
@@ -150,6 +157,25 @@
         size = min(4.0, 0.3 + 0.7 * tasks * seconds / width / mean)
         self.jobs.append((waiter, name, entry, size))
 
+    def come_back(self, refusal):
+        """Submit a refused job once more, after the delay that its caller was told."""
+        if refusal.waiter not in self.retried:
+            self.fleet.at(refusal.retry_after, lambda: self.submit_again(refusal))
+
+    def submit_again(self, refusal):
+        fleet = self.fleet
+        _, chosen, seconds, job = fleet.arrivals[refusal.waiter]
+        waiter = fleet.submit(
+            self.generator.choice(fleet.entry_names),
+            job,
+            fleet.widths[job],
+            cpu=fleet.sizes[job][0],
+            seconds=seconds,
+            wait=max(1.5, 5 * seconds),
+            queue_name=chosen.name,
+        )
+        self.retried.add(waiter)
+
 
 class Figures(msgspec.Struct):
     """What became of a load's jobs.
--- a/src/cactuswalk/decisions/prospects.py
+++ b/src/cactuswalk/decisions/prospects.py
@@ -30,7 +30,6 @@
 # The margin starts from the unbiased prediction: the slack that an admitted job has
 # beyond its latest start covers the deviations until the margin is learnt.
 MIN_MARGIN = 1.0
-INITIAL = 1.0
 
 # Longest predicted wait: no caller waits for a minute, and logs and metrics have no
 # infinite numbers.
@@ -167,7 +166,7 @@
         margin = self.margins.get(key)
         if margin is None:
             margin = self.margins[key] = WaitMargin(
-                INITIAL, MIN_MARGIN, MIN_WAIT_TO_LEARN_SECONDS
+                MIN_MARGIN, MIN_MARGIN, MIN_WAIT_TO_LEARN_SECONDS
             )
         return margin
 
--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -14,7 +14,6 @@
 from cactuswalk.dispatch.messages import QueuedWork
 from cactuswalk.dispatch.ordering import (
     MAX_RETRY_SECONDS,
-    MIN_RETRY_SECONDS,
     retry_after_seconds,
 )
 from cactuswalk.dispatch.placement import WorkerChooser
@@ -37,8 +36,6 @@
 # Share of its slack that an admitted job may wait. It is admitted by a shorter one
 # (``QUEUEING_SLACK_SHARE``), and a refusal would come late for its caller.
 ADMITTED_SLACK_SHARE = 0.8
-LIMIT = 0.4
-ELSE = 1
 
 
 def find_late_reason(state: EntryState, job: JobState, now: float) -> str:
@@ -54,14 +51,13 @@
     admitted_until = job.latest_start_at
     slack = job.due_at - job.expected_seconds - job.arrived_at
     job.latest_start_at = job.arrived_at + slack * ADMITTED_SLACK_SHARE
-    limit = job.arrived_at + slack * LIMIT
     key = _key(job)
     job.prospect = state.prospects.predict(key, _demand(state, job, now), now)
     if job.prospect is None:
         job.latest_start_at = admitted_until
         return ""
     state.observe("predicted_wait_seconds", job.queue.name, job.prospect.wait)
-    if not job.prospect.exceeds(limit - now):
+    if not job.prospect.exceeds(admitted_until - now):
         return ""
     state.observe("refused_at_arrival", job.queue.name)
     return "no capacity for all of its tasks is predicted in time"
@@ -154,7 +150,7 @@
             free_cpu = max(entry.free_cpu, most.get(entry.data_centre, 0))
             most[entry.data_centre] = free_cpu
     own = state.free_cpu(now)
-    return sum(max(0, free_cpu - own) for free_cpu in most.values()) // (sharers * ELSE)
+    return sum(max(0, free_cpu - own) for free_cpu in most.values()) // sharers
 
 
 def may_begin(
@@ -245,12 +241,15 @@
 
 
 def retry_pause(state: EntryState, job: JobState, now: float) -> float:
-    """Return after how many seconds the caller of a refused job should retry."""
+    """Return after how many seconds the caller of a refused job should retry.
+
+    None comes back before the queue has drained, and then they are spread over as long.
+    """
     if not state.policy.predicts_admission:
         return retry_after_seconds(state.queued_seconds())
-    pause = spread_pause(
-        job.request.identifier, MIN_RETRY_SECONDS, _drain_seconds(state, now)
-    )
+    drain_seconds = _drain_seconds(state, now)
+    least = retry_after_seconds(drain_seconds)
+    pause = spread_pause(job.request.identifier, least, drain_seconds)
     return min(MAX_RETRY_SECONDS, pause)
 
 
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -235,9 +235,7 @@
     }
 
 
-def _prospect_seen(
-    job: JobState, verdict: JobVerdict, now: float
-) -> dict[str, object]:
+def _prospect_seen(job: JobState, verdict: JobVerdict, now: float) -> dict[str, object]:
     """Return log fields on what was predicted, unless the job is on time."""
     is_on_time = verdict is JobVerdict.COMPLETED and now <= job.due_at
     return {} if is_on_time else prospect_fields(job)
