--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -3,6 +3,11 @@
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.dispatch.bounds import STOP_MARGIN_SECONDS
 from cactuswalk.dispatch.effects import Answer
+from cactuswalk.dispatch.entryadmission import (
+    find_late_reason,
+    prospect_fields,
+    retry_pause,
+)
 from cactuswalk.dispatch.entryattempts import find_earlier_attempt
 from cactuswalk.dispatch.entrycrashes import restore_crashes
 from cactuswalk.dispatch.entryevents import (
@@ -20,7 +25,6 @@
     compute_time_limits,
     critical_path_seconds,
     is_still_useful,
-    retry_after_seconds,
 )
 from cactuswalk.dispatch.placement import any_large_enough, can_ever_run
 from cactuswalk.dispatch.routing import Queue
@@ -67,6 +71,10 @@
         answer_job(state, job, JobVerdict.FAILED, "a task crashes its workers", now)
         return
     find_earlier_attempt(state, job, now)
+    late_reason = find_late_reason(state, job, now)
+    if late_reason:
+        answer_job(state, job, JobVerdict.NOT_RUN, late_reason, now)
+        return
     state.note_waiting(job)
     state.placement_needed = True
 
@@ -166,7 +174,7 @@
     """Answer the callers of a job and remove it."""
     pause = 0.0
     if verdict is not JobVerdict.COMPLETED:
-        pause = retry_after_seconds(state.queued_seconds())
+        pause = retry_pause(state, job, now)
     for waiter in job.waiters:
         state.effects.append(Answer(waiter, verdict, reason, pause))
     state.observe("answers", f"{job.queue.name} {verdict.value}")
@@ -187,6 +195,7 @@
         declined=job.declined_runs,
         **_last_task(job),
         **_room_seen(state, job, verdict, now),
+        **_prospect_seen(job, verdict, now),
         version=state.version,
     )
     _remove_job(state, job, now)
@@ -236,6 +245,12 @@
     }
 
 
+def _prospect_seen(job: JobState, verdict: JobVerdict, now: float) -> dict[str, object]:
+    """Return log fields on what was predicted, unless the job is on time."""
+    is_on_time = verdict is JobVerdict.COMPLETED and now <= job.due_at
+    return {} if is_on_time else prospect_fields(job)
+
+
 def _last_task(job: JobState) -> dict[str, object]:
     """Return log fields on how long a job's last task waited and ran."""
     task = job.last_task
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -1,16 +1,16 @@
 """Placement of tasks on workers, and the handling of their ends."""
 
-import math
-
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.crashes import is_suspect
+from cactuswalk.dispatch.entryadmission import may_begin, record_task_start
 from cactuswalk.dispatch.entryattempts import has_earlier_attempt
+from cactuswalk.dispatch.entrychooser import make_chooser
 from cactuswalk.dispatch.entrycrashes import (
     clear_suspicion,
     drop_refuted_crashes,
     suspect_task,
 )
-from cactuswalk.dispatch.entryends import make_expected_ends, usual_run_time
+from cactuswalk.dispatch.entryends import usual_run_time
 from cactuswalk.dispatch.entryisolation import may_place
 from cactuswalk.dispatch.entryjobs import answer_job
 from cactuswalk.dispatch.entrystate import EntryState
@@ -25,11 +25,7 @@
     mark_late_jobs,
     sort_by_urgency,
 )
-from cactuswalk.dispatch.placement import (
-    SLOW_FACTOR,
-    WorkerChooser,
-    has_own_choice,
-)
+from cactuswalk.dispatch.placement import WorkerChooser, has_own_choice
 
 __all__ = ["end_start", "place_tasks"]
 
@@ -53,16 +49,7 @@
     sizes = [task.step.cpu for job in waiting for task in job.waiting]
     if state.policy.divides_room:
         state.waiting_cpu = sum(sizes)
-    ends = make_expected_ends(state, now)
-    chooser = WorkerChooser(
-        state.usable_views(),
-        min(sizes),
-        SLOW_FACTOR * state.median_pace if ends is None else math.inf,
-        state.far_factor,
-        state.urgent_priorities(now),
-        now,
-        ends,
-    )
+    chooser = make_chooser(state, min(sizes), now)
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
@@ -70,7 +57,7 @@
         mark_late_jobs(waiting, now)
     starts: list[Start] = []
     for job in sort_by_urgency(waiting):
-        if chooser.has_room_to_begin(job):
+        if chooser.has_room_to_begin(job) and may_begin(state, job, chooser, now):
             _place_job(state, job, chooser, starts, now)
     if state.policy.divides_room:
         _fill_in_backlog(state, starts)
@@ -109,6 +96,8 @@
         chooser.record_start(view)
         if chooser.ends is not None:
             state.observe("placed_by_end", chooser.ends.purpose.value)
+        is_last = not left and number == len(job.waiting) - 1
+        record_task_start(state, job, task, is_last, now)
     job.waiting = left
 
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -4,6 +4,7 @@
 
 from cactuswalk.decisions.estimation import DurationEstimate
 from cactuswalk.decisions.expectedend import ShortestKind
+from cactuswalk.decisions.prospects import Prospects
 from cactuswalk.decisions.recovery import Recovery, WorkerSupply, keeps_late_jobs
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import RESUME_SECONDS
@@ -69,6 +70,7 @@
     :ivar silent_incarnations: by address, those of the agents that were silent in the
         isolation.
     :ivar placed_from: tasks of jobs that arrived before this time are not placed.
+    :ivar prospects: from which the admission of jobs is predicted.
     """
 
     def __init__(
@@ -125,6 +127,7 @@
         self.heard_again_at = 0.0
         self.silent_incarnations: dict[str, str] = {}
         self.placed_from = -math.inf
+        self.prospects = Prospects()
 
     @property
     def version(self) -> int:
--- a/src/cactuswalk/dispatch/expectedends.py
+++ b/src/cactuswalk/dispatch/expectedends.py
@@ -110,6 +110,10 @@
             and self.shortest.is_shortest(job.queue.service, job.queue.name, self.now),
         )
 
+    def pace_limit(self, choice: Choice) -> float:
+        """Return the pace of the slowest worker where a task ends in time."""
+        return highest_pace(choice.task_class, self.median_pace)
+
     def rankings(
         self, task: TaskState, choice: Choice
     ) -> Iterator[tuple[list[AgentView], float]]:
@@ -117,7 +121,7 @@
         if choice.may_probe:
             self.purpose = Purpose.PROBE
             yield [view for view in self.probed if self._is_probe_due(view)], math.inf
-        limit = highest_pace(choice.task_class, self.median_pace)
+        limit = self.pace_limit(choice)
         has_preferences = task.step.rack or task.avoided_agents
         self.purpose = Purpose.IN_TIME
         if is_patient(choice.task_class) and not has_preferences:
--- a/src/cactuswalk/dispatch/jobstate.py
+++ b/src/cactuswalk/dispatch/jobstate.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from cactuswalk.decisions.prospects import Prospect
 from cactuswalk.dispatch.crashes import CrashRecord
 from cactuswalk.dispatch.job import JobRequest, Step, TaskKey
 from cactuswalk.dispatch.routing import Queue
@@ -57,6 +58,7 @@
     :param earlier_entry: address of an entry that may still run an earlier attempt at
         it; empty for none.
     :param is_late: it could not be on time any more when it had not started.
+    :param prospect: what was predicted when it arrived; None for nothing.
     """
 
     request: JobRequest
@@ -79,6 +81,7 @@
     declined_runs: int = 0
     earlier_entry: str = ""
     is_late: bool = False
+    prospect: Prospect | None = None
 
     @property
     def give_up_at(self) -> float:
