A start that has waited for its turn is sent only with time left for its answer

"Starts use six connections at most" failed on a busy machine. The starts that wait have later timeouts than the six in progress, by as much as the process is held up between them. When the six time out, the others get their turns and are sent right before their own timeouts: the worker carries them out, and nobody hears the answers.

A call that waits now fails unsent once less than a third of its timeout is left. The check is as it was; two scenarios are added, of which the first fails without the change.

--- a/features/steps/worker_connections_steps.py
+++ b/features/steps/worker_connections_steps.py
@@ -80,6 +80,12 @@
     worker.answer = lambda *call: worker.answer_and_close(*call, seconds)
 
 
+@given("a worker that answers each call after {seconds:g} seconds")
+def step_slow_worker(context, seconds):
+    worker = context.worker = PlainWorker()
+    worker.answer = lambda *call: worker.answer_each_late(*call, seconds)
+
+
 @given("a worker that answers no starts")
 def step_silent_worker(context):
     context.worker = PlainWorker()
@@ -186,6 +192,24 @@
     context.stops = context.results[starts:-1]
 
 
+@when("{starts:d} starts are made {seconds:g} seconds apart")
+def step_starts_apart(context, starts, seconds):
+    async def main():
+        async with context.worker as worker:
+            client = WorkerClient(worker.address, time.monotonic)
+            client.record_heartbeat("w", 1)
+            calls = []
+            for _ in range(starts):
+                calls.append(asyncio.create_task(client.start(make_start())))
+                await asyncio.sleep(seconds)
+            results = await asyncio.gather(*calls)
+            await client.close()
+            return results
+
+    with mock.patch.object(workerclient, "CALL_TIMEOUT_SECONDS", ANSWER_SECONDS):
+        context.starts = asyncio.run(main())
+
+
 @when("a start is in progress while the client is closed")
 def step_close(context):
     async def main():
@@ -268,10 +292,21 @@
     assert len({number for number, _ in context.worker.calls[-calls:]}) == 1
 
 
-@then("the starts have no answer, the stops and the poll have one")
-def step_starts_unanswered(context):
+@then("the starts have no answer")
+def step_no_start_answered(context):
     verdicts = {start.verdict for start in context.starts}
     assert verdicts == {StartVerdict.UNKNOWN}
+
+
+@then("the starts have their answers")
+def step_starts_answered(context):
+    verdicts = {start.verdict for start in context.starts}
+    assert verdicts == {StartVerdict.STARTED}, verdicts
+
+
+@then("the starts have no answer, the stops and the poll have one")
+def step_starts_unanswered(context):
+    step_no_start_answered(context)
     assert all(stop.done for stop in context.stops)
     assert isinstance(context.results[-1], PollAnswered)
 
--- a/features/support/plainworker.py
+++ b/features/support/plainworker.py
@@ -126,6 +126,10 @@
             await asyncio.sleep(seconds)
         await self.answer_at_once(number, writer)
 
+    async def answer_each_late(self, number, writer, seconds):
+        await asyncio.sleep(seconds)
+        await self.answer_at_once(number, writer)
+
     async def answer_twice(self, number, writer, seconds):
         await self.answer_at_once(number, writer)
         if number == 1:
--- a/features/worker_connections.feature
+++ b/features/worker_connections.feature
@@ -83,6 +83,20 @@
     Then the starts have no answer, the stops and the poll have one
     And the worker has seen 6 starts on 6 connections and 11 other calls on 11 connections
 
+  Scenario: A start whose turn comes right before its timeout is not sent
+    The worker would carry it out, and nobody would hear the answer. The starts that are
+    made first time out first, so that the others get their turns then.
+    Given a worker that answers no starts
+    When 10 starts are made 0.02 seconds apart
+    Then the starts have no answer
+    And the worker has seen 6 calls on 6 connections
+
+  Scenario: A start that has waited for its turn is sent
+    Given a worker that answers each call after 0.2 seconds
+    When 10 starts are made 0 seconds apart
+    Then the starts have their answers
+    And the worker has seen 10 calls on 6 connections
+
   Scenario: Closing the client fails the calls in progress
     Given a worker that answers no starts
     When a start is in progress while the client is closed
--- a/src/cactuswalk/platform/workerconnections.py
+++ b/src/cactuswalk/platform/workerconnections.py
@@ -19,6 +19,11 @@
 # Some thousand rows of runs; a larger response is not a worker's.
 MAX_REPLY_BYTES = 1 << 20
 
+# A call that has waited for its turn is sent only with this share of its timeout left.
+# A start takes up to 10 ms of its 30 while ten are made at once; one that is sent too
+# late is carried out, but its answer is not heard.
+MIN_SHARE_LEFT = 1 / 3
+
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
 
@@ -171,7 +176,8 @@
     The most recently used idle one is used first, so that few are kept.
 
     :param address: ``ip:port``.
-    :param limit: of calls at once; further ones wait.
+    :param limit: of calls at once; further ones wait, and fail without being sent if
+        their turn comes too late.
     """
 
     def __init__(self, address: str, limit: int) -> None:
@@ -188,8 +194,9 @@
         :raises WorkerCallError: if none came in time.
         """
         ends_at = asyncio.get_running_loop().time() + timeout_seconds
+        latest_at = ends_at - MIN_SHARE_LEFT * timeout_seconds
         try:
-            connection = await self._acquire(ends_at)
+            connection = await self._acquire(ends_at, latest_at)
         except OSError as error:
             raise WorkerCallError(isinstance(error, ConnectionRefusedError)) from error
         try:
@@ -208,9 +215,9 @@
             connection.close()
         self.idle.clear()
 
-    async def _acquire(self, ends_at: float) -> WorkerConnection:
+    async def _acquire(self, ends_at: float, latest_at: float) -> WorkerConnection:
         if self.places.locked():
-            async with asyncio.timeout_at(ends_at):
+            async with asyncio.timeout_at(latest_at):
                 await self.places.acquire()
         else:
             await self.places.acquire()
