--- a/features/steps/worker_incarnations_steps.py
+++ b/features/steps/worker_incarnations_steps.py
@@ -17,6 +17,7 @@
 from cactuswalk.dispatch.agentstate import AgentState
 from cactuswalk.dispatch.effects import PollWorker, StartTask, StopTask
 from cactuswalk.dispatch.incarnations import (
+    KnownIncarnations,
     is_later,
     join_incarnation,
     split_incarnation,
@@ -344,6 +345,20 @@
     assert is_later(one, other) == (order == "later than")
 
 
+@then(
+    "of {names:d} names with a birth the last {kept:d} are known, and none without one"
+)
+def step_names(context, names, kept):
+    known = KnownIncarnations()
+    for number in range(names):
+        known.record(f"w{number}#7")
+        known.record(f"v{number}")
+        known.record(f"w{number}#9")
+    outdated = [number for number in range(names) if known.is_outdated(f"w{number}#7")]
+    assert outdated == list(range(names - kept, names)), outdated
+    assert len(known.latest) == kept
+
+
 @then("random names and births come back from their identifiers")
 def step_round_trip(context):
     names = strategies.text("w#1-é", max_size=6)
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -175,5 +175,9 @@
       | v#9 | w#7   | no later than |
       | w#10| w#9   | later than    |
 
+  Scenario: Only the names that were used last are remembered
+    A worker may change its name at each restart, for months.
+    Then of 1000 names with a birth the last 100 are known, and none without one
+
   Scenario: Any name and birth make an identifier that can be taken apart
     Then random names and births come back from their identifiers
--- a/src/cactuswalk/dispatch/incarnations.py
+++ b/src/cactuswalk/dispatch/incarnations.py
@@ -14,6 +14,10 @@
 
 SEPARATOR = "#"
 
+# Names that are remembered, those that were used last: heartbeats are not delayed for
+# longer than it takes a worker to change its name so often.
+MAX_NAMES = 100
+
 
 def join_incarnation(name: str, born: int | None) -> str:
     """Return the identifier of a worker's incarnation; without ``born``, the name.
@@ -58,8 +62,12 @@
     def record(self, identifier: str) -> None:
         """Record an incarnation that is used now."""
         name, born = split_incarnation(identifier)
-        if born is not None:
-            self.latest[name] = identifier
+        if born is None:
+            return
+        self.latest.pop(name, None)
+        self.latest[name] = identifier
+        if len(self.latest) > MAX_NAMES:
+            del self.latest[next(iter(self.latest))]
 
     def is_outdated(self, identifier: str) -> bool:
         """Return whether a later incarnation of the same name is known."""
