--- a/features/steps/worker_incarnations_steps.py
+++ b/features/steps/worker_incarnations_steps.py
@@ -27,6 +27,7 @@
 from cactuswalk.platform.announcements import AnnouncementHandler
 from cactuswalk.platform.heartbeats import INSTANCES_PATH
 from cactuswalk.platform.worker import START_PATH, WorkerClient
+from features.support.agentbesideworker import AgentBesideWorker
 from features.support.fleet import JOB
 from features.support.plainworker import PlainWorker
 
@@ -337,6 +338,53 @@
     assert paths and START_PATH not in paths, paths
 
 
+# The agent beside a worker.
+
+
+@given("an agent beside a worker that reports when it was born")
+def step_beside(context):
+    context.pair = AgentBesideWorker(1.0, reports_born=True)
+    context.add_cleanup(context.pair.close)
+    context.pair.announce()
+
+
+@when("the worker restarts between the decision on a start and the call")
+def step_restart(context):
+    pair = context.pair
+    effects = pair.decide_start()
+    pair.worker.crash(0)
+    pair.perform_all(effects, 20)
+
+
+@then("the worker has begun the run and stopped it")
+def step_stopped(context):
+    whats = [line["what"] for line in context.pair.worker.record]
+    assert whats == ["began", "stopped"], whats
+
+
+@then("the agent uses the new incarnation, holds nothing, and takes no tasks yet")
+def step_not_open(context):
+    pair = context.pair
+    worker, state = pair.worker, pair.state
+    assert state.worker.identifier == f"{worker.identifier}#{worker.born}"
+    assert not state.held and state.ready_to_start
+    assert not state.is_open(pair.now)
+
+
+@when("the new incarnation sends its heartbeat")
+def step_announce(context):
+    context.pair.feed(Announced(context.pair._make_announcement()))
+
+
+@then("the agent takes tasks, and a start runs there")
+def step_runs(context):
+    pair = context.pair
+    assert pair.state.is_open(pair.now)
+    pair.perform_all(pair.decide_start(), 2)
+    assert pair.worker.record[-1]["what"] == "began" and pair.worker.runs
+    assert len(pair.state.held) == 1
+
+
 # Identifiers.
 
 
--- a/features/support/agentbesideworker.py
+++ b/features/support/agentbesideworker.py
@@ -8,15 +8,22 @@
 import contextlib
 from unittest import mock
 
+import msgspec
 from aiohttp import web
 
 from cactuswalk.dispatch.agent import reduce
 from cactuswalk.dispatch.agentevents import Announced, Received
 from cactuswalk.dispatch.agentstate import AgentState
-from cactuswalk.dispatch.effects import PollWorker, SendMessage, StartTask
+from cactuswalk.dispatch.effects import (
+    PollWorker,
+    SendMessage,
+    StartTask,
+    StopTask,
+)
 from cactuswalk.dispatch.job import TaskKey, Worker
 from cactuswalk.dispatch.messages import Report, Start
 from cactuswalk.platform import worker as workerclient
+from cactuswalk.platform.heartbeats import read_heartbeat
 from cactuswalk.platform.worker import WorkerClient
 from standins.taskworker import TaskWorker, make_application
 
@@ -33,13 +40,15 @@
     """An agent and its worker.
 
     :param rate: speed of the worker's clock relative to the agent's.
+    :param reports_born: the worker reports the time of its start, and restarts under
+        its name.
     :ivar response_seconds: how long a response is on its way.
     :ivar unanswered_paths: calls to these paths get no response.
     :ivar calls: path of each call that has reached the worker.
     :ivar reported_at: when the agent has sent its latest report.
     """
 
-    def __init__(self, rate: float) -> None:
+    def __init__(self, rate: float, reports_born: bool = False) -> None:
         self.rate = rate
         self.now = 1000.0
         self.response_seconds = 0.0
@@ -48,7 +57,7 @@
         self.report: Report | None = None
         self.reported_at = 0.0
         self.sequence = 0
-        self.worker = TaskWorker(8000, self.read_worker_clock_ms)
+        self.worker = TaskWorker(8000, self.read_worker_clock_ms, reports_born)
         self.state = AgentState("l1", 7, [], "a0", "d0", 6.0, 5.0)
         self.runner = asyncio.Runner()
         self.patch = mock.patch.object(
@@ -88,7 +97,7 @@
             "l1",
             int((self.now - age_seconds) * 1000),
             self.sequence,
-            self.worker.identifier,
+            self.state.worker.identifier,
             key,
             1,
             SPEC,
@@ -109,8 +118,21 @@
 
     def perform(self, effect: object) -> object:
         """Make a call to the worker; return the resulting event."""
-        call = self.client.start if isinstance(effect, StartTask) else self.client.poll
-        return self.runner.run(call(effect))
+        calls = {
+            StartTask: self.client.start,
+            StopTask: self.client.stop,
+            PollWorker: self.client.poll,
+        }
+        return self.runner.run(calls[type(effect)](effect))
+
+    def perform_all(self, effects: list[object], most: int) -> None:
+        """Make calls, and those that follow from their results, one after the other."""
+        waiting = [effect for effect in effects if is_call(effect)]
+        for _ in range(most):
+            if not waiting:
+                return
+            event = self.perform(waiting.pop(0))
+            waiting += [effect for effect in self.feed(event) if is_call(effect)]
 
     def close(self) -> None:
         self.patch.stop()
@@ -144,9 +166,14 @@
         return delay
 
     def _make_announcement(self) -> Worker:
-        return Worker(
-            self.worker.identifier, "plans", "d0", ("a",), 8000, 65_536, 0, False, 0, 1
-        )
+        """Return the worker as its heartbeat describes it."""
+        heartbeat = self.worker.make_heartbeat("plans", "d0", 1)
+        body = msgspec.json.encode(heartbeat | {"clock_ms": None})
+        return read_heartbeat(self.worker.identifier, body, "plans")
+
+
+def is_call(effect: object) -> bool:
+    return isinstance(effect, StartTask | StopTask | PollWorker)
 
 
 def take(effects: list[object], kind: type) -> object:
--- a/features/worker_incarnations.feature
+++ b/features/worker_incarnations.feature
@@ -161,6 +161,16 @@
     When "w#7" gets a start without a reading of its clock
     Then the start is late, and no start was sent
 
+  Scenario: A worker over HTTP restarts before a start and carries it out
+    The agent's reducer, its client and the worker together: the run is stopped before the
+    agent opens, and its end is told only then.
+    Given an agent beside a worker that reports when it was born
+    When the worker restarts between the decision on a start and the call
+    Then the worker has begun the run and stopped it
+    And the agent uses the new incarnation, holds nothing, and takes no tasks yet
+    When the new incarnation sends its heartbeat
+    Then the agent takes tasks, and a start runs there
+
   Scenario Outline: Incarnations are ordered by birth if they share a name
     Then "<one>" is <order> "<other>"
 
--- a/standins/taskworker.py
+++ b/standins/taskworker.py
@@ -28,22 +28,32 @@
     """The active runs, the finished runs that are not acknowledged, and the lease.
 
     :param read_clock_ms: returns its clock, in milliseconds.
+    :param reports_born: it reports the time of its start, and restarts under its name.
     """
 
     def __init__(
-        self, cpu: int, read_clock_ms: Callable[[], int] = read_clock_ms
+        self,
+        cpu: int,
+        read_clock_ms: Callable[[], int] = read_clock_ms,
+        reports_born: bool = False,
     ) -> None:
         self.read_clock_ms = read_clock_ms
+        self.reports_born = reports_born
+        self.born = 0
         self.full_cpu = cpu
         self.record: list[dict] = []
         self.faults: dict = {}
         self.run_finished = asyncio.Condition()
         self.down_until_ms = 0
+        self.rename()
         self.reset()
 
     def reset(self) -> None:
         """Begin as a new incarnation, which runs nothing and has seen no token."""
-        self.identifier = f"i-{secrets.token_hex(4)}"
+        if self.reports_born:
+            self.born = max(self.born + 1, int(time.time() * 1000))
+        else:
+            self.rename()
         self.runs: dict[str, Run] = {}
         self.finished_runs: list[list] = []
         self.last_end_number = 0
@@ -51,6 +61,14 @@
         self.token = 0
         self.lease_ends_ms = 0
 
+    def rename(self) -> None:
+        """Have a new name, which the platform calls an instance."""
+        self.identifier = f"i-{secrets.token_hex(4)}"
+
+    def report_born(self) -> dict:
+        """Return the field with the time of its start, if it reports that."""
+        return {"born": self.born} if self.reports_born else {}
+
     @property
     def cpu(self) -> int:
         """The capacity in thousandths of a core."""
@@ -186,6 +204,7 @@
         ]
         return self.make_reply(
             {"running": running, "finished": self.finished_runs[:500]}
+            | self.report_born()
         )
 
     async def send_heartbeats(self, agent: str, service: str, zone: str) -> None:
@@ -221,7 +240,7 @@
             "labels": ["a", "r1"],
             "clock_ms": self.read_clock_ms(),
             "sequence": sequence,
-        }
+        } | self.report_born()
 
     def make_reply(self, body: dict, status: int = 200) -> web.Response:
         """Return a JSON response that carries the worker's clock."""
