--- a/features/decision_division.feature
+++ b/features/decision_division.feature
@@ -6,11 +6,12 @@
     When 6 cores are free, and tasks take 6
     Then one entry is told 6 cores and the others 0
 
-  Scenario: Grants follow the backlogs
-    Otherwise an entry with few callers would get as much as one with many.
-    Given entries a, b and c with 60, 40 and 20 cores waiting
+  Scenario: Grants follow the backlogs, up to two tasks
+    Otherwise an entry with one task waiting would get as much as one with many, or one
+    with a burst of long tasks would take the turns of urgent ones elsewhere.
+    Given entries a, b and c with 600, 12 and 6 cores waiting
     When 6 cores are freed 60 times, and each grant is used
-    Then a, b and c have got 30, 20 and 10 grants, give or take 1
+    Then a, b and c have got 24, 24 and 12 grants, give or take 1
 
   Scenario: Capacity that covers all backlogs is told to all
     Otherwise a job that arrives would wait for a grant beside idle capacity.
@@ -88,6 +89,16 @@
     When 13 cores are free, tasks take 6, and 6 are for urgent ones
     Then one entry is told 13 cores and the others 7
 
+  Scenario: What is left for urgent tasks is granted to an entry that has some only
+    A smaller task of any entry may fit beside it, and would wait for 30 ms.
+    Given entries a and b with 60 and 60 cores waiting
+    When 11 cores are free, tasks take 6, and 6 are for urgent ones
+    Then every entry is told 11 cores
+    When a sends a start of 6 cores that is declined
+    And 11 cores are free, tasks take 6, and 6 are for urgent ones
+    Then a is told 11 cores
+    And b is told 5 cores
+
   Scenario: A larger task that does not fit its grants is told all that is free
     Given entries a and b with 31 and 60 cores waiting
     And both have left 16 cores unused
--- a/features/steps/decision_division_steps.py
+++ b/features/steps/decision_division_steps.py
@@ -16,11 +16,17 @@
     context.division.grant(
         context.free, unit * CORE, reserve * CORE, shares, context.now
     )
-    context.unit = unit
+    context.unit, context.reserve = unit, reserve
     for share in shares:
         share.record_report(context.division.told(share, context.free))
 
 
+def record_start(context, name, cpu, is_declined):
+    return context.shares[name].record_start(
+        cpu, context.unit * CORE, context.reserve * CORE, is_declined, context.now
+    )
+
+
 def told(context):
     return {name: share.told_cpu // CORE for name, share in context.shares.items()}
 
@@ -62,19 +68,19 @@
         context.now += 0.001
         divide(context, cores, cores)
         for name, share in context.shares.items():
-            context.grants[name] += share.record_start(
-                share.granted_cpu, cores * CORE, False
+            context.grants[name] += record_start(
+                context, name, share.granted_cpu, False
             )
 
 
 @when("{name:w} sends a start of {cores:d} cores")
 def step_start(context, name, cores):
-    context.shares[name].record_start(cores * CORE, context.unit * CORE, False)
+    record_start(context, name, cores * CORE, False)
 
 
 @when("{name:w} sends a start of {cores:d} cores that is declined")
 def step_declined_start(context, name, cores):
-    context.shares[name].record_start(cores * CORE, context.unit * CORE, True)
+    record_start(context, name, cores * CORE, True)
 
 
 @when("{name:w} echoes a report of {seconds:g} seconds later")
--- a/src/cactuswalk/decisions/division.py
+++ b/src/cactuswalk/decisions/division.py
@@ -5,8 +5,8 @@
 start, and two of them would be declined.
 
 So while capacity is scarce it is granted in units of a usual task to one waiting entry
-at a time, in proportion to their backlogs. A grant is advisory, and ends with the
-entry's next starts or after ``GRANT_SECONDS``.
+at a time, in proportion to their backlogs up to a bound. A grant is advisory, and ends
+with the entry's next starts or after ``GRANT_SECONDS``.
 """
 
 import math
@@ -27,6 +27,11 @@
 # long: entries keep room for urgent priorities until a second after their last job.
 UNUSED_SECONDS = 1.0
 
+# A backlog counts up to this many units, what an entry can get before its next message.
+# If it counted in full, a burst of long tasks at one entry would take the turns of
+# urgent tasks at others.
+MAX_WEIGHT_UNITS = 2
+
 
 class EntryShare(msgspec.Struct, eq=False):
     """What an agent knows of an entry's backlog, and what it has granted to it.
@@ -41,6 +46,8 @@
     :param sent_cpu: size of its starts that have arrived since.
     :param unused_cpu: free capacity that it was told and left unused while it had tasks
         waiting, at ``unused_at``.
+    :param urgent_at: when it last had a task that takes the room reserved for urgent
+        ones; -inf for not known.
     :param unanswered_at: when a grant was made that has expired, and whose report the
         entry has not echoed; -inf for none.
     :param credit: in the weighted round-robin, in units.
@@ -54,6 +61,7 @@
     sent_cpu: int = 0
     unused_cpu: int = 0
     unused_at: float = -math.inf
+    urgent_at: float = -math.inf
     unanswered_at: float = -math.inf
     credit: float = 0.0
 
@@ -74,15 +82,19 @@
         self.told_cpu = told_cpu
         self.sent_cpu = 0
 
-    def record_start(self, cpu: int, unit: int, is_declined: bool) -> bool:
+    def record_start(
+        self, cpu: int, unit: int, reserve: int, is_declined: bool, now: float
+    ) -> bool:
         """Use up the grant by a start; return whether there was one.
 
         Task sizes vary: a rest of less than half a unit is no grant any more. A start
         that was declined waits again. If it came although the entry was told no more
-        than its tasks had left unused, it is urgent, and takes what they leave.
+        than other tasks leave free, it is urgent, and takes what they leave.
         """
         self.sent_cpu += cpu
-        if is_declined and self.told_cpu <= self.unused_cpu:
+        left_free = max(unit + reserve - 1, self.unused(now))
+        if (is_declined or self.granted_cpu) and self.told_cpu <= left_free:
+            self.urgent_at = now
             self.unused_at = -math.inf
         if not self.granted_cpu:
             return False
@@ -110,8 +122,13 @@
         """Return the free capacity that the entry has left unused recently."""
         return self.unused_cpu if now - self.unused_at < UNUSED_SECONDS else 0
 
+    def is_urgent(self, now: float) -> bool:
+        """Return whether the entry has tasks that take what others leave free."""
+        return now - self.urgent_at < UNUSED_SECONDS
+
     def expire(self, now: float) -> None:
         """End a grant that was not used in time."""
+        self.urgent_at = -math.inf
         if self.backlog(now) >= self.granted_cpu:
             self.unused_cpu = max(self.told_cpu, self.unused(now))
             self.unused_at = now
@@ -198,22 +215,27 @@
     ) -> EntryShare | None:
         """Return the next entry in the round-robin, or None if no unit is left.
 
-        Beside other grants a unit has to come with the reserve, or neither entry could
-        start a task that leaves it free.
+        A unit has to come with the reserve, unless the entry has urgent tasks and there
+        is no other grant: a smaller task of any entry may fit beside the reserve, and
+        two entries that are told of a unit each could both start nothing.
         """
         left = free - self.granted_cpu
-        if left < unit + (reserve if self.granted_cpu else 0):
-            return None
         waiting = [
             share
             for share in shares
-            if needs[id(share)] > share.granted_cpu and left > share.unused(now)
+            if needs[id(share)] > share.granted_cpu
+            and left > share.unused(now)
+            and (
+                left >= unit + reserve
+                or (not self.granted_cpu and left >= unit and share.is_urgent(now))
+            )
         ]
         if not waiting:
             return None
-        total = sum([needs[id(share)] for share in waiting])
-        for share in waiting:
-            share.credit += needs[id(share)] / total
+        weights = [min(needs[id(share)], MAX_WEIGHT_UNITS * unit) for share in waiting]
+        total = sum(weights)
+        for share, weight in zip(waiting, weights, strict=True):
+            share.credit += weight / total
         chosen = max(waiting, key=lambda share: share.credit)
         chosen.credit -= 1.0
         return chosen
--- a/src/cactuswalk/dispatch/agentdivision.py
+++ b/src/cactuswalk/dispatch/agentdivision.py
@@ -29,12 +29,14 @@
 
 
 def record_granted_start(
-    state: AgentState, peer: EntryPeer, start: Start, is_declined: bool
+    state: AgentState, peer: EntryPeer, start: Start, is_declined: bool, now: float
 ) -> None:
     """Use up an entry's grant by a start."""
     if not state.policy.divides_room:
         return
-    if peer.share.record_start(start.cpu, state.usual_cpu, is_declined):
+    if peer.share.record_start(
+        start.cpu, state.usual_cpu, _reserved_cpu(state), is_declined, now
+    ):
         state.observe("grants", "used")
     if not is_declined:
         # What the other entries were told may be too much now.
@@ -55,13 +57,17 @@
     if not state.is_open(now):
         return
     free = state.free_resources()[0]
-    reserve = int(RESERVED_SHARE * state.worker.cpu)
-    unit = state.usual_cpu
+    unit, reserve = state.usual_cpu, _reserved_cpu(state)
     for share in state.division.grant(free, unit, reserve, shares, now):
         peers[id(share)].urgent = True
         _log_grant(state, peers[id(share)], free, now)
 
 
+def _reserved_cpu(state: AgentState) -> int:
+    """Return what entries leave free for urgent tasks, in thousandths of a core."""
+    return int(RESERVED_SHARE * state.worker.cpu) if state.worker else 0
+
+
 def _log_grant(state: AgentState, peer: EntryPeer, free: int, now: float) -> None:
     state.observe("grants", "given")
     state.say_debug(
--- a/src/cactuswalk/dispatch/agententries.py
+++ b/src/cactuswalk/dispatch/agententries.py
@@ -140,7 +140,7 @@
     peer.dirty = True
     reason = _decline_reason(state, start, now)
     record_backlog(state, peer, start, now)
-    record_granted_start(state, peer, start, bool(reason))
+    record_granted_start(state, peer, start, bool(reason), now)
     state.usual_cpu += (start.cpu - state.usual_cpu) // AVERAGED_STARTS
     if reason:
         _decline(state, peer, start, reason, now)
