Recovery: the queue of jobs that can be on time decides whether late jobs are kept

Cause: after the discovery time the queue was measured with the late jobs themselves, and a share of the capacity had to be free or the entry's own. With agents that are up 1.5 s after the power is back the entries refused most late jobs though capacity was free for them.

Change: only jobs that can be on time count; their queue, measured on what is free or the entry's own, is long beside a full fleet too, so that the second condition isn't needed. A process scenario starts everything while the store is down.

--- a/features/decision_recovery.feature
+++ b/features/decision_recovery.feature
@@ -7,21 +7,18 @@
     Then it <keeps> jobs that can't be on time any more
 
     Examples:
-      | workers                                               | queue | keeps         |
-      | has known no open worker                              | 5     | keeps         |
-      | has known empty workers for 0.1 seconds               | 0.8   | keeps         |
-      | has known empty workers for 0.1 seconds, one by one   | 5     | keeps         |
-      | has known empty workers for 0.5 seconds               | 0.2   | keeps         |
-      | has known empty workers for 0.5 seconds               | 0.4   | doesn't keep  |
-      | has known full workers for 0.1 seconds                | 0.2   | keeps         |
-      | has known full workers for 0.5 seconds                | 0.2   | doesn't keep  |
-      | has known empty workers for 2.1 seconds               | 0.2   | doesn't keep  |
-      | has served its first queue after 0.4 seconds          | 0.2   | doesn't keep  |
+      | workers                                      | queue | keeps        |
+      | has known no open worker                     | 5     | keeps        |
+      | has known workers for 0.1 seconds            | 5     | keeps        |
+      | has known workers for 0.5 seconds            | 0.2   | keeps        |
+      | has known workers for 0.5 seconds            | 0.4   | doesn't keep |
+      | has known workers for 2.1 seconds            | 0.2   | doesn't keep |
+      | has served its first queue after 0.4 seconds | 0.2   | doesn't keep |
 
   Scenario: The workers of an outage are discovered over 0.3 s
     The first worker takes the whole queue at once. If that ended the recovery, jobs
     that come before the next worker is known would be refused.
-    Given an entry that has known empty workers for 0.1 seconds, with a queue of 0 seconds
+    Given an entry that has known workers for 0.1 seconds, with a queue of 0 seconds
     When no job waits 0.2 seconds after the first worker was known
     Then the recovery goes on
     When no job waits 0.31 seconds after the first worker was known
--- a/features/process_dispatch.feature
+++ b/features/process_dispatch.feature
@@ -68,6 +68,15 @@
     And agent-0 has logged the phases "process, settings, modules, sockets, first entry, first worker, first open worker, first placement"
     And the metrics of entry 0 and of agent 0 have each of them
 
+  Scenario: All processes start while the store is down
+    Agents that waited for the store to find the entries would add the time of their
+    first reports to its outage.
+    Given a deployment of 1 entries and 2 workers
+    When the store rejects all calls and all other processes are killed and restarted
+    Then entry-0 reaches the phase "first open worker" of its new start
+    When the store recovers and compacts its history
+    Then a job of 2 tasks of 50 ms is completed within 3 seconds
+
   Scenario: An agent is killed with tasks running
     Given a deployment of 2 entries and 2 workers
     When a job of 6 tasks of 1500 ms is in progress at entry 0
--- a/features/steps/decision_recovery_steps.py
+++ b/features/steps/decision_recovery_steps.py
@@ -4,7 +4,6 @@
 
 from cactuswalk.decisions.recovery import (
     Recovery,
-    WorkerSupply,
     count_free_slots,
     keeps_late_jobs,
 )
@@ -19,7 +18,6 @@
 from features.support.fleet import JOB, Fleet, queue
 
 STARTED_AT = 100.0
-CPU = 160_000
 RESERVED_SHARE = 0.1
 
 
@@ -44,27 +42,19 @@
 def step_no_worker(context, queued):
     context.recovery = Recovery()
     context.now = STARTED_AT
-    context.supply = WorkerSupply(0, 0, queued)
+    context.queued = queued
 
 
 @given(
-    "an entry that has known {kind:w} workers for {seconds:g} seconds, with a queue of"
+    "an entry that has known workers for {seconds:g} seconds, with a queue of"
     " {queued:g} seconds"
 )
-def step_known(context, kind, seconds, queued):
+def step_known(context, seconds, queued):
     context.recovery = Recovery()
     context.recovery.record_open_worker(STARTED_AT)
+    context.recovery.record_open_worker(STARTED_AT + seconds)
     context.now = STARTED_AT + seconds
-    context.supply = WorkerSupply(CPU, CPU if kind == "empty" else CPU // 3, queued)
-
-
-@given(
-    "an entry that has known empty workers for {seconds:g} seconds, one by one, with a"
-    " queue of {queued:g} seconds"
-)
-def step_one_by_one(context, seconds, queued):
-    step_known(context, "empty", seconds, queued)
-    context.recovery.record_open_worker(context.now)
+    context.queued = queued
 
 
 @given(
@@ -72,14 +62,14 @@
     " of {queued:g} seconds"
 )
 def step_served(context, seconds, queued):
-    step_known(context, "empty", seconds, queued)
+    step_known(context, seconds, queued)
     context.recovery.update(False, context.now)
     context.now += 0.1
 
 
 @then("it {keeps} jobs that can't be on time any more")
 def step_keeps(context, keeps):
-    kept = keeps_late_jobs(context.recovery, context.supply, context.now)
+    kept = keeps_late_jobs(context.recovery, context.queued, context.now)
     assert kept == (keeps == "keeps"), kept
 
 
--- a/features/steps/process_dispatch_steps.py
+++ b/features/steps/process_dispatch_steps.py
@@ -170,6 +170,36 @@
     context.deployment[name].start()
 
 
+@when("the store rejects all calls and all other processes are killed and restarted")
+def step_power_failure(context):
+    deployment = context.deployment
+    processes = [
+        process for name, process in deployment.processes.items() if name != "store"
+    ]
+    for process in processes:
+        process.kill()
+    deployment.set_store_fault("busy")
+    context.offsets = {
+        process.name: process.log.stat().st_size for process in processes
+    }
+    for process in processes:
+        process.start()
+
+
+@then('{name:S} reaches the phase "{phase}" of its new start')
+def step_reaches(context, name, phase):
+    process, offset = context.deployment[name], context.offsets[name]
+    wait_until(lambda: phase in read_phases(process, offset), 20.0, phase)
+    assert "configuration" not in read_phases(process, offset)
+
+
+@then("a job of {tasks:d} tasks of {ms:d} ms is completed within {seconds:g} seconds")
+def step_completed_within(context, tasks, ms, seconds):
+    wait_until(
+        lambda: context.deployment.submit(0, tasks, ms)[0] == 200, seconds, "the job"
+    )
+
+
 @when("the queue is moved to another path")
 def step_queue_moves(context):
     body = make_configuration(5, path_prefix="/moved/")
--- a/src/cactuswalk/decisions/recovery.py
+++ b/src/cactuswalk/decisions/recovery.py
@@ -18,7 +18,6 @@
 __all__ = [
     "LATE_FACTOR",
     "Recovery",
-    "WorkerSupply",
     "can_be_on_time",
     "can_be_useful",
     "count_free_slots",
@@ -39,24 +38,6 @@
 # from when it can't be on time any more until its answer is useless.
 SHORT_QUEUE_SECONDS = 0.3
 
-# Share of the known workers that is free or used by this entry itself. Three entries
-# share a worker: after an outage at two thirds of the load the share is 0.57, beside a
-# full fleet at most a third.
-MIN_OWN_SHARE = 0.45
-
-
-class WorkerSupply(msgspec.Struct):
-    """What an entry knows of its workers' capacity and of its own queue.
-
-    :param cpu: capacity of the open workers, in thousandths of a core.
-    :param own_cpu: the part of it that is free or runs this entry's tasks.
-    :param queued_seconds: the queued work, in seconds of all workers' time.
-    """
-
-    cpu: int
-    own_cpu: int
-    queued_seconds: float
-
 
 class Recovery(msgspec.Struct):
     """The state of an entry's recovery, from its start until the queue is served.
@@ -90,18 +71,19 @@
         return now - self.began_at >= MAX_RECOVERY_SECONDS
 
 
-def keeps_late_jobs(recovery: Recovery, supply: WorkerSupply, now: float) -> bool:
-    """Return whether jobs that can't be on time any more wait for capacity."""
+def keeps_late_jobs(recovery: Recovery, queued_seconds: float, now: float) -> bool:
+    """Return whether jobs that can't be on time any more wait for capacity.
+
+    :param queued_seconds: the queued work of jobs that can be on time, in seconds of
+        all workers' time, as far as they have capacity for this entry.
+    """
     if recovery.knows_no_worker():
         return True
     if recovery.has_ended or recovery.is_overdue(now):
         return False
-    if recovery.is_discovering(now):
-        # The first known workers are filled by the entry that knows them first, and
-        # the others are about to be known.
-        return True
-    has_room = supply.own_cpu >= MIN_OWN_SHARE * supply.cpu
-    return has_room and supply.queued_seconds <= SHORT_QUEUE_SECONDS
+    # The first known workers are filled by the entry that knows them first, and the
+    # others are about to be known.
+    return recovery.is_discovering(now) or queued_seconds <= SHORT_QUEUE_SECONDS
 
 
 def useful_until(arrived_at: float, due_at: float, give_up_at: float) -> float:
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -3,7 +3,7 @@
 import math
 
 from cactuswalk.decisions.estimation import DurationEstimate
-from cactuswalk.decisions.recovery import Recovery, WorkerSupply, keeps_late_jobs
+from cactuswalk.decisions.recovery import Recovery, keeps_late_jobs
 from cactuswalk.dispatch.agentview import AgentView, PlacedTask
 from cactuswalk.dispatch.bounds import RESUME_SECONDS
 from cactuswalk.dispatch.crashes import KnownCrashes
@@ -211,7 +211,7 @@
         """Return whether jobs that can't be on time any more are kept."""
         if not self.policy.serves_late or self.recovery.has_ended:
             return False
-        return keeps_late_jobs(self.recovery, self._worker_supply(now), now)
+        return keeps_late_jobs(self.recovery, self.queued_seconds(False), now)
 
     def count_queued_jobs(self, name: str) -> int:
         """Return the number of a queue's jobs here that have not started."""
@@ -229,8 +229,11 @@
                 )
         return urgent_priorities
 
-    def queued_seconds(self) -> float:
-        """Return the queued work, in seconds of all workers' time."""
+    def queued_seconds(self, with_late_jobs: bool = True) -> float:
+        """Return the queued work, in seconds of all workers' time.
+
+        :param with_late_jobs: or of those only that can be on time.
+        """
         views = self.usable_views()
         # A worker that has shrunk below what it runs has no capacity for this entry,
         # but takes nothing from what other workers have.
@@ -238,18 +241,11 @@
         waiting = sum(
             task.step.cpu * job.expected_seconds
             for job in self.jobs.values()
+            if with_late_jobs or not job.is_late
             for task in job.waiting
         )
         return waiting / capacity if capacity > 0 else MAX_QUEUED_SECONDS
 
-    def _worker_supply(self, now: float) -> WorkerSupply:
-        views = [view for view in self.usable_views() if view.is_open(now)]
-        return WorkerSupply(
-            sum(view.report.cpu for view in views),
-            sum(max(0, view.own_cpu()) for view in views),
-            self.queued_seconds(),
-        )
-
     def send_stop(self, view: AgentView, placed: PlacedTask, now: float) -> None:
         """Ask an agent to stop the task of a start."""
         placed.stop_sent_at = now
