--- a/features/decision_recovery.feature
+++ b/features/decision_recovery.feature
@@ -69,6 +69,14 @@
       | on      | 2.0 | refused   |
       | off     | 0.5 | refused   |
 
+  Scenario: Operators see that late jobs were served and when that ended
+    Given a fleet of 1 entries and 2 workers that serves late jobs: on
+    When all processes are killed, and e0 is started again
+    And a job of 4 tasks of 0.4 seconds comes to e0
+    And the agents are started 0.5 seconds later
+    And the fleet runs on for 3 seconds
+    Then e0 has counted 1 late start, and logged twice that it keeps no late jobs any more
+
   Scenario: A caller that leaves too soon is refused at once
     If the job were admitted, it would take capacity for nothing. Its caller would learn
     only at its limit that it has no answer.
--- a/features/steps/decision_recovery_steps.py
+++ b/features/steps/decision_recovery_steps.py
@@ -7,6 +7,7 @@
     count_free_slots,
     keeps_late_jobs,
 )
+from cactuswalk.dispatch.effects import Observe
 from cactuswalk.dispatch.job import JobRequest, Step
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
 from cactuswalk.dispatch.loadpolicy import LoadPolicy
@@ -159,6 +160,15 @@
     policy = LoadPolicy(serves_late=setting == "on")
     context.fleet = Fleet(entries, workers, policy=policy)
     context.waiters = {}
+    context.observed = []
+    perform = context.fleet.perform
+
+    def record(name, state, effect):
+        if isinstance(effect, Observe):
+            context.observed.append((name, effect.name))
+        perform(name, state, effect)
+
+    context.fleet.perform = record
 
 
 @when(
@@ -201,3 +211,19 @@
     fleet.kill(other)
     fleet.run(0.5)
     fleet.start_entry(other, "d1")
+
+
+@then(
+    "{entry:w} has counted {count:d} late start, and logged twice that it keeps no"
+    " late jobs any more"
+)
+def step_seen(context, entry, count):
+    assert context.observed.count((entry, "late_starts")) == count
+    lines = [
+        effect
+        for _, name, effect in context.fleet.lines
+        if name == entry and effect.sentence == "keeps no late jobs any more"
+    ]
+    # At the fleet's start, and after the outage.
+    assert len(lines) == 2, lines
+    assert lines[-1].fields["waiting"] == 0, lines[-1]
--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -84,7 +84,7 @@
         if state.waiting_jobs():
             place_tasks(state, now)
             request_capacity(state, now)
-        state.recovery.update(bool(state.waiting_jobs()), now)
+        _update_recovery(state, now)
     return state.take_effects()
 
 
@@ -136,6 +136,18 @@
     state.placement_needed = True
 
 
+def _update_recovery(state: EntryState, now: float) -> None:
+    """End the recovery from a full outage once its queue is served."""
+    recovery = state.recovery
+    if recovery.has_ended:
+        return
+    waiting = len(state.waiting_jobs())
+    recovery.update(waiting > 0, now)
+    if recovery.has_ended and state.policy.serves_late:
+        seconds = round(now - recovery.began_at, 3)
+        state.say("keeps no late jobs any more", seconds=seconds, waiting=waiting)
+
+
 def _close_overdue_jobs(state: EntryState, now: float) -> None:
     is_discovering_workers = state.is_discovering_workers(now)
     keeps_late_jobs = state.keeps_late_jobs(now)
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -109,6 +109,8 @@
     if not job.first_start_at:
         job.first_start_at = now
         state.observe("first_start_seconds", job.queue.name, now - job.arrived_at)
+        if job.is_late:
+            state.observe("late_starts", job.queue.name)
 
 
 def _make_start(state: EntryState, task: TaskState, view: AgentView) -> Start:
