--- a/features/steps/decision_recovery_steps.py
+++ b/features/steps/decision_recovery_steps.py
@@ -4,10 +4,10 @@
 
 from cactuswalk.decisions.recovery import (
     Recovery,
-    WorkerSupply,
     count_free_slots,
     keeps_late_jobs,
 )
+from cactuswalk.dispatch.effects import Observe
 from cactuswalk.dispatch.job import JobRequest, Step
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
 from cactuswalk.dispatch.loadpolicy import LoadPolicy
@@ -19,7 +19,6 @@
 from features.support.fleet import JOB, Fleet, queue
 
 STARTED_AT = 100.0
-CPU = 160_000
 RESERVED_SHARE = 0.1
 
 
@@ -44,27 +43,19 @@
 def step_no_worker(context, queued):
     context.recovery = Recovery()
     context.now = STARTED_AT
-    context.supply = WorkerSupply(0, 0, queued)
+    context.queued = queued
 
 
 @given(
-    "an entry that has known {kind:w} workers for {seconds:g} seconds, with a queue of"
+    "an entry that has known workers for {seconds:g} seconds, with a queue of"
     " {queued:g} seconds"
 )
-def step_known(context, kind, seconds, queued):
+def step_known(context, seconds, queued):
     context.recovery = Recovery()
     context.recovery.record_open_worker(STARTED_AT)
+    context.recovery.record_open_worker(STARTED_AT + seconds)
     context.now = STARTED_AT + seconds
-    context.supply = WorkerSupply(CPU, CPU if kind == "empty" else CPU // 3, queued)
-
-
-@given(
-    "an entry that has known empty workers for {seconds:g} seconds, one by one, with a"
-    " queue of {queued:g} seconds"
-)
-def step_one_by_one(context, seconds, queued):
-    step_known(context, "empty", seconds, queued)
-    context.recovery.record_open_worker(context.now)
+    context.queued = queued
 
 
 @given(
@@ -72,14 +63,14 @@
     " of {queued:g} seconds"
 )
 def step_served(context, seconds, queued):
-    step_known(context, "empty", seconds, queued)
+    step_known(context, seconds, queued)
     context.recovery.update(False, context.now)
     context.now += 0.1
 
 
 @then("it {keeps} jobs that can't be on time any more")
 def step_keeps(context, keeps):
-    kept = keeps_late_jobs(context.recovery, context.supply, context.now)
+    kept = keeps_late_jobs(context.recovery, context.queued, context.now)
     assert kept == (keeps == "keeps"), kept
 
 
@@ -169,6 +160,15 @@
     policy = LoadPolicy(serves_late=setting == "on")
     context.fleet = Fleet(entries, workers, policy=policy)
     context.waiters = {}
+    context.observed = []
+    perform = context.fleet.perform
+
+    def record(name, state, effect):
+        if isinstance(effect, Observe):
+            context.observed.append((name, effect.name))
+        perform(name, state, effect)
+
+    context.fleet.perform = record
 
 
 @when(
@@ -211,3 +211,19 @@
     fleet.kill(other)
     fleet.run(0.5)
     fleet.start_entry(other, "d1")
+
+
+@then(
+    "{entry:w} has counted {count:d} late start, and logged twice that it keeps no"
+    " late jobs any more"
+)
+def step_seen(context, entry, count):
+    assert context.observed.count((entry, "late_starts")) == count
+    lines = [
+        effect
+        for _, name, effect in context.fleet.lines
+        if name == entry and effect.sentence == "keeps no late jobs any more"
+    ]
+    # At the fleet's start, and after the outage.
+    assert len(lines) == 2, lines
+    assert lines[-1].fields["waiting"] == 0, lines[-1]
