Headroom in contention: less urgent tasks leave what measured demand needs; queues take turns

A constant tenth of each worker was left by all less urgent tasks. With measure_headroom the least urgent priority leaves the mean and two deviations of the demand beyond what is in use; those in between leave half a deviation. Of queues of one priority, those over their part of the capacity come last.

--- a/src/cactuswalk/dispatch/entry.py
+++ b/src/cactuswalk/dispatch/entry.py
@@ -30,6 +30,7 @@
     Tick,
     WaiterLeft,
 )
+from cactuswalk.dispatch.entryheadroom import update_headroom
 from cactuswalk.dispatch.entryisolation import check_isolation, must_give_up
 from cactuswalk.dispatch.entryjobs import (
     answer_job,
@@ -134,6 +135,7 @@
     forget_silent_peers(state, now)
     state.update_median_pace(now)
     request_capacity_early(state, now)
+    update_headroom(state, now)
     state.placement_needed = True
 
 
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -10,6 +10,7 @@
     JobCancelled,
     WaiterLeft,
 )
+from cactuswalk.dispatch.entryheadroom import record_demand
 from cactuswalk.dispatch.entrystate import EntryState
 from cactuswalk.dispatch.job import JobRequest, JobVerdict
 from cactuswalk.dispatch.jobstate import JobState, make_tasks
@@ -54,6 +55,7 @@
     if state.policy.places_by_end:
         mean = state.estimates[event.queue.name].mean
         state.shortest_kind.record(event.queue.service, event.queue.name, mean, now)
+    record_demand(state, job, now)
     make_tasks(job)
     state.observe("jobs", event.queue.name)
     if restore_crashes(state, job):
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -58,11 +58,12 @@
         state.urgent_priorities(now),
         now,
         ends,
+        state.headroom if state.policy.measures_headroom else None,
     )
     if not chooser.ranking:
         # While all workers are full, most rounds free too little for any waiting task.
         return
-    for job in sort_by_urgency(waiting):
+    for job in sort_by_urgency(waiting, state.headroom.over_share):
         _place_job(state, job, chooser, now)
 
 
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -9,6 +9,7 @@
 from cactuswalk.dispatch.crashes import KnownCrashes
 from cactuswalk.dispatch.entryknown import KnownEntry
 from cactuswalk.dispatch.evacuation import NOTHING_EVACUATED
+from cactuswalk.dispatch.headroom import Headroom
 from cactuswalk.dispatch.job import TaskKey
 from cactuswalk.dispatch.jobstate import JobState
 from cactuswalk.dispatch.membership import Member
@@ -52,6 +53,7 @@
     :ivar overflow_until: until when each overflow agent is used, by address.
     :ivar arrived_at: when the latest job arrived, by service and priority.
     :ivar shortest_kind: kinds of recent jobs, to choose probes (``place_by_end``).
+    :ivar headroom: measured demand and what it leaves free (``measure_headroom``).
     :ivar stop_at: when the process will be killed; 0 while it is not stopping.
     :ivar first_open_worker_at: when a worker that takes tasks was first known.
     :ivar median_pace: of the live workers, as of the last tick.
@@ -106,6 +108,7 @@
         self.estimates: dict[str, DurationEstimate] = {}
         self.arrived_at: dict[tuple[str, int], float] = {}
         self.shortest_kind = ShortestKind()
+        self.headroom = Headroom()
         self.next_sequence = 1
         self.next_agent_number = 1
         self.stop_at = 0.0
--- a/src/cactuswalk/dispatch/expectedends.py
+++ b/src/cactuswalk/dispatch/expectedends.py
@@ -18,7 +18,7 @@
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.jobstate import JobState, TaskState
 
-__all__ = ["Choice", "ExpectedEnds", "Purpose"]
+__all__ = ["Choice", "ExpectedEnds", "Purpose", "task_times"]
 
 # A worker whose run times exceed this multiple of the median ends no usual task in
 # time. It gets probes.
@@ -101,7 +101,7 @@
     def choice_of(self, task: TaskState) -> Choice:
         """Return what a task's choice of workers depends on."""
         job = task.job
-        seconds, after = _times(job, task.key.step)
+        seconds, after = task_times(job, task.key.step)
         task_class = class_of(seconds, job.due_at - after - self.now)
         return Choice(
             task_class,
@@ -168,7 +168,7 @@
             ),
             default=math.inf,
         )
-        seconds, _ = _times(task.job, task.key.step)
+        seconds, _ = task_times(task.job, task.key.step)
         spare = task.job.latest_start_at - self.now
         return should_wait_for_rack(seconds, room_in, self.far_factor, spare)
 
@@ -191,7 +191,7 @@
         return cost, view.number
 
 
-def _times(job: JobState, step: int) -> tuple[float, float]:
+def task_times(job: JobState, step: int) -> tuple[float, float]:
     """Return the expected run time of a step's task, and that of the steps after it.
 
     In seconds: parts of the job's expected run time, by the callers' estimates.
--- a/src/cactuswalk/dispatch/ordering.py
+++ b/src/cactuswalk/dispatch/ordering.py
@@ -12,6 +12,7 @@
 
 import enum
 import math
+from collections.abc import Container
 
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.jobstate import JobState
@@ -61,11 +62,21 @@
     return max(ends, default=0.0)
 
 
-def sort_by_urgency(jobs: list[JobState]) -> list[JobState]:
-    """Return the jobs that wait for capacity, the most urgent first."""
+def sort_by_urgency(
+    jobs: list[JobState], over_share: Container[str] = ()
+) -> list[JobState]:
+    """Return the jobs that wait for capacity, the most urgent first.
+
+    :param over_share: queues whose jobs come after others of the same priority.
+    """
     return sorted(
         jobs,
-        key=lambda job: (job.queue.priority, not job.has_started, job.latest_start_at),
+        key=lambda job: (
+            job.queue.priority,
+            not job.has_started,
+            job.queue.name in over_share,
+            job.latest_start_at,
+        ),
     )
 
 
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -26,6 +26,7 @@
 from cactuswalk.dispatch.agentview import AgentView
 from cactuswalk.dispatch.crashes import is_suspect
 from cactuswalk.dispatch.expectedends import Choice, ExpectedEnds
+from cactuswalk.dispatch.headroom import Headroom
 from cactuswalk.dispatch.job import Step
 from cactuswalk.dispatch.jobstate import TaskState
 from cactuswalk.dispatch.leaving import can_finish_in_time
@@ -70,6 +71,7 @@
     :param far_factor: by which a task takes longer outside its data's rack.
     :param urgent_priorities: by service, the most urgent priority of recent jobs.
     :param ends: by which workers are chosen; None to choose them by cost alone.
+    :param headroom: the shares that tasks leave free; None for the constant one.
     :ivar ranking: the agents whose workers may have room, the cheapest first.
     """
 
@@ -82,9 +84,11 @@
         urgent_priorities: dict[str, int],
         now: float,
         ends: ExpectedEnds | None = None,
+        headroom: Headroom | None = None,
     ) -> None:
         self.views = views
         self.ends = ends
+        self.headroom = headroom
         self.slow_pace = slow_pace
         self.far_factor = far_factor
         self.urgent_priorities = urgent_priorities
@@ -92,12 +96,12 @@
         self.ranking = sorted(
             [view for view in views if view.free_cpu >= least_cpu], key=BY_COST
         )
-        # By service, whether a share is reserved, and the choice by expected end, the
+        # By service, the share that is reserved, and the choice by expected end, the
         # last size that no worker could take; equal or larger tasks are skipped. In a
         # burst hundreds of tasks wait, and trying each of them on all workers in every
         # round would take longer than placing those that fit.
         self.unplaceable_sizes: dict[
-            tuple[str, bool, Choice | None], tuple[int, int, int]
+            tuple[str, float, Choice | None], tuple[int, int, int]
         ] = {}
         if ends is not None:
             ends.rank(self.ranking, views)
@@ -113,29 +117,27 @@
         """Return the agent for a task, or None if the task has to wait."""
         step = task.step
         size = (step.cpu, step.memory_mb, step.gpu)
-        reserves_room = self._reserves_room(task, service)
+        reserve = self._reserved_share(task, service)
         choice = self.ends.choice_of(task) if self.ends is not None else None
-        kind = (service, reserves_room, choice)
+        kind = (service, reserve, choice)
         least = self.unplaceable_sizes.get(kind)
         if least is not None and all(map(operator.ge, size, least)):
             return None
         if choice is None:
-            best = self._find_cheapest(task, service, reserves_room, self.ranking)
+            best = self._find_cheapest(task, service, reserve, self.ranking)
         else:
-            best = self._find_by_end(task, service, reserves_room, choice)
+            best = self._find_by_end(task, service, reserve, choice)
         is_alone = step.label or step.per_worker or has_own_choice(task)
         if best is None and not is_alone and not (choice and step.rack):
             self.unplaceable_sizes[kind] = size
         return best
 
     def _find_by_end(
-        self, task: TaskState, service: str, reserves_room: bool, choice: Choice
+        self, task: TaskState, service: str, reserve: float, choice: Choice
     ) -> AgentView | None:
         """Return the first worker of those that the expected ends allow."""
         for ranking, highest_pace in self.ends.rankings(task, choice):
-            best = self._find_cheapest(
-                task, service, reserves_room, ranking, highest_pace
-            )
+            best = self._find_cheapest(task, service, reserve, ranking, highest_pace)
             if best is not None:
                 return None if self.ends.waits_for_rack(task, best) else best
         return None
@@ -144,7 +146,7 @@
         self,
         task: TaskState,
         service: str,
-        reserves_room: bool,
+        reserve: float,
         ranking: list[AgentView],
         highest_pace: float = math.inf,
     ) -> AgentView | None:
@@ -160,7 +162,7 @@
                 break
             if cpu > view.free_cpu or view.report.service != service:
                 continue
-            if reserves_room and not _has_reserve(view, cpu):
+            if reserve and not _has_reserve(view, cpu, reserve):
                 continue
             if not view.fits(cpu, step.memory_mb, step.gpu):
                 continue
@@ -190,10 +192,13 @@
         ]
         return any(is_large_enough(view, task.step, service) for view in trusted)
 
-    def _reserves_room(self, task: TaskState, service: str) -> bool:
-        """Return whether a task leaves the reserved share to more urgent ones."""
+    def _reserved_share(self, task: TaskState, service: str) -> float:
+        """Return the share of a worker that a task leaves to more urgent ones."""
         priority = task.job.queue.priority
-        return priority > self.urgent_priorities.get(service, priority)
+        if self.headroom is not None and (service, priority) in self.headroom.shares:
+            return self.headroom.shares[service, priority]
+        is_urgent = priority <= self.urgent_priorities.get(service, priority)
+        return 0.0 if is_urgent else RESERVED_SHARE
 
     def _cost(self, view: AgentView, task: TaskState) -> float:
         """Return a worker's cost for a task with data in a rack, or avoided agents."""
@@ -235,13 +240,13 @@
         return not step.per_worker or _count_step_tasks(view, task) < step.per_worker
 
 
-def _has_reserve(view: AgentView, cpu: int) -> bool:
+def _has_reserve(view: AgentView, cpu: int, share: float) -> bool:
     """Return whether a task leaves the reserved share of a worker free.
 
     An empty worker takes any task: one that needs the whole worker would never fit
     beside the reserved share.
     """
-    reserve = int(RESERVED_SHARE * view.report.cpu)
+    reserve = int(share * view.report.cpu)
     return view.free_cpu >= cpu + reserve or view.is_empty()
 
 
