--- a/src/cactuswalk/dispatch/expectedends.py
+++ b/src/cactuswalk/dispatch/expectedends.py
@@ -59,6 +59,7 @@
     :ivar purpose: of the ranking that was yielded last.
     :ivar patient: the agents in the order in which patient tasks try them; None until
         there is such a task.
+    :ivar smallest_cpu: of a known worker, in thousandths of a core.
     :ivar probed: agents whose workers are far too slow, and empty.
     """
 
@@ -77,12 +78,14 @@
         self.views: list[AgentView] = []
         self.ranking: list[AgentView] = []
         self.patient: list[AgentView] | None = None
+        self.smallest_cpu = 0
         self.probed: list[AgentView] = []
 
     def rank(self, ranking: list[AgentView], views: list[AgentView]) -> None:
         """Take over the agents that may have room, the cheapest first."""
         self.views = views
         self.ranking = ranking
+        self.smallest_cpu = min((view.report.cpu for view in views), default=0)
         limit = PROBED_RATIO * self.median_pace
         self.probed = [
             view
@@ -110,6 +113,28 @@
             and self.shortest.is_shortest(job.queue.service, job.queue.name, self.now),
         )
 
+    def record_narrower(
+        self,
+        sizes: dict[tuple[str, float, Choice | None], tuple[int, int, int]],
+        kind: tuple[str, float, Choice],
+        size: tuple[int, int, int],
+    ) -> None:
+        """Record a size that fits no worker for tasks that may use fewer of them.
+
+        Only for those for which the median worker is fast enough: others may have to
+        run where they end late, and so may tasks that are too large for some workers.
+
+        :param sizes: the least ones that fit no worker, by kind of task.
+        """
+        service, reserve, choice = kind
+        if size[0] > self.smallest_cpu:
+            return
+        for task_class in range(choice.task_class):
+            narrower = choice._replace(task_class=task_class)
+            known = sizes.get((service, reserve, narrower))
+            if known is None or size < known:
+                sizes[service, reserve, narrower] = size
+
     def rankings(
         self, task: TaskState, choice: Choice
     ) -> Iterator[tuple[list[AgentView], float]]:
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -130,6 +130,8 @@
         is_alone = step.label or step.per_worker or has_own_choice(task)
         if best is None and not is_alone and not (choice and step.rack):
             self.unplaceable_sizes[kind] = size
+            if choice is not None:
+                self.ends.record_narrower(self.unplaceable_sizes, kind, size)
         return best
 
     def _find_by_end(
