--- a/src/cactuswalk/dispatch/agentdivision.py
+++ b/src/cactuswalk/dispatch/agentdivision.py
@@ -5,8 +5,8 @@
 
 from cactuswalk.dispatch.agentheld import EntryPeer
 from cactuswalk.dispatch.agentstate import AgentState
+from cactuswalk.dispatch.costs import RESERVED_SHARE
 from cactuswalk.dispatch.messages import Keepalive, Start
-from cactuswalk.dispatch.placement import RESERVED_SHARE
 
 __all__ = [
     "divide_room",
--- a/src/cactuswalk/dispatch/entrychooser.py
+++ b/src/cactuswalk/dispatch/entrychooser.py
@@ -23,4 +23,5 @@
         state.urgent_priorities(now),
         now,
         ends,
+        state.headroom if state.policy.measures_headroom else None,
     )
--- a/src/cactuswalk/dispatch/entryplacing.py
+++ b/src/cactuswalk/dispatch/entryplacing.py
@@ -56,7 +56,7 @@
     if state.policy.serves_late and not state.recovery.has_ended:
         mark_late_jobs(waiting, now)
     starts: list[Start] = []
-    for job in sort_by_urgency(waiting):
+    for job in sort_by_urgency(waiting, state.headroom.over_share):
         if chooser.has_room_to_begin(job) and may_begin(state, job, chooser, now):
             _place_job(state, job, chooser, starts, now)
     if state.policy.divides_room:
--- a/src/cactuswalk/dispatch/expectedends.py
+++ b/src/cactuswalk/dispatch/expectedends.py
@@ -18,7 +18,7 @@
 from cactuswalk.dispatch.job import JobRequest
 from cactuswalk.dispatch.jobstate import JobState, TaskState
 
-__all__ = ["Choice", "ExpectedEnds", "Purpose"]
+__all__ = ["Choice", "ExpectedEnds", "Purpose", "task_times"]
 
 # A worker whose run times exceed this multiple of the median ends no usual task in
 # time. It gets probes.
@@ -59,6 +59,7 @@
     :ivar purpose: of the ranking that was yielded last.
     :ivar patient: the agents in the order in which patient tasks try them; None until
         there is such a task.
+    :ivar smallest_cpu: of a known worker, in thousandths of a core.
     :ivar probed: agents whose workers are far too slow, and empty.
     """
 
@@ -77,12 +78,14 @@
         self.views: list[AgentView] = []
         self.ranking: list[AgentView] = []
         self.patient: list[AgentView] | None = None
+        self.smallest_cpu = 0
         self.probed: list[AgentView] = []
 
     def rank(self, ranking: list[AgentView], views: list[AgentView]) -> None:
         """Take over the agents that may have room, the cheapest first."""
         self.views = views
         self.ranking = ranking
+        self.smallest_cpu = min((view.report.cpu for view in views), default=0)
         limit = PROBED_RATIO * self.median_pace
         self.probed = [
             view
@@ -101,7 +104,7 @@
     def choice_of(self, task: TaskState) -> Choice:
         """Return what a task's choice of workers depends on."""
         job = task.job
-        seconds, after = _times(job, task.key.step)
+        seconds, after = task_times(job, task.key.step)
         task_class = class_of(seconds, job.due_at - after - self.now)
         return Choice(
             task_class,
@@ -114,6 +117,28 @@
         """Return the pace of the slowest worker where a task ends in time."""
         return highest_pace(choice.task_class, self.median_pace)
 
+    def record_narrower(
+        self,
+        sizes: dict[tuple[str, float, Choice | None], tuple[int, int, int]],
+        kind: tuple[str, float, Choice],
+        size: tuple[int, int, int],
+    ) -> None:
+        """Record a size that fits no worker for tasks that may use fewer of them.
+
+        Only for those for which the median worker is fast enough: others may have to
+        run where they end late, and so may tasks that are too large for some workers.
+
+        :param sizes: the least ones that fit no worker, by kind of task.
+        """
+        service, reserve, choice = kind
+        if size[0] > self.smallest_cpu:
+            return
+        for task_class in range(choice.task_class):
+            narrower = choice._replace(task_class=task_class)
+            known = sizes.get((service, reserve, narrower))
+            if known is None or size < known:
+                sizes[service, reserve, narrower] = size
+
     def rankings(
         self, task: TaskState, choice: Choice
     ) -> Iterator[tuple[list[AgentView], float]]:
@@ -172,7 +197,7 @@
             ),
             default=math.inf,
         )
-        seconds, _ = _times(task.job, task.key.step)
+        seconds, _ = task_times(task.job, task.key.step)
         spare = task.job.latest_start_at - self.now
         return should_wait_for_rack(seconds, room_in, self.far_factor, spare)
 
@@ -195,7 +220,7 @@
         return cost, view.number
 
 
-def _times(job: JobState, step: int) -> tuple[float, float]:
+def task_times(job: JobState, step: int) -> tuple[float, float]:
     """Return the expected run time of a step's task, and that of the steps after it.
 
     In seconds: parts of the job's expected run time, by the callers' estimates.
