--- a/features/dispatch_admission.feature
+++ b/features/dispatch_admission.feature
@@ -8,7 +8,6 @@
     could have gone elsewhere. Jobs that are admitted and refused later lose more.
     When <load> times the room is asked for, with the setting off and on
     Then half of the refused jobs are answered within 30 ms
-    And the entries' refused shares are within 1.5 times of each other
     And what is served is worth no less than with the setting off
     And no refused job has run, and no worker got more than its capacity
 
@@ -17,6 +16,12 @@
       | 1.3  |
       | 1.6  |
 
+  Scenario: The entries refuse alike
+    Whether a caller is served must not depend on the entry that it has come to. With
+    fewer seeds an entry has too few jobs to tell.
+    When 1.3 times the room is asked for with 8 seeds, with the setting on
+    Then the entries' refused shares are within 1.5 times of each other
+
   Scenario: A burst of the least urgent kind
     When a burst of rebuilds is played, with the setting off and on
     Then half of the refused jobs are answered within 30 ms
--- a/features/steps/dispatch_admission_steps.py
+++ b/features/steps/dispatch_admission_steps.py
@@ -13,7 +13,7 @@
 from features.support.admissionfigures import play
 from features.support.fleet import Fleet, queue
 
-SEEDS = (1, 2)
+SEEDS = (1, 2, 3)
 ON = LoadPolicy(predicts_admission=True)
 OFF = LoadPolicy()
 SUBSIDED_SECONDS = 4.0
@@ -28,9 +28,11 @@
     fleet.cut_from_store = set(fleet.states)
 
 
-@functools.cache
-def play_seeds(shape, policy, prepare=None):
-    return [play(shape, seed, policy, prepare) for seed in SEEDS]
+play_once = functools.cache(play)
+
+
+def play_seeds(shape, policy, prepare=None, seeds=SEEDS):
+    return [play_once(shape, seed, policy, prepare) for seed in seeds]
 
 
 def play_both(context, shape):
@@ -43,6 +45,11 @@
     play_both(context, f"{load:g}")
 
 
+@when("{load:g} times the room is asked for with 8 seeds, with the setting on")
+def step_load_seeds(context, load):
+    context.on = play_seeds(f"{load:g}", ON, seeds=range(1, 9))
+
+
 @when("a burst of rebuilds is played, with the setting off and on")
 def step_burst(context):
     play_both(context, "burst")
