--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -86,7 +86,9 @@
 
 def _waiting_cpu(job: JobState) -> int:
     """Return the size of a job's waiting tasks; those of one step are alike."""
-    return len(job.waiting) * job.waiting[0].step.cpu
+    if len(job.opened_steps) == 1:
+        return len(job.waiting) * job.waiting[0].step.cpu
+    return sum(task.step.cpu for task in job.waiting)
 
 
 def _demand(state: EntryState, job: JobState, now: float) -> Demand:
