Jobs that can wait for less than 0.1 s are not refused by finer predictions

Cause: the wide kind may wait for 0.05 s, less than reports and ticks take; two of a hundred were refused at arrival at 1.6 times the room though they could have been served. Change: the limit of a refusal by prediction is at least 0.1 s, or 0.8 of the job's slack.

--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -37,6 +37,10 @@
 # (``QUEUEING_SLACK_SHARE``), and a refusal would come late for its caller.
 ADMITTED_SLACK_SHARE = 0.8
 
+# A job that can wait for less than this is admitted as if it could wait so long: reports
+# and ticks come each 0.05 s or so, and nothing can be predicted for a shorter time.
+MIN_LIMIT_SECONDS = 0.1
+
 
 def find_late_reason(state: EntryState, job: JobState, now: float) -> str:
     """Return why a job that has just arrived would start too late, or nothing.
@@ -57,7 +61,8 @@
         job.latest_start_at = admitted_until
         return ""
     state.observe("predicted_wait_seconds", job.queue.name, job.prospect.wait)
-    if not job.prospect.exceeds(admitted_until - now):
+    least = min(job.latest_start_at, now + MIN_LIMIT_SECONDS)
+    if not job.prospect.exceeds(max(admitted_until, least) - now):
         return ""
     state.observe("refused_at_arrival", job.queue.name)
     return "no capacity for all of its tasks is predicted in time"
