--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -37,8 +37,8 @@
 # (``QUEUEING_SLACK_SHARE``), and a refusal would come late for its caller.
 ADMITTED_SLACK_SHARE = 0.8
 
-# A job that can wait for less than this is admitted as if it could wait so long: reports
-# and ticks come each 0.05 s or so, and nothing can be predicted for a shorter time.
+# A job that can wait for less than this is admitted as if it could wait so long: ticks
+# come each 0.05 s, reports up to 0.08 s apart, and shorter waits can't be predicted.
 MIN_LIMIT_SECONDS = 0.1
 
 
