Placement by expected end: a task that only slow workers may run doesn't wait in vain

A label, a size or closed workers may leave no worker that ends a task in time, and a late task of a started job none within 2.5 times the median: any other may run it then. A scenario with a label shows it; it fails without the rule.

--- a/features/dispatch_uneven.feature
+++ b/features/dispatch_uneven.feature
@@ -70,3 +70,10 @@
     Then the task runs in the rack
     When the run in the rack ends in 3 seconds and a task of 1 second comes
     Then the task runs outside the rack
+
+  Scenario: A task that only a slow worker may run is run there
+    Its label is that of the slow worker. If it waited for a worker that ends it in
+    time, its job would be refused though its worker is empty.
+    Given three workers, of which the slow one alone has the label of a task
+    When a task of 1 second with that label comes
+    Then it is completed at the slow worker
--- a/features/steps/dispatch_uneven_steps.py
+++ b/features/steps/dispatch_uneven_steps.py
@@ -239,3 +239,32 @@
 @then("the task runs outside the rack")
 def step_outside_rack(context):
     assert context.ran_at == "a1"
+
+
+@given("three workers, of which the slow one alone has the label of a task")
+def step_labelled(context):
+    context.number = 0
+    fleet = context.fleet = Fleet(1, 3, cpu=4_000, policy=ON)
+    fleet.workers["a0"].labels = ("l0",)
+    fleet.workers["a0"].pace = 4.0
+    fleet.announce("a0")
+    for number in range(60):
+        # Half of them may run at the slow worker only, so that its pace is known.
+        submit(context, f"{number:016x}", 0.05, label="l0" if number % 2 else "")
+        fleet.run(0.1)
+    fleet.run(1.0)
+    assert fleet.states["e0"].views["a0"].report.pace > 2.5
+
+
+@when("a task of 1 second with that label comes")
+def step_labelled_task(context):
+    submit(context, "00000000000000c0", 1.0, label="l0")
+    context.fleet.run(8.0)
+
+
+@then("it is completed at the slow worker")
+def step_at_slow(context):
+    fleet = context.fleet
+    assert fleet.verdict(context.number) == "completed"
+    ran = [worker for _, key, _, worker in fleet.starts if key.job.endswith("c0")]
+    assert set(ran) == {"a0"}, ran
--- a/src/cactuswalk/dispatch/expectedends.py
+++ b/src/cactuswalk/dispatch/expectedends.py
@@ -154,8 +154,9 @@
             yield self.probed, math.inf
         self.purpose = Purpose.LATE
         if choice.is_late:
-            yield self.ranking, PROBED_RATIO * self.median_pace
-        elif not self._can_end_anywhere(task, limit):
+            limit = PROBED_RATIO * self.median_pace
+            yield self.ranking, limit
+        if not self._has_worker_within(task, limit):
             yield self.ranking, math.inf
 
     def _rank_for_patient(self) -> list[AgentView]:
@@ -166,14 +167,19 @@
     def _is_probe_due(self, view: AgentView) -> bool:
         return self.now - view.start_sent_at >= PROBE_SECONDS
 
-    def _can_end_anywhere(self, task: TaskState, limit: float) -> bool:
-        """Return whether a task would end in time at any worker if that were empty."""
+    def _has_worker_within(self, task: TaskState, limit: float) -> bool:
+        """Return whether a worker up to a pace would take a task if it were empty.
+
+        Without one a task would wait in vain, and its job be refused.
+        """
         step, service = task.step, task.job.queue.service
         return any(
             view.report.pace <= limit
             and view.report.service == service
             and view.report.cpu >= step.cpu
             and (not step.label or step.label in view.report.labels)
+            and view.report.open
+            and not view.report.leaves_in_ms
             and view.is_live(self.now)
             for view in self.views
         )
