--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -6,6 +6,7 @@
 from cactuswalk.dispatch.ordering import sort_by_urgency
 from cactuswalk.dispatch.overflow import (
     choose_agents_to_offer,
+    choose_agents_to_share,
     choose_entries_to_ask,
     most_free_elsewhere,
 )
@@ -29,6 +30,9 @@
 # At the same time. Each costs as many messages as a home agent.
 MAX_OVERFLOW_AGENTS = 10
 
+# The same for an entry whose data centre is evacuated and that had fewer agents there.
+MIN_AGENTS_WHILE_EVACUATED = 4
+
 
 def request_capacity(state: EntryState, now: float) -> None:
     """Ask other entries for agents with free capacity, if jobs wait here."""
@@ -91,11 +95,28 @@
 
 
 def _can_request(state: EntryState, now: float) -> bool:
-    return (
-        now >= state.search.due_at and len(state.overflow_until) < MAX_OVERFLOW_AGENTS
+    return now >= state.search.due_at and (
+        len(state.overflow_until) < _max_overflow_agents(state)
     )
 
 
+def _max_overflow_agents(state: EntryState) -> int:
+    """Return how many overflow agents an entry may use.
+
+    One whose data centre is evacuated uses as many as it had there: with fewer its
+    callers would get less of the remaining capacity than others, with more the others'
+    callers would.
+    """
+    if not state.policy.divides_room or not state.is_evacuated(state.data_centre):
+        return MAX_OVERFLOW_AGENTS
+    lost = [
+        view
+        for view in state.views.values()
+        if view.report.home and view.report.data_centre == state.data_centre
+    ]
+    return max(MIN_AGENTS_WHILE_EVACUATED, len(lost))
+
+
 def _send_request(state: EntryState, request: CapacityRequest, now: float) -> None:
     turn = state.search.turn
     addresses = choose_entries_to_ask(state.entries, state.data_centre, turn, now)
@@ -110,24 +131,39 @@
 def handle_capacity_request(
     state: EntryState, sender: str, request: CapacityRequest, now: float
 ) -> None:
-    """Offer agents with free capacity to another entry, unless jobs wait here."""
-    if state.waiting_jobs():
+    """Offer agents to another entry: with free capacity, unless jobs wait here.
+
+    An entry whose data centre is evacuated is offered any agents. It has no others, and
+    in an overload nobody has free capacity: the agents divide what they free among all
+    entries that wait for it.
+    """
+    shares_all = state.policy.divides_room and _is_entry_evacuated(state, sender)
+    if state.waiting_jobs() and not shares_all:
         return
     search = state.search
-    agents = choose_agents_to_offer(
-        state.usable_views(), request, search.offer_turn, now
-    )
+    choose = choose_agents_to_share if shares_all else choose_agents_to_offer
+    agents = choose(state.usable_views(), request, search.offer_turn, now)
     search.offer_turn += len(agents)
     if agents:
         state.send(sender, CapacityOffer(agents))
 
 
+def _is_entry_evacuated(state: EntryState, address: str) -> bool:
+    entry = state.entries.get(address)
+    return entry is not None and state.is_evacuated(entry.data_centre)
+
+
 def handle_capacity_offer(
     state: EntryState, sender: str, offer: CapacityOffer, now: float
 ) -> None:
     """Begin to use the agents that another entry has offered."""
-    new = [address for address in offer.agents if address not in state.views]
-    for address in offer.agents:
+    offered = offer.agents
+    if state.policy.divides_room and state.is_evacuated(state.data_centre):
+        # Two entries are asked at a time, and each may offer as many as are wanted.
+        left = _max_overflow_agents(state) - len(state.overflow_until)
+        offered = offered[: max(0, left)]
+    new = [address for address in offered if address not in state.views]
+    for address in offered:
         state.overflow_until[address] = now + OVERFLOW_IDLE_SECONDS
     if not new:
         return
--- a/src/cactuswalk/dispatch/entrystate.py
+++ b/src/cactuswalk/dispatch/entrystate.py
@@ -179,6 +179,10 @@
             if view.report.data_centre not in evacuated
         ]
 
+    def is_evacuated(self, data_centre: str) -> bool:
+        """Return whether the operators have a data centre evacuated."""
+        return data_centre in self.evacuations.data_centres
+
     def update_median_pace(self, now: float) -> None:
         """Recompute the median pace of the workers that may get tasks."""
         self.median_pace = median_pace(
--- a/src/cactuswalk/dispatch/overflow.py
+++ b/src/cactuswalk/dispatch/overflow.py
@@ -19,6 +19,7 @@
 __all__ = [
     "CapacitySearch",
     "choose_agents_to_offer",
+    "choose_agents_to_share",
     "choose_entries_to_ask",
     "most_free_elsewhere",
 ]
@@ -117,11 +118,7 @@
     roomy = [
         view
         for view in views
-        if view.report.home
-        and request.service in ("", view.report.service)
-        and view.is_open(now)
-        and not view.report.trial
-        and not view.report.leaves_in_ms
+        if _is_offerable(view, request, now)
         and view.fits(request.cpu, request.memory_mb, request.gpu)
     ]
     roomy.sort(key=lambda view: -view.free_cpu)
@@ -129,6 +126,24 @@
     return list(_rotate(best, turn, MAX_OFFERED_AGENTS))
 
 
+def choose_agents_to_share(
+    views: Iterable[AgentView], request: CapacityRequest, turn: int, now: float
+) -> list[str]:
+    """Return the addresses of home agents, whether they have free capacity or not."""
+    shared = sorted(view.address for view in views if _is_offerable(view, request, now))
+    return list(_rotate(shared, turn, MAX_OFFERED_AGENTS))
+
+
+def _is_offerable(view: AgentView, request: CapacityRequest, now: float) -> bool:
+    return (
+        view.report.home
+        and request.service in ("", view.report.service)
+        and view.is_open(now)
+        and not view.report.trial
+        and not view.report.leaves_in_ms
+    )
+
+
 def _rotate(items: list[str], turn: int, count: int) -> Iterable[str]:
     """Return some of the items, starting at a position that depends on the turn."""
     if not items:
