Ablation: the order of serving is changed in its new text

The sort key has a line for each part since queues take turns, and the changes that remove the priorities and the jobs that have begun named the old line.

--- a/tools/ablation.py
+++ b/tools/ablation.py
@@ -46,14 +46,14 @@
     SourceChange(
         "priorities in the order of serving",
         f"{DISPATCH}/ordering.py",
-        "key=lambda job: (job.queue.priority, not job.has_started",
-        "key=lambda job: (not job.has_started",
+        "job.queue.priority,\n            not job.has_started,",
+        "not job.has_started,",
     ),
     SourceChange(
         "jobs that have begun go first",
         f"{DISPATCH}/ordering.py",
-        "(job.queue.priority, not job.has_started, job.latest_start_at)",
-        "(job.queue.priority, job.latest_start_at)",
+        "not job.has_started,\n            job.queue.name in over_share,",
+        "job.queue.name in over_share,",
     ),
     SourceChange(
         "trial of a worker that fails",
