--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -31,7 +31,7 @@
 MAX_OVERFLOW_AGENTS = 10
 
 # The same for an entry whose data centre is evacuated and that had fewer agents there.
-MIN_AGENTS_WHILE_EVACUATED = 4
+MIN_AGENTS_WHILE_EVACUATED = 6
 
 
 def request_capacity(state: EntryState, now: float) -> None:
