--- a/features/steps/dispatch_evacuated_entries_steps.py
+++ b/features/steps/dispatch_evacuated_entries_steps.py
@@ -15,9 +15,9 @@
 CENTRES = ("d0", "d1", "d2")
 
 
-@given("six entries, twelve workers and three data centres, and room is divided")
+@given("six entries, twelve workers and three data centres, with agents shared")
 def step_fleet(context):
-    policy = LoadPolicy(divides_room=True)
+    policy = LoadPolicy(shares_evacuated=True)
     context.fleet = Fleet(6, 12, cpu=64_000, centres=3, policy=policy)
     context.fleet.in_order = True
 
--- a/src/cactuswalk/dispatch/entryoverflow.py
+++ b/src/cactuswalk/dispatch/entryoverflow.py
@@ -107,7 +107,7 @@
     callers would get less of the remaining capacity than others, with more the others'
     callers would.
     """
-    if not state.policy.divides_room or not state.is_evacuated(state.data_centre):
+    if not state.policy.shares_evacuated or not state.is_evacuated(state.data_centre):
         return MAX_OVERFLOW_AGENTS
     lost = [
         view
@@ -134,10 +134,9 @@
     """Offer agents to another entry: with free capacity, unless jobs wait here.
 
     An entry whose data centre is evacuated is offered any agents. It has no others, and
-    in an overload nobody has free capacity: the agents divide what they free among all
-    entries that wait for it.
+    in an overload nobody has free capacity to offer.
     """
-    shares_all = state.policy.divides_room and _is_entry_evacuated(state, sender)
+    shares_all = state.policy.shares_evacuated and _is_entry_evacuated(state, sender)
     if state.waiting_jobs() and not shares_all:
         return
     search = state.search
@@ -158,7 +157,7 @@
 ) -> None:
     """Begin to use the agents that another entry has offered."""
     offered = offer.agents
-    if state.policy.divides_room and state.is_evacuated(state.data_centre):
+    if state.policy.shares_evacuated and state.is_evacuated(state.data_centre):
         # Two entries are asked at a time, and each may offer as many as are wanted.
         left = _max_overflow_agents(state) - len(state.overflow_until)
         offered = offered[: max(0, left)]
--- a/src/cactuswalk/dispatch/loadpolicy.py
+++ b/src/cactuswalk/dispatch/loadpolicy.py
@@ -19,6 +19,8 @@
         measured demand of more urgent ones, instead of a constant share.
     :param serves_late: a job that can't be on time any more is run while there is room
         to spare, instead of being refused.
+    :param shares_evacuated: entries offer agents to those of an evacuated data centre
+        also while jobs wait, instead of agents with free room only.
     :param places_by_end: a task goes where it is expected to end in time, and slow
         workers get the tasks that have time.
     """
@@ -27,6 +29,7 @@
     predicts_admission: bool = False
     measures_headroom: bool = False
     serves_late: bool = False
+    shares_evacuated: bool = False
     places_by_end: bool = False
 
 
--- a/src/cactuswalk/settings/dispatch.py
+++ b/src/cactuswalk/settings/dispatch.py
@@ -157,6 +157,7 @@
         predicts_admission=reader.get("load", "predict_admission", switch, False),
         measures_headroom=reader.get("load", "measure_headroom", switch, False),
         serves_late=reader.get("load", "serve_late", switch, False),
+        shares_evacuated=reader.get("load", "share_evacuated", switch, False),
         places_by_end=reader.get("load", "place_by_end", switch, False),
     )
 
