Faults that the review of the parts found

Cause, by scripts of the reviewer on the fleet model: a worker whose host's time of day was set back between two starts was never used again; jobs were refused as too large while a worker restarted; with serve_late a job that may run from an earlier submission was refused as not run; with divide_room the reducer of an agent that had just started stood still for 0.24 to 0.47 s; with predict_admission jobs were refused beside idle workers, behind a task that waits for a label, and counts were wrong for workers on trial or short of memory. Change: a poll that was sent after the current incarnation was adopted proves which one runs; the capacity is reported until the heartbeat; the late check comes after the check for earlier attempts; grants need a known task size and have a least unit; what is free for the tasks before counts.

--- a/features/dispatch_restarts.feature
+++ b/features/dispatch_restarts.feature
@@ -29,6 +29,31 @@
     Then no task has run twice at once
     And the job is completed at e0
 
+  Scenario: A job comes before the first heartbeat of workers that have restarted
+    Entries would refuse it as too large if the workers counted as empty of capacity.
+    When the fleet runs on for 0.7 seconds
+    And a job of 8 tasks of 2 seconds comes to e0
+    And the fleet runs on for 0.1 seconds
+    And all workers restart in an instant, and 0.25 seconds pass
+    Then a job that comes now is not refused as too large
+
+  Scenario Outline: The host's time of day is set back before a worker restarts
+    Its start looks earlier than that of the incarnation before. If it were ignored, the
+    worker would never be used again.
+    When a job of 2 tasks of 2 seconds comes to e0
+    And a worker that runs a task restarts within <away> seconds, after 0.3 seconds
+    And its host's time of day was set back by 10 seconds meanwhile
+    And the fleet runs on for <away> seconds
+    Then it is open for tasks within 3 seconds of its return
+    When the fleet runs on for 8 seconds
+    Then no task has run twice at once
+    And the job is completed at e0
+
+    Examples:
+      | away |
+      | 0.3  |
+      | 8    |
+
   Scenario: The next incarnation is smaller and of another service
     Once a poll has shown it, the agent must not start there what the earlier one could
     hold.
--- a/features/support/fleetcalls.py
+++ b/features/support/fleetcalls.py
@@ -181,7 +181,12 @@
         if effect.worker != worker.identifier:
             other = worker.identifier
             return PollFailed(
-                effect.worker, False, False, effect.is_check, answered_by=other
+                effect.worker,
+                False,
+                False,
+                effect.is_check,
+                answered_by=other,
+                sent_at=sent_at,
             )
         running, ended = worker.rows(self.fleet.now)
         return PollAnswered(
--- a/src/cactuswalk/dispatch/agentdivision.py
+++ b/src/cactuswalk/dispatch/agentdivision.py
@@ -16,6 +16,10 @@
     "told_cpu",
 ]
 
+# Units in which a worker's capacity is granted, at most: each costs a step of the
+# round-robin.
+MAX_UNITS = 64
+
 
 def record_backlog(
     state: AgentState, peer: EntryPeer, message: Keepalive | Start, now: float
@@ -54,10 +58,12 @@
     shares = [peer.share for peer in peers.values()]
     for share in state.division.expire(shares, now):
         _log_expired_grant(state, peers[id(share)], now)
-    if not state.is_open(now):
+    if not state.is_open(now) or not state.usual_cpu:
+        # Before the first start the size of a usual task is unknown.
         return
     free = state.free_resources()[0]
-    unit, reserve = state.usual_cpu, _reserved_cpu(state)
+    unit = max(state.usual_cpu, state.worker.cpu // MAX_UNITS)
+    reserve = _reserved_cpu(state)
     for share in state.division.grant(free, unit, reserve, shares, now):
         peers[id(share)].urgent = True
         if share.granted_at == now:
--- a/src/cactuswalk/dispatch/agentevents.py
+++ b/src/cactuswalk/dispatch/agentevents.py
@@ -1,6 +1,7 @@
 """Events that the agent's reducer handles."""
 
 import enum
+import math
 
 import msgspec
 
@@ -143,6 +144,7 @@
     :param refused: the connection was refused, by the host or by a network.
     :param answered_by: identifier of another incarnation of the worker, which has the
         same name and has answered; empty if none has.
+    :param sent_at: when the poll was sent, on the agent's clock.
     """
 
     worker: str
@@ -151,6 +153,7 @@
     is_check: bool = False
     refused: bool = False
     answered_by: str = ""
+    sent_at: float = -math.inf
 
 
 class EntriesRead(msgspec.Struct):
--- a/src/cactuswalk/dispatch/agentincarnations.py
+++ b/src/cactuswalk/dispatch/agentincarnations.py
@@ -40,7 +40,7 @@
     """Switch to a new incarnation of the worker; all earlier runs have ended."""
     _log_worker(state, worker)
     state.reach_phase("first worker", now)
-    mark_all_crashed(state, "the worker's life ended", now)
+    mark_all_crashed(state, "the worker's incarnation has ended", now)
     state.runs.clear()
     _use(state, worker, now)
     announce_worker(state, worker, now)
@@ -56,14 +56,13 @@
 def follow_unannounced(state: AgentState, identifier: str, now: float) -> None:
     """Switch to a later incarnation of the current worker, which answered a poll.
 
-    Its capacity and its service are unknown until its heartbeat.
+    Its capacity and its service are unknown until its heartbeat, and it gets no tasks.
+    The earlier ones are reported until then: entries would refuse jobs that fit no
+    other worker if this one counted as too small.
     """
     unknown = msgspec.structs.replace(
         state.worker,
         identifier=identifier,
-        cpu=0,
-        memory_mb=0,
-        gpu=0,
         draining=False,
         leaves_in_ms=0,
         sequence=0,
@@ -124,8 +123,10 @@
 
 def _use(state: AgentState, worker: Worker, now: float) -> None:
     """Reset what is known of the earlier incarnation."""
+    replaced = state.worker.identifier if state.worker else ""
     state.worker = worker
-    state.incarnations.record(worker.identifier)
+    state.adopted_at = now
+    state.incarnations.record(worker.identifier, replaced)
     state.is_announced = state.may_have_departed = state.has_departed = False
     state.bounds.clear()
     state.candidate = None
--- a/src/cactuswalk/dispatch/agentstate.py
+++ b/src/cactuswalk/dispatch/agentstate.py
@@ -43,6 +43,7 @@
         that its capacity and its service are known.
     :ivar may_have_departed: a departure was announced under the worker's name, perhaps
         by its earlier incarnation, and no heartbeat has come since.
+    :ivar adopted_at: when the current incarnation of the worker was adopted.
     :ivar bounds: upper bounds of the worker's capacity, as refused starts have shown
         them since its latest heartbeat.
     :ivar usual_cpu: average size of the latest starts, in thousandths of a core.
@@ -100,6 +101,7 @@
         self.worker: Worker | None = None
         self.incarnations = KnownIncarnations()
         self.is_announced = False
+        self.adopted_at = -math.inf
         self.may_have_departed = False
         self.bounds = CapacityBounds()
         self.usual_cpu = 0
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -53,13 +53,15 @@
     if state.is_current(worker.identifier):
         _handle_current_heartbeat(state, worker, now)
         return
-    if state.incarnations.is_outdated(worker.identifier):
+    is_outdated = state.incarnations.is_outdated(worker.identifier)
+    if is_outdated and state.worker is not None:
+        # The polls of the current one show whether this one runs in its place.
         state.say("ignored an earlier incarnation", worker=worker.identifier)
         return
-    if state.worker is None:
+    if state.worker is None and not is_outdated:
         adopt_worker(state, worker, now)
         return
-    if is_later(worker.identifier, state.worker.identifier):
+    if not is_outdated and is_later(worker.identifier, state.worker.identifier):
         follow_announced(state, worker, now)
         return
     # This may be a delayed heartbeat of an earlier incarnation, which must not end the
@@ -161,7 +163,7 @@
     """Return whether a run that a poll doesn't list has not started and never will.
 
     This holds if the poll had a higher token than the start: the worker refuses the
-    start if it arrives later. A confirmed stop is no such proof, since an ill worker
+    start if it arrives later. A confirmed stop is no such proof, since a faulty worker
     may start the task all the same; it would run here beside its next run.
 
     :param token: fencing token of the poll.
@@ -239,7 +241,7 @@
         return
     if not state.is_current(event.worker):
         return
-    if is_later(event.answered_by, event.worker):
+    if _runs_instead(state, event):
         follow_unannounced(state, event.answered_by, now)
         return
     token = _token_of(state, event)
@@ -256,6 +258,17 @@
     _record_unanswered_poll(state, event, now)
 
 
+def _runs_instead(state: AgentState, event: PollFailed) -> bool:
+    """Return whether another incarnation has answered that runs in place of this one.
+
+    A poll that was sent after the current one was adopted reaches it or a later one. If
+    that gives an earlier start, its host's time of day was set back.
+    """
+    if not event.answered_by:
+        return False
+    return is_later(event.answered_by, event.worker) or event.sent_at > state.adopted_at
+
+
 def _record_unanswered_poll(state: AgentState, event: PollFailed, now: float) -> None:
     state.unanswered_poll_at = now
     if event.is_check:
--- a/src/cactuswalk/dispatch/entryadmission.py
+++ b/src/cactuswalk/dispatch/entryadmission.py
@@ -28,6 +28,7 @@
     "record_round",
     "record_task_start",
     "retry_pause",
+    "was_sent_before",
 ]
 
 # Older statuses count as none: entries send one every 0.3 s.
@@ -50,7 +51,7 @@
     """
     if not state.policy.predicts_admission or not job.waiting:
         return ""
-    if not _can_predict(state, now) or job.earlier_entry or _was_sent(state, job):
+    if not _can_predict(state, now) or job.earlier_entry or was_sent_before(state, job):
         return ""
     admitted_until = job.latest_start_at
     slack = job.due_at - job.expected_seconds - job.arrived_at
@@ -78,7 +79,7 @@
     )
 
 
-def _was_sent(state: EntryState, job: JobState) -> bool:
+def was_sent_before(state: EntryState, job: JobState) -> bool:
     """Return whether a task may still run from an earlier submission of the job."""
     return bool(state.stopping_tasks) and any(
         task.key in state.stopping_tasks for task in job.tasks
@@ -99,11 +100,13 @@
 def _demand(state: EntryState, job: JobState, now: float) -> Demand:
     task = job.waiting[0]
     cpu = task.step.cpu
-    most = len(job.waiting)
-    fitting = make_chooser(state, cpu, now).count_fitting(task, job.queue.service, most)
     ahead_cpu = _ahead_cpu(state, job)
+    # Also what is free for the tasks that go before: they may wait for something else
+    # than processors, and then the rate at which they are served says nothing.
+    most = len(job.waiting) + math.ceil(ahead_cpu / max(1, cpu))
+    fitting = make_chooser(state, cpu, now).count_fitting(task, job.queue.service, most)
     elsewhere_cpu = 0
-    if fitting < most or ahead_cpu:
+    if fitting < most:
         elsewhere_cpu = _elsewhere_cpu(state, now)
     neighbours = neighbours_cpu(state, now)
     return Demand(
--- a/src/cactuswalk/dispatch/entryjobs.py
+++ b/src/cactuswalk/dispatch/entryjobs.py
@@ -7,6 +7,7 @@
     find_late_reason,
     prospect_fields,
     retry_pause,
+    was_sent_before,
 )
 from cactuswalk.dispatch.entryattempts import find_earlier_attempt
 from cactuswalk.dispatch.entrycrashes import restore_crashes
@@ -58,9 +59,6 @@
     if reason:
         _refuse_waiters(state, job, reason)
         return
-    if state.policy.serves_late and not is_still_useful(job, now):
-        _refuse_waiters(state, job, "can't end while its caller waits")
-        return
     state.jobs[job.request.identifier] = job
     state.arrived_at[event.queue.service, event.queue.priority] = now
     if state.policy.places_by_end:
@@ -73,7 +71,9 @@
         answer_job(state, job, JobVerdict.FAILED, "a task crashes its workers", now)
         return
     find_earlier_attempt(state, job, now)
-    late_reason = find_late_reason(state, job, now)
+    late_reason = _find_useless_reason(state, job, now) or find_late_reason(
+        state, job, now
+    )
     if late_reason:
         answer_job(state, job, JobVerdict.NOT_RUN, late_reason, now)
         return
@@ -81,6 +81,18 @@
     state.placement_needed = True
 
 
+def _find_useless_reason(state: EntryState, job: JobState, now: float) -> str:
+    """Return why the answer of a new job would be useless to its caller, or nothing.
+
+    A job that may run from an earlier submission can't be refused as not run.
+    """
+    if not state.policy.serves_late or is_still_useful(job, now):
+        return ""
+    if job.earlier_entry or was_sent_before(state, job):
+        return ""
+    return "can't end while its caller waits"
+
+
 def find_unservable_reason(state: EntryState, request: JobRequest, queue: Queue) -> str:
     """Return why no known worker can run a job, or an empty string."""
     steps, service = request.steps, queue.service
--- a/src/cactuswalk/dispatch/incarnations.py
+++ b/src/cactuswalk/dispatch/incarnations.py
@@ -54,16 +54,26 @@
     """The latest incarnation that was used of each name.
 
     :ivar latest: identifier by name.
+    :ivar ended: identifiers of incarnations that were replaced by one with an earlier
+        start: the time of day of their host was set back in between.
     """
 
     def __init__(self) -> None:
         self.latest: dict[str, str] = {}
+        self.ended: dict[str, None] = {}
 
-    def record(self, identifier: str) -> None:
-        """Record an incarnation that is used now."""
+    def record(self, identifier: str, replaced: str = "") -> None:
+        """Record an incarnation that is used now.
+
+        :param replaced: identifier of the one that was used before.
+        """
         name, born = split_incarnation(identifier)
         if born is None:
             return
+        if replaced and is_later(replaced, identifier):
+            self.ended[replaced] = None
+            if len(self.ended) > MAX_NAMES:
+                del self.ended[next(iter(self.ended))]
         self.latest.pop(name, None)
         self.latest[name] = identifier
         if len(self.latest) > MAX_NAMES:
@@ -71,5 +81,7 @@
 
     def is_outdated(self, identifier: str) -> bool:
         """Return whether a later incarnation of the same name is known."""
+        if identifier in self.ended:
+            return True
         name, _ = split_incarnation(identifier)
         return name in self.latest and is_later(self.latest[name], identifier)
--- a/src/cactuswalk/dispatch/placement.py
+++ b/src/cactuswalk/dispatch/placement.py
@@ -174,6 +174,8 @@
                 continue
             if reserve and not _has_reserve(view, step.cpu, reserve):
                 continue
+            if not view.fits(step.cpu, step.memory_mb, step.gpu):
+                continue
             if self._is_eligible(view, task, limit):
                 count += _count_in(view, step, reserve)
                 if count >= most:
@@ -294,6 +296,9 @@
 def _count_in(view: AgentView, step: Step, reserve: float) -> int:
     """Return how many tasks of a step a worker has room for."""
     free_cpu = view.free_cpu - int(reserve * view.report.cpu)
+    if view.report.trial:
+        # It takes one task at a time.
+        return 1
     count = max(1, free_cpu // max(1, step.cpu))
     if step.memory_mb:
         count = min(count, view.free_memory_mb // step.memory_mb)
--- a/src/cactuswalk/platform/worker.py
+++ b/src/cactuswalk/platform/worker.py
@@ -225,7 +225,12 @@
     other = find_other_incarnation(effect.worker, status, reply)
     if other:
         return PollFailed(
-            effect.worker, False, False, effect.is_check, answered_by=other
+            effect.worker,
+            False,
+            False,
+            effect.is_check,
+            answered_by=other,
+            sent_at=sent_at,
         )
     if status != 200:
         fenced, gone = reply.reason == "fence", status == MISDIRECTED_REQUEST
