Mutants and steps follow the merged signatures

Cause: two mutants patched functions whose signature has changed with divided capacity, so that one failed and one disabled another field; a step of decision_division had the words of a step of the platform's watch.

--- a/features/decision_division.feature
+++ b/features/decision_division.feature
@@ -38,7 +38,7 @@
     A crashed or frozen entry may block capacity for 30 ms only.
     Given entries a and b with 60 and 60 cores waiting
     When 6 cores are free, and tasks take 6
-    And 0.031 seconds pass
+    And 0.031 seconds go by at the agent
     Then b is told 6 cores
     When b sends a start of 6 cores
     And 6 cores are free, and tasks take 6
@@ -56,15 +56,15 @@
     Otherwise a frozen entry could block capacity for as long as tasks end.
     Given entries a and b with 60 and 0 cores waiting
     When 6 cores are free, and tasks take 6
-    And 0.02 seconds pass
+    And 0.02 seconds go by at the agent
     And 12 cores are free, and tasks take 6
     Then a has a grant of 12 cores
-    When 0.011 seconds pass
+    When 0.011 seconds go by at the agent
     Then a has a grant of 0 cores
 
   Scenario: A backlog that is not confirmed for 0.3 seconds gets no grants
     Given entries a and b with 60 and 60 cores waiting
-    When 0.31 seconds pass
+    When 0.31 seconds go by at the agent
     And 6 cores are free, and tasks take 6
     Then every entry is told 6 cores
 
@@ -73,11 +73,11 @@
     urgent task at another entry would wait beside idle capacity.
     Given entries a, b and c with 60, 0 and 0 cores waiting
     When 6 cores are free, and tasks take 6
-    And 0.031 seconds pass
+    And 0.031 seconds go by at the agent
     And a echoes a report of 0.05 seconds later
     And 6 cores are free, and tasks take 6
     Then every entry is told 6 cores
-    When 1.05 seconds pass
+    When 1.05 seconds go by at the agent
     And a echoes a report of 0 seconds later
     And 6 cores are free, and tasks take 6
     Then a is told 6 cores
--- a/features/steps/decision_division_steps.py
+++ b/features/steps/decision_division_steps.py
@@ -95,7 +95,7 @@
     context.shares[name].record_backlog(0, context.now)
 
 
-@when("{seconds:g} seconds pass")
+@when("{seconds:g} seconds go by at the agent")
 def step_pass(context, seconds):
     context.now += seconds
     if hasattr(context, "free"):
--- a/features/steps/dispatch_mutants_steps.py
+++ b/features/steps/dispatch_mutants_steps.py
@@ -171,7 +171,7 @@
             mock.patch.object(
                 entrykeepalives,
                 "Keepalive",
-                lambda *fields: Keepalive(*fields[:-2], [], fields[-1]),
+                lambda *fields: Keepalive(*fields[:-3], [], *fields[-2:]),
             )
         ]
     if safeguard == "keeping suspected tasks apart":
@@ -205,10 +205,10 @@
     return mock.patch.object(agent, "forget_if_ended", forget)
 
 
-def place_anyway(state, job, chooser, now):
+def place_anyway(state, job, chooser, starts, now):
     """Place a job's tasks although their earlier starts have not ended."""
     state.stopping_tasks.clear()
-    place_job(state, job, chooser, now)
+    place_job(state, job, chooser, starts, now)
 
 
 def ignore_unknown_runs(state, event, token, now):
