--- a/features/dispatch_starting.feature
+++ b/features/dispatch_starting.feature
@@ -54,6 +54,17 @@
   Scenario: The start of a process is read from the system
     Then the start of this process is not later than now and not before the host's
 
+  Scenario Outline: A start that the system tells wrongly is not used
+    The clock of a host may not agree with its proc file system. Phases would be logged
+    with seconds of hours or below zero.
+    Then a start told as <told> at 100.0 is taken for <taken>
+
+    Examples:
+      | told    | taken |
+      | 99.5    | 99.5  |
+      | -9000.0 | 100.0 |
+      | 101.0   | 100.0 |
+
   Scenario: An address in use is reported with a remedy
     Given a socket that listens
     Then another one can't listen there, and the error names the remedy
--- a/features/steps/dispatch_starting_steps.py
+++ b/features/steps/dispatch_starting_steps.py
@@ -14,7 +14,11 @@
 from cactuswalk.platform.callers import CallerHandler, JobResult
 from cactuswalk.runtime.dispatchentry import DispatchEntryProcess
 from cactuswalk.runtime.listening import ListenError, listen
-from cactuswalk.runtime.startclock import read_boottime, read_process_start
+from cactuswalk.runtime.startclock import (
+    choose_start,
+    read_boottime,
+    read_process_start,
+)
 from cactuswalk.settings.dispatch import Endpoint, load_dispatch_entry
 
 IMPORT_SCRIPT = "import sys, {module}; print('{unneeded}' in sys.modules)"
@@ -169,3 +173,8 @@
 @then("the start of this process is not later than now and not before the host's")
 def step_process_start(context):
     assert 0 <= read_process_start() <= read_boottime() + 0.01
+
+
+@then("a start told as {told:f} at {now:f} is taken for {taken:f}")
+def step_told_start(context, told, now, taken):
+    assert choose_start(told, now) == taken
--- a/src/cactuswalk/runtime/startclock.py
+++ b/src/cactuswalk/runtime/startclock.py
@@ -4,12 +4,16 @@
 import time
 from pathlib import Path
 
-__all__ = ["StartClock", "read_boottime", "read_process_start"]
+__all__ = ["StartClock", "choose_start", "read_boottime", "read_process_start"]
 
 # Field of /proc/self/stat with the process's start, counted from the end of its name,
 # in clock ticks since the host's start.
 START_FIELD = 19
 
+# A process reads its start within this time. On hosts whose proc file system and clock
+# don't agree the difference is far longer, or negative.
+MAX_LOAD_SECONDS = 30.0
+
 
 def read_boottime() -> float:
     """Return seconds of a monotonic clock that includes time in suspension.
@@ -25,12 +29,18 @@
 
     It is known to a hundredth of a second; without a proc file system it is now.
     """
+    now = read_boottime()
     try:
         stat = Path("/proc/self/stat").read_text(encoding="utf-8")
         ticks = int(stat.rpartition(")")[2].split()[START_FIELD])
-        return ticks / os.sysconf("SC_CLK_TCK")
     except (OSError, ValueError, IndexError):
-        return read_boottime()
+        return now
+    return choose_start(ticks / os.sysconf("SC_CLK_TCK"), now)
+
+
+def choose_start(told: float, now: float) -> float:
+    """Return when a process started, or now if what the system tells can't be true."""
+    return told if 0 <= now - told <= MAX_LOAD_SECONDS else now
 
 
 class StartClock:
