--- a/src/cactuswalk/decisions/division.py
+++ b/src/cactuswalk/decisions/division.py
@@ -40,7 +40,7 @@
 
     :param waiting_cpu: size of the tasks that waited there by its latest message, at
         ``waiting_at``.
-    :param granted_cpu: the part of the free capacity that only this entry is told.
+    :param granted_cpu: the part of the free capacity that is reported to it alone.
     :param granted_at: when the grant was made; it lasts no longer if it grows.
     :param told_cpu: free capacity by the latest report to it.
     :param sent_cpu: size of its starts that have arrived since.
@@ -87,7 +87,7 @@
     ) -> bool:
         """Use up the grant by a start; return whether there was one.
 
-        Task sizes vary: a rest of less than half a unit is no grant any more. A start
+        Task sizes vary: a remainder below half a unit ends the grant. A start
         that was declined waits again. If it came although the entry was told no more
         than other tasks leave free, it is urgent, and takes what they leave.
         """
@@ -242,5 +242,5 @@
         return chosen
 
     def told(self, share: EntryShare, free: int) -> int:
-        """Return the free capacity that an entry is told: its grant and the rest."""
+        """Return the free capacity to report to an entry: its grant and the rest."""
         return min(free, share.granted_cpu + max(0, free - self.granted_cpu))
--- a/src/cactuswalk/decisions/leaving.py
+++ b/src/cactuswalk/decisions/leaving.py
@@ -43,7 +43,7 @@
         self.times_ready = 0
 
     def begin(self, now: float) -> None:
-        """Record that the entry is to stop."""
+        """Record that a stop of the entry was requested."""
         self.began_at = now
 
     def record_readiness_check(self, ready: bool, now: float) -> None:
--- a/src/cactuswalk/dispatch/agentdivision.py
+++ b/src/cactuswalk/dispatch/agentdivision.py
@@ -98,7 +98,7 @@
 
 
 def told_cpu(state: AgentState, peer: EntryPeer, free: int) -> int:
-    """Return the free capacity that an entry is told, in thousandths of a core."""
+    """Return the free capacity to report to an entry, in thousandths of a core."""
     if not state.policy.divides_room:
         return free
     return state.division.told(peer.share, free)
--- a/src/cactuswalk/dispatch/agentgone.py
+++ b/src/cactuswalk/dispatch/agentgone.py
@@ -31,7 +31,7 @@
     if name != event.name:
         return
     if born is not None:
-        _record_doubtful_departure(state, now)
+        _record_unverified_departure(state, now)
         return
     state.has_departed = True
     # Runs that can't end within the rest of the lease are stopped if the worker still
@@ -41,7 +41,7 @@
     presume_gone(state, "it has announced that it leaves", now)
 
 
-def _record_doubtful_departure(state: AgentState, now: float) -> None:
+def _record_unverified_departure(state: AgentState, now: float) -> None:
     """Give the worker no tasks until its next heartbeat, which one that leaves omits.
 
     An announcement names no incarnation, so that it may be of an earlier one.
--- a/src/cactuswalk/dispatch/agentworker.py
+++ b/src/cactuswalk/dispatch/agentworker.py
@@ -66,7 +66,7 @@
         return
     # This may be a delayed heartbeat of an earlier incarnation, which must not end the
     # runs of the current one: the other incarnation has to answer a poll first, which
-    # renews no lease, since what runs there and for whom isn't known.
+    # renews no lease, since what runs there, and for which entry, isn't known.
     state.candidate, state.candidate_at = worker, now
     state.effects.append(PollWorker(worker.identifier, state.token, 0, 0, 0.0))
 
