--- a/src/cactuswalk/runtime/dispatch.py
+++ b/src/cactuswalk/runtime/dispatch.py
@@ -158,8 +158,8 @@
     async def _load_eliot(self) -> None:
         """Have eliot encode the log lines, once jobs don't wait for the start."""
         await asyncio.sleep(ELIOT_AFTER_SECONDS)
-        # In a thread: in the loop it would delay messages by a tick.
-        module = await asyncio.to_thread(importlib.import_module, ELIOT_MODULE)
+        # It holds up the loop for less than a keepalive's interval, once.
+        module = importlib.import_module(ELIOT_MODULE)
         self.log.encode_with(module.EliotLines())
 
     def _send(self, effect: SendMessage) -> None:
