--- a/review/harness.py
+++ b/review/harness.py
@@ -196,8 +196,11 @@
         """Return the zone of an entry or a worker."""
         return f"zone-{number % self.entries}"
 
-    def put_configuration(self, **changes: object) -> int:
-        """Write the next version of the configuration; return its number."""
+    def put_configuration(self, added_prefix: str = "") -> int:
+        """Write the next version of the configuration; return its number.
+
+        :param added_prefix: of a second queue on the same host; empty for none.
+        """
         version = next(self.versions)
         route = {
             "name": "r-wrr6x73",
@@ -211,9 +214,12 @@
             "max_attempts": 4,
             "stretch_factor": 1.6,
         }
+        routes = [route]
+        if added_prefix:
+            routes.append(route | {"name": "r-73hh2b9", "path_prefix": added_prefix})
         body = {
             "version": version,
-            "routes": [route | changes],
+            "routes": routes,
             "services": [{"name": SERVICE, "rejects_overload": True}],
             "limits": {"max_body_bytes": 262_144},
         }
@@ -226,12 +232,6 @@
         with urllib.request.urlopen(request, timeout=CALL_TIMEOUT_SECONDS):
             return version
 
-    def rewrite_settings(self) -> None:
-        """Change all settings files: a line that no program knows is added."""
-        for path in self.directory.glob("*.conf"):
-            text = path.read_text(encoding="utf-8")
-            path.write_text(f"# changed\n{text}", encoding="utf-8")
-
     def is_ready(self, entry: int) -> bool:
         """Return whether an entry answers the platform's readiness check with 200."""
         address = (self.entry_host(entry), self.port["ready"])
